Lay out the workspace of packages and its checks

Seven packages cut along the joints of the system (wire, release, replication, distribution, calls, daemon, cli), so that decisions stay apart from sockets.

Weighed: one package with sub-packages (ruled out: the command line would drag the daemon's libraries along) and a uv workspace (ruled out: its lock file names registry hosts). Editable installs over hash-pinned requirements do the same.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := wire release replication distribution calls daemon cli
+SEED ?= 1
+MINUTES ?= 1
+
+.PHONY: setup demo test lint types bench soak wire clean
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.txt $(PACKAGES:%=packages/%/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q --require-hashes -r requirements.txt
+	$(BIN)/python -m pip install -q --no-deps --no-build-isolation \
+		$(PACKAGES:%=-e packages/%)
+	touch $@
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+types: setup
+	$(BIN)/mypy $(PACKAGES:%=packages/%/src)
+
+test: lint types
+	$(BIN)/python -m pytest
+
+demo: setup
+	$(BIN)/python tools/demo.py
+
+bench: setup
+	$(BIN)/python -m bench
+
+soak: setup
+	$(BIN)/python tools/soak.py --seed $(SEED) --minutes $(MINUTES)
+
+# Regenerates the committed Thrift code; needs thrift-compiler 0.17.
+wire:
+	thrift --gen py:slots -out packages/wire/src/rhubarbhollow_wire/gen_py \
+		packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
+
+clean:
+	rm -rf $(VENV) .demo
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/__init__.py
@@ -0,0 +1,1 @@
+"""Routing, limits, retries and framing of calls."""
--- /dev/null
+++ b/packages/cli/src/rhubarbhollow_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators."""
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The node and control instance process."""
--- /dev/null
+++ b/packages/distribution/src/rhubarbhollow_distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Release staging, activation and endpoint tables."""
--- /dev/null
+++ b/packages/release/src/rhubarbhollow_release/__init__.py
@@ -0,0 +1,1 @@
+"""Manifests, approvals, closure checks and the release ledger."""
--- /dev/null
+++ b/packages/replication/src/rhubarbhollow_replication/__init__.py
@@ -0,0 +1,1 @@
+"""The quorum log, its durable store and its membership."""
--- /dev/null
+++ b/packages/wire/src/rhubarbhollow_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift messages and framing between rhubarbhollow processes."""
--- /dev/null
+++ b/packages/wire/tests/test_clock.py
@@ -0,0 +1,16 @@
+import pytest
+
+from rhubarbhollow_wire.clock import ManualClock
+
+
+def test_moves_both_clocks_together():
+    clock = ManualClock()
+    start = clock.utc()
+    clock.advance(2.5)
+    assert clock.monotonic() == 2.5
+    assert (clock.utc() - start).total_seconds() == 2.5
+
+
+def test_refuses_to_go_back():
+    with pytest.raises(ValueError, match="go back"):
+        ManualClock().advance(-1)
