--- a/packages/wire/src/rhubarbhollow_wire/connection.py
+++ b/packages/wire/src/rhubarbhollow_wire/connection.py
@@ -53,6 +53,10 @@
         self._max_frame_bytes = max_frame_bytes
         self._buffer = bytearray()
 
+    def count_on(self, traffic: Traffic) -> None:
+        """Count what follows on ``traffic``."""
+        self._traffic = traffic
+
     async def open(self) -> Result[None, WireFault]:
         """Exchange prefaces, to refuse other protocols at once."""
         sent = await self._send_bytes(PREFACE)
