Parse manifests and keep the order of approved releases

Purpose: the pure core that control instances and nodes share: strict parsing, canonical bytes, differences, approvals and the ledger.

Weighed: a schema library on each node costs memory, so nodes check the fields by a table and only instances that parse manifests load the schema. Canonical bytes are a join of the resources' bodies, so that a digest is checked without serialising again.

--- /dev/null
+++ b/packages/release/src/rhubarbhollow_release/assembly.py
@@ -0,0 +1,33 @@
+"""Assembly of a manifest from its items."""
+
+from __future__ import annotations
+
+from operator import attrgetter
+from typing import TYPE_CHECKING
+
+from rhubarbhollow_release.manifest import Manifest
+from rhubarbhollow_release.retry_policy import RetryPolicy
+from rhubarbhollow_release.route import Route
+from rhubarbhollow_release.service import Service
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from rhubarbhollow_release.codec import Item
+    from rhubarbhollow_release.manifest_header import ManifestHeader
+
+
+def assemble_manifest(
+    header: ManifestHeader,
+    items: Iterable[Item],
+) -> Manifest:
+    """Sort items by kind and name into a manifest."""
+    ordered = sorted(items, key=attrgetter("name"))
+    return Manifest(
+        format=header.format,
+        mesh=header.mesh,
+        version=header.version,
+        services=tuple(i for i in ordered if isinstance(i, Service)),
+        routes=tuple(i for i in ordered if isinstance(i, Route)),
+        retry_policies=tuple(i for i in ordered if isinstance(i, RetryPolicy)),
+    )
--- /dev/null
+++ b/packages/release/src/rhubarbhollow_release/canonical.py
@@ -0,0 +1,67 @@
+"""The bytes that an approval signs.
+
+The canonical form is a JSON object with sorted keys, no white space,
+all fields present, and resources sorted by kind and name.  Its first
+and last keys come from the header, so it is a join of the resources'
+bodies: a node checks a digest without serialising anything again.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_release.codec import encode_item, encode_json
+from rhubarbhollow_release.resource_kind import ResourceKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping, Sequence
+
+    from rhubarbhollow_release.codec import Item
+    from rhubarbhollow_release.manifest import Manifest
+    from rhubarbhollow_release.manifest_header import ManifestHeader
+
+DIGEST_BYTES: Final = 32
+
+SECTIONS: Final[Mapping[ResourceKind, str]] = {
+    ResourceKind.RETRY_POLICY: "retry_policies",
+    ResourceKind.ROUTE: "routes",
+    ResourceKind.SERVICE: "services",
+}
+
+
+def canonical_bytes(manifest: Manifest) -> bytes:
+    """Return a manifest's canonical form."""
+    bodies = {
+        ResourceKind.RETRY_POLICY: _bodies_of(manifest.retry_policies),
+        ResourceKind.ROUTE: _bodies_of(manifest.routes),
+        ResourceKind.SERVICE: _bodies_of(manifest.services),
+    }
+    return join_bodies(manifest.header, bodies)
+
+
+def join_bodies(
+    header: ManifestHeader,
+    bodies: Mapping[ResourceKind, Sequence[bytes]],
+) -> bytes:
+    """Join canonical bodies, sorted by name within each kind."""
+    sections = b",".join(
+        b'"%s":[%s]' % (section.encode(), b",".join(bodies[kind]))
+        for kind, section in SECTIONS.items()
+    )
+    return b'{"format":%d,"mesh":%s,%s,"version":%d}' % (
+        header.format,
+        encode_json(header.mesh),
+        sections,
+        header.version,
+    )
+
+
+def digest_of(data: bytes) -> bytes:
+    """Return the SHA-256 of canonical bytes, 32 bytes."""
+    return hashlib.sha256(data).digest()
+
+
+def _bodies_of(items: Iterable[Item]) -> list[bytes]:
+    ordered = sorted(items, key=lambda item: item.name)
+    return [encode_item(item) for item in ordered]
--- /dev/null
+++ b/packages/release/src/rhubarbhollow_release/closure.py
@@ -0,0 +1,197 @@
+"""Checks that a manifest's resources refer only to each other."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from graphlib import CycleError, TopologicalSorter
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_release.canonical import SECTIONS
+from rhubarbhollow_release.codec import Item, kind_of
+from rhubarbhollow_release.manifest_fault import FaultKind, ManifestFault
+from rhubarbhollow_release.resource_kind import ResourceKind
+from rhubarbhollow_release.route import Route
+from rhubarbhollow_release.service import Service
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator, Mapping, Sequence
+
+MAX_CYCLES: Final = 32
+
+
+@dataclass(frozen=True, slots=True)
+class PlacedItem:
+    """Hold an item and the path at which its faults are reported."""
+
+    path: str
+    item: Item
+
+
+@dataclass(frozen=True, slots=True)
+class Closure:
+    """Hold the items of a manifest to check what joins them.
+
+    ``malformed`` counts the names of resources that other checks have
+    refused: a reference to one of them is no further fault.
+    """
+
+    placed: Sequence[PlacedItem]
+    malformed: Mapping[ResourceKind, Counter[str]] = field(
+        default_factory=dict,
+    )
+
+    def find_faults(self) -> Iterator[ManifestFault]:
+        """Yield the faults of each item, then the cycles."""
+        counts = {kind: self._count(kind) for kind in ResourceKind}
+        for placed in self.placed:
+            yield from _check_item(placed, counts)
+        yield from _find_duplicate_matches(self.placed)
+        yield from self._find_cycles()
+
+    def _count(self, kind: ResourceKind) -> Counter[str]:
+        names = Counter(self.malformed.get(kind, ()))
+        names.update(
+            placed.item.name
+            for placed in self.placed
+            if kind_of(placed.item) is kind
+        )
+        return names
+
+    def _find_cycles(self) -> Iterator[ManifestFault]:
+        services = {
+            placed.item.name: placed.item
+            for placed in self.placed
+            if isinstance(placed.item, Service)
+        }
+        paths = {
+            placed.item.name: placed.path
+            for placed in self.placed
+            if isinstance(placed.item, Service)
+        }
+        dependencies = {
+            name: set(service.depends_on) for name, service in services.items()
+        }
+        fallbacks = {
+            name: {service.fallback}
+            for name, service in services.items()
+            if service.fallback is not None
+        }
+        yield from _find_cycles(dependencies, paths, "depends_on")
+        yield from _find_cycles(fallbacks, paths, "fallback")
+
+
+def closure_of(items: Iterable[Item]) -> Closure:
+    """Build a closure whose paths use the resources' names."""
+    return Closure(
+        [
+            PlacedItem(f"/{SECTIONS[kind_of(item)]}/{item.name}", item)
+            for item in items
+        ],
+    )
+
+
+def _check_item(
+    placed: PlacedItem,
+    counts: Mapping[ResourceKind, Counter[str]],
+) -> Iterator[ManifestFault]:
+    path, item = placed.path, placed.item
+    if counts[kind_of(item)][item.name] > 1:
+        yield ManifestFault(
+            f"{path}/name",
+            FaultKind.DUPLICATE_NAME,
+            item.name,
+        )
+    services = counts[ResourceKind.SERVICE]
+    match item:
+        case Service():
+            yield from _check_service(path, item, services)
+        case Route():
+            policies = counts[ResourceKind.RETRY_POLICY]
+            yield from _check_route(path, item, services, policies)
+
+
+def _find_duplicate_matches(
+    items: Iterable[PlacedItem],
+) -> Iterator[ManifestFault]:
+    taken: dict[tuple[str, str], str] = {}
+    for placed in items:
+        route = placed.item
+        if not isinstance(route, Route):
+            continue
+        match_ = (route.host, route.prefix)
+        if match_ in taken:
+            yield ManifestFault(
+                placed.path,
+                FaultKind.DUPLICATE_MATCH,
+                f"matches what {taken[match_]} matches",
+            )
+        taken.setdefault(match_, route.name)
+
+
+def _check_service(
+    path: str,
+    service: Service,
+    services: Counter[str],
+) -> Iterator[ManifestFault]:
+    for name in service.depends_on:
+        if name not in services:
+            yield _missing(f"{path}/depends_on", name)
+    if service.fallback is not None and service.fallback not in services:
+        yield _missing(f"{path}/fallback", service.fallback)
+    objectives = service.objectives
+    if objectives and not objectives.is_paired:
+        yield ManifestFault(
+            f"{path}/objectives",
+            FaultKind.MISSING_FIELD,
+            "latency_ms and latency_ratio go together",
+        )
+
+
+def _check_route(
+    path: str,
+    route: Route,
+    services: Counter[str],
+    policies: Counter[str],
+) -> Iterator[ManifestFault]:
+    if route.service not in services:
+        yield _missing(f"{path}/service", route.service)
+    if route.retry_policy is not None and route.retry_policy not in policies:
+        yield _missing(f"{path}/retry_policy", route.retry_policy)
+
+
+def _missing(path: str, name: str) -> ManifestFault:
+    return ManifestFault(path, FaultKind.MISSING_REFERENCE, name)
+
+
+def _find_cycles(
+    edges: dict[str, set[str]],
+    paths: Mapping[str, str],
+    field_name: str,
+) -> Iterator[ManifestFault]:
+    """Yield disjoint cycles, at most MAX_CYCLES; forget their edges."""
+    for _ in range(MAX_CYCLES):
+        cycle = _maybe_cycle(edges)
+        if not cycle:
+            return
+        start = cycle.index(min(cycle))
+        ordered = (*cycle[start:], *cycle[:start])
+        yield ManifestFault(
+            f"{paths[ordered[0]]}/{field_name}",
+            FaultKind.CYCLE,
+            " -> ".join((*ordered, ordered[0])),
+        )
+        for name in cycle:
+            del edges[name]
+
+
+def _maybe_cycle(edges: Mapping[str, set[str]]) -> tuple[str, ...]:
+    ordered = {name: sorted(edges[name]) for name in sorted(edges)}
+    try:
+        TopologicalSorter(ordered).prepare()
+    except CycleError as error:
+        # each name precedes one that depends on it, and the first is
+        # repeated at the end
+        cycle: list[str] = error.args[1]
+        return tuple(reversed(cycle[1:]))
+    return ()
--- /dev/null
+++ b/packages/release/src/rhubarbhollow_release/codec.py
@@ -0,0 +1,229 @@
+"""Conversion of resources from and to JSON values and bodies."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any, Final, TypeAlias
+
+from result import Err, Ok, Result
+
+from rhubarbhollow_release import field_checks as checks
+from rhubarbhollow_release.manifest_fault import (
+    FaultKind,
+    ManifestFault,
+    ManifestFaults,
+    fault_of,
+)
+from rhubarbhollow_release.objectives import Objectives
+from rhubarbhollow_release.priority import Priority
+from rhubarbhollow_release.resource_kind import ResourceKind
+from rhubarbhollow_release.retry_policy import RetryPolicy
+from rhubarbhollow_release.route import Route
+from rhubarbhollow_release.service import Service
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+Item: TypeAlias = Service | Route | RetryPolicy
+
+_OBJECTIVES_CHECKS: Final[Mapping[str, checks.FieldCheck]] = {
+    "availability": checks.is_objective_ratio,
+    "latency_ms": checks.optional(checks.is_timeout_ms),
+    "latency_ratio": checks.optional(checks.is_objective_ratio),
+}
+
+
+def _is_objectives(value: object) -> bool:
+    return (
+        isinstance(value, dict)
+        and value.keys() == _OBJECTIVES_CHECKS.keys()
+        and all(
+            check(value[field]) for field, check in _OBJECTIVES_CHECKS.items()
+        )
+    )
+
+
+_CHECKS: Final[Mapping[ResourceKind, Mapping[str, checks.FieldCheck]]] = {
+    ResourceKind.RETRY_POLICY: {
+        "name": checks.is_name,
+        "attempts": checks.is_attempts,
+        "budget_ratio": checks.is_budget_ratio,
+    },
+    ResourceKind.ROUTE: {
+        "name": checks.is_name,
+        "host": checks.is_host,
+        "prefix": checks.is_prefix,
+        "service": checks.is_name,
+        "timeout_ms": checks.is_timeout_ms,
+        "retry_policy": checks.optional(checks.is_name),
+        "priority": checks.is_priority,
+        "idempotent": checks.is_flag,
+    },
+    ResourceKind.SERVICE: {
+        "name": checks.is_name,
+        "depends_on": checks.is_dependency_list,
+        "fallback": checks.optional(checks.is_name),
+        "objectives": checks.optional(_is_objectives),
+    },
+}
+
+
+def kind_of(item: Item) -> ResourceKind:
+    """Return the kind of an item."""
+    match item:
+        case Service():
+            return ResourceKind.SERVICE
+        case Route():
+            return ResourceKind.ROUTE
+        case RetryPolicy():
+            return ResourceKind.RETRY_POLICY
+
+
+def encode_json(value: object) -> bytes:
+    """Return the one canonical JSON form of a value."""
+    text = json.dumps(
+        value,
+        allow_nan=False,
+        ensure_ascii=False,
+        separators=(",", ":"),
+        sort_keys=True,
+    )
+    return text.encode()
+
+
+def encode_item(item: Item) -> bytes:
+    """Return the canonical body of an item, with all its fields."""
+    return encode_json(_value_of(item))
+
+
+def decode_item(
+    kind: ResourceKind, body: bytes
+) -> Result[Item, ManifestFaults]:
+    """Read a canonical body; refuse any other spelling of it."""
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return Err(fault_of("", FaultKind.SYNTAX, ascii(str(error))))
+    if not isinstance(value, dict):
+        return Err(fault_of("", FaultKind.WRONG_TYPE, "not an object"))
+    faults = tuple(_check_fields(value, _CHECKS[kind]))
+    if faults:
+        return Err(ManifestFaults(faults))
+    item = read_item(kind, value)
+    if encode_item(item) != body:
+        return Err(fault_of("", FaultKind.NOT_CANONICAL, "other spelling"))
+    return Ok(item)
+
+
+def read_item(kind: ResourceKind, value: Mapping[str, Any]) -> Item:
+    """Build an item from a value that has passed the checks.
+
+    Optional fields may be absent.
+    """
+    match kind:
+        case ResourceKind.SERVICE:
+            return _read_service(value)
+        case ResourceKind.ROUTE:
+            return _read_route(value)
+        case ResourceKind.RETRY_POLICY:
+            return _read_retry_policy(value)
+
+
+def _check_fields(
+    value: Mapping[str, object],
+    fields: Mapping[str, checks.FieldCheck],
+) -> list[ManifestFault]:
+    unknown = [
+        ManifestFault("", FaultKind.UNKNOWN_FIELD, ascii(field))
+        for field in value.keys() - fields.keys()
+    ]
+    missing = [
+        ManifestFault("", FaultKind.MISSING_FIELD, field)
+        for field in fields.keys() - value.keys()
+    ]
+    wrong = [
+        ManifestFault(f"/{field}", FaultKind.BAD_VALUE, "not accepted")
+        for field, check in fields.items()
+        if field in value and not check(value[field])
+    ]
+    return sorted(unknown + missing + wrong)
+
+
+def _value_of(item: Item) -> dict[str, object]:
+    match item:
+        case Service():
+            return {
+                "name": item.name,
+                "depends_on": sorted(item.depends_on),
+                "fallback": item.fallback,
+                "objectives": _objectives_value_of(item.objectives),
+            }
+        case Route():
+            return {
+                "name": item.name,
+                "host": item.host,
+                "prefix": item.prefix,
+                "service": item.service,
+                "timeout_ms": item.timeout_ms,
+                "retry_policy": item.retry_policy,
+                "priority": item.priority.value,
+                "idempotent": item.is_idempotent,
+            }
+        case RetryPolicy():
+            return {
+                "name": item.name,
+                "attempts": item.attempts,
+                "budget_ratio": float(item.budget_ratio),
+            }
+
+
+def _objectives_value_of(
+    objectives: Objectives | None,
+) -> dict[str, object] | None:
+    if objectives is None:
+        return None
+    return {
+        "availability": objectives.availability,
+        "latency_ms": objectives.latency_ms,
+        "latency_ratio": objectives.latency_ratio,
+    }
+
+
+def _read_service(value: Mapping[str, Any]) -> Service:
+    return Service(
+        name=value["name"],
+        depends_on=tuple(sorted(value.get("depends_on", ()))),
+        fallback=value.get("fallback"),
+        objectives=_read_objectives(value.get("objectives")),
+    )
+
+
+def _read_objectives(value: Mapping[str, Any] | None) -> Objectives | None:
+    if value is None:
+        return None
+    return Objectives(
+        availability=value["availability"],
+        latency_ms=value.get("latency_ms"),
+        latency_ratio=value.get("latency_ratio"),
+    )
+
+
+def _read_route(value: Mapping[str, Any]) -> Route:
+    return Route(
+        name=value["name"],
+        host=value["host"],
+        prefix=value["prefix"],
+        service=value["service"],
+        timeout_ms=value["timeout_ms"],
+        retry_policy=value.get("retry_policy"),
+        priority=Priority(value.get("priority", "interactive")),
+        is_idempotent=value.get("idempotent", False),
+    )
+
+
+def _read_retry_policy(value: Mapping[str, Any]) -> RetryPolicy:
+    return RetryPolicy(
+        name=value["name"],
+        attempts=value["attempts"],
+        budget_ratio=float(value["budget_ratio"]),
+    )
--- /dev/null
+++ b/packages/release/src/rhubarbhollow_release/field_checks.py
@@ -0,0 +1,99 @@
+"""Checks of a resource's fields for nodes, which load no schema.
+
+They accept just what ``manifest.schema.json`` accepts in a resource
+that has all its fields; a test compares the two.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from typing import Final, TypeAlias
+
+FieldCheck: TypeAlias = Callable[[object], bool]
+
+MAX_VERSION: Final = (1 << 53) - 1
+MAX_DEPENDENCIES: Final = 256
+MAX_HOST_CHARACTERS: Final = 255
+MAX_PREFIX_CHARACTERS: Final = 1024
+MAX_TIMEOUT_MS: Final = 600_000
+MAX_ATTEMPTS: Final = 10
+
+_NAME: Final = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
+_HOST: Final = re.compile(
+    r"\*|[a-z0-9]([a-z0-9.-]*[a-z0-9])?(:[0-9]{1,5})?",
+)
+_PREFIX: Final = re.compile(r'/[!"$-.0-;=@-~/]*')
+
+
+def is_name(value: object) -> bool:
+    """Say whether a value names a mesh or a resource."""
+    return isinstance(value, str) and bool(_NAME.fullmatch(value))
+
+
+def is_host(value: object) -> bool:
+    """Say whether a value is ``*`` or an exact lower-case host."""
+    return (
+        isinstance(value, str)
+        and len(value) <= MAX_HOST_CHARACTERS
+        and bool(_HOST.fullmatch(value))
+    )
+
+
+def is_prefix(value: object) -> bool:
+    """Say whether a value is a path prefix, without a query."""
+    return (
+        isinstance(value, str)
+        and len(value) <= MAX_PREFIX_CHARACTERS
+        and bool(_PREFIX.fullmatch(value))
+    )
+
+
+def is_flag(value: object) -> bool:
+    """Say whether a value is a boolean."""
+    return isinstance(value, bool)
+
+
+def is_dependency_list(value: object) -> bool:
+    """Say whether a value lists distinct names."""
+    return (
+        isinstance(value, list)
+        and len(value) <= MAX_DEPENDENCIES
+        and all(is_name(name) for name in value)
+        and len(set(value)) == len(value)
+    )
+
+
+def is_priority(value: object) -> bool:
+    """Say whether a value names a priority."""
+    return isinstance(value, str) and value in {"interactive", "bulk"}
+
+
+def is_timeout_ms(value: object) -> bool:
+    """Say whether a value is a time limit in milliseconds."""
+    return type(value) is int and 1 <= value <= MAX_TIMEOUT_MS
+
+
+def is_attempts(value: object) -> bool:
+    """Say whether a value counts attempts."""
+    return type(value) is int and 1 <= value <= MAX_ATTEMPTS
+
+
+def is_budget_ratio(value: object) -> bool:
+    """Say whether a value is a share, 0 and 1 included."""
+    return type(value) in {int, float} and 0 <= value <= 1  # type: ignore[operator]
+
+
+def is_objective_ratio(value: object) -> bool:
+    """Say whether a value is a share, 0 and 1 excluded."""
+    return type(value) in {int, float} and 0 < value < 1  # type: ignore[operator]
+
+
+def optional(check: FieldCheck) -> FieldCheck:
+    """Return a check that also takes null."""
+    return lambda value: value is None or check(value)
+
+
+def is_version(value: object) -> bool:
+    """Say whether a value is a manifest's version."""
+    return type(value) is int and 1 <= value <= MAX_VERSION
--- /dev/null
+++ b/packages/release/src/rhubarbhollow_release/keys.py
@@ -0,0 +1,83 @@
+"""Ed25519 keys of the people who approve releases."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+from cryptography.exceptions import UnsupportedAlgorithm
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric.ed25519 import (
+    Ed25519PrivateKey,
+    Ed25519PublicKey,
+)
+from result import Err, Ok, Result
+
+KEY_ID_CHARACTERS: Final = 32
+
+
+class KeyFaultKind(StrEnum):
+    """Classify a key's fault."""
+
+    MALFORMED = "malformed"
+    OTHER_ALGORITHM = "other_algorithm"
+
+
+@dataclass(frozen=True, slots=True)
+class KeyFault:
+    """Say why a key cannot be loaded."""
+
+    kind: KeyFaultKind
+    detail: str
+
+
+def generate_key() -> Ed25519PrivateKey:
+    """Return a new private key from the system's random source."""
+    return Ed25519PrivateKey.generate()
+
+
+def key_id_of(public: Ed25519PublicKey) -> str:
+    """Return a public key's identifier: its SHA-256's start, in hex."""
+    raw = public.public_bytes_raw()
+    return hashlib.sha256(raw).hexdigest()[:KEY_ID_CHARACTERS]
+
+
+def store_private_key(key: Ed25519PrivateKey) -> bytes:
+    """Return the PEM (PKCS 8, not encrypted) of a private key."""
+    return key.private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+
+
+def store_public_key(key: Ed25519PublicKey) -> bytes:
+    """Return the PEM of a public key."""
+    return key.public_bytes(
+        serialization.Encoding.PEM,
+        serialization.PublicFormat.SubjectPublicKeyInfo,
+    )
+
+
+def load_private_key(pem: bytes) -> Result[Ed25519PrivateKey, KeyFault]:
+    """Read a private key's PEM."""
+    try:
+        key = serialization.load_pem_private_key(pem, password=None)
+    except (ValueError, TypeError, UnsupportedAlgorithm) as error:
+        return Err(KeyFault(KeyFaultKind.MALFORMED, ascii(str(error))))
+    if not isinstance(key, Ed25519PrivateKey):
+        return Err(KeyFault(KeyFaultKind.OTHER_ALGORITHM, type(key).__name__))
+    return Ok(key)
+
+
+def load_public_key(pem: bytes) -> Result[Ed25519PublicKey, KeyFault]:
+    """Read a public key's PEM."""
+    try:
+        key = serialization.load_pem_public_key(pem)
+    except (ValueError, UnsupportedAlgorithm) as error:
+        return Err(KeyFault(KeyFaultKind.MALFORMED, ascii(str(error))))
+    if not isinstance(key, Ed25519PublicKey):
+        return Err(KeyFault(KeyFaultKind.OTHER_ALGORITHM, type(key).__name__))
+    return Ok(key)
--- /dev/null
+++ b/packages/release/src/rhubarbhollow_release/ledger.py
@@ -0,0 +1,345 @@
+"""The replicated order of releases.
+
+A pure state machine: equal commands in equal order give equal states
+and outcomes on every replica.  That takes equal trusted keys on every
+control instance as well.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from result import Err, Ok, Result
+
+from rhubarbhollow_release.approval import Approval, verify_approval
+from rhubarbhollow_release.command import (
+    ActivateRelease,
+    Command,
+    SubmitRelease,
+)
+from rhubarbhollow_release.difference import (
+    EMPTY_DIGEST,
+    apply_difference,
+    diff_resources,
+)
+from rhubarbhollow_release.difference_codec import (
+    decode_difference,
+    encode_difference,
+)
+from rhubarbhollow_release.difference_fault import (
+    DifferenceFault,
+    DifferenceFaultKind,
+)
+from rhubarbhollow_release.invariant_violation import InvariantViolation
+from rhubarbhollow_release.ledger_state import LedgerState
+from rhubarbhollow_release.outcome import (
+    Accepted,
+    Activated,
+    ActivationOutcome,
+    AlreadyAccepted,
+    AlreadyActivated,
+    BaseMoved,
+    NotActivatable,
+    Outcome,
+    RefusalFault,
+    Refused,
+    StaleVersion,
+    SubmissionOutcome,
+    Superseded,
+    VersionConflict,
+)
+from rhubarbhollow_release.release import Release
+from rhubarbhollow_release.release_record import ReleaseRecord
+from rhubarbhollow_release.resource_set import (
+    ResourceSet,
+    join_resources,
+    split_manifest,
+)
+from rhubarbhollow_release.snapshot import (
+    SnapshotFault,
+    SnapshotFaultKind,
+    decode_state,
+    encode_state,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from cryptography.hazmat.primitives.asymmetric.ed25519 import (
+        Ed25519PublicKey,
+    )
+
+    from rhubarbhollow_release.approval_fault import ApprovalFault
+    from rhubarbhollow_release.manifest import Manifest
+
+MAX_RECORDS: Final = 20_000
+MAX_PAST_RELEASES: Final = 64
+
+
+class ReleaseLedger:
+    """Decide which releases exist and which one is in force."""
+
+    def __init__(
+        self,
+        mesh: str,
+        trusted: Mapping[str, Ed25519PublicKey],
+        state: LedgerState | None = None,
+    ) -> None:
+        state = state or LedgerState(mesh)
+        self._mesh = mesh
+        self._trusted = dict(trusted)
+        self._active_position = state.active_position
+        self._forgotten_version = state.forgotten_version
+        # both rise by position, since dictionaries keep their order
+        self._records = {record.version: record for record in state.records}
+        self._releases = {
+            release.position: release for release in state.releases
+        }
+
+    @property
+    def mesh(self) -> str:
+        """Return the mesh's name."""
+        return self._mesh
+
+    @property
+    def latest(self) -> Release | None:
+        """Return the release accepted last."""
+        return self._releases.get(self.latest_position)
+
+    @property
+    def active(self) -> Release | None:
+        """Return the release in force."""
+        return self._releases.get(self._active_position)
+
+    @property
+    def latest_position(self) -> int:
+        """Return the latest release's position, 0 before the first."""
+        return next(reversed(self._releases), 0)
+
+    @property
+    def active_position(self) -> int:
+        """Return the active release's position, 0 before the first."""
+        return self._active_position
+
+    @property
+    def highest_version(self) -> int:
+        """Return the highest accepted version, 0 before the first."""
+        return next(reversed(self._records), 0)
+
+    @property
+    def records(self) -> tuple[ReleaseRecord, ...]:
+        """Return the kept records, the oldest first."""
+        return tuple(self._records.values())
+
+    @classmethod
+    def restore(
+        cls,
+        snapshot: bytes,
+        mesh: str,
+        trusted: Mapping[str, Ed25519PublicKey],
+    ) -> Result[ReleaseLedger, SnapshotFault]:
+        """Return the ledger that a snapshot was taken of."""
+        decoded = decode_state(snapshot)
+        if isinstance(decoded, Err):
+            return decoded
+        state = decoded.ok_value
+        if state.mesh != mesh:
+            fault = SnapshotFault(SnapshotFaultKind.OTHER_MESH, state.mesh)
+            return Err(fault)
+        return Ok(cls(mesh, trusted, state))
+
+    def snapshot(self) -> bytes:
+        """Return the whole state; equal states give equal bytes."""
+        return encode_state(
+            LedgerState(
+                mesh=self._mesh,
+                active_position=self._active_position,
+                forgotten_version=self._forgotten_version,
+                records=tuple(self._records.values()),
+                releases=tuple(self._releases.values()),
+            ),
+        )
+
+    def release_at(self, position: int) -> Release | None:
+        """Return a release that is still kept."""
+        return self._releases.get(position)
+
+    def resources_at(self, position: int) -> ResourceSet | None:
+        """Return the content of a release that is still kept."""
+        release = self._releases.get(position)
+        return release.resources if release else None
+
+    def find_answer(
+        self,
+        version: int,
+        digest: bytes,
+    ) -> AlreadyAccepted | None:
+        """Return the first answer to a submission that was accepted."""
+        record = self._records.get(version)
+        if record is None or record.digest != digest:
+            return None
+        return AlreadyAccepted(record.position, version, digest)
+
+    def plan_submission(
+        self,
+        manifest: Manifest,
+        approval: Approval,
+    ) -> Result[SubmitRelease, ApprovalFault]:
+        """Build the command that submits a parsed manifest.
+
+        It starts from the latest release; when another one is accepted
+        before it, the outcome is ``BaseMoved`` and a new plan is due.
+        """
+        target = split_manifest(manifest)
+        verified = self._verify(approval, manifest.version, target.digest)
+        if isinstance(verified, Err):
+            return verified
+        base = self.latest.resources if self.latest else None
+        difference = diff_resources(base, target)
+        return Ok(
+            SubmitRelease(
+                difference.base_digest,
+                encode_difference(difference),
+                approval,
+            ),
+        )
+
+    def apply(self, command: Command) -> Outcome:
+        """Apply the next command of the log."""
+        match command:
+            case SubmitRelease():
+                return self._submit(command)
+            case ActivateRelease():
+                return self._activate(command.position)
+
+    def _submit(self, command: SubmitRelease) -> SubmissionOutcome:
+        approval = command.approval
+        answer = self.find_answer(approval.version, approval.digest)
+        if answer is not None:
+            return answer
+        verified = self._verify(approval, approval.version, approval.digest)
+        if isinstance(verified, Err):
+            return Refused(verified.err_value)
+        rejection = self._reject_version(approval.version)
+        if rejection is not None:
+            return rejection
+        if command.base_digest != self._latest_digest():
+            return BaseMoved(self._latest_digest())
+        resources = self._build(command)
+        if isinstance(resources, Err):
+            return Refused(resources.err_value)
+        return self._accept(resources.ok_value, approval)
+
+    def _verify(
+        self,
+        approval: Approval,
+        version: int,
+        digest: bytes,
+    ) -> Result[None, ApprovalFault]:
+        return verify_approval(
+            approval,
+            mesh=self._mesh,
+            version=version,
+            digest=digest,
+            trusted=self._trusted,
+        )
+
+    def _reject_version(self, version: int) -> SubmissionOutcome | None:
+        winner = self._records.get(version)
+        if winner is not None:
+            return VersionConflict(version, winner.digest, winner.position)
+        if version <= self._forgotten_version:
+            return Superseded(version, self.highest_version)
+        if version <= self.highest_version:
+            return StaleVersion(version, self.highest_version)
+        return None
+
+    def _latest_digest(self) -> bytes:
+        latest = self.latest
+        return latest.resources.digest if latest else EMPTY_DIGEST
+
+    def _build(
+        self,
+        command: SubmitRelease,
+    ) -> Result[ResourceSet, RefusalFault]:
+        """Build the submitted content and check all that it claims."""
+        decoded = decode_difference(command.difference)
+        if isinstance(decoded, Err):
+            return decoded
+        base = self.latest.resources if self.latest else None
+        target = apply_difference(base, decoded.ok_value)
+        if isinstance(target, Err):
+            return target
+        resources = target.ok_value
+        approval = command.approval
+        verified = self._verify(
+            approval,
+            resources.header.version,
+            resources.digest,
+        )
+        if isinstance(verified, Err):
+            return verified
+        if resources.header.mesh != self._mesh:
+            return Err(
+                DifferenceFault(
+                    DifferenceFaultKind.OTHER_MESH,
+                    resources.header.mesh,
+                ),
+            )
+        joined = join_resources(resources)
+        return joined if isinstance(joined, Err) else Ok(resources)
+
+    def _accept(self, resources: ResourceSet, approval: Approval) -> Accepted:
+        position = self.latest_position + 1
+        version = approval.version
+        if version <= self.highest_version:
+            raise InvariantViolation("accepted version does not rise")
+        self._releases[position] = Release(position, resources, approval)
+        self._records[version] = ReleaseRecord(
+            position,
+            version,
+            approval.digest,
+            approval.key_id,
+        )
+        self._forget_records()
+        self._forget_releases()
+        self._check()
+        return Accepted(position, version, approval.digest)
+
+    def _activate(self, position: int) -> ActivationOutcome:
+        if position > self.latest_position:
+            return NotActivatable(position, self.latest_position)
+        if position <= self._active_position:
+            return AlreadyActivated(position, self._active_position)
+        self._active_position = position
+        self._forget_releases()
+        self._check()
+        return Activated(position)
+
+    def _forget_records(self) -> None:
+        while len(self._records) > MAX_RECORDS:
+            version = next(iter(self._records))
+            del self._records[version]
+            self._forgotten_version = version
+
+    def _forget_releases(self) -> None:
+        """Keep what waits for its activation, and some of the past."""
+        oldest = min(
+            self._active_position,
+            self.latest_position - MAX_PAST_RELEASES,
+        )
+        for position in tuple(self._releases):
+            if position >= oldest:
+                return
+            del self._releases[position]
+
+    def _check(self) -> None:
+        if self._active_position > self.latest_position:
+            raise InvariantViolation("active release is not accepted")
+        if self._active_position and self.active is None:
+            raise InvariantViolation("active release is not kept")
+        record = self._records[self.highest_version]
+        if record.position != self.latest_position:
+            raise InvariantViolation("position and version part")
+        if self._forgotten_version >= next(iter(self._records)):
+            raise InvariantViolation("forgotten version is recorded")
--- /dev/null
+++ b/packages/release/src/rhubarbhollow_release/parsing.py
@@ -0,0 +1,82 @@
+"""Parsing of the manifests that operators submit."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+from result import Err, Ok, Result
+
+from rhubarbhollow_release.assembly import assemble_manifest
+from rhubarbhollow_release.canonical import SECTIONS
+from rhubarbhollow_release.closure import Closure, PlacedItem
+from rhubarbhollow_release.codec import read_item
+from rhubarbhollow_release.document import load_document
+from rhubarbhollow_release.manifest_fault import ManifestFault, ManifestFaults
+from rhubarbhollow_release.manifest_header import ManifestHeader
+from rhubarbhollow_release.schema import find_schema_faults
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterator, Mapping
+
+    from rhubarbhollow_release.manifest import Manifest
+    from rhubarbhollow_release.resource_kind import ResourceKind
+
+
+def parse_manifest(document: bytes) -> Result[Manifest, ManifestFaults]:
+    """Read a YAML or JSON manifest; refuse it whole, with every fault.
+
+    Faults of shape do not hide faults of reference: the closure of the
+    well-formed resources is checked as well.
+    """
+    loaded = load_document(document)
+    if isinstance(loaded, Err):
+        return loaded
+    value = loaded.ok_value
+    faults = find_schema_faults(value)
+    if not isinstance(value, dict) or not _has_sections(value):
+        return Err(ManifestFaults(faults))
+    closure = _closure_of(value, faults)
+    faults = (*faults, *closure.find_faults())
+    if faults:
+        return Err(ManifestFaults(faults))
+    header = ManifestHeader(value["format"], value["mesh"], value["version"])
+    items = (placed.item for placed in closure.placed)
+    return Ok(assemble_manifest(header, items))
+
+
+def _has_sections(value: Mapping[str, Any]) -> bool:
+    return all(
+        isinstance(value.get(section, []), list)
+        for section in SECTIONS.values()
+    )
+
+
+def _closure_of(
+    value: Mapping[str, Any],
+    faults: Collection[ManifestFault],
+) -> Closure:
+    bad = {_item_path_of(fault) for fault in faults}
+    placed: list[PlacedItem] = []
+    malformed: dict[ResourceKind, Counter[str]] = {}
+    for kind, section in SECTIONS.items():
+        names = malformed.setdefault(kind, Counter())
+        for path, entry in _entries_of(section, value):
+            if path not in bad:
+                placed.append(PlacedItem(path, read_item(kind, entry)))
+            elif isinstance(entry, dict):
+                names[str(entry.get("name"))] += 1
+    return Closure(placed, malformed)
+
+
+def _entries_of(
+    section: str,
+    value: Mapping[str, Any],
+) -> Iterator[tuple[str, Any]]:
+    for index, entry in enumerate(value.get(section, ())):
+        yield f"/{section}/{index}", entry
+
+
+def _item_path_of(fault: ManifestFault) -> str:
+    """Return the path of the section's entry that a fault is in."""
+    return "/".join(fault.path.split("/")[:3])
--- /dev/null
+++ b/packages/release/src/rhubarbhollow_release/snapshot.py
@@ -0,0 +1,234 @@
+"""The bytes of a ledger's snapshot.
+
+A SHA-256 comes first, then a deflate stream: a JSON preamble line, the
+records of fixed size, and the releases.  The first release is a
+difference from nothing, each other one from the release before it.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import struct
+import zlib
+from dataclasses import dataclass
+from enum import StrEnum
+from itertools import pairwise
+from typing import TYPE_CHECKING, Any, Final
+
+from result import Err, Ok, Result
+
+from rhubarbhollow_release.approval_codec import (
+    decode_approval,
+    encode_approval,
+)
+from rhubarbhollow_release.canonical import DIGEST_BYTES
+from rhubarbhollow_release.codec import encode_json
+from rhubarbhollow_release.difference import apply_difference, diff_resources
+from rhubarbhollow_release.difference_codec import (
+    decode_difference,
+    encode_difference,
+)
+from rhubarbhollow_release.ledger_state import LedgerState
+from rhubarbhollow_release.release import Release
+from rhubarbhollow_release.release_record import ReleaseRecord
+
+if TYPE_CHECKING:
+    from rhubarbhollow_release.resource_set import ResourceSet
+
+SNAPSHOT_FORMAT: Final = 1
+MAX_SNAPSHOT_BYTES: Final = 256 << 20
+
+_RECORD: Final = struct.Struct(">QQ32s16s")
+_PART: Final = struct.Struct(">QHI")
+
+
+class SnapshotFaultKind(StrEnum):
+    """Classify a snapshot's fault."""
+
+    CHECKSUM = "checksum"
+    MALFORMED = "malformed"
+    OTHER_FORMAT = "other_format"
+    OTHER_MESH = "other_mesh"
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotFault:
+    """Say why a snapshot cannot be restored."""
+
+    kind: SnapshotFaultKind
+    detail: str
+
+
+def encode_state(state: LedgerState) -> bytes:
+    """Return a snapshot's bytes; equal states give equal bytes."""
+    preamble = {
+        "format": SNAPSHOT_FORMAT,
+        "mesh": state.mesh,
+        "active_position": state.active_position,
+        "forgotten_version": state.forgotten_version,
+        "records": len(state.records),
+    }
+    records = b"".join(map(_encode_record, state.records))
+    releases = b"".join(_encode_releases(state.releases))
+    plain = encode_json(preamble) + b"\n" + records + releases
+    packed = zlib.compress(plain)
+    return hashlib.sha256(packed).digest() + packed
+
+
+def decode_state(data: bytes) -> Result[LedgerState, SnapshotFault]:
+    """Read a snapshot; refuse one with any bit wrong."""
+    packed = data[DIGEST_BYTES:]
+    if hashlib.sha256(packed).digest() != data[:DIGEST_BYTES]:
+        return _fault(SnapshotFaultKind.CHECKSUM, f"{len(data)} bytes")
+    plain = _decompress(packed)
+    if isinstance(plain, Err):
+        return plain
+    line, _, rest = plain.ok_value.partition(b"\n")
+    preamble = _read_preamble(line)
+    if isinstance(preamble, Err):
+        return preamble
+    return _decode_body(preamble.ok_value, rest)
+
+
+def _decode_body(
+    preamble: dict[str, Any],
+    rest: bytes,
+) -> Result[LedgerState, SnapshotFault]:
+    size = preamble["records"] * _RECORD.size
+    if len(rest) < size:
+        return _malformed("records cut short")
+    records = tuple(
+        ReleaseRecord(position, version, digest, key_id.hex())
+        for position, version, digest, key_id in _RECORD.iter_unpack(
+            rest[:size],
+        )
+    )
+    releases = _decode_releases(rest[size:])
+    if isinstance(releases, Err):
+        return releases
+    return _check_order(
+        LedgerState(
+            mesh=preamble["mesh"],
+            active_position=preamble["active_position"],
+            forgotten_version=preamble["forgotten_version"],
+            records=records,
+            releases=releases.ok_value,
+        ),
+    )
+
+
+def _decompress(packed: bytes) -> Result[bytes, SnapshotFault]:
+    decompressor = zlib.decompressobj()
+    try:
+        plain = decompressor.decompress(packed, MAX_SNAPSHOT_BYTES)
+    except zlib.error:
+        return _malformed("not a deflate stream")
+    if not decompressor.eof or decompressor.unused_data:
+        return _malformed("deflate stream cut short or followed by more")
+    return Ok(plain)
+
+
+def _read_preamble(line: bytes) -> Result[dict[str, Any], SnapshotFault]:
+    try:
+        preamble = json.loads(line)
+    except (ValueError, RecursionError):
+        return _malformed("preamble is not JSON")
+    if not isinstance(preamble, dict):
+        return _malformed("preamble is not an object")
+    if preamble.get("format") != SNAPSHOT_FORMAT:
+        return _fault(SnapshotFaultKind.OTHER_FORMAT, "format is not known")
+    counts = ("active_position", "forgotten_version", "records")
+    if not all(type(preamble.get(key)) is int for key in counts):
+        return _malformed("counts")
+    if not isinstance(preamble.get("mesh"), str):
+        return _malformed("mesh")
+    return Ok(preamble)
+
+
+def _encode_record(record: ReleaseRecord) -> bytes:
+    return _RECORD.pack(
+        record.position,
+        record.version,
+        record.digest,
+        bytes.fromhex(record.key_id),
+    )
+
+
+def _encode_releases(releases: tuple[Release, ...]) -> list[bytes]:
+    parts: list[bytes] = []
+    base: ResourceSet | None = None
+    for release in releases:
+        approval = encode_approval(release.approval)
+        change = encode_difference(diff_resources(base, release.resources))
+        sizes = _PART.pack(release.position, len(approval), len(change))
+        parts.extend((sizes, approval, change))
+        base = release.resources
+    return parts
+
+
+def _decode_releases(
+    data: bytes,
+) -> Result[tuple[Release, ...], SnapshotFault]:
+    releases: list[Release] = []
+    base: ResourceSet | None = None
+    offset = 0
+    while offset < len(data):
+        release, offset = _decode_release(data, offset, base)
+        if release is None:
+            return _malformed(f"release before byte {offset}")
+        releases.append(release)
+        base = release.resources
+    return Ok(tuple(releases))
+
+
+def _decode_release(
+    data: bytes,
+    offset: int,
+    base: ResourceSet | None,
+) -> tuple[Release | None, int]:
+    start = offset + _PART.size
+    if start > len(data):
+        return None, start
+    position, approval_size, change_size = _PART.unpack(data[offset:start])
+    middle = start + approval_size
+    end = middle + change_size
+    approval = decode_approval(data[start:middle])
+    change = decode_difference(data[middle:end])
+    if isinstance(approval, Err) or isinstance(change, Err):
+        return None, end
+    resources = apply_difference(base, change.ok_value)
+    if isinstance(resources, Err):
+        return None, end
+    return Release(position, resources.ok_value, approval.ok_value), end
+
+
+def _check_order(state: LedgerState) -> Result[LedgerState, SnapshotFault]:
+    records, releases = state.records, state.releases
+    if not all(
+        right.position == left.position + 1 and right.version > left.version
+        for left, right in pairwise(records)
+    ):
+        return _malformed("records out of order")
+    if not all(
+        right.position > left.position for left, right in pairwise(releases)
+    ):
+        return _malformed("releases out of order")
+    last_record = records[-1].position if records else 0
+    last_release = releases[-1].position if releases else 0
+    if last_record != last_release:
+        return _malformed("records and releases end apart")
+    kept = {release.position for release in releases}
+    if state.active_position and state.active_position not in kept:
+        return _malformed("active release is not kept")
+    if records and records[0].version <= state.forgotten_version:
+        return _malformed("forgotten version is recorded")
+    return Ok(state)
+
+
+def _malformed(detail: str) -> Err[SnapshotFault]:
+    return _fault(SnapshotFaultKind.MALFORMED, detail)
+
+
+def _fault(kind: SnapshotFaultKind, detail: str) -> Err[SnapshotFault]:
+    return Err(SnapshotFault(kind, detail))
