--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/call_route.py
@@ -0,0 +1,30 @@
+"""One route of a release, as calls use it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.call_priority import CallPriority
+
+
+@dataclass(frozen=True, slots=True)
+class CallRoute:
+    """Say where calls under a host and path prefix go, and how.
+
+    ``host`` is ``*`` for any host. ``budget_ratio`` is the share of
+    recent calls that may be sent again. ``fallback`` names the route
+    that is tried when no upstream of ``service`` can be chosen.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    timeout_ms: int
+    attempts: int
+    budget_ratio: float
+    priority: CallPriority
+    is_idempotent: bool
+    fallback: str | None
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/endpoint_table.py
@@ -0,0 +1,58 @@
+"""All known endpoints at one version, by service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from rhubarbhollow_calls.invariant import InvariantViolation
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from rhubarbhollow_calls.endpoint import Endpoint
+
+
+class DuplicateEndpoint(InvariantViolation):
+    """Two endpoints of one table share a name."""
+
+
+class EndpointTable:
+    """Hold the endpoints of one version; never changes."""
+
+    __slots__ = ("_by_name", "_by_service", "_version")
+
+    def __init__(self, version: int, endpoints: Iterable[Endpoint]) -> None:
+        self._version = version
+        self._by_name: dict[str, Endpoint] = {}
+        grouped: dict[str, list[Endpoint]] = {}
+        for endpoint in endpoints:
+            if endpoint.name in self._by_name:
+                raise DuplicateEndpoint(endpoint.name)
+            self._by_name[endpoint.name] = endpoint
+            grouped.setdefault(endpoint.service, []).append(endpoint)
+        self._by_service = {
+            service: tuple(members) for service, members in grouped.items()
+        }
+
+    @property
+    def version(self) -> int:
+        """Return the version under which the table was built."""
+        return self._version
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Return the names of the services that have endpoints."""
+        return tuple(self._by_service)
+
+    @property
+    def endpoints(self) -> tuple[Endpoint, ...]:
+        """Return all endpoints."""
+        return tuple(self._by_name.values())
+
+    def of_service(self, service: str) -> tuple[Endpoint, ...]:
+        """Return the endpoints of ``service``, perhaps none."""
+        return self._by_service.get(service, ())
+
+    def named(self, name: str) -> Endpoint | None:
+        """Return the endpoint called ``name``, or nothing."""
+        return self._by_name.get(name)
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/quarantine.py
@@ -0,0 +1,213 @@
+"""Requests that crash the upstreams that run them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_calls.quarantine_message import (
+    CrashReport,
+    Exoneration,
+    QuarantineMessage,
+)
+from rhubarbhollow_calls.quarantine_verdict import (
+    HeldSuspect,
+    MayRun,
+    Quarantined,
+    QuarantineVerdict,
+)
+
+if TYPE_CHECKING:
+    from rhubarbhollow_wire.clock import Clock
+
+CRASHES_TO_QUARANTINE: Final = 2
+BASE_QUARANTINE_SECONDS: Final = 60.0
+QUARANTINE_GROWTH: Final = 4.0
+MAX_QUARANTINE_SECONDS: Final = 3600.0
+# a crash is forgotten after this, and so is what it was evidence of
+CRASH_MEMORY_SECONDS: Final = 2 * MAX_QUARANTINE_SECONDS
+MAX_SUSPECTS: Final = 4096
+
+_HELD: Final = HeldSuspect()
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class _Crash:
+    at: float
+    upstream: str
+    incarnation: int
+
+
+@dataclass(slots=True)
+class _Suspect:
+    """Hold two sets that only grow, so that merging has no order."""
+
+    crashes: set[_Crash] = field(default_factory=set)
+    cleared: set[_Crash] = field(default_factory=set)
+
+    @property
+    def open_crashes(self) -> set[_Crash]:
+        return self.crashes - self.cleared
+
+    @property
+    def is_suspected(self) -> bool:
+        return not self.crashes <= self.cleared
+
+
+class Quarantine:
+    """Decide which requests may run on the upstream beside this node.
+
+    A request in flight at a crash becomes a suspect. A suspect that
+    completes is cleared of the crashes known then. A suspect runs only
+    while no other suspect runs here, so that a second crash points at
+    one of them. Two open crashes quarantine it for a time that grows
+    with each further one.
+    """
+
+    def __init__(self, clock: Clock, max_suspects: int = MAX_SUSPECTS) -> None:
+        self._clock = clock
+        self._max_suspects = max_suspects
+        self._suspects: dict[bytes, _Suspect] = {}
+        self._in_flight: dict[bytes, int] = {}
+        self._may_run = MayRun(0)
+
+    def verdict(self, fingerprint: bytes) -> QuarantineVerdict:
+        """Judge a request without starting it, on any node."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not suspect.is_suspected:
+            return self._may_run
+        return self._maybe_quarantined(suspect) or self._may_run
+
+    def try_start(self, fingerprint: bytes) -> QuarantineVerdict:
+        """Judge a request and count it as in flight if it may run."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None and suspect.is_suspected:
+            quarantined = self._maybe_quarantined(suspect)
+            if quarantined is not None:
+                return quarantined
+            if self._has_suspect_in_flight():
+                return _HELD
+        count = self._in_flight.get(fingerprint, 0)
+        self._in_flight[fingerprint] = count + 1
+        return self._may_run
+
+    def completed(
+        self, fingerprint: bytes, epoch: int
+    ) -> tuple[Exoneration, ...]:
+        """Note a whole answer; return what other nodes should hear."""
+        self.abandoned(fingerprint, epoch)
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not suspect.is_suspected:
+            return ()
+        if epoch != self._may_run.epoch:
+            return ()
+        opened = sorted(suspect.open_crashes)
+        suspect.cleared.update(opened)
+        return tuple(
+            Exoneration(
+                fingerprint, crash.upstream, crash.incarnation, crash.at
+            )
+            for crash in opened
+        )
+
+    def abandoned(self, fingerprint: bytes, epoch: int) -> None:
+        """Note an end that says nothing, such as a cancellation."""
+        if epoch != self._may_run.epoch:
+            return
+        count = self._in_flight.get(fingerprint, 0)
+        if count > 1:
+            self._in_flight[fingerprint] = count - 1
+        else:
+            self._in_flight.pop(fingerprint, None)
+
+    def crashed(
+        self, upstream: str, incarnation: int
+    ) -> tuple[CrashReport, ...]:
+        """Suspect all in flight; return what other nodes should hear.
+
+        A new epoch begins: ends of calls that the crash cut short are
+        ignored, even if the same request has been started again.
+        """
+        at = self._clock.utc().timestamp()
+        reports = tuple(
+            CrashReport(fingerprint, upstream, incarnation, at)
+            for fingerprint in self._in_flight
+        )
+        self._in_flight.clear()
+        self._may_run = MayRun(self._may_run.epoch + 1)
+        for report in reports:
+            self.merge(report)
+        return reports
+
+    def merge(self, message: QuarantineMessage) -> bool:
+        """Take in a message; return whether it was news.
+
+        Messages may come twice and in any order.
+        """
+        oldest = self._clock.utc().timestamp() - CRASH_MEMORY_SECONDS
+        if message.at < oldest:
+            return False
+        suspect = self._suspects.get(message.fingerprint)
+        if suspect is None:
+            suspect = self._suspects[message.fingerprint] = _Suspect()
+            self._evict()
+        crash = _Crash(message.at, message.upstream, message.incarnation)
+        match message:
+            case CrashReport():
+                known = suspect.crashes
+            case Exoneration():
+                known = suspect.cleared
+        is_new = crash not in known
+        known.add(crash)
+        return is_new
+
+    def messages(self) -> tuple[QuarantineMessage, ...]:
+        """Return all that is known, for a node that asks."""
+        return tuple(
+            kind(fingerprint, crash.upstream, crash.incarnation, crash.at)
+            for fingerprint, suspect in self._suspects.items()
+            for kind, crashes in (
+                (CrashReport, suspect.crashes),
+                (Exoneration, suspect.cleared),
+            )
+            for crash in sorted(crashes)
+        )
+
+    def forget_old(self) -> None:
+        """Drop what is older than the memory; call it now and then."""
+        oldest = self._clock.utc().timestamp() - CRASH_MEMORY_SECONDS
+        for fingerprint, suspect in list(self._suspects.items()):
+            suspect.crashes = {c for c in suspect.crashes if c.at >= oldest}
+            suspect.cleared = {c for c in suspect.cleared if c.at >= oldest}
+            if not suspect.crashes and not suspect.cleared:
+                del self._suspects[fingerprint]
+
+    def _maybe_quarantined(self, suspect: _Suspect) -> Quarantined | None:
+        opened = suspect.open_crashes
+        if len(opened) < CRASHES_TO_QUARANTINE:
+            return None
+        growth = QUARANTINE_GROWTH ** (len(opened) - CRASHES_TO_QUARANTINE)
+        seconds = min(MAX_QUARANTINE_SECONDS, BASE_QUARANTINE_SECONDS * growth)
+        until = max(crash.at for crash in opened) + seconds
+        remaining = until - self._clock.utc().timestamp()
+        if remaining <= 0:
+            return None
+        return Quarantined(len(opened), remaining)
+
+    def _has_suspect_in_flight(self) -> bool:
+        return any(
+            fingerprint in self._suspects
+            and self._suspects[fingerprint].is_suspected
+            for fingerprint in self._in_flight
+        )
+
+    def _evict(self) -> None:
+        if len(self._suspects) <= self._max_suspects:
+            return
+        # the oldest with the fewest crashes are the least likely
+        newest = next(reversed(self._suspects))
+        weakest = min(
+            (f for f in self._suspects if f != newest),
+            key=lambda f: len(self._suspects[f].open_crashes),
+        )
+        del self._suspects[weakest]
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/refusal.py
@@ -0,0 +1,151 @@
+"""Answers that the system gives in place of an upstream's answer."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_calls.invariant import InvariantViolation
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.not_run_proof import NotRunProof
+
+EXECUTED_HEADER: Final = b"rhubarbhollow-executed"
+PROBLEM_CONTENT_TYPE: Final = b"application/problem+json"
+PROBLEM_TYPE_PREFIX: Final = "tag:rhubarbhollow,2026:refusal/"
+
+
+class Executed(Enum):
+    """Say whether the refused request can have run."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+
+    @property
+    def header_value(self) -> bytes:
+        """Return the value of the ``EXECUTED_HEADER``."""
+        return self.value.encode()
+
+
+class RefusalKind(Enum):
+    """Name the cause of a refusal; the value is stable on the wire."""
+
+    BAD_REQUEST = "bad_request"
+    NO_ROUTE = "no_route"
+    NO_UPSTREAM = "no_upstream"
+    UNREACHABLE = "unreachable"
+    QUEUE_FULL = "queue_full"
+    SHED = "shed"
+    DRAINING = "draining"
+    DEADLINE = "deadline"
+    QUARANTINED = "quarantined"
+    SUSPECT_HELD = "suspect_held"
+    STALE_POSITION = "stale_position"
+    KEY_CONFLICT = "key_conflict"
+    ALREADY_RUNNING = "already_running"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+
+
+_STATUS: Final = {
+    RefusalKind.BAD_REQUEST: 400,
+    RefusalKind.NO_ROUTE: 404,
+    RefusalKind.NO_UPSTREAM: 503,
+    RefusalKind.UNREACHABLE: 503,
+    RefusalKind.QUEUE_FULL: 503,
+    RefusalKind.SHED: 503,
+    RefusalKind.DRAINING: 503,
+    RefusalKind.DEADLINE: 504,
+    # not 503, which invites a client to send it again
+    RefusalKind.QUARANTINED: 403,
+    RefusalKind.SUSPECT_HELD: 503,
+    RefusalKind.STALE_POSITION: 503,
+    RefusalKind.KEY_CONFLICT: 422,
+    RefusalKind.ALREADY_RUNNING: 409,
+    RefusalKind.CLAIM_UNAVAILABLE: 503,
+    RefusalKind.OUTCOME_UNKNOWN: 502,
+    RefusalKind.HEADERS_TOO_LARGE: 431,
+    RefusalKind.BODY_TOO_LARGE: 413,
+}
+
+_TITLE: Final = {
+    kind: kind.value.replace("_", " ").capitalize() for kind in RefusalKind
+}
+
+# whatever is known of this request, another with its key may have run
+_NEVER_PROVEN: Final = frozenset(
+    {RefusalKind.OUTCOME_UNKNOWN, RefusalKind.ALREADY_RUNNING}
+)
+
+
+class ProofContradiction(InvariantViolation):
+    """A refusal whose kind admits a run carries a proof against it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Refuse a request, with a proof if it is said not to have run.
+
+    ``executed`` follows from the proof alone: there is no way to build
+    a refusal that says "no" without one.
+    """
+
+    kind: RefusalKind
+    detail: str
+    proof: NotRunProof | None
+
+    def __post_init__(self) -> None:
+        if self.proof is not None and self.kind in _NEVER_PROVEN:
+            raise ProofContradiction(self.kind.value)
+
+    @property
+    def executed(self) -> Executed:
+        """Return ``NO`` only if there is a proof."""
+        return Executed.UNKNOWN if self.proof is None else Executed.NO
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status."""
+        return _STATUS[self.kind]
+
+    @classmethod
+    def not_run(
+        cls, kind: RefusalKind, proof: NotRunProof, detail: str = ""
+    ) -> Refusal:
+        """Build a refusal of a request that surely did not run."""
+        return cls(kind, detail, proof)
+
+    @classmethod
+    def unknown(cls, kind: RefusalKind, detail: str = "") -> Refusal:
+        """Build a refusal of a request that may have run."""
+        return cls(kind, detail, None)
+
+
+def problem_bytes(refusal: Refusal, request_id: str) -> bytes:
+    """Return the problem document (RFC 9457) of ``refusal``."""
+    problem = {
+        "type": PROBLEM_TYPE_PREFIX + refusal.kind.value,
+        "title": _TITLE[refusal.kind],
+        "status": refusal.status,
+        "detail": refusal.detail,
+        "executed": refusal.executed.value,
+        "request_id": request_id,
+    }
+    return json.dumps(problem, separators=(",", ":")).encode()
+
+
+def parse_executed(value: bytes | None) -> Executed:
+    """Read the header; all but a plain ``no`` means unknown."""
+    return Executed.NO if value == b"no" else Executed.UNKNOWN
+
+
+def maybe_refusal_kind(value: bytes) -> RefusalKind | None:
+    """Read a kind as another node sent it, or nothing."""
+    try:
+        return RefusalKind(value.decode("ascii"))
+    except ValueError:
+        return None
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/retry_decision.py
@@ -0,0 +1,100 @@
+"""Whether a failed attempt is sent again, and where not."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Final, TypeAlias
+
+from rhubarbhollow_calls.refusal import Executed
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.retry_budget import RetryBudget
+
+# on an answer: the hop next to the failure has already decided
+RETRY_HEADER: Final = b"rhubarbhollow-retry"
+RETRY_DECIDED: Final = b"decided"
+
+
+class GiveUpReason(Enum):
+    """Say why an attempt is the last one."""
+
+    ANSWERED = "answered"
+    CANCELLED = "cancelled"
+    ANSWER_STARTED = "answer_started"
+    MAY_HAVE_RUN = "may_have_run"
+    FROM_DEEPER = "from_deeper"
+    BODY_NOT_KEPT = "body_not_kept"
+    DEADLINE = "deadline"
+    ATTEMPTS = "attempts"
+    BUDGET = "budget"
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptView:
+    """Describe a failed attempt, for the decision to retry.
+
+    ``tried`` has the names of all upstreams tried so far, the failed
+    one among them. ``is_answer`` means that the upstream sent a whole
+    answer, of whatever status. ``is_from_deeper`` means that the
+    failure carries the ``RETRY_HEADER`` of a hop further down.
+    """
+
+    executed: Executed
+    is_idempotent: bool
+    is_answer: bool
+    is_answer_started: bool
+    is_from_deeper: bool
+    is_body_kept: bool
+    is_cancelled: bool
+    tried: frozenset[str]
+    attempts_made: int
+    attempts_allowed: int
+    remaining_ms: int
+    budget: RetryBudget
+
+
+@dataclass(frozen=True, slots=True)
+class Retry:
+    """Send the call again, to none of the ``excluded`` upstreams."""
+
+    excluded: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Pass the failure on to the caller."""
+
+    reason: GiveUpReason
+
+
+RetryDecision: TypeAlias = Retry | GiveUp
+
+
+def decide_retry(attempt: AttemptView) -> RetryDecision:
+    """Decide on a failed attempt; a retry takes one budget token."""
+    reason = _maybe_give_up_reason(attempt)
+    if reason is not None:
+        return GiveUp(reason)
+    # last, so that a call that cannot be retried costs no token
+    if not attempt.budget.try_spend():
+        return GiveUp(GiveUpReason.BUDGET)
+    return Retry(attempt.tried)
+
+
+def _maybe_give_up_reason(attempt: AttemptView) -> GiveUpReason | None:
+    is_safe = attempt.is_idempotent or attempt.executed is Executed.NO
+    checks = (
+        (attempt.is_cancelled, GiveUpReason.CANCELLED),
+        (attempt.is_answer, GiveUpReason.ANSWERED),
+        (attempt.is_answer_started, GiveUpReason.ANSWER_STARTED),
+        (attempt.is_from_deeper, GiveUpReason.FROM_DEEPER),
+        (not is_safe, GiveUpReason.MAY_HAVE_RUN),
+        (not attempt.is_body_kept, GiveUpReason.BODY_NOT_KEPT),
+        (attempt.remaining_ms <= 0, GiveUpReason.DEADLINE),
+        (
+            attempt.attempts_made >= attempt.attempts_allowed,
+            GiveUpReason.ATTEMPTS,
+        ),
+    )
+    return next((reason for holds, reason in checks if holds), None)
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
@@ -0,0 +1,118 @@
+"""What this node itself has seen of one endpoint."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_calls.endpoint import EndpointState
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.endpoint import Endpoint
+
+LATENCY_WEIGHT: Final = 0.2
+# latency evidence loses half its weight after this without a call, so
+# that an endpoint that was slow once is tried again
+LATENCY_MEMORY_SECONDS: Final = 5.0
+SLOW_START_SECONDS: Final = 10.0
+MIN_SLOW_START_SHARE: Final = 0.1
+
+
+class UpstreamEvidence:
+    """Hold the counters of one endpoint; its book changes them."""
+
+    __slots__ = (
+        "consecutive_failures",
+        "ejected_until",
+        "ejections",
+        "endpoint",
+        "in_flight",
+        "is_local",
+        "is_on_trial",
+        "latency_at",
+        "latency_seconds",
+        "refusals",
+        "refusing_until",
+        "reported_load",
+        "slow_start_at",
+        "stale_in_flight",
+    )
+
+    def __init__(self, endpoint: Endpoint, is_local: bool) -> None:
+        self.endpoint = endpoint
+        self.is_local = is_local
+        self.in_flight = 0
+        # calls in flight on an incarnation that has gone since
+        self.stale_in_flight = 0
+        self.reset()
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the endpoint asked for no new calls."""
+        return self.endpoint.state is EndpointState.LEAVING
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether this node's calls alone take all slots."""
+        return self.in_flight >= self.endpoint.slots
+
+    @property
+    def steady_at(self) -> float:
+        """Return when nothing but its load tells it from others."""
+        return max(
+            self.slow_start_at + SLOW_START_SECONDS,
+            self.ejected_until,
+            self.refusing_until,
+        )
+
+    def reset(self) -> None:
+        """Forget all but the calls in flight."""
+        self.latency_seconds: float | None = None
+        self.latency_at = 0.0
+        self.consecutive_failures = 0
+        self.refusals = 0
+        self.refusing_until = 0.0
+        self.ejections = 0
+        self.ejected_until = 0.0
+        # set from the end of an ejection to the next answer
+        self.is_on_trial = False
+        self.reported_load: float | None = None
+        self.slow_start_at = self.endpoint.joined_at
+
+    def replace(self, endpoint: Endpoint) -> None:
+        """Take the endpoint's newer description."""
+        is_new = endpoint.incarnation != self.endpoint.incarnation
+        if not is_new and endpoint.joined_at != self.endpoint.joined_at:
+            self.slow_start_at = max(self.slow_start_at, endpoint.joined_at)
+        self.endpoint = endpoint
+        if is_new:
+            self.stale_in_flight = self.in_flight
+            self.reset()
+
+    def share(self, now: float) -> float:
+        """Return the share of a full endpoint's calls it may get."""
+        age = now - self.slow_start_at
+        if age >= SLOW_START_SECONDS:
+            return 1.0
+        return max(MIN_SLOW_START_SHARE, age / SLOW_START_SECONDS)
+
+    def observe_latency(self, seconds: float, now: float) -> None:
+        """Mix one call's latency into the average."""
+        known = self.latency_seconds
+        if known is None:
+            self.latency_seconds = seconds
+        else:
+            self.latency_seconds = known + LATENCY_WEIGHT * (seconds - known)
+        self.latency_at = now
+
+    def observe_latency_floor(self, seconds: float, now: float) -> None:
+        """Mix in a call that was cut short after this time."""
+        known = self.latency_seconds
+        if known is None or seconds > known:
+            self.observe_latency(seconds, now)
+
+    def faded_latency(self, now: float) -> float | None:
+        """Return the latency, less by the time without evidence."""
+        if self.latency_seconds is None:
+            return None
+        idle = max(0.0, now - self.latency_at)
+        return self.latency_seconds / (1 + idle / LATENCY_MEMORY_SECONDS)
