Decide staging, activation, feeds and endpoint tables

Weighed: activation at once on arrival against two phases; two phases were taken since calls cross nodes. A node without memory starts by a rule of its own and never on sight of a call.

--- /dev/null
+++ b/packages/distribution/src/rhubarbhollow_distribution/endpoint_table.py
@@ -0,0 +1,123 @@
+"""A node's copy of the mesh's endpoints."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from rhubarbhollow_distribution.endpoint_record import (
+    EndpointRecord,
+    EndpointState,
+)
+from rhubarbhollow_distribution.endpoint_store import TOMBSTONE_SECONDS
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from rhubarbhollow_distribution.endpoint_change import EndpointChange
+    from rhubarbhollow_distribution.endpoint_record import EndpointKey
+    from rhubarbhollow_wire.clock import Clock
+
+
+@dataclass(frozen=True, slots=True)
+class NeedsEndpoints:
+    """The change does not fit what is held; connect with version 0."""
+
+    held_source: str
+    held_version: int
+
+
+class EndpointTable:
+    """Apply endpoint changes in order and keep the latest records.
+
+    A record of an older order never replaces a newer one, so a change
+    of source cannot bring an endpoint back that has left.  At equal
+    order the source's word counts: it knows whose lease ended.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._source = ""
+        self._version = 0
+        self._records: dict[EndpointKey, EndpointRecord] = {}
+        # In order of burial, so that the oldest come first.
+        self._gone_at: dict[EndpointKey, float] = {}
+
+    @property
+    def source(self) -> str:
+        """Return the source of the last applied change."""
+        return self._source
+
+    @property
+    def version(self) -> int:
+        """Return the version of the last applied change."""
+        return self._version
+
+    @property
+    def records(self) -> tuple[EndpointRecord, ...]:
+        """Return the records that are not tombstones."""
+        return tuple(
+            record for record in self._records.values() if not record.is_gone
+        )
+
+    def apply(
+        self,
+        change: EndpointChange,
+    ) -> Result[tuple[EndpointRecord, ...], NeedsEndpoints]:
+        """Apply a change; return the records that changed."""
+        if not change.is_full and not self._is_next(change):
+            return Err(NeedsEndpoints(self._source, self._version))
+        changed = list(self._merge(change.records))
+        if change.is_full:
+            changed.extend(self._bury_unlisted(change))
+        self._source = change.source
+        self._version = change.version
+        self._note_burials(changed)
+        return Ok(tuple(changed))
+
+    def purge(self) -> None:
+        """Forget tombstones that every source has forgotten, too."""
+        oldest = self._clock.monotonic() - TOMBSTONE_SECONDS
+        for key, gone_at in tuple(self._gone_at.items()):
+            if gone_at > oldest:
+                return
+            del self._gone_at[key]
+            del self._records[key]
+
+    def _note_burials(self, changed: Iterable[EndpointRecord]) -> None:
+        for record in changed:
+            self._gone_at.pop(record.key, None)
+            if record.is_gone:
+                self._gone_at[record.key] = self._clock.monotonic()
+
+    def _is_next(self, change: EndpointChange) -> bool:
+        return (
+            change.source == self._source
+            and change.base_version <= self._version <= change.version
+        )
+
+    def _merge(
+        self,
+        records: Iterable[EndpointRecord],
+    ) -> Iterable[EndpointRecord]:
+        for record in records:
+            held = self._records.get(record.key)
+            if held is not None and record.order < held.order:
+                continue
+            if held != record:
+                self._records[record.key] = record
+                yield record
+
+    def _bury_unlisted(
+        self,
+        change: EndpointChange,
+    ) -> Iterable[EndpointRecord]:
+        listed = {record.key for record in change.records}
+        for key, held in tuple(self._records.items()):
+            if key in listed or held.is_gone:
+                continue
+            buried = replace(held, state=int(EndpointState.GONE))
+            self._records[key] = buried
+            yield buried
--- /dev/null
+++ b/packages/distribution/src/rhubarbhollow_distribution/feed.py
@@ -0,0 +1,259 @@
+"""What a control instance sends next to one of its nodes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_distribution.activate import Activate
+from rhubarbhollow_distribution.active_report import ActiveReport
+from rhubarbhollow_distribution.control_heartbeat import ControlHeartbeat
+from rhubarbhollow_distribution.holder import MAX_STAGED_RELEASES
+from rhubarbhollow_distribution.node_heartbeat import NodeHeartbeat
+from rhubarbhollow_distribution.stage_request import StageRequest
+from rhubarbhollow_distribution.staged_report import StagedReport
+from rhubarbhollow_distribution.start_rule import StartRule
+from rhubarbhollow_release.difference import EMPTY_DIGEST
+
+if TYPE_CHECKING:
+    from rhubarbhollow_distribution.control_message import ControlMessage
+    from rhubarbhollow_distribution.endpoint_change import EndpointChange
+    from rhubarbhollow_distribution.endpoint_store import EndpointStore
+    from rhubarbhollow_distribution.feed_settings import FeedSettings
+    from rhubarbhollow_distribution.hello import Hello
+    from rhubarbhollow_distribution.ledger_view import LedgerView
+    from rhubarbhollow_distribution.node_message import NodeMessage
+    from rhubarbhollow_distribution.release_source import ReleaseSource
+    from rhubarbhollow_distribution.stage import Stage
+    from rhubarbhollow_wire.clock import Clock
+
+NEVER: Final = float("-inf")
+
+
+class NodeFeed:
+    """Decide message by message what one connected node is sent.
+
+    Activation goes before staging, staging before endpoints, and a
+    heartbeat is sent on an idle connection only.  One stage is
+    outstanding at a time, and it leads from what the node holds to the
+    latest release in one net difference.
+    """
+
+    def __init__(
+        self,
+        hello: Hello,
+        *,
+        data_centre: str,
+        settings: FeedSettings,
+        releases: ReleaseSource,
+        endpoints: EndpointStore,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._releases = releases
+        self._endpoints = endpoints
+        self._clock = clock
+        now = clock.monotonic()
+        self._has_memory = hello.active_position > 0
+        self._start_rule = StartRule(
+            is_own_data_centre=hello.data_centre == data_centre,
+            hello_at=now,
+        )
+        self._start_position: int | None = None
+        self._active_position = hello.active_position
+        self._active_digest = hello.active_digest
+        self._staged: dict[int, bytes] = {}
+        self._take_staged(hello.staged_position)
+        self._requested_base: bytes | None = None
+        self._outstanding: int | None = None
+        self._stage_sent_at = NEVER
+        self._activate_sent = 0
+        self._endpoints_source = hello.endpoints_source
+        self._endpoints_version = hello.endpoints_version
+        self._endpoints_sent_at = NEVER
+        self._sent_at = now
+        self._told_fresh: bool | None = None
+
+    @property
+    def active_position(self) -> int:
+        """Return the position that the node reported as in force."""
+        return self._active_position
+
+    def accept(self, message: NodeMessage) -> None:
+        """Take over what the node reports."""
+        match message:
+            case StagedReport(position=position, digest=digest):
+                self._note_staged(position, digest)
+            case ActiveReport(position=position):
+                self._raise_active(position)
+            case NodeHeartbeat(
+                active_position=active,
+                staged_position=staged,
+            ):
+                self._raise_active(active)
+                self._take_staged(staged)
+            case StageRequest(base_digest=base_digest):
+                self._outstanding = None
+                self._requested_base = base_digest
+            case _:
+                pass
+
+    def next_message(self, ledger: LedgerView) -> ControlMessage | None:
+        """Return the next message to send now, or none."""
+        message = (
+            self._maybe_activate(ledger)
+            or self._maybe_stage(ledger)
+            or self._maybe_endpoints()
+            or self._maybe_heartbeat(ledger)
+        )
+        if message is not None:
+            self._sent_at = self._clock.monotonic()
+        return message
+
+    def next_due(self) -> float:
+        """Return the latest time at which to ask again, unprompted."""
+        times = [self._sent_at + self._settings.heartbeat_seconds]
+        if self._outstanding is not None:
+            times.append(
+                self._stage_sent_at + self._settings.stage_timeout_seconds
+            )
+        if self._stage_sent_at > NEVER:
+            times.append(self._stage_ready_at())
+        if self._has_endpoint_change():
+            times.append(self._endpoints_ready_at())
+        now = self._clock.monotonic()
+        return min(time for time in times if time > now or time == times[0])
+
+    def _maybe_activate(self, ledger: LedgerView) -> Activate | None:
+        target = self._activation_target(ledger)
+        if target <= max(self._active_position, self._activate_sent):
+            return None
+        digest = self._staged.get(target)
+        if digest is None:
+            return None
+        self._activate_sent = target
+        return Activate(target, digest)
+
+    def _activation_target(self, ledger: LedgerView) -> int:
+        if self._has_memory:
+            return ledger.active_position
+        if self._start_position is None:
+            now = self._clock.monotonic()
+            self._start_position = self._start_rule.maybe_start(ledger, now)
+        if self._start_position is None:
+            return 0
+        return max(self._start_position, ledger.active_position)
+
+    def _maybe_stage(self, ledger: LedgerView) -> Stage | None:
+        target = self._stage_target(ledger)
+        if target is None or self._must_wait():
+            return None
+        base = self._requested_base or self._held_digest()
+        stage = self._releases.build_stage(target, base)
+        self._requested_base = None
+        self._outstanding = target
+        self._stage_sent_at = self._clock.monotonic()
+        return stage
+
+    def _stage_target(self, ledger: LedgerView) -> int | None:
+        needed = self._activation_target(ledger)
+        if needed > self._active_position and needed not in self._staged:
+            return needed if self._may_offer(ledger, needed) else None
+        latest = min(ledger.latest_position, ledger.recorded_floor)
+        held = max(self._staged, default=self._active_position)
+        if latest <= held or len(self._staged) >= MAX_STAGED_RELEASES:
+            return None
+        return latest
+
+    def _may_offer(self, ledger: LedgerView, position: int) -> bool:
+        return (
+            position <= ledger.recorded_floor
+            and self._releases.maybe_digest(position) is not None
+        )
+
+    def _must_wait(self) -> bool:
+        now = self._clock.monotonic()
+        if self._outstanding is not None:
+            timeout = self._settings.stage_timeout_seconds
+            return now < self._stage_sent_at + timeout
+        return self._requested_base is None and now < self._stage_ready_at()
+
+    def _stage_ready_at(self) -> float:
+        return self._stage_sent_at + self._settings.coalescing_seconds
+
+    def _maybe_endpoints(self) -> EndpointChange | None:
+        if not self._has_endpoint_change():
+            return None
+        now = self._clock.monotonic()
+        if now < self._endpoints_ready_at():
+            return None
+        change = self._endpoints.changes_since(
+            self._endpoints_source,
+            self._endpoints_version,
+        )
+        self._endpoints_source = change.source
+        self._endpoints_version = change.version
+        self._endpoints_sent_at = now
+        return change
+
+    def _has_endpoint_change(self) -> bool:
+        return (
+            self._endpoints_source != self._endpoints.source
+            or self._endpoints_version != self._endpoints.version
+        )
+
+    def _endpoints_ready_at(self) -> float:
+        is_urgent = (
+            self._endpoints_source != self._endpoints.source
+            or self._endpoints_version < self._endpoints.urgent_version
+        )
+        window = self._settings.coalescing_seconds
+        if not is_urgent:
+            window = max(window, self._settings.load_seconds)
+        return self._endpoints_sent_at + window
+
+    def _maybe_heartbeat(self, ledger: LedgerView) -> ControlHeartbeat | None:
+        now = self._clock.monotonic()
+        is_idle = now >= self._sent_at + self._settings.heartbeat_seconds
+        # The first one waits for an idle moment: a welcome is enough.
+        has_turned = self._told_fresh not in (None, ledger.is_fresh)
+        if not is_idle and not has_turned:
+            return None
+        self._told_fresh = ledger.is_fresh
+        return ControlHeartbeat(
+            is_fresh=ledger.is_fresh,
+            latest_position=ledger.latest_position,
+            active_position=ledger.active_position,
+        )
+
+    def _held_digest(self) -> bytes:
+        if self._staged:
+            return self._staged[max(self._staged)]
+        return self._active_digest
+
+    def _note_staged(self, position: int, digest: bytes) -> None:
+        if self._outstanding == position:
+            self._outstanding = None
+        if position > self._active_position:
+            self._staged[position] = digest
+
+    def _take_staged(self, position: int) -> None:
+        if position <= self._active_position or position in self._staged:
+            return
+        digest = self._releases.maybe_digest(position)
+        if digest is not None:
+            self._note_staged(position, digest)
+
+    def _raise_active(self, position: int) -> None:
+        if position <= self._active_position:
+            return
+        self._has_memory = True
+        digest = self._staged.get(position)
+        if digest is None:
+            digest = self._releases.maybe_digest(position) or EMPTY_DIGEST
+        self._active_position = position
+        self._active_digest = digest
+        self._staged = {
+            staged: held
+            for staged, held in self._staged.items()
+            if staged > position
+        }
--- /dev/null
+++ b/packages/distribution/src/rhubarbhollow_distribution/holder_view.py
@@ -0,0 +1,19 @@
+"""A readable summary of what a node holds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class HolderView:
+    """Explain the holder's state to an operator."""
+
+    mesh: str
+    active_position: int
+    active_version: int
+    active_digest: bytes
+    active_since_seconds: float
+    staged_positions: tuple[int, ...]
+    refused_count: int
+    last_refusal: str
--- /dev/null
+++ b/packages/distribution/src/rhubarbhollow_distribution/node_register.py
@@ -0,0 +1,170 @@
+"""The nodes that are connected to one control instance."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from rhubarbhollow_distribution.active_report import ActiveReport
+from rhubarbhollow_distribution.node_entry import NodeEntry
+from rhubarbhollow_distribution.node_heartbeat import NodeHeartbeat
+from rhubarbhollow_distribution.position_count import PositionCount
+from rhubarbhollow_distribution.register_summary import RegisterSummary
+from rhubarbhollow_distribution.staged_report import StagedReport
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from rhubarbhollow_distribution.hello import Hello
+    from rhubarbhollow_distribution.node_message import NodeMessage
+    from rhubarbhollow_wire.clock import Clock
+
+
+class NodeRegister:
+    """Track the positions and leases of the nodes connected here.
+
+    A node counts while its lease lives: every message renews it.  A
+    node that connects again replaces its earlier entry unless that one
+    belongs to a later incarnation.
+    """
+
+    def __init__(
+        self,
+        control: str,
+        data_centre: str,
+        clock: Clock,
+        lease_seconds: float,
+    ) -> None:
+        self._control = control
+        self._data_centre = data_centre
+        self._clock = clock
+        self._lease_seconds = lease_seconds
+        self._entries: dict[str, NodeEntry] = {}
+        self._floor = 0
+
+    @property
+    def floor(self) -> int:
+        """Return the highest position in force on a local node.
+
+        Only nodes of this data centre count; the value never falls, not
+        even when the node that reported it is gone.
+        """
+        return self._floor
+
+    @property
+    def entries(self) -> tuple[NodeEntry, ...]:
+        """Return what is known of each node whose lease is alive."""
+        return tuple(self._live())
+
+    def admit(self, hello: Hello) -> bool:
+        """Enter a node; false when a later incarnation is connected."""
+        known = self._entries.get(hello.node)
+        if known is not None and known.incarnation > hello.incarnation:
+            return False
+        staged = frozenset(
+            position
+            for position in (hello.staged_position,)
+            if position > hello.active_position
+        )
+        self._entries[hello.node] = NodeEntry(
+            node=hello.node,
+            data_centre=hello.data_centre,
+            incarnation=hello.incarnation,
+            active_position=hello.active_position,
+            staged_positions=staged,
+            heard_at=self._clock.monotonic(),
+        )
+        self._raise_floor(hello.data_centre, hello.active_position)
+        return True
+
+    def accept(self, node: str, message: NodeMessage) -> None:
+        """Renew the node's lease and take over what it reports."""
+        known = self._entries.get(node)
+        if known is None:
+            return
+        entry = replace(known, heard_at=self._clock.monotonic())
+        match message:
+            case StagedReport(position=position):
+                entry = _add_staged(entry, position)
+            case ActiveReport(position=position):
+                entry = _raise_active(entry, position)
+            case NodeHeartbeat(
+                active_position=active,
+                staged_position=staged,
+            ):
+                entry = _add_staged(_raise_active(entry, active), staged)
+            case _:
+                pass
+        self._entries[node] = entry
+        self._raise_floor(entry.data_centre, entry.active_position)
+
+    def remove(self, node: str, incarnation: int) -> None:
+        """Forget a node whose connection ended."""
+        known = self._entries.get(node)
+        if known is not None and known.incarnation == incarnation:
+            del self._entries[node]
+
+    def expired(self) -> tuple[str, ...]:
+        """Return the nodes whose lease has ended, for removal."""
+        live = {entry.node for entry in self._live()}
+        return tuple(node for node in self._entries if node not in live)
+
+    def all_staged(self, position: int) -> bool:
+        """Tell whether every live node can serve ``position``."""
+        return all(entry.is_ready(position) for entry in self._live())
+
+    def in_force_count(self, position: int) -> int:
+        """Count the live nodes at ``position`` or above."""
+        return sum(
+            1 for entry in self._live() if entry.active_position >= position
+        )
+
+    def summary(self) -> RegisterSummary:
+        """Count the live nodes by position, for the leader."""
+        live = tuple(self._live())
+        return RegisterSummary(
+            control=self._control,
+            live_nodes=len(live),
+            staged=_count(
+                position
+                for entry in live
+                for position in entry.staged_positions
+            ),
+            in_force=_count(entry.active_position for entry in live),
+        )
+
+    def _live(self) -> Iterable[NodeEntry]:
+        oldest = self._clock.monotonic() - self._lease_seconds
+        return (
+            entry
+            for entry in self._entries.values()
+            if entry.heard_at >= oldest
+        )
+
+    def _raise_floor(self, data_centre: str, position: int) -> None:
+        if data_centre == self._data_centre:
+            self._floor = max(self._floor, position)
+
+
+def _add_staged(entry: NodeEntry, position: int) -> NodeEntry:
+    if position <= entry.active_position:
+        return entry
+    return replace(entry, staged_positions=entry.staged_positions | {position})
+
+
+def _raise_active(entry: NodeEntry, position: int) -> NodeEntry:
+    if position <= entry.active_position:
+        return entry
+    staged = frozenset(
+        staged for staged in entry.staged_positions if staged > position
+    )
+    return replace(entry, active_position=position, staged_positions=staged)
+
+
+def _count(positions: Iterable[int]) -> tuple[PositionCount, ...]:
+    counted = Counter(positions)
+    return tuple(
+        PositionCount(position, counted[position])
+        for position in sorted(counted)
+    )
--- /dev/null
+++ b/packages/distribution/src/rhubarbhollow_distribution/stage.py
@@ -0,0 +1,22 @@
+"""The message that brings a release to a node."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Stage:
+    """Carry one net difference that leads to a whole release.
+
+    ``base_digest`` is ``EMPTY_DIGEST`` when ``difference`` holds the
+    whole release.  ``digest`` names the content after the difference,
+    and the approval signs it with the mesh and ``version``.
+    """
+
+    position: int
+    version: int
+    base_digest: bytes
+    digest: bytes
+    approval_document: bytes
+    difference: bytes
