Replicate a log over a quorum with a durable store

Releases, votes and memberships have to outlive crashes, lost disks and partitions without an outside store.

--- /dev/null
+++ b/packages/replication/src/rhubarbhollow_replication/leadership.py
@@ -0,0 +1,289 @@
+"""The work of a leader during one term."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from rhubarbhollow_replication.append import AppendReply, AppendRequest
+from rhubarbhollow_replication.chunk import SnapshotChunk, SnapshotReply
+from rhubarbhollow_replication.entry import Entry, EntryKind
+from rhubarbhollow_replication.invariants import require
+from rhubarbhollow_replication.lease import Lease
+from rhubarbhollow_replication.membership_view import MembershipView
+from rhubarbhollow_replication.plan import plan_repair
+from rhubarbhollow_replication.progress import Progress, SnapshotTransfer
+
+if TYPE_CHECKING:
+    from rhubarbhollow_replication.journal import Journal
+    from rhubarbhollow_replication.outbox import Outbox
+    from rhubarbhollow_replication.settings import ReplicaSettings
+
+MAX_ENTRIES_IN_FLIGHT = 4096
+
+
+class Leadership:
+    """Replicate, confirm the lease and decide what is committed."""
+
+    def __init__(
+        self,
+        settings: ReplicaSettings,
+        store_id: str,
+        term: int,
+        journal: Journal,
+        outbox: Outbox,
+        now: float,
+    ) -> None:
+        self._settings = settings
+        self._store_id = store_id
+        self._term = term
+        self._journal = journal
+        self._outbox = outbox
+        self._peers: dict[str, Progress] = {}
+        self._has_news = True
+        self._heartbeat_at = now
+        self.lease = Lease(settings.lease_seconds, now)
+        self._follow_membership(now)
+
+    @property
+    def heartbeat_at(self) -> float:
+        """When the next round is due."""
+        return self._heartbeat_at
+
+    @property
+    def peers(self) -> dict[str, Progress]:
+        """The progress of every other member."""
+        return self._peers
+
+    @property
+    def may_change_membership(self) -> bool:
+        """Whether the term's first entry and all changes committed."""
+        journal = self._journal
+        if journal.memberships.index > journal.commit_index:
+            return False
+        return journal.log.term_at(journal.commit_index) == self._term
+
+    def append(self, kind: EntryKind, payload: bytes, now: float) -> int:
+        """Add an entry of this term; return its index."""
+        index = self._journal.log.last_index + 1
+        self._journal.append((Entry(index, self._term, kind, payload),))
+        self._has_news = True
+        if kind is EntryKind.CONFIG:
+            self._follow_membership(now)
+        return index
+
+    def note_commit(self) -> None:
+        """Have the followers told of a new commit index."""
+        self._has_news = True
+
+    def tick(self, now: float) -> None:
+        """Start a round and repair the membership when it is time."""
+        if now < self._heartbeat_at:
+            return
+        if self.may_change_membership and self.lease.is_live(now):
+            proposed = plan_repair(self.view(now))
+            if proposed is not None:
+                self.append(EntryKind.CONFIG, proposed.encode(), now)
+        self.begin_round(now)
+
+    def flush(self, now: float) -> None:
+        """Start a round if there is anything new to tell."""
+        if self._has_news:
+            self.begin_round(now)
+
+    def begin_round(self, now: float) -> int:
+        """Send a round to every peer; return its number."""
+        number = self.lease.begin_round(now)
+        self._has_news = False
+        self._heartbeat_at = now + self._settings.heartbeat_seconds
+        for name, peer in self._peers.items():
+            self._send_round(name, peer, now)
+        self._confirm_rounds()
+        return number
+
+    def handle_append_reply(self, reply: AppendReply, now: float) -> None:
+        """Learn how far a peer's durable log agrees."""
+        peer = self._hear(reply.follower, reply.store_id, reply.round, now)
+        if peer is None:
+            return
+        if not reply.is_success:
+            peer.note_refusal(reply.match_index)
+        elif reply.match_index > self._journal.log.last_index:
+            return
+        else:
+            peer.note_match(reply.match_index)
+        self._confirm_rounds()
+        if peer.next_index <= self._journal.log.last_index:
+            self._send_more(reply.follower, peer, now)
+
+    def handle_snapshot_reply(self, reply: SnapshotReply, now: float) -> None:
+        """Send the part of the snapshot that a peer asks for."""
+        peer = self._hear(reply.follower, reply.store_id, reply.round, now)
+        if peer is None or peer.transfer is None:
+            return
+        self._confirm_rounds()
+        transfer = peer.transfer
+        if reply.last_index != transfer.snapshot.last_index:
+            return
+        if reply.offset == transfer.offset:
+            return
+        transfer.offset = reply.offset
+        self._send_chunk(reply.follower, transfer, now)
+
+    def find_committed(self) -> int:
+        """Return the highest index durable on a quorum in this term.
+
+        An older term's entry is never counted: it may be durable on a
+        quorum and still be replaced by a later leader.
+        """
+        journal = self._journal
+        durable = self._voting_values(
+            {name: peer.match_index for name, peer in self._peers.items()},
+            journal.synced_index,
+        )
+        index = journal.configuration.quorum_value(durable)
+        if index <= journal.commit_index:
+            return journal.commit_index
+        if journal.log.term_at(index) != self._term:
+            return journal.commit_index
+        agreeing = {name for name, value in durable.items() if value >= index}
+        require(
+            journal.configuration.is_quorum(agreeing),
+            "commit without a synced quorum",
+        )
+        return index
+
+    def view(self, now: float) -> MembershipView:
+        """Return the evidence for a membership change."""
+        settings = self._settings
+        return MembershipView(
+            configuration=self._journal.configuration,
+            leader=settings.name,
+            peers=self._peers,
+            commit_index=self._journal.commit_index,
+            wanted_voters=len(settings.initial_members),
+            now=now,
+            alive_seconds=settings.election_timeout_seconds,
+            silent_seconds=settings.repair_after_seconds,
+        )
+
+    def _follow_membership(self, now: float) -> None:
+        """Track exactly the peers of the configuration in force."""
+        names = {m.name for m in self._journal.configuration.members}
+        names.discard(self._settings.name)
+        next_index = self._journal.log.last_index + 1
+        self._peers = {
+            name: self._peers.get(name) or Progress(next_index, heard_at=now)
+            for name in sorted(names)
+        }
+
+    def _hear(
+        self, name: str, store_id: str, round_number: int, now: float
+    ) -> Progress | None:
+        peer = self._peers.get(name)
+        if peer is None or round_number > self.lease.round:
+            return None
+        peer.note_store(store_id, self._journal.log.last_index)
+        peer.heard_at = now
+        peer.acked_round = max(peer.acked_round, round_number)
+        return peer
+
+    def _voting_values(
+        self, values: dict[str, int], own: int
+    ) -> dict[str, int]:
+        """Keep the values of bound stores, and add this replica's."""
+        configuration = self._journal.configuration
+        counted = {
+            name: value
+            for name, value in values.items()
+            if configuration.is_voting_store(name, self._peers[name].store_id)
+        }
+        name = self._settings.name
+        if configuration.is_voting_store(name, self._store_id):
+            counted[name] = own
+        return counted
+
+    def _confirm_rounds(self) -> None:
+        rounds = self._voting_values(
+            {name: peer.acked_round for name, peer in self._peers.items()},
+            self.lease.round,
+        )
+        self.lease.confirm(self._journal.configuration.quorum_value(rounds))
+
+    def _send_round(self, name: str, peer: Progress, now: float) -> None:
+        if peer.next_index <= self._journal.log.base_index:
+            base_index = self._journal.log.base_index
+            self._send_append(name, peer, base_index, ())
+            self._resume_transfer(name, peer, now)
+            return
+        self._send_entries(name, peer)
+
+    def _send_more(self, name: str, peer: Progress, now: float) -> None:
+        if peer.next_index <= self._journal.log.base_index:
+            self._resume_transfer(name, peer, now)
+            return
+        if peer.next_index - peer.match_index <= MAX_ENTRIES_IN_FLIGHT:
+            self._send_entries(name, peer)
+
+    def _send_entries(self, name: str, peer: Progress) -> None:
+        peer.transfer = None
+        entries: tuple[Entry, ...] = ()
+        if peer.next_index - peer.match_index <= MAX_ENTRIES_IN_FLIGHT:
+            limit = self._settings.max_batch_bytes
+            entries = self._journal.log.read_batch(peer.next_index, limit)
+        self._send_append(name, peer, peer.next_index - 1, entries)
+        peer.next_index += len(entries)
+
+    def _send_append(
+        self,
+        name: str,
+        peer: Progress,
+        previous_index: int,
+        entries: tuple[Entry, ...],
+    ) -> None:
+        previous_term = self._journal.log.term_at(previous_index)
+        require(previous_term is not None, "append outside the log")
+        request = AppendRequest(
+            term=self._term,
+            leader=self._settings.name,
+            previous_index=previous_index,
+            previous_term=previous_term or 0,
+            entries=entries,
+            commit_index=self._journal.commit_index,
+            round=self.lease.round,
+            acked_round=peer.acked_round,
+            confirmed_round=self.lease.confirmed_round,
+            store_id=self._store_id,
+        )
+        self._outbox.add(name, request, is_early=True)
+
+    def _resume_transfer(self, name: str, peer: Progress, now: float) -> None:
+        """Send the awaited chunk unless it was sent a moment ago."""
+        snapshot = self._journal.snapshot
+        require(snapshot is not None, "log compacted without a snapshot")
+        if peer.transfer is None and snapshot is not None:
+            peer.transfer = SnapshotTransfer(snapshot, snapshot.encode())
+            self._send_chunk(name, peer.transfer, now)
+            return
+        transfer = peer.transfer
+        if transfer is None:
+            return
+        if now - transfer.sent_at >= self._settings.heartbeat_seconds:
+            self._send_chunk(name, transfer, now)
+
+    def _send_chunk(
+        self, name: str, transfer: SnapshotTransfer, now: float
+    ) -> None:
+        end = transfer.offset + self._settings.max_batch_bytes
+        chunk = SnapshotChunk(
+            term=self._term,
+            leader=self._settings.name,
+            last_index=transfer.snapshot.last_index,
+            last_term=transfer.snapshot.last_term,
+            offset=transfer.offset,
+            data=transfer.encoded[transfer.offset : end],
+            is_last=end >= len(transfer.encoded),
+            round=self.lease.round,
+            store_id=self._store_id,
+        )
+        transfer.sent_at = now
+        self._outbox.add(name, chunk)
--- /dev/null
+++ b/packages/replication/src/rhubarbhollow_replication/log.py
@@ -0,0 +1,109 @@
+"""The entries that a replica holds in memory."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from rhubarbhollow_replication.invariants import require
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from rhubarbhollow_replication.entry import Entry
+
+
+class Log:
+    """Hold the entries after a base, which a snapshot stands for."""
+
+    def __init__(self, base_index: int = 0, base_term: int = 0) -> None:
+        self._base_index = base_index
+        self._base_term = base_term
+        self._entries: list[Entry] = []
+        self._payload_bytes = 0
+
+    @property
+    def base_index(self) -> int:
+        """The last index that is no longer held."""
+        return self._base_index
+
+    @property
+    def base_term(self) -> int:
+        """The term of the entry at the base index."""
+        return self._base_term
+
+    @property
+    def last_index(self) -> int:
+        """The index of the newest entry."""
+        return self._base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """The term of the newest entry."""
+        return self._entries[-1].term if self._entries else self._base_term
+
+    @property
+    def payload_bytes(self) -> int:
+        """The size of the payloads held."""
+        return self._payload_bytes
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term at ``index``, or None outside the log."""
+        if index == self._base_index:
+            return self._base_term
+        if not self._base_index < index <= self.last_index:
+            return None
+        return self._entries[index - self._base_index - 1].term
+
+    def read(self, first: int, last: int) -> Iterator[Entry]:
+        """Yield the entries from ``first`` to ``last`` inclusive."""
+        require(first > self._base_index, "entry read below the log's base")
+        start = first - self._base_index - 1
+        yield from self._entries[start : max(start, last - self._base_index)]
+
+    def read_batch(self, first: int, max_bytes: int) -> tuple[Entry, ...]:
+        """Return entries from ``first`` on, at least one if held."""
+        require(first > self._base_index, "entry read below the log's base")
+        batch: list[Entry] = []
+        size = 0
+        for position in range(
+            first - self._base_index - 1, len(self._entries)
+        ):
+            entry = self._entries[position]
+            size += len(entry.payload)
+            if batch and size > max_bytes:
+                break
+            batch.append(entry)
+        return tuple(batch)
+
+    def first_of_term(self, index: int) -> int:
+        """Return the first held index of the term at ``index``."""
+        term = self.term_at(index)
+        while self.term_at(index - 1) == term and index > self._base_index:
+            index -= 1
+        return index
+
+    def append(self, entries: Iterable[Entry]) -> None:
+        """Add entries that follow the newest without a gap."""
+        for entry in entries:
+            require(entry.index == self.last_index + 1, "gap in the log")
+            require(entry.term >= self.last_term, "term falls in the log")
+            self._entries.append(entry)
+            self._payload_bytes += len(entry.payload)
+
+    def truncate_from(self, index: int) -> None:
+        """Drop ``index`` and everything after it."""
+        require(index > self._base_index, "truncation below the log's base")
+        start = index - self._base_index - 1
+        dropped = self._entries[start:]
+        self._payload_bytes -= sum(len(e.payload) for e in dropped)
+        del self._entries[start:]
+
+    def compact(self, index: int) -> None:
+        """Move the base up to ``index``."""
+        term = self.term_at(index)
+        require(term is not None, "compaction outside the log")
+        count = index - self._base_index
+        dropped = self._entries[:count]
+        self._payload_bytes -= sum(len(e.payload) for e in dropped)
+        del self._entries[:count]
+        self._base_index, self._base_term = index, term or 0
--- /dev/null
+++ b/packages/replication/src/rhubarbhollow_replication/memberships.py
@@ -0,0 +1,47 @@
+"""The configurations that the log has gone through."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rhubarbhollow_replication.configuration import Configuration
+
+
+class Memberships:
+    """Keep each configuration with the index of its entry.
+
+    A configuration counts from the moment its entry is in the log, so
+    dropping an uncommitted entry brings the one before it back.
+    """
+
+    def __init__(self, index: int, configuration: Configuration) -> None:
+        self._history = [(index, configuration)]
+
+    @property
+    def current(self) -> Configuration:
+        """The configuration of the newest CONFIG entry."""
+        return self._history[-1][1]
+
+    @property
+    def index(self) -> int:
+        """The index of the newest CONFIG entry."""
+        return self._history[-1][0]
+
+    def at(self, index: int) -> Configuration:
+        """Return the configuration in force at ``index``."""
+        return next(c for i, c in reversed(self._history) if i <= index)
+
+    def add(self, index: int, configuration: Configuration) -> None:
+        """Put a newer configuration in force."""
+        self._history.append((index, configuration))
+
+    def truncate_from(self, index: int) -> None:
+        """Forget the configurations from ``index`` on."""
+        while len(self._history) > 1 and self._history[-1][0] >= index:
+            self._history.pop()
+
+    def compact(self, index: int) -> None:
+        """Forget what was replaced at or before ``index``."""
+        while len(self._history) > 1 and self._history[1][0] <= index:
+            self._history.pop(0)
--- /dev/null
+++ b/packages/replication/src/rhubarbhollow_replication/outbox.py
@@ -0,0 +1,41 @@
+"""The messages that a replica wants sent."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rhubarbhollow_replication.messages import PeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Address a message to a member.
+
+    ``is_early`` allows it to leave before the pending writes are
+    durable, because it promises nothing about this replica's store.
+    """
+
+    to: str
+    message: PeerMessage
+    is_early: bool = False
+
+
+class Outbox:
+    """Collect messages until the caller takes them."""
+
+    def __init__(self) -> None:
+        self._sends: list[Send] = []
+
+    def add(
+        self, to: str, message: PeerMessage, *, is_early: bool = False
+    ) -> None:
+        """Queue ``message`` for the member ``to``."""
+        self._sends.append(Send(to, message, is_early))
+
+    def take(self) -> tuple[Send, ...]:
+        """Return the queued messages and forget them."""
+        sends = tuple(self._sends)
+        self._sends.clear()
+        return sends
--- /dev/null
+++ b/packages/replication/src/rhubarbhollow_replication/plan.py
@@ -0,0 +1,135 @@
+"""Decisions on the membership, as pure functions of the evidence."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from rhubarbhollow_replication.change import (
+    AddLearner,
+    MembershipChange,
+    PromoteLearner,
+    RemoveMember,
+)
+from rhubarbhollow_replication.fault import (
+    AlreadyMember,
+    ChangeFault,
+    IsLeader,
+    NotCaughtUp,
+    QuorumAtRisk,
+    UnknownMember,
+)
+from rhubarbhollow_replication.member import (
+    UNBOUND_STORE_ID,
+    Member,
+    MemberRole,
+)
+
+if TYPE_CHECKING:
+    from rhubarbhollow_replication.configuration import Configuration
+    from rhubarbhollow_replication.membership_view import MembershipView
+
+
+def plan_repair(view: MembershipView) -> Configuration | None:
+    """Return the next change that repairs the membership, if any.
+
+    A lost store comes first, since its voter counts for nothing; then
+    a missing voter; then a silent voter, whose vote is taken only if a
+    caught-up learner can have it at once. Taking the vote first needs
+    no more living voters than the quorum did before: promoting first
+    would make the new voter's survival a condition.
+    """
+    return (
+        _rebind_lost_store(view)
+        or _fill_missing_voter(view)
+        or _retire_silent_voter(view)
+    )
+
+
+def plan_request(
+    view: MembershipView, change: MembershipChange
+) -> Result[Configuration, ChangeFault]:
+    """Return the configuration that an operator's change leads to."""
+    member = view.configuration.find(change.name)
+    match change:
+        case AddLearner(name):
+            if member is not None:
+                return Err(AlreadyMember(name))
+            learner = Member(name, UNBOUND_STORE_ID, MemberRole.LEARNER)
+            return Ok(view.configuration.with_member(learner))
+        case PromoteLearner(name):
+            return _plan_promotion(view, name, member)
+        case RemoveMember(name):
+            return _plan_removal(view, name, member)
+
+
+def _plan_promotion(
+    view: MembershipView, name: str, member: Member | None
+) -> Result[Configuration, ChangeFault]:
+    if member is None:
+        return Err(UnknownMember(name))
+    if member.is_voter:
+        return Err(AlreadyMember(name))
+    if not view.is_caught_up(member):
+        return Err(NotCaughtUp(name))
+    proposed = view.configuration.with_member(_as_voter(member))
+    if not view.is_quorum_alive(proposed):
+        return Err(QuorumAtRisk())
+    return Ok(proposed)
+
+
+def _plan_removal(
+    view: MembershipView, name: str, member: Member | None
+) -> Result[Configuration, ChangeFault]:
+    if member is None:
+        return Err(UnknownMember(name))
+    if name == view.leader:
+        return Err(IsLeader(name))
+    proposed = view.configuration.without(name)
+    if not view.is_quorum_alive(proposed):
+        return Err(QuorumAtRisk())
+    return Ok(proposed)
+
+
+def _rebind_lost_store(view: MembershipView) -> Configuration | None:
+    for member in view.configuration.members:
+        if member.name == view.leader or not view.has_other_store(member):
+            continue
+        store_id = view.peers[member.name].store_id
+        learner = Member(member.name, store_id, MemberRole.LEARNER)
+        proposed = view.configuration.with_member(learner)
+        if view.is_quorum_alive(proposed):
+            return proposed
+    return None
+
+
+def _fill_missing_voter(view: MembershipView) -> Configuration | None:
+    if len(view.configuration.voters) >= view.wanted_voters:
+        return None
+    for member in view.configuration.members:
+        if member.is_voter or not view.is_caught_up(member):
+            continue
+        proposed = view.configuration.with_member(_as_voter(member))
+        if view.is_quorum_alive(proposed):
+            return proposed
+    return None
+
+
+def _retire_silent_voter(view: MembershipView) -> Configuration | None:
+    members = view.configuration.members
+    spares = (m for m in members if not m.is_voter and view.is_caught_up(m))
+    if next(spares, None) is None:
+        return None
+    for voter in view.configuration.voters:
+        if not view.is_silent(voter):
+            continue
+        learner = Member(voter.name, voter.store_id, MemberRole.LEARNER)
+        proposed = view.configuration.with_member(learner)
+        if view.is_quorum_alive(proposed):
+            return proposed
+    return None
+
+
+def _as_voter(member: Member) -> Member:
+    return Member(member.name, member.store_id, MemberRole.VOTER)
--- /dev/null
+++ b/packages/replication/src/rhubarbhollow_replication/progress.py
@@ -0,0 +1,58 @@
+"""What a leader knows of one peer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rhubarbhollow_replication.snapshot import Snapshot
+
+
+@dataclass(slots=True)
+class SnapshotTransfer:
+    """Track how much of a snapshot a peer has asked for."""
+
+    snapshot: Snapshot
+    encoded: bytes
+    offset: int = 0
+    sent_at: float = 0.0
+
+
+@dataclass(slots=True)
+class Progress:
+    """Track one peer of a leader during its term.
+
+    ``match_index`` is durable at the peer, ``next_index`` the next to
+    send and ``store_id`` the store that the peer last answered from.
+    """
+
+    next_index: int
+    heard_at: float
+    match_index: int = 0
+    acked_round: int = 0
+    store_id: str = ""
+    transfer: SnapshotTransfer | None = None
+
+    def note_store(self, store_id: str, last_index: int) -> None:
+        """Start over if the peer came back with another store."""
+        if store_id == self.store_id:
+            return
+        self.store_id = store_id
+        self.match_index = 0
+        self.acked_round = 0
+        self.next_index = last_index + 1
+        self.transfer = None
+
+    def note_match(self, index: int) -> None:
+        """Raise what is durable at the peer."""
+        self.match_index = max(self.match_index, index)
+        self.next_index = max(self.next_index, index + 1)
+
+    def note_refusal(self, hint: int) -> None:
+        """Go back to where the peer says its log may agree.
+
+        The hint may lie below the match, when the reply is an old one
+        or names the start of a term: that only sends entries again.
+        """
+        self.next_index = hint + 1
--- /dev/null
+++ b/packages/replication/src/rhubarbhollow_replication/record.py
@@ -0,0 +1,121 @@
+"""Checksummed byte formats of the store."""
+
+from __future__ import annotations
+
+import struct
+import zlib
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_replication.entry import Entry, EntryKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+MAX_PAYLOAD_BYTES: Final = 64 * 1024 * 1024
+_HEAD: Final = struct.Struct(">IIQQB")
+_SEAL: Final = struct.Struct(">4sHI")
+_SEAL_MAGIC: Final = b"RHSL"
+_SEAL_VERSION: Final = 1
+_BATCH_START: Final = 0x80
+_RESET_KIND: Final = 0x7F
+
+
+@dataclass(frozen=True, slots=True)
+class CorruptBytes:
+    """Report bytes that fail their checksum or format."""
+
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class Reset:
+    """Void every entry before it; the log goes on after ``index``."""
+
+    index: int
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """Hold one decoded record and where it ends.
+
+    ``is_batch_start`` marks the first record of a write: everything
+    before it was synced when it was written.
+    """
+
+    content: Entry | Reset
+    is_batch_start: bool
+    end: int
+
+
+def seal(body: bytes) -> bytes:
+    """Put a versioned header with a checksum before ``body``."""
+    return _SEAL.pack(_SEAL_MAGIC, _SEAL_VERSION, zlib.crc32(body)) + body
+
+
+def unseal(sealed: bytes) -> bytes | CorruptBytes:
+    """Return the body of ``seal`` if it is whole."""
+    if len(sealed) < _SEAL.size:
+        return CorruptBytes(0)
+    magic, version, checksum = _SEAL.unpack_from(sealed)
+    body = sealed[_SEAL.size :]
+    if (magic, version) != (_SEAL_MAGIC, _SEAL_VERSION):
+        return CorruptBytes(0)
+    if zlib.crc32(body) != checksum:
+        return CorruptBytes(_SEAL.size)
+    return body
+
+
+def encode_record(content: Entry | Reset, is_batch_start: bool) -> bytes:
+    """Return checksum, length, index, term, kind and payload."""
+    kind, payload = _RESET_KIND, b""
+    if isinstance(content, Entry):
+        kind, payload = int(content.kind), content.payload
+    kind |= _BATCH_START * is_batch_start
+    head = _HEAD.pack(0, len(payload), content.index, content.term, kind)
+    checked = head[4:] + payload
+    return zlib.crc32(checked).to_bytes(4, "big") + checked
+
+
+def decode_record(data: bytes, offset: int) -> Record | CorruptBytes:
+    """Read the record at ``offset`` of a segment's bytes."""
+    body = offset + _HEAD.size
+    if body > len(data):
+        return CorruptBytes(offset)
+    checksum, size, index, term, kind = _HEAD.unpack_from(data, offset)
+    end = body + size
+    if size > MAX_PAYLOAD_BYTES or end > len(data):
+        return CorruptBytes(offset)
+    if zlib.crc32(memoryview(data)[offset + 4 : end]) != checksum:
+        return CorruptBytes(offset)
+    is_batch_start = bool(kind & _BATCH_START)
+    kind &= ~_BATCH_START
+    if kind == _RESET_KIND:
+        return Record(Reset(index, term), is_batch_start, end)
+    entry = Entry(index, term, EntryKind(kind), bytes(data[body:end]))
+    return Record(entry, is_batch_start, end)
+
+
+def decode_records(data: bytes, start: int) -> Iterator[Record | CorruptBytes]:
+    """Yield the records from ``start`` on, up to the first fault."""
+    offset = start
+    while offset < len(data):
+        record = decode_record(data, offset)
+        yield record
+        if isinstance(record, CorruptBytes):
+            return
+        offset = record.end
+
+
+def has_later_batch(data: bytes, offset: int) -> bool:
+    """Whether a whole record that starts a batch lies after ``offset``.
+
+    If so, the fault at ``offset`` lies in bytes that had been synced.
+    """
+    for start in range(offset + 1, len(data) - _HEAD.size + 1):
+        if not data[start + _HEAD.size - 1] & _BATCH_START:
+            continue
+        if isinstance(decode_record(data, start), Record):
+            return True
+    return False
--- /dev/null
+++ b/packages/replication/src/rhubarbhollow_replication/recovered.py
@@ -0,0 +1,24 @@
+"""What a store held when it was opened."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rhubarbhollow_replication.entry import Entry
+    from rhubarbhollow_replication.snapshot import Snapshot
+    from rhubarbhollow_replication.vote_state import VoteState
+
+
+@dataclass(frozen=True, slots=True)
+class Recovered:
+    """Hold the durable state of one member.
+
+    ``entries`` follow the snapshot without a gap.
+    """
+
+    store_id: str
+    vote: VoteState
+    snapshot: Snapshot | None
+    entries: tuple[Entry, ...]
--- /dev/null
+++ b/packages/replication/src/rhubarbhollow_replication/replica.py
@@ -0,0 +1,327 @@
+"""The task that owns a replica's core, store and state machine."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, Final
+
+import anyio
+import anyio.abc
+import anyio.to_thread
+import structlog
+from result import Err, Result
+
+from rhubarbhollow_replication.core import Core, Position
+from rhubarbhollow_replication.entry import Entry, EntryKind
+from rhubarbhollow_replication.fault import (
+    ChangeFault,
+    NotLeader,
+    Overloaded,
+    ProposeFault,
+    StoreFailed,
+)
+from rhubarbhollow_replication.pending import (
+    Pending,
+    PendingChange,
+    PendingProposal,
+    PendingRead,
+)
+from rhubarbhollow_replication.role import Role
+from rhubarbhollow_replication.snapshot import Snapshot
+from rhubarbhollow_replication.status import MemberStatus, ReplicaStatus
+from rhubarbhollow_replication.waiting import Waiting
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from rhubarbhollow_replication.change import MembershipChange
+    from rhubarbhollow_replication.effects import Effects
+    from rhubarbhollow_replication.machine import StateMachine
+    from rhubarbhollow_replication.messages import PeerMessage
+    from rhubarbhollow_replication.outbox import Send
+    from rhubarbhollow_replication.settings import ReplicaSettings
+    from rhubarbhollow_replication.store import LogStore
+    from rhubarbhollow_replication.store_fault import StoreFault
+    from rhubarbhollow_wire.clock import Clock
+
+MAX_INBOX_MESSAGES: Final = 4096
+
+_log = structlog.get_logger()
+
+
+class Replica:
+    """Run one member of the replicated log.
+
+    ``send`` gets the name of a member and a message; it must not
+    block, and may lose, delay, repeat or reorder messages.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: ReplicaSettings,
+        store: LogStore,
+        machine: StateMachine,
+        clock: Clock,
+        random: Random,
+        send: Callable[[str, PeerMessage], None],
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._machine = machine
+        self._clock = clock
+        self._send = send
+        recovered = store.recovered
+        self._core = Core(settings, recovered, random, clock.monotonic())
+        self._inbox: deque[PeerMessage] = deque(maxlen=MAX_INBOX_MESSAGES)
+        self._requests: deque[Pending] = deque()
+        self._waiting = Waiting()
+        self._wake = anyio.Event()
+        self._applied_index = 0
+        self._callbacks: list[Callable[[int], None]] = []
+        self._fault: StoreFault | None = None
+        self._is_closed = False
+        self._logged = (Role.FOLLOWER, 0)
+        self._writer = anyio.CapacityLimiter(1)
+        if recovered.snapshot is not None:
+            self._restore(recovered.snapshot)
+
+    @property
+    def status(self) -> ReplicaStatus:
+        """The state of this replica now."""
+        core = self._core
+        is_failed = self._fault is not None
+        now = self._clock.monotonic()
+        return ReplicaStatus(
+            role=Role.FAILED if is_failed else core.role,
+            term=core.term,
+            leader=core.leader,
+            is_fresh=not is_failed and core.is_fresh(now),
+            commit_index=core.commit_index,
+            applied_index=self._applied_index,
+            members=self._member_statuses(now),
+            fault=self._fault,
+        )
+
+    def on_applied(self, callback: Callable[[int], None]) -> None:
+        """Have ``callback`` told of each rise of the applied index."""
+        self._callbacks.append(callback)
+
+    def receive(self, message: PeerMessage) -> None:
+        """Queue a peer's message; the oldest one goes if it is full."""
+        self._inbox.append(message)
+        self._wake.set()
+
+    async def propose(self, payload: bytes) -> Result[object, ProposeFault]:
+        """Commit a command and return the machine's outcome."""
+        fault = self._refusal()
+        if fault is not None:
+            return Err(fault)
+        proposal = PendingProposal(payload)
+        self._request(proposal)
+        return await proposal.answer.wait()
+
+    async def change_membership(
+        self, change: MembershipChange
+    ) -> Result[None, ChangeFault]:
+        """Commit a change of one member."""
+        fault = self._refusal()
+        if fault is not None:
+            return Err(fault)
+        pending = PendingChange(change)
+        self._request(pending)
+        return await pending.answer.wait()
+
+    async def confirm_leadership(self) -> bool:
+        """Return whether a quorum has answered since the call.
+
+        On True everything acknowledged before the call is applied
+        here.
+        """
+        if self._refusal() is not None:
+            return False
+        read = PendingRead()
+        self._request(read)
+        return await read.answer.wait()
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Take part until cancelled."""
+        task_status.started()
+        try:
+            while self._fault is None:
+                await self._wait_for_work()
+                self._drain()
+                await self._carry_out()
+            await anyio.sleep_forever()
+        finally:
+            self._is_closed = True
+            self._abandon()
+            self._store.close()
+
+    async def _wait_for_work(self) -> None:
+        remaining = self._core.deadline - self._clock.monotonic()
+        if not self._inbox and not self._requests:
+            with anyio.move_on_after(max(0.0, remaining)):
+                await self._wake.wait()
+        self._wake = anyio.Event()
+
+    def _drain(self) -> None:
+        """Take in everything queued, so that it shares one fsync."""
+        now = self._clock.monotonic()
+        self._core.tick(now)
+        while self._inbox:
+            self._core.handle(self._inbox.popleft(), now)
+        while self._requests:
+            self._start(self._requests.popleft(), now)
+
+    def _start(self, request: Pending, now: float) -> None:
+        match request:
+            case PendingProposal(payload, answer):
+                proposed = self._core.propose(payload, now)
+                if isinstance(proposed, Err):
+                    answer.resolve(proposed)
+                    return
+                self._waiting.add(proposed.ok_value, request)
+            case PendingChange(change, change_answer):
+                changed = self._core.change_membership(change, now)
+                if isinstance(changed, Err):
+                    change_answer.resolve(changed)
+                    return
+                self._waiting.add(changed.ok_value, request)
+            case PendingRead(read_answer):
+                ticket = self._core.begin_read(now)
+                if isinstance(ticket, Err):
+                    read_answer.resolve(False)
+                    return
+                self._waiting.add_read(ticket.ok_value, request)
+
+    async def _carry_out(self) -> None:
+        """Do what the core decided until nothing is left."""
+        while True:
+            effects = self._core.take_effects(self._clock.monotonic())
+            if not await self._write(effects):
+                return
+            self._core.handle_synced()
+            self._send_all(effects.late)
+            self._apply_committed()
+            if effects.is_empty:
+                return
+
+    async def _write(self, effects: Effects) -> bool:
+        self._send_all(effects.early)
+        if not effects.writes:
+            return True
+        written = await anyio.to_thread.run_sync(
+            self._store.write, effects.writes, limiter=self._writer
+        )
+        if isinstance(written, Err):
+            self._fail(written.err_value)
+            return False
+        return True
+
+    def _apply_committed(self) -> None:
+        before = self._applied_index
+        for item in self._core.take_committed():
+            if isinstance(item, Snapshot):
+                self._restore(item)
+            else:
+                self._apply(item)
+        now = self._clock.monotonic()
+        self._waiting.settle(self._core, self._applied_index, now)
+        self._log_role()
+        if self._applied_index == before:
+            return
+        for callback in self._callbacks:
+            callback(self._applied_index)
+        if self._core.wants_snapshot:
+            self._core.compact(self._machine.snapshot())
+
+    def _apply(self, entry: Entry) -> None:
+        outcome: object = None
+        if entry.kind is EntryKind.COMMAND:
+            outcome = self._machine.apply(entry.index, entry.payload)
+        self._applied_index = entry.index
+        position = Position(entry.index, entry.term)
+        now = self._clock.monotonic()
+        self._waiting.resolve(position, outcome, self._core, now)
+
+    def _restore(self, snapshot: Snapshot) -> None:
+        self._machine.restore(snapshot.data)
+        self._applied_index = snapshot.last_index
+        _log.info(
+            "snapshot_restored",
+            replica=self._settings.name,
+            index=snapshot.last_index,
+        )
+
+    def _refusal(self) -> ProposeFault | None:
+        if self._fault is not None:
+            return StoreFailed(self._fault)
+        if self._is_closed:
+            return NotLeader(None)
+        pending = len(self._requests) + self._waiting.count
+        if pending >= self._settings.max_pending_proposals:
+            return Overloaded()
+        return None
+
+    def _request(self, request: Pending) -> None:
+        self._requests.append(request)
+        self._wake.set()
+
+    def _send_all(self, sends: tuple[Send, ...]) -> None:
+        for send in sends:
+            self._send(send.to, send.message)
+
+    def _fail(self, fault: StoreFault) -> None:
+        """Stop taking part: what the store holds is now unknown."""
+        self._fault = fault
+        self._abandon()
+        _log.error(
+            "store_failed", replica=self._settings.name, fault=repr(fault)
+        )
+
+    def _abandon(self) -> None:
+        self._waiting.abandon()
+        while self._requests:
+            self._refuse(self._requests.popleft())
+
+    def _refuse(self, request: Pending) -> None:
+        """Answer a request that never reached the log."""
+        fault = self._refusal() or NotLeader(None)
+        match request:
+            case PendingProposal(_, answer):
+                answer.resolve(Err(fault))
+            case PendingChange(_, change_answer):
+                change_answer.resolve(Err(fault))
+            case PendingRead(read_answer):
+                read_answer.resolve(False)
+
+    def _member_statuses(self, now: float) -> tuple[MemberStatus, ...]:
+        core = self._core
+        return tuple(
+            MemberStatus(
+                name=member.name,
+                role=member.role,
+                match_index=core.match_index(member.name),
+                is_alive=core.is_alive(member.name, now),
+            )
+            for member in core.configuration.members
+        )
+
+    def _log_role(self) -> None:
+        current = (self._core.role, self._core.term)
+        if current == self._logged:
+            return
+        self._logged = current
+        _log.info(
+            "role_changed",
+            replica=self._settings.name,
+            role=current[0].value,
+            term=current[1],
+            leader=self._core.leader,
+        )
--- /dev/null
+++ b/packages/replication/src/rhubarbhollow_replication/segments.py
@@ -0,0 +1,199 @@
+"""The append-only segment files of the log."""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_replication.record import (
+    CorruptBytes,
+    Record,
+    Reset,
+    decode_records,
+    encode_record,
+    has_later_batch,
+    seal,
+    unseal,
+)
+from rhubarbhollow_replication.store_fault import CorruptRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from pathlib import Path
+
+    from rhubarbhollow_replication.disk import Disk, DiskFile
+    from rhubarbhollow_replication.entry import Entry
+
+SEGMENT_BYTES: Final = 4 * 1024 * 1024
+_HEADER: Final = struct.Struct(">4sHQ")
+_MAGIC: Final = b"RHLG"
+_VERSION: Final = 1
+_MARK: Final = struct.Struct(">QQ")
+_MARK_NAME: Final = "synced"
+_SUFFIX: Final = ".log"
+
+
+@dataclass(slots=True)
+class _Segment:
+    """Name a segment and the highest index written to it."""
+
+    number: int
+    path: Path
+    size: int
+    last_index: int
+
+
+class Segments:
+    """Append records and read them back.
+
+    Nothing is ever rewritten: an entry whose index is already there
+    replaces the log from that index on, and a reset voids all of it.
+    Only a torn tail is cut, when the folder is opened.
+
+    The file ``synced`` holds how far the last segment had been synced.
+    It is written after each sync and not synced itself, so it may lag
+    but never runs ahead; a fault before it lies in durable bytes.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        disk: Disk,
+        segment_bytes: int = SEGMENT_BYTES,
+    ) -> None:
+        self._folder = folder
+        self._disk = disk
+        self._segment_bytes = segment_bytes
+        self._segments: list[_Segment] = []
+        self._file: DiskFile | None = None
+
+    @property
+    def last_path(self) -> Path:
+        """The file to which records are appended."""
+        return self._segments[-1].path if self._segments else self._folder
+
+    def load(self) -> tuple[Entry | Reset, ...] | CorruptRecord:
+        """Read every record in order, cutting a torn tail."""
+        paths = [
+            self._folder / name
+            for name in self._disk.names(self._folder)
+            if name.endswith(_SUFFIX)
+        ]
+        contents: list[Entry | Reset] = []
+        mark_number, mark_offset = self._read_mark()
+        for path in paths:
+            number = int(path.name.removesuffix(_SUFFIX))
+            durable = mark_offset if number == mark_number else 0
+            is_last = path == paths[-1] and number >= mark_number
+            found = self._load_segment(path, number, durable, is_last)
+            if isinstance(found, CorruptRecord):
+                return found
+            contents.extend(found)
+        if mark_number and mark_number not in _numbers(paths):
+            return CorruptRecord(str(self._folder / _MARK_NAME), 0)
+        return tuple(contents)
+
+    def append(self, contents: Iterable[Entry | Reset]) -> None:
+        """Write records in one piece, not yet durable."""
+        segment = self._open_segment()
+        encoded = bytearray()
+        for position, content in enumerate(contents):
+            encoded += encode_record(content, is_batch_start=position == 0)
+            segment.last_index = max(segment.last_index, content.index)
+        if self._file is not None:
+            self._file.write(bytes(encoded))
+        segment.size += len(encoded)
+
+    def sync(self) -> None:
+        """Make every appended record durable, and note how far."""
+        if self._file is None:
+            return
+        self._file.sync()
+        segment = self._segments[-1]
+        mark = seal(_MARK.pack(segment.number, segment.size))
+        self._disk.overwrite(self._folder / _MARK_NAME, mark)
+
+    def drop_until(self, index: int) -> None:
+        """Delete the leading segments that hold nothing later."""
+        while len(self._segments) > 1:
+            if self._segments[0].last_index > index:
+                return
+            self._disk.remove(self._segments.pop(0).path)
+            # Out of order, a deletion would leave a gap after a crash.
+            self._disk.sync_folder(self._folder)
+
+    def roll(self) -> None:
+        """Start a new segment at the next append."""
+        if self._file is not None:
+            self._file.close()
+            self._file = None
+
+    def _open_segment(self) -> _Segment:
+        if self._file is None:
+            return self._create_segment()
+        if self._segments[-1].size >= self._segment_bytes:
+            self.roll()
+            return self._create_segment()
+        return self._segments[-1]
+
+    def _create_segment(self) -> _Segment:
+        number = self._segments[-1].number + 1 if self._segments else 1
+        path = self._folder / f"{number:012d}{_SUFFIX}"
+        header = _HEADER.pack(_MAGIC, _VERSION, number)
+        segment = _Segment(number, path, len(header), 0)
+        self._file = self._disk.open(path)
+        self._segments.append(segment)
+        self._file.write(header)
+        self._file.sync()
+        self._disk.sync_folder(self._folder)
+        return segment
+
+    def _read_mark(self) -> tuple[int, int]:
+        if _MARK_NAME not in self._disk.names(self._folder):
+            return 0, 0
+        body = unseal(self._disk.read(self._folder / _MARK_NAME))
+        if isinstance(body, CorruptBytes) or len(body) != _MARK.size:
+            return 0, 0
+        number, offset = _MARK.unpack(body)
+        return number, offset
+
+    def _load_segment(
+        self, path: Path, number: int, durable: int, is_last: bool
+    ) -> list[Entry | Reset] | CorruptRecord:
+        data = self._disk.read(path)
+        header = _HEADER.pack(_MAGIC, _VERSION, number)
+        if data[: len(header)] != header:
+            return self._load_headless(path, data, durable, is_last)
+        if len(data) < durable:
+            return CorruptRecord(str(path), len(data))
+        segment = _Segment(number, path, len(data), 0)
+        contents: list[Entry | Reset] = []
+        for record in decode_records(data, len(header)):
+            if isinstance(record, Record):
+                contents.append(record.content)
+                continue
+            offset = record.offset
+            is_torn = is_last and offset >= durable
+            if not is_torn or has_later_batch(data, offset):
+                return CorruptRecord(str(path), offset)
+            self._disk.truncate(path, offset)
+            segment.size = offset
+        segment.last_index = max((c.index for c in contents), default=0)
+        self._segments.append(segment)
+        return contents
+
+    def _load_headless(
+        self, path: Path, data: bytes, durable: int, is_last: bool
+    ) -> list[Entry | Reset] | CorruptRecord:
+        # The header is synced before the first record, so a file with
+        # a bad header and more than a header's bytes was whole once.
+        if not is_last or durable or len(data) > _HEADER.size:
+            return CorruptRecord(str(path), 0)
+        self._disk.remove(path)
+        self._disk.sync_folder(self._folder)
+        return []
+
+
+def _numbers(paths: Iterable[Path]) -> set[int]:
+    return {int(path.name.removesuffix(_SUFFIX)) for path in paths}
--- /dev/null
+++ b/packages/replication/src/rhubarbhollow_replication/snapshot.py
@@ -0,0 +1,52 @@
+"""A snapshot of the state machine at one index."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from rhubarbhollow_replication.configuration import (
+    Configuration,
+    decode_configuration,
+)
+from rhubarbhollow_replication.record import (
+    CorruptBytes,
+    seal,
+    unseal,
+)
+
+_INT_BYTES = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Stand for every entry up to ``last_index``."""
+
+    last_index: int
+    last_term: int
+    configuration: Configuration
+    data: bytes
+
+    def encode(self) -> bytes:
+        """Return checksummed bytes, for the disk and for transfer."""
+        members = self.configuration.encode()
+        head = (self.last_index, self.last_term, len(members))
+        fields = b"".join(value.to_bytes(_INT_BYTES, "big") for value in head)
+        return seal(fields + members + self.data)
+
+
+def decode_snapshot(encoded: bytes) -> Snapshot | CorruptBytes:
+    """Read what ``Snapshot.encode`` wrote, verifying its checksum."""
+    body = unseal(encoded)
+    if isinstance(body, CorruptBytes):
+        return body
+    last_index, last_term, members_size = (
+        int.from_bytes(body[start : start + _INT_BYTES], "big")
+        for start in range(0, 3 * _INT_BYTES, _INT_BYTES)
+    )
+    members_end = 3 * _INT_BYTES + members_size
+    return Snapshot(
+        last_index,
+        last_term,
+        decode_configuration(body[3 * _INT_BYTES : members_end]),
+        body[members_end:],
+    )
--- /dev/null
+++ b/packages/replication/src/rhubarbhollow_replication/store.py
@@ -0,0 +1,289 @@
+"""The durable store of one replica, over one data folder."""
+
+from __future__ import annotations
+
+import errno
+import json
+import random
+from typing import TYPE_CHECKING, Final
+
+from result import Err, Ok, Result
+
+from rhubarbhollow_replication.disk import Disk, OsDisk, SyncError
+from rhubarbhollow_replication.record import (
+    CorruptBytes,
+    Reset,
+    seal,
+    unseal,
+)
+from rhubarbhollow_replication.recovered import Recovered
+from rhubarbhollow_replication.segments import SEGMENT_BYTES, Segments
+from rhubarbhollow_replication.snapshot import Snapshot, decode_snapshot
+from rhubarbhollow_replication.store_fault import (
+    CorruptRecord,
+    DiskFailed,
+    DiskFull,
+    StoreFault,
+    SyncFailed,
+)
+from rhubarbhollow_replication.vote_state import VoteState
+from rhubarbhollow_replication.write import (
+    InstallSnapshot,
+    SaveEntries,
+    SaveSnapshot,
+    SaveVote,
+    Write,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from pathlib import Path
+
+    from rhubarbhollow_replication.entry import Entry
+
+STORE_ID_BITS: Final = 64
+_IDENTITY_NAME: Final = "store"
+_VOTE_NAME: Final = "vote"
+_SNAPSHOT_NAME: Final = "snapshot"
+_TEMPORARY_SUFFIX: Final = ".new"
+
+
+class LogStore:
+    """Keep votes, entries and the latest snapshot.
+
+    A folder is formatted once, under a random store id, and the id is
+    written last: a folder without one has never made a promise.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        disk: Disk,
+        segments: Segments,
+        recovered: Recovered,
+    ) -> None:
+        self._folder = folder
+        self._disk = disk
+        self._segments = segments
+        self._recovered = recovered
+
+    @property
+    def store_id(self) -> str:
+        """The random name that the folder got when it was formatted."""
+        return self._recovered.store_id
+
+    @property
+    def recovered(self) -> Recovered:
+        """The state found when the folder was opened."""
+        return self._recovered
+
+    @classmethod
+    def open(
+        cls,
+        folder: Path,
+        *,
+        disk: Disk | None = None,
+        random_source: random.Random | None = None,
+        segment_bytes: int = SEGMENT_BYTES,
+    ) -> Result[LogStore, StoreFault]:
+        """Read ``folder``, or format it if it is empty.
+
+        ``random_source`` names new stores; two stores of one member
+        must never share a name, so outside tests leave it out.
+        """
+        disk = disk or OsDisk()
+        source = random_source or random.SystemRandom()
+        segments = Segments(folder, disk, segment_bytes)
+        try:
+            disk.make_folder(folder)
+            if _IDENTITY_NAME not in disk.names(folder):
+                fault = _format(folder, disk, source)
+                if fault is not None:
+                    return Err(fault)
+            recovered = _recover(folder, disk, segments)
+        except OSError as error:
+            return Err(_to_fault(error, folder))
+        if isinstance(recovered, CorruptRecord):
+            return Err(recovered)
+        return Ok(cls(folder, disk, segments, recovered))
+
+    def write(self, writes: Iterable[Write]) -> Result[None, StoreFault]:
+        """Make ``writes`` durable in their order.
+
+        Entries share one fsync at the end. After a fault nothing else
+        may be written: what is durable is then unknown.
+        """
+        try:
+            self._write_all(writes)
+        except OSError as error:
+            return Err(_to_fault(error, self._segments.last_path))
+        return Ok(None)
+
+    def close(self) -> None:
+        """Release the open segment."""
+        self._segments.roll()
+
+    def _write_all(self, writes: Iterable[Write]) -> None:
+        is_dirty = False
+        for write in writes:
+            match write:
+                case SaveEntries(entries):
+                    self._segments.append(entries)
+                    is_dirty = True
+                case SaveVote(state):
+                    body = _encode_vote(state)
+                    _replace(self._folder, self._disk, _VOTE_NAME, seal(body))
+                case SaveSnapshot(snapshot):
+                    self._save_snapshot(snapshot, is_installed=False)
+                case InstallSnapshot(snapshot):
+                    self._save_snapshot(snapshot, is_installed=True)
+                    is_dirty = True
+        if is_dirty:
+            self._segments.sync()
+
+    def _save_snapshot(self, snapshot: Snapshot, is_installed: bool) -> None:
+        encoded = snapshot.encode()
+        _replace(self._folder, self._disk, _SNAPSHOT_NAME, encoded)
+        if is_installed:
+            reset = Reset(snapshot.last_index, snapshot.last_term)
+            self._segments.append((reset,))
+        self._segments.sync()
+        self._segments.drop_until(snapshot.last_index)
+        self._segments.roll()
+
+
+def set_aside(folder: Path, disk: Disk | None = None) -> Path:
+    """Rename a folder whose store is corrupt, for inspection.
+
+    The caller then opens ``folder`` anew: the member comes back under
+    another store id, as one that lost its disk.
+    """
+    disk = disk or OsDisk()
+    siblings = disk.names(folder.parent)
+    number = sum(
+        name.startswith(f"{folder.name}.corrupt") for name in siblings
+    )
+    target = folder.with_name(f"{folder.name}.corrupt-{number + 1}")
+    disk.rename(folder, target)
+    disk.sync_folder(folder.parent)
+    return target
+
+
+def _format(
+    folder: Path, disk: Disk, source: random.Random
+) -> CorruptRecord | None:
+    leftovers = disk.names(folder)
+    if any(name.endswith(".log") for name in leftovers):
+        # Segments are created only after the identity was written.
+        return CorruptRecord(str(folder / _IDENTITY_NAME), 0)
+    _replace(folder, disk, _VOTE_NAME, seal(_encode_vote(VoteState())))
+    store_id = f"{source.getrandbits(STORE_ID_BITS):016x}"
+    _replace(folder, disk, _IDENTITY_NAME, seal(store_id.encode()))
+    disk.sync_folder(folder.parent)
+    return None
+
+
+def _recover(
+    folder: Path, disk: Disk, segments: Segments
+) -> Recovered | CorruptRecord:
+    names = disk.names(folder)
+    identity = _read_sealed(folder / _IDENTITY_NAME, disk, names)
+    if isinstance(identity, CorruptRecord):
+        return identity
+    vote = _read_sealed(folder / _VOTE_NAME, disk, names)
+    if isinstance(vote, CorruptRecord):
+        return vote
+    snapshot = _read_snapshot(folder / _SNAPSHOT_NAME, disk, names)
+    if isinstance(snapshot, CorruptRecord):
+        return snapshot
+    contents = segments.load()
+    if isinstance(contents, CorruptRecord):
+        return contents
+    entries = _replay(contents, snapshot)
+    if entries is None:
+        return CorruptRecord(str(folder), 0)
+    return Recovered(
+        identity.decode(), _decode_vote(vote), snapshot, tuple(entries)
+    )
+
+
+def _replay(
+    contents: Iterable[Entry | Reset], snapshot: Snapshot | None
+) -> list[Entry] | None:
+    """Return the entries after the snapshot, or None at a gap."""
+    entries: list[Entry] = []
+    for content in contents:
+        if isinstance(content, Reset):
+            entries.clear()
+            continue
+        while entries and entries[-1].index >= content.index:
+            entries.pop()
+        if entries and entries[-1].index + 1 != content.index:
+            return None
+        entries.append(content)
+    base, term = (
+        (snapshot.last_index, snapshot.last_term) if snapshot else (0, 0)
+    )
+    if not entries or entries[-1].index <= base:
+        return []
+    if entries[0].index > base + 1:
+        return None
+    if any(e.index == base and e.term != term for e in entries):
+        # The leader's snapshot was saved, but not yet the reset.
+        return []
+    return [entry for entry in entries if entry.index > base]
+
+
+def _read_sealed(
+    path: Path, disk: Disk, names: list[str]
+) -> bytes | CorruptRecord:
+    if path.name not in names:
+        return CorruptRecord(str(path), 0)
+    body = unseal(disk.read(path))
+    if isinstance(body, CorruptBytes):
+        return CorruptRecord(str(path), body.offset)
+    return body
+
+
+def _read_snapshot(
+    path: Path, disk: Disk, names: list[str]
+) -> Snapshot | CorruptRecord | None:
+    if path.name not in names:
+        return None
+    snapshot = decode_snapshot(disk.read(path))
+    if isinstance(snapshot, CorruptBytes):
+        return CorruptRecord(str(path), snapshot.offset)
+    return snapshot
+
+
+def _replace(folder: Path, disk: Disk, name: str, data: bytes) -> None:
+    """Replace a small file so that a crash leaves old or new."""
+    temporary = folder / (name + _TEMPORARY_SUFFIX)
+    if temporary.name in disk.names(folder):
+        disk.remove(temporary)
+    file = disk.open(temporary)
+    try:
+        file.write(data)
+        file.sync()
+    finally:
+        file.close()
+    disk.rename(temporary, folder / name)
+    disk.sync_folder(folder)
+
+
+def _encode_vote(state: VoteState) -> bytes:
+    row = [state.term, state.candidate, state.candidate_store_id]
+    return json.dumps(row).encode()
+
+
+def _decode_vote(body: bytes) -> VoteState:
+    term, candidate, candidate_store_id = json.loads(body)
+    return VoteState(term, candidate, candidate_store_id)
+
+
+def _to_fault(error: OSError, path: Path) -> StoreFault:
+    if isinstance(error, SyncError):
+        return SyncFailed(str(path), error.errno or 0)
+    if error.errno == errno.ENOSPC:
+        return DiskFull(str(path))
+    return DiskFailed(str(path), error.errno or 0)
