Carry calls from caller port to peer port to upstream

A call is routed once, forwarded to the node beside the chosen upstream, admitted there and passed on over a pooled connection.

Weighed: parsing both directions in one protocol class against an exchange with one attempt object at a time. The latter costs an allocation but lets an attempt that has ended ignore what still arrives for it.

--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/http_mesh_fields.py
@@ -0,0 +1,73 @@
+"""What nodes tell each other on a request."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_calls import http_names as names
+from rhubarbhollow_calls.http_fault import HttpFaultError, HttpFaultKind
+from rhubarbhollow_calls.http_integer import parse_integer
+from rhubarbhollow_calls.http_limits import MAX_REQUEST_ID_BYTES
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+@dataclass(frozen=True, slots=True)
+class MeshFields:
+    """Hold the fields that only nodes may set, as far as they came.
+
+    From a caller just the position, the time limit, the depth and the
+    request's name are read: the first as a hint, the second as an upper
+    bound, the third against loops, the last for correlation.
+    """
+
+    position: int | None = None
+    timeout_ms: int | None = None
+    depth: int = 0
+    request_id: bytes | None = None
+    route: bytes = b""
+    priority: bytes = b""
+    is_idempotent: bool = False
+    upstream: bytes = b""
+
+
+NO_MESH_FIELDS: Final = MeshFields()
+
+
+def parse_mesh_fields(
+    seen: Mapping[bytes, bytes], is_from_node: bool
+) -> MeshFields:
+    """Read the fields out of ``seen``, which maps names to values."""
+    request_id = seen.get(names.REQUEST_ID)
+    if request_id is not None and not _is_request_id(request_id):
+        raise HttpFaultError(
+            HttpFaultKind.FIELD_INVALID, "the request id is not a token"
+        )
+    position = _maybe_integer(seen, names.POSITION)
+    timeout_ms = _maybe_integer(seen, names.TIMEOUT_MS)
+    depth = _maybe_integer(seen, names.DEPTH) or 0
+    if not is_from_node:
+        return MeshFields(position, timeout_ms, depth, request_id)
+    return MeshFields(
+        position,
+        timeout_ms,
+        depth,
+        request_id,
+        seen.get(names.ROUTE, b""),
+        seen.get(names.PRIORITY, b""),
+        seen.get(names.IDEMPOTENT) == b"true",
+        seen.get(names.UPSTREAM, b""),
+    )
+
+
+def _maybe_integer(seen: Mapping[bytes, bytes], name: bytes) -> int | None:
+    value = seen.get(name)
+    return None if value is None else parse_integer(name, value)
+
+
+def _is_request_id(value: bytes) -> bool:
+    if not 0 < len(value) <= MAX_REQUEST_ID_BYTES:
+        return False
+    return value.replace(b"-", b"a").replace(b"_", b"a").isalnum()
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/http_names.py
@@ -0,0 +1,42 @@
+"""Field names that the nodes set, read or remove; all lower case."""
+
+from __future__ import annotations
+
+from typing import Final
+
+MESH_PREFIX: Final = b"rhubarbhollow-"
+POSITION: Final = b"rhubarbhollow-position"
+ROUTE: Final = b"rhubarbhollow-route"
+TIMEOUT_MS: Final = b"rhubarbhollow-timeout-ms"
+PRIORITY: Final = b"rhubarbhollow-priority"
+IDEMPOTENT: Final = b"rhubarbhollow-idempotent"
+DEPTH: Final = b"rhubarbhollow-depth"
+REQUEST_ID: Final = b"rhubarbhollow-request-id"
+UPSTREAM: Final = b"rhubarbhollow-upstream"
+EXECUTED: Final = b"rhubarbhollow-executed"
+REFUSAL: Final = b"rhubarbhollow-refusal"
+NOT_RUN: Final = b"rhubarbhollow-not-run"
+RETRY: Final = b"rhubarbhollow-retry"
+
+HOST: Final = b"host"
+CONTENT_LENGTH: Final = b"content-length"
+TRANSFER_ENCODING: Final = b"transfer-encoding"
+CONNECTION: Final = b"connection"
+UPGRADE: Final = b"upgrade"
+EXPECT: Final = b"expect"
+IDEMPOTENCY_KEY: Final = b"idempotency-key"
+
+# RFC 9110 section 7.6.1, and the names that older software still sends.
+HOP_BY_HOP: Final = frozenset(
+    (
+        CONNECTION,
+        TRANSFER_ENCODING,
+        UPGRADE,
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+    )
+)
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/io_counters.py
@@ -0,0 +1,72 @@
+"""Counters of the calls of one route."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from typing import Final
+
+LATENCY_BOUNDS_SECONDS: Final = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+)
+
+
+class RouteCounters:
+    """Count ends of calls in plain integers, each only ever rising.
+
+    ``latency_buckets`` counts whole answers by
+    ``LATENCY_BOUNDS_SECONDS``, with one bucket more for those that
+    took longer than the last.
+    """
+
+    __slots__ = (
+        "aborted",
+        "answered",
+        "cancelled",
+        "latency_buckets",
+        "latency_seconds",
+        "refused_not_run",
+        "refused_unknown",
+        "retries",
+        "upstream_errors",
+    )
+
+    def __init__(self) -> None:
+        self.answered = 0
+        self.upstream_errors = 0
+        self.refused_not_run = 0
+        self.refused_unknown = 0
+        self.aborted = 0
+        self.cancelled = 0
+        self.retries = 0
+        self.latency_seconds = 0.0
+        self.latency_buckets = [0] * (len(LATENCY_BOUNDS_SECONDS) + 1)
+
+    def count_answer(self, is_error: bool, seconds: float) -> None:
+        """Count a whole answer, an error if its status is 5xx."""
+        if is_error:
+            self.upstream_errors += 1
+        else:
+            self.answered += 1
+        self.latency_seconds += seconds
+        self.latency_buckets[bisect_left(LATENCY_BOUNDS_SECONDS, seconds)] += 1
+
+
+class NodeCounters:
+    """Count calls that ended before they had a route."""
+
+    __slots__ = ("malformed", "unrouted")
+
+    def __init__(self) -> None:
+        self.malformed = 0
+        self.unrouted = 0
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/io_exchange.py
@@ -0,0 +1,277 @@
+"""One call in flight, from its head to the end of its answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from rhubarbhollow_calls.http_body import CHUNKED_BODY, NO_BODY
+from rhubarbhollow_calls.http_encoding import (
+    CLOSE_LINE,
+    LAST_CHUNK,
+    encode_answer,
+    encode_data,
+)
+from rhubarbhollow_calls.io_refusal_answer import encode_refusal, refuse_fault
+from rhubarbhollow_calls.io_request_body import RequestBody
+from rhubarbhollow_calls.not_run_proof import NeverWritten, UnwrittenStage
+from rhubarbhollow_calls.refusal import Refusal, RefusalKind
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.deadline import Deadline
+    from rhubarbhollow_calls.http_answer_head import AnswerHead
+    from rhubarbhollow_calls.http_body import Body
+    from rhubarbhollow_calls.http_fault import HttpFault
+    from rhubarbhollow_calls.http_request_head import RequestHead
+    from rhubarbhollow_calls.io_attempt import Attempt, AttemptFailure
+    from rhubarbhollow_calls.io_listener import ListenerConnection
+    from rhubarbhollow_calls.io_node import CallNode
+
+
+class Exchange:
+    """Relay one request and its answer, with back pressure both ways.
+
+    An exchange makes one attempt at a time and ends once: with a whole
+    answer, a refusal, an abort of the other side's connection in the
+    middle of an answer, or a cancellation.  Subclasses say where
+    attempts go and what follows a failed one.
+    """
+
+    __slots__ = (
+        "_attempt",
+        "_body",
+        "_deadline",
+        "_downstream",
+        "_framing",
+        "_head",
+        "_is_answering",
+        "_is_over",
+        "_is_request_paused",
+        "_may_have_run",
+        "_node",
+        "_request_id",
+        "_status",
+        "expires_at",
+    )
+
+    def __init__(
+        self,
+        node: CallNode,
+        downstream: ListenerConnection,
+        head: RequestHead,
+        request_id: bytes,
+        deadline: Deadline,
+    ) -> None:
+        self._node = node
+        self._downstream = downstream
+        self._head = head
+        self._request_id = request_id
+        self._deadline = deadline
+        self._body = RequestBody()
+        self._attempt: Attempt | None = None
+        self._framing: Body = NO_BODY
+        self._status = 0
+        self._may_have_run = False
+        self._is_answering = False
+        self._is_request_paused = False
+        self._is_over = False
+        self.expires_at = deadline.expires_at
+
+    # From the listener.
+
+    def start(self) -> None:
+        """Begin; may end the call at once."""
+        raise NotImplementedError
+
+    def request_data(self, data: bytes) -> None:
+        """Pass on a part of the body, or keep it until it can be."""
+        if self._is_over:
+            return
+        self._body.add(data)
+        if self._attempt is not None:
+            self._attempt.request_data(data)
+        if self._body.is_full and not self._is_written():
+            self.pause_request()
+
+    def request_ended(self) -> None:
+        """Pass on the end of the request."""
+        self._body.is_whole = True
+        if self._attempt is not None:
+            self._attempt.request_ended()
+
+    def request_broken(self, fault: HttpFault) -> None:
+        """Refuse what began as a request and is none."""
+        if self._is_answering:
+            self._cancel_attempt()
+            self._abort()
+            return
+        refusal = refuse_fault(fault, self._is_written())
+        self._cancel_attempt()
+        self._refuse(refusal)
+
+    def cancel(self) -> None:
+        """Stop, since nobody waits for the answer any more."""
+        if self._is_over:
+            return
+        self._cancel_attempt()
+        self._finish()
+        self._count_cancelled()
+
+    def pause_answer(self) -> None:
+        """Take no more of the answer for now."""
+        if self._attempt is not None:
+            self._attempt.pause_answer()
+
+    def resume_answer(self) -> None:
+        """Take more of the answer."""
+        if self._attempt is not None:
+            self._attempt.resume_answer()
+
+    # From the sweep.
+
+    def expire(self) -> None:
+        """End the call, since its deadline has passed."""
+        if self._is_over:
+            return
+        refusal = self._refuse_late()
+        self._cancel_attempt()
+        if self._is_answering:
+            self._abort()
+        else:
+            self._refuse(refusal)
+
+    # From the attempt.
+
+    def node_lines(self) -> bytes:
+        """Return the field lines for the next hop, as of now."""
+        raise NotImplementedError
+
+    def answer_started(self, head: AnswerHead) -> None:
+        """Pass the answer's head on."""
+        self._is_answering = True
+        self._status = head.status
+        self._framing = head.body
+        lines = self._answer_lines(head)
+        if self._downstream.is_last_answer():
+            lines += CLOSE_LINE
+        self._downstream.write(encode_answer(head, lines))
+
+    def answer_data(self, data: bytes) -> None:
+        """Pass a part of the answer on."""
+        self._downstream.write(encode_data(self._framing, data))
+
+    def answer_ended(self) -> None:
+        """Pass the end of the answer on."""
+        self._attempt = None
+        if self._framing is CHUNKED_BODY:
+            self._downstream.write(LAST_CHUNK)
+        self._settle_answer()
+        self._finish()
+        self._downstream.end_call()
+
+    def attempt_failed(self, failure: AttemptFailure) -> None:
+        """Abort a short answer, or see what to do instead."""
+        self._attempt = None
+        if failure.refusal.proof is None:
+            self._may_have_run = True
+        self._settle_failure(failure)
+        if self._is_answering:
+            self._abort()
+        else:
+            self._follow_up(failure)
+
+    def pause_request(self) -> None:
+        """Read no more of the request for now."""
+        self._is_request_paused = True
+        self._downstream.pause_request()
+
+    def resume_request(self) -> None:
+        """Read more of the request."""
+        if self._is_request_paused:
+            self._is_request_paused = False
+            self._downstream.resume_request()
+
+    # For subclasses.
+
+    def _answer_lines(self, head: AnswerHead) -> bytes:
+        raise NotImplementedError
+
+    def _refusal_lines(self) -> bytes:
+        return b""
+
+    def _follow_up(self, failure: AttemptFailure) -> None:
+        self._refuse(failure.refusal)
+
+    def _settle_answer(self) -> None:
+        """Note the evidence of a whole answer."""
+
+    def _settle_failure(self, failure: AttemptFailure) -> None:
+        """Note the evidence of a failed attempt."""
+
+    def _settle_cancelled(self) -> None:
+        """Note that the attempt was given up from this side."""
+
+    def _count_refusal(self, refusal: Refusal) -> None:
+        """Count a refused call."""
+
+    def _count_cancelled(self) -> None:
+        """Count a cancelled call."""
+
+    def _count_aborted(self) -> None:
+        """Count an answer that was cut short."""
+
+    def _begin(self, attempt: Attempt) -> None:
+        self._attempt = attempt
+        attempt.start()
+
+    def _is_written(self) -> bool:
+        if self._may_have_run:
+            return True
+        return self._attempt is not None and self._attempt.is_written
+
+    def _refuse(self, refusal: Refusal) -> None:
+        if self._may_have_run and refusal.proof is not None:
+            # An earlier attempt may have run what the last did not.
+            refusal = Refusal.unknown(refusal.kind, refusal.detail)
+        answer = encode_refusal(
+            refusal,
+            self._request_id,
+            self._refusal_lines(),
+            is_for_head=self._head.method == b"HEAD",
+            is_last=self._downstream.is_last_answer(),
+        )
+        self._downstream.write(answer)
+        self._finish()
+        self._count_refusal(refusal)
+        self._downstream.end_call()
+
+    def _refuse_unwritten(
+        self, kind: RefusalKind, stage: UnwrittenStage, detail: str
+    ) -> None:
+        self._refuse(Refusal.not_run(kind, NeverWritten(stage), detail))
+
+    def _refuse_late(self) -> Refusal:
+        if self._is_written():
+            return Refusal.unknown(RefusalKind.DEADLINE, "no answer in time")
+        stage = UnwrittenStage.ROUTING
+        if self._attempt is not None:
+            stage = self._attempt.stage
+        detail = "not started in time"
+        return Refusal.not_run(
+            RefusalKind.DEADLINE, NeverWritten(stage), detail
+        )
+
+    def _cancel_attempt(self) -> None:
+        attempt, self._attempt = self._attempt, None
+        if attempt is None:
+            return
+        attempt.cancel()
+        self._settle_cancelled()
+
+    def _abort(self) -> None:
+        self._finish()
+        self._count_aborted()
+        self._downstream.abort()
+
+    def _finish(self) -> None:
+        self._is_over = True
+        self._node.call_ended(self)
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_port.py
@@ -0,0 +1,173 @@
+"""The way to the upstream beside this node."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, Protocol
+
+from rhubarbhollow_calls.io_crash_watch import BrokenCall, CrashWatch
+from rhubarbhollow_calls.io_pool import ConnectionPool
+from rhubarbhollow_calls.slot_admission import Admitted, Queued, Refused
+from rhubarbhollow_calls.slot_gate import SlotGate
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from rhubarbhollow_calls.io_local_upstream import LocalUpstream
+    from rhubarbhollow_calls.io_settings import CallSettings
+    from rhubarbhollow_calls.quarantine import Quarantine
+    from rhubarbhollow_calls.quarantine_message import QuarantineMessage
+    from rhubarbhollow_calls.slot_admission import SlotRefusal
+    from rhubarbhollow_calls.slot_ticket import Ticket
+    from rhubarbhollow_wire.clock import Clock
+
+
+class QuarantinePublisher(Protocol):
+    """Send what a quarantine has learnt to the other nodes."""
+
+    def __call__(self, message: QuarantineMessage) -> None:
+        """Queue the message; must not block."""
+        ...
+
+
+class SlotUser(Protocol):
+    """Wait for a slot."""
+
+    def slot_granted(self) -> None:
+        """Take a slot, which the user has to release."""
+        ...
+
+    def slot_refused(self, reason: SlotRefusal) -> None:
+        """Learn that no slot can be had."""
+        ...
+
+    def slot_expired(self) -> None:
+        """Learn that the deadline passed while waiting."""
+        ...
+
+
+class LocalPort:
+    """Own the slots of, and the connections to, the local upstream."""
+
+    def __init__(
+        self,
+        upstream: LocalUpstream,
+        settings: CallSettings,
+        clock: Clock,
+        quarantine: Quarantine | None,
+        publish: QuarantinePublisher,
+    ) -> None:
+        self.upstream = upstream
+        self.quarantine = quarantine
+        self.pool = ConnectionPool(
+            upstream.host,
+            upstream.port,
+            upstream.connections,
+            settings.upstream_idle_seconds,
+            settings,
+        )
+        self.upstream_name = upstream.name.encode()
+        self._publish = publish
+        self._crash_watch = CrashWatch(
+            upstream, settings.connect_timeout_seconds
+        )
+        self._gate = SlotGate(upstream.slots, settings.queue_limit, clock)
+        self._waiting: dict[int, SlotUser] = {}
+        self._granted: deque[SlotUser] = deque()
+        self._is_granting = False
+
+    @property
+    def gate(self) -> SlotGate:
+        """Return the gate, for reports."""
+        return self._gate
+
+    def request_slot(self, user: SlotUser, ticket: Ticket) -> None:
+        """Grant a slot now or later, or refuse it now."""
+        match self._gate.admit(ticket):
+            case Admitted():
+                user.slot_granted()
+            case Queued():
+                self._waiting[ticket.call_id] = user
+            case Refused(reason):
+                user.slot_refused(reason)
+
+    def cancel_slot(self, call_id: int) -> None:
+        """Wait no more for a slot."""
+        if self._waiting.pop(call_id, None) is not None:
+            self._gate.cancel(call_id)
+
+    def release_slot(self) -> None:
+        """Give a slot back, perhaps to the next that waits."""
+        ticket = self._gate.release()
+        if ticket is not None:
+            self._grant(ticket)
+        for expired in self._gate.take_expired():
+            user = self._waiting.pop(expired.call_id, None)
+            if user is not None:
+                user.slot_expired()
+
+    def is_same_process(self, upstream: LocalUpstream) -> bool:
+        """Return whether only the sizes of ``upstream`` may be new."""
+        known = self.upstream
+        return (known.name, known.host, known.port, known.incarnation) == (
+            upstream.name,
+            upstream.host,
+            upstream.port,
+            upstream.incarnation,
+        )
+
+    def resize(self, upstream: LocalUpstream) -> None:
+        """Take a new number of slots."""
+        self.upstream = upstream
+        for ticket in self._gate.resize(upstream.slots):
+            self._grant(ticket)
+
+    def begin_drain(self) -> None:
+        """Admit nothing new."""
+        self._gate.begin_drain()
+
+    def close(self) -> None:
+        """Open no more connections."""
+        self.pool.close()
+        self._crash_watch.close()
+
+    def note_completed(self, fingerprint: bytes, epoch: int) -> None:
+        """Tell the quarantine of a whole answer."""
+        if self.quarantine is None:
+            return
+        for message in self.quarantine.completed(fingerprint, epoch):
+            self._publish(message)
+
+    def note_abandoned(self, fingerprint: bytes, epoch: int) -> None:
+        """Tell the quarantine of an end that says nothing."""
+        if self.quarantine is not None:
+            self.quarantine.abandoned(fingerprint, epoch)
+
+    def note_broken(self, fingerprint: bytes, epoch: int) -> None:
+        """Find out whether the upstream crashed under a call."""
+        call = BrokenCall(fingerprint, epoch)
+        self._crash_watch.note_broken(call, self._judge_broken)
+
+    def _judge_broken(
+        self, calls: Sequence[BrokenCall], is_crashed: bool
+    ) -> None:
+        if self.quarantine is None:
+            return
+        if not is_crashed:
+            for call in calls:
+                self.quarantine.abandoned(call.fingerprint, call.epoch)
+            return
+        name, incarnation = self.upstream.name, self.upstream.incarnation
+        for report in self.quarantine.crashed(name, incarnation):
+            self._publish(report)
+
+    def _grant(self, ticket: Ticket) -> None:
+        # A user that fails at once releases its slot from within, so
+        # the next is granted by the loop and not by recursion.
+        self._granted.append(self._waiting.pop(ticket.call_id))
+        if self._is_granting:
+            return
+        self._is_granting = True
+        while self._granted:
+            self._granted.popleft().slot_granted()
+        self._is_granting = False
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_upstream.py
@@ -0,0 +1,23 @@
+"""The upstream beside this node, as it announced itself."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class LocalUpstream:
+    """Say where the upstream listens and how much it takes at once.
+
+    ``slots`` bounds the calls that run there, ``connections`` the
+    connections that it accepts.  ``incarnation`` tells one run of the
+    upstream's process from the next.
+    """
+
+    name: str
+    service: str
+    host: str
+    port: int
+    slots: int
+    connections: int
+    incarnation: int = 0
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -0,0 +1,250 @@
+"""The call path of one node."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from rhubarbhollow_calls import http_names as names
+from rhubarbhollow_calls.io_caller import CallerPort
+from rhubarbhollow_calls.io_counters import NodeCounters
+from rhubarbhollow_calls.io_listener import ListenerConnection
+from rhubarbhollow_calls.io_local_port import LocalPort
+from rhubarbhollow_calls.io_peer import PeerPort
+from rhubarbhollow_calls.io_pool import ConnectionPool
+from rhubarbhollow_calls.io_position import PositionCheck
+from rhubarbhollow_calls.io_route_state import RouteState
+from rhubarbhollow_calls.io_settings import CallSettings
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.io_exchange import Exchange
+    from rhubarbhollow_calls.io_local_port import QuarantinePublisher
+    from rhubarbhollow_calls.io_local_upstream import LocalUpstream
+    from rhubarbhollow_calls.io_position import PositionObserver
+    from rhubarbhollow_calls.io_snapshot import Snapshot
+    from rhubarbhollow_calls.quarantine import Quarantine
+    from rhubarbhollow_calls.quarantine_message import QuarantineMessage
+    from rhubarbhollow_calls.upstream_book import UpstreamBook
+    from rhubarbhollow_wire.clock import Clock
+
+
+class CallNode:
+    """Join the two ports, the pools and the decisions of one node.
+
+    All methods run on the event loop's thread.  ``tick`` is called once
+    a second by the owner; deadlines are swept by a timer of this class
+    while calls are in flight.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        book: UpstreamBook,
+        clock: Clock,
+        observe_position: PositionObserver,
+        settings: CallSettings | None = None,
+        quarantine: Quarantine | None = None,
+        publish: QuarantinePublisher | None = None,
+        request_id_prefix: bytes = b"",
+    ) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.book = book
+        self.clock = clock
+        self.counters = NodeCounters()
+        self.local_port: LocalPort | None = None
+        self.position_line = b""
+        self.is_draining = False
+        self._observe_position = observe_position
+        self._settings = settings or CallSettings()
+        self._quarantine = quarantine
+        self._publish = publish or _drop_message
+        self._request_id_prefix = request_id_prefix or name.encode()
+        self._snapshot: Snapshot | None = None
+        self._position = 0
+        self._states: dict[str, RouteState] = {}
+        self._peer_pools: dict[tuple[str, int], ConnectionPool] = {}
+        self._connections: set[ListenerConnection] = set()
+        self._calls: set[Exchange] = set()
+        self._sweep_timer: asyncio.TimerHandle | None = None
+        self._last_call_id = 0
+        self._caller_port = CallerPort(self)
+        self._peer_port = PeerPort(self)
+
+    @property
+    def snapshot(self) -> Snapshot | None:
+        """Return the release in force here, if there is one yet."""
+        return self._snapshot
+
+    @property
+    def in_flight(self) -> int:
+        """Return the calls in flight on both ports."""
+        return len(self._calls)
+
+    @property
+    def route_states(self) -> tuple[RouteState, ...]:
+        """Return the routes in force with their counters."""
+        return tuple(self._states.values())
+
+    # For the owner.
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Route new calls on ``snapshot``; others end on their own."""
+        known = self._states
+        self._states = {
+            route.name: RouteState(
+                route, snapshot.position, self.clock, known.get(route.name)
+            )
+            for route in snapshot.route_table.routes
+        }
+        self._snapshot = snapshot
+        self._position = snapshot.position
+        self.position_line = b"%b: %d\r\n" % (
+            names.POSITION,
+            snapshot.position,
+        )
+
+    def set_local_upstream(self, upstream: LocalUpstream | None) -> None:
+        """Take another upstream beside this node, or none.
+
+        Calls in flight end on the connections that they have.
+        """
+        port = self.local_port
+        if port and upstream and port.is_same_process(upstream):
+            port.resize(upstream)
+            return
+        if port is not None:
+            port.close()
+        self.local_port = None
+        if upstream is not None:
+            self.local_port = LocalPort(
+                upstream,
+                self._settings,
+                self.clock,
+                self._quarantine,
+                self._publish,
+            )
+
+    def caller_protocol_factory(self) -> ListenerConnection:
+        """Return a protocol for a connection to the caller port."""
+        return ListenerConnection(self._caller_port)
+
+    def peer_protocol_factory(self) -> ListenerConnection:
+        """Return a protocol for a connection to the peer port."""
+        return ListenerConnection(self._peer_port)
+
+    def begin_drain(self) -> None:
+        """Refuse new calls as not run; those in flight end."""
+        self.is_draining = True
+        if self.local_port is not None:
+            self.local_port.begin_drain()
+        for connection in self._connections:
+            connection.begin_drain()
+
+    def close(self) -> None:
+        """Close every connection and cancel what is in flight."""
+        for connection in list(self._connections):
+            connection.close()
+        for pool in self._peer_pools.values():
+            pool.close()
+        if self.local_port is not None:
+            self.local_port.close()
+
+    def tick(self) -> None:
+        """Close connections that have been idle too long."""
+        settings = self._settings
+        for connection in list(self._connections):
+            connection.tick(settings)
+        if self.local_port is not None:
+            self.local_port.pool.tick()
+        for address, pool in list(self._peer_pools.items()):
+            pool.tick()
+            if pool.is_unused:
+                del self._peer_pools[address]
+
+    # For the ports and the exchanges.
+
+    def route(self, host: bytes, target: bytes) -> RouteState | None:
+        """Return the route for a call that begins now."""
+        if self._snapshot is None:
+            return None
+        route = self._snapshot.route_table.match(host, target)
+        return None if route is None else self._states[route.name]
+
+    def state_of_route(self, name: str) -> RouteState | None:
+        """Return the route called ``name``."""
+        return self._states.get(name)
+
+    def is_at(self, position: int | None) -> bool:
+        """Return whether this node is, or can be, at ``position``."""
+        if position is None or position <= self._position:
+            return True
+        return self._observe_position(position) is not PositionCheck.BEHIND
+
+    def hear_position(self, position: int | None) -> None:
+        """Activate a staged release that somebody already routes on."""
+        if position is not None and position > self._position:
+            self._observe_position(position)
+
+    def peer_pool(self, host: str, port: int) -> ConnectionPool:
+        """Return the connections to another node's peer port."""
+        pool = self._peer_pools.get((host, port))
+        if pool is None:
+            settings = self._settings
+            pool = self._peer_pools[host, port] = ConnectionPool(
+                host,
+                port,
+                settings.peer_connections,
+                settings.peer_idle_seconds,
+                settings,
+            )
+        return pool
+
+    def next_call_id(self) -> int:
+        """Return a number that no other call of this node has."""
+        self._last_call_id += 1
+        return self._last_call_id
+
+    def next_request_id(self) -> bytes:
+        """Return a name for a request that came without one."""
+        return b"%b-%x" % (self._request_id_prefix, self.next_call_id())
+
+    def call_began(self, call: Exchange) -> None:
+        """Watch a call's deadline."""
+        self._calls.add(call)
+        if self._sweep_timer is None:
+            self._arm_sweep()
+
+    def call_ended(self, call: Exchange) -> None:
+        """Watch a call no more."""
+        self._calls.discard(call)
+
+    def connection_opened(self, connection: ListenerConnection) -> None:
+        """Note a listener's connection."""
+        self._connections.add(connection)
+        if self.is_draining:
+            connection.begin_drain()
+
+    def connection_closed(self, connection: ListenerConnection) -> None:
+        """Forget a listener's connection."""
+        self._connections.discard(connection)
+
+    def _arm_sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._sweep_timer = loop.call_later(
+            self._settings.sweep_seconds, self._sweep
+        )
+
+    def _sweep(self) -> None:
+        self._sweep_timer = None
+        now = self.clock.monotonic()
+        expired = [call for call in self._calls if call.expires_at <= now]
+        for call in expired:
+            call.expire()
+        if self._calls:
+            self._arm_sweep()
+
+
+def _drop_message(message: QuarantineMessage) -> None:
+    """Tell nobody."""
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/io_peer.py
@@ -0,0 +1,130 @@
+"""The peer port: calls that another node routed to this upstream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_calls import http_names as names
+from rhubarbhollow_calls.call_priority import CallPriority
+from rhubarbhollow_calls.deadline import Deadline, format_deadline
+from rhubarbhollow_calls.io_exchange import Exchange
+from rhubarbhollow_calls.io_local_attempt import LocalAttempt
+from rhubarbhollow_calls.io_refusal_answer import encode_refusal, refuse_fault
+from rhubarbhollow_calls.not_run_proof import UnwrittenStage
+from rhubarbhollow_calls.refusal import RefusalKind
+from rhubarbhollow_calls.slot_ticket import Ticket
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.http_answer_head import AnswerHead
+    from rhubarbhollow_calls.http_fault import HttpFault
+    from rhubarbhollow_calls.http_request_head import RequestHead
+    from rhubarbhollow_calls.io_listener import ListenerConnection
+    from rhubarbhollow_calls.io_node import CallNode
+
+_PRIORITIES: Final = {
+    priority.name.lower().encode(): priority for priority in CallPriority
+}
+
+
+class PeerExchange(Exchange):
+    """Admit a call that was routed elsewhere, and never retry it."""
+
+    __slots__ = ()
+
+    def start(self) -> None:
+        """Admit the call, if it is for the upstream here."""
+        mesh = self._head.mesh
+        if not self._node.is_at(mesh.position):
+            self._refuse_admission(
+                RefusalKind.STALE_POSITION, "the caller's release is newer"
+            )
+            return
+        port = self._node.local_port
+        if port is None or port.upstream_name != mesh.upstream:
+            self._refuse_admission(
+                RefusalKind.NO_UPSTREAM, "the upstream is not beside this node"
+            )
+            return
+        ticket = Ticket(
+            _PRIORITIES.get(mesh.priority, CallPriority.BULK),
+            self._deadline.expires_at,
+            self._node.next_call_id(),
+        )
+        self._begin(
+            LocalAttempt(
+                self, self._head, self._body, port, ticket, mesh.route
+            )
+        )
+
+    def node_lines(self) -> bytes:
+        """Return the fields for the upstream."""
+        mesh = self._head.mesh
+        left = format_deadline(self._deadline, self._node.clock.monotonic())
+        return b"%b: %d\r\n%b: %b\r\n%b: %b\r\n%b: %d\r\n%b: %b\r\n" % (
+            names.POSITION,
+            mesh.position or 0,
+            names.ROUTE,
+            mesh.route,
+            names.TIMEOUT_MS,
+            left,
+            names.DEPTH,
+            mesh.depth,
+            names.REQUEST_ID,
+            self._request_id,
+        )
+
+    def _answer_lines(self, head: AnswerHead) -> bytes:  # noqa: ARG002
+        return self._node.position_line
+
+    def _refusal_lines(self) -> bytes:
+        return self._node.position_line
+
+    def _refuse_admission(self, kind: RefusalKind, detail: str) -> None:
+        self._refuse_unwritten(kind, UnwrittenStage.ADMISSION, detail)
+
+
+class PeerPort:
+    """Open calls that come from other nodes."""
+
+    def __init__(self, node: CallNode) -> None:
+        self._node = node
+
+    @property
+    def is_from_node(self) -> bool:
+        """Return true: every field that nodes set is read."""
+        return True
+
+    def open_call(
+        self, head: RequestHead, downstream: ListenerConnection
+    ) -> PeerExchange:
+        """Return the exchange for a call."""
+        node = self._node
+        mesh = head.mesh
+        now = node.clock.monotonic()
+        exchange = PeerExchange(
+            node,
+            downstream,
+            head,
+            mesh.request_id or node.next_request_id(),
+            Deadline.after_ms(mesh.timeout_ms or 0, now),
+        )
+        node.call_began(exchange)
+        return exchange
+
+    def encode_fault(self, fault: HttpFault) -> bytes:
+        """Return the whole answer to a request that cannot be read."""
+        return encode_refusal(
+            refuse_fault(fault, is_written=False),
+            self._node.next_request_id(),
+            self._node.position_line,
+            status=fault.status,
+            is_last=True,
+        )
+
+    def connection_opened(self, connection: ListenerConnection) -> None:
+        """Note a connection."""
+        self._node.connection_opened(connection)
+
+    def connection_closed(self, connection: ListenerConnection) -> None:
+        """Forget a connection."""
+        self._node.connection_closed(connection)
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/io_pool.py
@@ -0,0 +1,163 @@
+"""Client connections to one address, kept for the next call."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from enum import Enum
+from typing import TYPE_CHECKING, Protocol
+
+from rhubarbhollow_calls.io_client import ClientConnection
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.io_settings import CallSettings
+
+
+class ConnectFault(Enum):
+    """Name why no connection could be had; nothing was written."""
+
+    REFUSED = "refused"
+    TIMED_OUT = "timed-out"
+    POOL_FULL = "pool-full"
+    POOL_CLOSED = "pool-closed"
+
+
+class ConnectionWaiter(Protocol):
+    """Wait for a connection of a pool."""
+
+    def connection_ready(self, connection: ClientConnection) -> None:
+        """Take a connection for one call."""
+        ...
+
+    def connection_failed(self, fault: ConnectFault) -> None:
+        """Learn that no connection could be had."""
+        ...
+
+
+class ConnectionPool:
+    """Own the connections to one address, at most ``limit``.
+
+    The newest idle connection is used first, so that those a burst has
+    opened grow old and are closed.  Connections are opened by tasks of
+    the pool; handing one out takes no task.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        limit: int,
+        idle_seconds: int,
+        settings: CallSettings,
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._limit = limit
+        self._idle_seconds = idle_seconds
+        self._settings = settings
+        self._idle: list[ClientConnection] = []
+        self._open: set[ClientConnection] = set()
+        self._connecting: set[asyncio.Task[None]] = set()
+        self._waiters: deque[ConnectionWaiter] = deque()
+        self._is_closed = False
+
+    @property
+    def open_connections(self) -> int:
+        """Return how many connections are open or being opened."""
+        return len(self._open) + len(self._connecting)
+
+    @property
+    def is_unused(self) -> bool:
+        """Return whether the pool holds nothing."""
+        return not self._open and not self._connecting
+
+    def acquire(self, waiter: ConnectionWaiter) -> None:
+        """Give ``waiter`` a connection now, or once there is one."""
+        if self._idle:
+            waiter.connection_ready(self._idle.pop())
+            return
+        if self._is_closed:
+            waiter.connection_failed(ConnectFault.POOL_CLOSED)
+            return
+        if len(self._waiters) >= self._settings.connection_waiters:
+            waiter.connection_failed(ConnectFault.POOL_FULL)
+            return
+        self._waiters.append(waiter)
+        self._open_more()
+
+    def forget(self, waiter: ConnectionWaiter) -> None:
+        """Drop a waiter whose call is over."""
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+
+    def release(self, connection: ClientConnection) -> None:
+        """Take back a connection on which a whole answer has come."""
+        if self._is_closed:
+            connection.abort()
+            return
+        if self._waiters:
+            self._waiters.popleft().connection_ready(connection)
+            return
+        connection.idle_ticks = 0
+        self._idle.append(connection)
+
+    def drop(self, connection: ClientConnection) -> None:
+        """Forget a connection that is closed or about to be."""
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        self._open_more()
+
+    def tick(self) -> None:
+        """Close what has been idle too long; called once a second."""
+        for connection in self._idle:
+            connection.idle_ticks += 1
+        while self._idle and self._idle[0].idle_ticks > self._idle_seconds:
+            self._idle[0].abort()
+
+    def close(self) -> None:
+        """Open nothing more; connections in use end with their call."""
+        self._is_closed = True
+        for task in self._connecting:
+            task.cancel()
+        for connection in list(self._idle):
+            connection.abort()
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            waiter.connection_failed(ConnectFault.POOL_CLOSED)
+
+    def _open_more(self) -> None:
+        if self._is_closed or len(self._connecting) >= len(self._waiters):
+            return
+        if self.open_connections >= self._limit:
+            return
+        task = asyncio.get_running_loop().create_task(self._connect())
+        self._connecting.add(task)
+
+    async def _connect(self) -> None:
+        loop = asyncio.get_running_loop()
+        fault = ConnectFault.REFUSED
+        connection: ClientConnection | None = None
+        try:
+            async with asyncio.timeout(self._settings.connect_timeout_seconds):
+                _, connection = await loop.create_connection(
+                    lambda: ClientConnection(self), self._host, self._port
+                )
+        except TimeoutError:
+            fault = ConnectFault.TIMED_OUT
+        except OSError:
+            fault = ConnectFault.REFUSED
+        finally:
+            task = asyncio.current_task()
+            if task is not None:
+                self._connecting.discard(task)
+        if connection is None:
+            self._fail_first(fault)
+            return
+        self._open.add(connection)
+        self.release(connection)
+
+    def _fail_first(self, fault: ConnectFault) -> None:
+        if self._waiters:
+            self._waiters.popleft().connection_failed(fault)
+        self._open_more()
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/io_refusal_answer.py
@@ -0,0 +1,72 @@
+"""The HTTP form of refusals."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_calls import http_names as names
+from rhubarbhollow_calls.http_encoding import CLOSE_LINE, encode_status
+from rhubarbhollow_calls.http_fault import HttpFaultKind
+from rhubarbhollow_calls.not_run_proof import NeverWritten, UnwrittenStage
+from rhubarbhollow_calls.refusal import (
+    PROBLEM_CONTENT_TYPE,
+    Refusal,
+    RefusalKind,
+    problem_bytes,
+)
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.http_fault import HttpFault
+
+_KINDS: Final = {
+    HttpFaultKind.HEAD_TOO_LARGE: RefusalKind.HEADERS_TOO_LARGE,
+}
+
+
+def refuse_fault(fault: HttpFault, is_written: bool) -> Refusal:
+    """Return the refusal of a request that is not sound HTTP."""
+    kind = _KINDS.get(fault.kind, RefusalKind.BAD_REQUEST)
+    detail = f"{fault.kind.value}: {fault.detail}"
+    if is_written:
+        return Refusal.unknown(kind, detail)
+    return Refusal.not_run(kind, NeverWritten(UnwrittenStage.PARSING), detail)
+
+
+def encode_refusal(
+    refusal: Refusal,
+    request_id: bytes,
+    own_lines: bytes = b"",
+    *,
+    status: int | None = None,
+    is_for_head: bool = False,
+    is_last: bool = False,
+) -> bytes:
+    """Return a whole answer; ``status`` overrides that of the kind."""
+    document = problem_bytes(refusal, request_id.decode("latin-1"))
+    if status is not None:
+        document = _with_status(document, status)
+    return (
+        b"%bcontent-type: %b\r\ncontent-length: %d\r\n"
+        b"%b: %b\r\n%b: %b\r\n%b: %b\r\n%b: decided\r\n%b%b\r\n%b"
+    ) % (
+        encode_status(refusal.status if status is None else status),
+        PROBLEM_CONTENT_TYPE,
+        len(document),
+        names.EXECUTED,
+        refusal.executed.header_value,
+        names.REFUSAL,
+        refusal.kind.value.encode(),
+        names.REQUEST_ID,
+        request_id,
+        names.RETRY,
+        own_lines,
+        CLOSE_LINE if is_last else b"",
+        b"" if is_for_head else document,
+    )
+
+
+def _with_status(document: bytes, status: int) -> bytes:
+    problem = json.loads(document)
+    problem["status"] = status
+    return json.dumps(problem, separators=(",", ":")).encode()
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/io_remote_attempt.py
@@ -0,0 +1,67 @@
+"""An attempt by way of the node beside the chosen upstream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from rhubarbhollow_calls.call_result import CallResult
+from rhubarbhollow_calls.io_attempt import Attempt, AttemptFailure
+from rhubarbhollow_calls.not_run_proof import RefusedByPeer
+from rhubarbhollow_calls.refusal import (
+    Executed,
+    Refusal,
+    RefusalKind,
+    maybe_refusal_kind,
+    parse_executed,
+)
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.endpoint import Endpoint
+    from rhubarbhollow_calls.http_answer_head import AnswerHead
+    from rhubarbhollow_calls.http_request_head import RequestHead
+    from rhubarbhollow_calls.io_attempt import AttemptOwner
+    from rhubarbhollow_calls.io_pool import ConnectionPool
+    from rhubarbhollow_calls.io_request_body import RequestBody
+
+
+class RemoteAttempt(Attempt):
+    """Forward a request to another node's peer port.
+
+    That node says on each refusal whether the request can have run; an
+    upstream cannot, since the node removes such fields from answers.
+    """
+
+    __slots__ = ("_endpoint", "_peers")
+
+    def __init__(
+        self,
+        owner: AttemptOwner,
+        head: RequestHead,
+        body: RequestBody,
+        endpoint: Endpoint,
+        peers: ConnectionPool,
+    ) -> None:
+        super().__init__(owner, head, body)
+        self._endpoint = endpoint
+        self._peers = peers
+
+    def start(self) -> None:
+        """Ask for a connection to the node."""
+        self._acquire(self._peers)
+
+    def _give_back(self, result: CallResult) -> None:
+        """Do nothing: the other node holds the slot."""
+
+    def _is_refusal(self, head: AnswerHead) -> bool:
+        return head.executed is not None
+
+    def _read_refusal(self, head: AnswerHead) -> AttemptFailure:
+        kind = maybe_refusal_kind(head.refusal) or RefusalKind.OUTCOME_UNKNOWN
+        detail = f"refused by node {self._endpoint.node}"
+        is_not_run = parse_executed(head.executed) is Executed.NO
+        if is_not_run and kind is not RefusalKind.OUTCOME_UNKNOWN:
+            proof = RefusedByPeer(self._endpoint.node)
+            refusal = Refusal.not_run(kind, proof, detail)
+            return AttemptFailure(refusal, CallResult.REFUSED_NOT_RUN)
+        refusal = Refusal.unknown(kind, detail)
+        return AttemptFailure(refusal, CallResult.BROKEN)
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/io_route_state.py
@@ -0,0 +1,60 @@
+"""What a node holds per route beside the route itself."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_calls import http_names as names
+from rhubarbhollow_calls.io_counters import RouteCounters
+from rhubarbhollow_calls.retry_budget import RetryBudget
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.call_route import CallRoute
+    from rhubarbhollow_wire.clock import Clock
+
+MIN_RETRIES_PER_SECOND: Final = 0.2
+
+
+class RouteState:
+    """Keep a route's budget, counters and ready-made field lines.
+
+    Budget and counters outlive a release; the lines are made anew.
+    """
+
+    __slots__ = (
+        "answer_lines",
+        "budget",
+        "counters",
+        "request_lines",
+        "route",
+    )
+
+    def __init__(
+        self,
+        route: CallRoute,
+        position: int,
+        clock: Clock,
+        previous: RouteState | None,
+    ) -> None:
+        self.route = route
+        self.counters: RouteCounters = (
+            RouteCounters() if previous is None else previous.counters
+        )
+        self.budget: RetryBudget
+        if previous and previous.route.budget_ratio == route.budget_ratio:
+            self.budget = previous.budget
+        else:
+            self.budget = RetryBudget(
+                route.budget_ratio, MIN_RETRIES_PER_SECOND, clock
+            )
+        self.answer_lines = b"%b: %d\r\n" % (names.POSITION, position)
+        self.request_lines = b"%b: %d\r\n%b: %b\r\n%b: %b\r\n%b: %b\r\n" % (
+            names.POSITION,
+            position,
+            names.ROUTE,
+            route.name.encode(),
+            names.PRIORITY,
+            route.priority.name.lower().encode(),
+            names.IDEMPOTENT,
+            b"true" if route.is_idempotent else b"false",
+        )
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/io_settings.py
@@ -0,0 +1,26 @@
+"""Settings of the call path."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class CallSettings:
+    """Bound the time and the connections that calls may take.
+
+    ``upstream_idle_seconds`` stays below the time after which common
+    servers close an idle connection, so that a call is seldom written
+    to a connection that is just being closed.
+    """
+
+    queue_limit: int = 64
+    connect_timeout_seconds: float = 1.0
+    upstream_idle_seconds: int = 4
+    peer_idle_seconds: int = 30
+    peer_connections: int = 32
+    connection_waiters: int = 256
+    caller_idle_seconds: int = 60
+    head_timeout_seconds: int = 10
+    linger_seconds: int = 2
+    sweep_seconds: float = 0.01
--- /dev/null
+++ b/tests/standin/mesh.py
@@ -0,0 +1,158 @@
+"""A few nodes in one process, on real loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import uvloop
+from rhubarbhollow_calls.call_priority import CallPriority
+from rhubarbhollow_calls.call_route import CallRoute
+from rhubarbhollow_calls.endpoint import Endpoint, EndpointState
+from rhubarbhollow_calls.endpoint_table import EndpointTable
+from rhubarbhollow_calls.io_local_upstream import LocalUpstream
+from rhubarbhollow_calls.io_node import CallNode
+from rhubarbhollow_calls.io_position import PositionCheck
+from rhubarbhollow_calls.io_settings import CallSettings
+from rhubarbhollow_calls.io_snapshot import Snapshot
+from rhubarbhollow_calls.quarantine import Quarantine
+from rhubarbhollow_calls.route_table import RouteTable
+from rhubarbhollow_calls.upstream_book import UpstreamBook
+from rhubarbhollow_wire.clock import ManualClock
+
+from tests.standin.http_client import FAIL_SAFE_SECONDS, HttpClient
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from rhubarbhollow_calls.quarantine_message import QuarantineMessage
+
+    from tests.standin.scripted_upstream import ScriptedUpstream
+
+DEFAULT_ROUTE = CallRoute(
+    "lookup", "*", "/", "desk", 5_000, 2, 1.0, CallPriority.INTERACTIVE,
+    is_idempotent=True, fallback=None,
+)  # fmt: skip
+
+
+def run(main: Coroutine[object, object, None]) -> None:
+    """Run one test on a fresh event loop of the kind nodes use."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(FAIL_SAFE_SECONDS):
+            await main
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(bounded())
+
+
+async def wait_until(is_reached: Callable[[], bool]) -> None:
+    """Give other callbacks their turn until something has happened."""
+    while not is_reached():
+        await asyncio.sleep(0.001)
+
+
+@dataclass
+class MeshNode:
+    """Hold a node with its listeners."""
+
+    node: CallNode
+    caller_port: int
+    peer_port: int
+    servers: tuple[asyncio.Server, ...]
+    positions: list[int] = field(default_factory=list)
+    check: PositionCheck = PositionCheck.BEHIND
+
+    def observe(self, position: int) -> PositionCheck:
+        self.positions.append(position)
+        return self.check
+
+
+class Mesh:
+    """Build nodes that know each other's upstreams."""
+
+    def __init__(
+        self,
+        *routes: CallRoute,
+        settings: CallSettings | None = None,
+        position: int = 7,
+    ) -> None:
+        self.clock = ManualClock()
+        self.nodes: dict[str, MeshNode] = {}
+        self.endpoints: dict[str, Endpoint] = {}
+        self.published: list[QuarantineMessage] = []
+        self._settings = settings or CallSettings()
+        self._snapshot = Snapshot(
+            position, RouteTable(position, routes or (DEFAULT_ROUTE,))
+        )
+
+    async def add_node(
+        self,
+        name: str,
+        upstream: ScriptedUpstream | None = None,
+        service: str = "desk",
+        slots: int = 9,
+        connections: int = 110,
+    ) -> MeshNode:
+        book = UpstreamBook("here", self.clock, random.Random(5))
+        quarantine = Quarantine(self.clock)
+
+        def observe(position: int) -> PositionCheck:
+            return self.nodes[name].observe(position)
+
+        node = CallNode(
+            name, "here", book, self.clock, observe, self._settings,
+            quarantine, self.published.append,
+        )  # fmt: skip
+        node.install(self._snapshot)
+        loop = asyncio.get_running_loop()
+        caller = await loop.create_server(
+            node.caller_protocol_factory, "127.0.0.1", 0
+        )
+        peer = await loop.create_server(
+            node.peer_protocol_factory, "127.0.0.1", 0
+        )
+        made = MeshNode(node, _port(caller), _port(peer), (caller, peer))
+        self.nodes[name] = made
+        if upstream is not None:
+            self._announce(made, upstream.port, service, slots, connections)
+        self._spread()
+        return made
+
+    async def client(self, name: str) -> HttpClient:
+        return await HttpClient.connect(self.nodes[name].caller_port)
+
+    async def close(self) -> None:
+        for made in self.nodes.values():
+            for server in made.servers:
+                server.close()
+            made.node.close()
+
+    def _announce(
+        self,
+        made: MeshNode,
+        port: int,
+        service: str,
+        slots: int,
+        connections: int,
+    ) -> None:
+        name = f"{service}-{made.node.name}"
+        made.node.set_local_upstream(
+            LocalUpstream(name, service, "127.0.0.1", port, slots, connections)
+        )
+        self.endpoints[name] = Endpoint(
+            name, service, "here", made.node.name, "127.0.0.1",
+            made.peer_port, slots, EndpointState.UP, 0, -100.0,
+        )  # fmt: skip
+
+    def _spread(self) -> None:
+        for made in self.nodes.values():
+            version = len(self.nodes)
+            table = EndpointTable(version, self.endpoints.values())
+            made.node.book.replace(table)
+
+
+def _port(server: asyncio.Server) -> int:
+    return int(server.sockets[0].getsockname()[1])
--- /dev/null
+++ b/tests/standin/scripted_upstream.py
@@ -0,0 +1,115 @@
+"""An upstream that does exactly what a test's script says."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """Hold one request as the upstream read it."""
+
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes
+    raw_head: bytes
+
+
+class Script(Protocol):
+    """Answer one request on its connection, or do worse."""
+
+    async def __call__(
+        self, request: Request, writer: asyncio.StreamWriter
+    ) -> None: ...
+
+
+class ScriptedUpstream:
+    """Serve on a loopback port and keep every request that was read."""
+
+    def __init__(self, script: Script) -> None:
+        self._script = script
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.requests: list[Request] = []
+        self.opened = 0
+        self.closed = 0
+        self.changed = asyncio.Condition()
+
+    @property
+    def port(self) -> int:
+        assert self._server is not None
+        return self._server.sockets[0].getsockname()[1]
+
+    async def start(self, port: int = 0) -> None:
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", port
+        )
+
+    async def crash(self) -> None:
+        """Stop listening and reset every connection."""
+        assert self._server is not None
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        await self._note(opened=1)
+        try:
+            while True:
+                request = await _read_request(reader)
+                self.requests.append(request)
+                await self._note()
+                await self._script(request, writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+            await self._note(closed=1)
+
+    async def _note(self, opened: int = 0, closed: int = 0) -> None:
+        self.opened += opened
+        self.closed += closed
+        async with self.changed:
+            self.changed.notify_all()
+
+
+async def _read_request(reader: asyncio.StreamReader) -> Request:
+    raw = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = raw.decode("latin-1").rstrip().split("\r\n")
+    method, target, _ = first.split()
+    headers = {
+        name.lower(): value.strip()
+        for name, _, value in (line.partition(":") for line in lines)
+    }
+    body = b""
+    if "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    elif "transfer-encoding" in headers:
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+        await reader.readexactly(2)
+    return Request(method, target, headers, body, raw)
+
+
+def encode_answer(body: bytes, *lines: str, status: str = "200 OK") -> bytes:
+    fields = [f"content-length: {len(body)}", *lines]
+    head = "\r\n".join((f"HTTP/1.1 {status}", *fields, "", ""))
+    return head.encode() + body
+
+
+async def echo(request: Request, writer: asyncio.StreamWriter) -> None:
+    """Answer with the method, the target and the body."""
+    line = f"{request.method} {request.target} ".encode()
+    writer.write(encode_answer(line + request.body))
