--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/settings_distribution.py
@@ -0,0 +1,21 @@
+"""Settings of the distribution to nodes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class DistributionSettings:
+    """Weigh convergence time against control bytes.
+
+    A longer ``coalescing`` window sends fewer messages; ``load`` is the
+    window for changes of load alone.  A node's lease ends when nothing
+    was heard of it for ``lease``.
+    """
+
+    coalescing: timedelta = timedelta(milliseconds=20)
+    load: timedelta = timedelta(milliseconds=1000)
+    heartbeat: timedelta = timedelta(milliseconds=1000)
+    lease: timedelta = timedelta(milliseconds=4000)
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/settings_listen.py
@@ -0,0 +1,19 @@
+"""Settings of the listeners."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ListenSettings:
+    """Hold the address and the ports on which the process listens.
+
+    ``control_port`` is none on an instance without a control section.
+    """
+
+    host: str
+    caller_port: int
+    peer_port: int
+    admin_port: int
+    control_port: int | None = None
--- a/packages/distribution/src/rhubarbhollow_distribution/announcement.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/announcement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 from dataclasses import dataclass
 from datetime import timedelta
@@ -10,7 +11,7 @@
 from importlib.resources import files
 from typing import TYPE_CHECKING, Any
 
-from jsonschema import Draft202012Validator
+from jsonschema import Draft202012Validator, FormatChecker
 from result import Err, Ok, Result
 
 if TYPE_CHECKING:
@@ -106,7 +107,19 @@
 
 @cache
 def _validator() -> Draft202012Validator:
-    return Draft202012Validator(_schema())
+    formats = FormatChecker(formats=())
+    formats.checks("ip-address")(_is_address)
+    return Draft202012Validator(_schema(), format_checker=formats)
+
+
+def _is_address(value: object) -> bool:
+    if not isinstance(value, str):
+        return True
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        return False
+    return True
 
 
 def _faults_of(
--- a/packages/distribution/src/rhubarbhollow_distribution/endpoint_store.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/endpoint_store.py
@@ -72,7 +72,7 @@
 
     @property
     def urgent_version(self) -> int:
-        """Return the version of the last change beyond load."""
+        """Return the version of the last change beyond a load."""
         return self._urgent_version
 
     @property
@@ -95,7 +95,7 @@
         return tuple(record for record in changed if record is not None)
 
     def own_records(self) -> tuple[EndpointRecord, ...]:
-        """Return what this instance vouches for, tombstones included."""
+        """Return what this instance vouches for, with tombstones."""
         return tuple(
             entry.vouched[self._owner]
             for entry in self._entries.values()
--- a/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
@@ -79,11 +79,13 @@
         controls: tuple[ControlAddress, ...],
         clock: Clock,
         random: random.Random,
+        silence_seconds: float = SILENCE_SECONDS,
     ) -> None:
         if not controls:
             raise ValueError("a node needs the address of a control instance")
         self._clock = clock
         self._random = random
+        self._silence_seconds = silence_seconds
         # Nodes of one data centre spread over its instances by chance.
         self._candidates = {
             address.name: _Candidate(
@@ -111,7 +113,7 @@
     def is_silent(self) -> bool:
         """Tell whether the source must be given up as dead."""
         elapsed = self._clock.monotonic() - self._heard_at
-        return self._current is not None and elapsed >= SILENCE_SECONDS
+        return self._current is not None and elapsed >= self._silence_seconds
 
     def next_attempt(self) -> Attempt:
         """Return whom to connect to, and when, without a source.
