--- a/tests/standin/http_client.py
+++ b/tests/standin/http_client.py
@@ -65,10 +65,10 @@
     async def _read_answer(self, is_for_head: bool) -> Answer:
         head = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         first, *lines = head.rstrip().split("\r\n")
-        headers = dict(
-            (name.lower(), value.strip())
+        headers = {
+            name.lower(): value.strip()
             for name, _, value in (line.partition(":") for line in lines)
-        )
+        }
         status = int(first.split()[1])
         if is_for_head or status in (100, 204, 304):
             return Answer(status, headers, b"")
--- a/tests/standin/mesh.py
+++ b/tests/standin/mesh.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import uvloop
+from tests.standin.http_client import FAIL_SAFE_SECONDS, HttpClient
+
 from rhubarbhollow_calls.call_priority import CallPriority
 from rhubarbhollow_calls.call_route import CallRoute
 from rhubarbhollow_calls.endpoint import Endpoint, EndpointState
@@ -22,15 +25,14 @@
 from rhubarbhollow_calls.upstream_book import UpstreamBook
 from rhubarbhollow_wire.clock import ManualClock
 
-from tests.standin.http_client import FAIL_SAFE_SECONDS, HttpClient
-
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
-    from rhubarbhollow_calls.quarantine_message import QuarantineMessage
-
     from tests.standin.scripted_upstream import ScriptedUpstream
 
+    from rhubarbhollow_calls.quarantine_message import QuarantineMessage
+
+_FOREVER = itertools.repeat(None)
 DEFAULT_ROUTE = CallRoute(
     "lookup", "*", "/", "desk", 5_000, 2, 1.0, CallPriority.INTERACTIVE,
     is_idempotent=True, fallback=None,
@@ -50,8 +52,8 @@
 
 async def wait_until(is_reached: Callable[[], bool]) -> None:
     """Give other callbacks their turn until something has happened."""
-    while not is_reached():
-        await asyncio.sleep(0.001)
+    for _ in itertools.takewhile(lambda _: not is_reached(), _FOREVER):
+        await asyncio.sleep(0)
 
 
 @dataclass
