--- a/packages/calls/src/rhubarbhollow_calls/burn.py
+++ b/packages/calls/src/rhubarbhollow_calls/burn.py
@@ -15,9 +15,13 @@
     from rhubarbhollow_calls.burn_series import BurnCounts
     from rhubarbhollow_wire.clock import Clock
 
-MAX_SUBJECTS: Final = 512
-# the release in force and those before it, to compare them
-MAX_POSITIONS: Final = 8
+# of positions: the release in force and those before it
+MAX_SUBJECTS: Final = {
+    BurnScope.SERVICE: 64,
+    BurnScope.ROUTE: 256,
+    BurnScope.UPSTREAM: 128,
+    BurnScope.POSITION: 8,
+}
 
 
 class BurnCounters:
@@ -25,6 +29,7 @@
 
     The caller keeps the series of a route, service, upstream and
     position and records into them, so that a call looks nothing up.
+    Of each scope the subjects asked for longest ago are dropped first.
     """
 
     def __init__(self, objective: BurnObjective, clock: Clock) -> None:
@@ -56,12 +61,9 @@
         )
 
     def _make_room(self, scope: BurnScope) -> None:
-        if scope is BurnScope.POSITION:
-            positions = [s for s in self._series if s.scope is scope]
-            if len(positions) >= MAX_POSITIONS:
-                del self._series[positions[0]]
-        if len(self._series) >= MAX_SUBJECTS:
-            self._series.popitem(last=False)
+        peers = [known for known in self._series if known.scope is scope]
+        if len(peers) >= MAX_SUBJECTS[scope]:
+            del self._series[peers[0]]
 
     def _burn(
         self, subject: BurnSubject, series: BurnSeries, now: float
--- a/packages/calls/src/rhubarbhollow_calls/quarantine.py
+++ b/packages/calls/src/rhubarbhollow_calls/quarantine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
@@ -26,6 +27,8 @@
 MAX_QUARANTINE_SECONDS: Final = 3600.0
 # a crash is forgotten after this, and so is what it was evidence of
 CRASH_MEMORY_SECONDS: Final = 2 * MAX_QUARANTINE_SECONDS
+# a message from further in the future has a wrong time
+MAX_SKEW_SECONDS: Final = 60.0
 MAX_SUSPECTS: Final = 4096
 
 _HELD: Final = HeldSuspect()
@@ -33,25 +36,36 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class _Crash:
-    at: float
     upstream: str
     incarnation: int
 
 
 @dataclass(slots=True)
 class _Suspect:
-    """Hold two sets that only grow, so that merging has no order."""
+    """Hold the times of crashes by their identity.
 
-    crashes: set[_Crash] = field(default_factory=set)
-    cleared: set[_Crash] = field(default_factory=set)
+    Both maps only grow and keep the earliest time, so that merging has
+    no order and may be repeated.
+    """
+
+    crashes: dict[_Crash, float] = field(default_factory=dict)
+    cleared: dict[_Crash, float] = field(default_factory=dict)
 
     @property
-    def open_crashes(self) -> set[_Crash]:
-        return self.crashes - self.cleared
+    def open_crashes(self) -> dict[_Crash, float]:
+        return {
+            crash: at
+            for crash, at in self.crashes.items()
+            if crash not in self.cleared
+        }
 
     @property
     def is_suspected(self) -> bool:
-        return not self.crashes <= self.cleared
+        return any(crash not in self.cleared for crash in self.crashes)
+
+    def forget(self, oldest: float) -> None:
+        self.crashes = _since(oldest, self.crashes)
+        self.cleared = _since(oldest, self.cleared)
 
 
 class Quarantine:
@@ -101,13 +115,11 @@
             return ()
         if epoch != self._may_run.epoch:
             return ()
-        opened = sorted(suspect.open_crashes)
+        opened = suspect.open_crashes
         suspect.cleared.update(opened)
         return tuple(
-            Exoneration(
-                fingerprint, crash.upstream, crash.incarnation, crash.at
-            )
-            for crash in opened
+            Exoneration(fingerprint, crash.upstream, crash.incarnation, at)
+            for crash, at in sorted(opened.items())
         )
 
     def abandoned(self, fingerprint: bytes, epoch: int) -> None:
@@ -144,41 +156,41 @@
 
         Messages may come twice and in any order.
         """
-        oldest = self._clock.utc().timestamp() - CRASH_MEMORY_SECONDS
-        if message.at < oldest:
+        age = self._clock.utc().timestamp() - message.at
+        if not -MAX_SKEW_SECONDS <= age <= CRASH_MEMORY_SECONDS:
             return False
         suspect = self._suspects.get(message.fingerprint)
         if suspect is None:
             suspect = self._suspects[message.fingerprint] = _Suspect()
             self._evict()
-        crash = _Crash(message.at, message.upstream, message.incarnation)
+        crash = _Crash(message.upstream, message.incarnation)
         match message:
             case CrashReport():
                 known = suspect.crashes
             case Exoneration():
                 known = suspect.cleared
-        is_new = crash not in known
-        known.add(crash)
+        is_new = message.at < known.get(crash, math.inf)
+        if is_new:
+            known[crash] = message.at
         return is_new
 
     def messages(self) -> tuple[QuarantineMessage, ...]:
         """Return all that is known, for a node that asks."""
         return tuple(
-            kind(fingerprint, crash.upstream, crash.incarnation, crash.at)
+            kind(fingerprint, crash.upstream, crash.incarnation, at)
             for fingerprint, suspect in self._suspects.items()
             for kind, crashes in (
                 (CrashReport, suspect.crashes),
                 (Exoneration, suspect.cleared),
             )
-            for crash in sorted(crashes)
+            for crash, at in sorted(crashes.items())
         )
 
     def forget_old(self) -> None:
         """Drop what is older than the memory; call it now and then."""
         oldest = self._clock.utc().timestamp() - CRASH_MEMORY_SECONDS
         for fingerprint, suspect in list(self._suspects.items()):
-            suspect.crashes = {c for c in suspect.crashes if c.at >= oldest}
-            suspect.cleared = {c for c in suspect.cleared if c.at >= oldest}
+            suspect.forget(oldest)
             if not suspect.crashes and not suspect.cleared:
                 del self._suspects[fingerprint]
 
@@ -188,7 +200,7 @@
             return None
         growth = QUARANTINE_GROWTH ** (len(opened) - CRASHES_TO_QUARANTINE)
         seconds = min(MAX_QUARANTINE_SECONDS, BASE_QUARANTINE_SECONDS * growth)
-        until = max(crash.at for crash in opened) + seconds
+        until = max(opened.values()) + seconds
         remaining = until - self._clock.utc().timestamp()
         if remaining <= 0:
             return None
@@ -211,3 +223,7 @@
             key=lambda f: len(self._suspects[f].open_crashes),
         )
         del self._suspects[weakest]
+
+
+def _since(oldest: float, times: dict[_Crash, float]) -> dict[_Crash, float]:
+    return {crash: at for crash, at in times.items() if at >= oldest}
--- a/packages/calls/src/rhubarbhollow_calls/upstream_book.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_book.py
@@ -5,9 +5,15 @@
 from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_calls.call_result import CallResult
-from rhubarbhollow_calls.candidate_view import CandidateView, Eligibility
+from rhubarbhollow_calls.candidate_view import CandidateView
 from rhubarbhollow_calls.invariant import InvariantViolation
+from rhubarbhollow_calls.service_evidence import ServiceEvidence
 from rhubarbhollow_calls.upstream_evidence import UpstreamEvidence
+from rhubarbhollow_calls.upstream_ranking import (
+    best_ranked,
+    better_of,
+    rank_endpoint,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
@@ -18,26 +24,19 @@
     from rhubarbhollow_wire.clock import Clock
 
 FAILURES_TO_EJECT: Final = 5
+# a failed connection may have cost its whole timeout
+UNREACHABLE_TO_EJECT: Final = 2
 BASE_EJECTION_SECONDS: Final = 1.0
 MAX_EJECTION_SECONDS: Final = 30.0
 MAX_EJECTION_DOUBLINGS: Final = 5
-# endpoints that answer badly are ejected up to this share; those that
-# cannot be reached, up to all but one
-MAX_EJECTED_SHARE: Final = 0.5
 BASE_REFUSAL_SECONDS: Final = 0.05
-MAX_REFUSAL_DOUBLINGS: Final = 4
-# scores closer than this are a tie, which reported load breaks
-TIE_RATIO: Final = 1.1
+MAX_REFUSAL_DOUBLINGS: Final = 2
 
 
 class UnstartedCall(InvariantViolation):
     """A call was finished on an endpoint that had none in flight."""
 
 
-class TooManyEjected(InvariantViolation):
-    """All endpoints of a service were ejected at once."""
-
-
 class UpstreamBook:
     """Choose upstreams by power of two choices on own evidence.
 
@@ -56,7 +55,7 @@
         self._by_name: dict[str, UpstreamEvidence] = {}
         # endpoints that left the table with calls still in flight
         self._departed: dict[str, UpstreamEvidence] = {}
-        self._by_service: dict[str, _ServiceEvidence] = {}
+        self._by_service: dict[str, ServiceEvidence] = {}
         self._version = 0
 
     @property
@@ -77,7 +76,7 @@
             if name not in self._by_name and evidence.in_flight
         }
         self._by_service = {
-            service: _ServiceEvidence(
+            service: ServiceEvidence(
                 tuple(
                     self._by_name[endpoint.name]
                     for endpoint in table.of_service(service)
@@ -102,7 +101,8 @@
             chosen = self._maybe_choose_steady(members.local, now)
             if chosen is not None:
                 return chosen.endpoint
-        candidates = _best_ranked(members.all, excluded, now)
+        members.update_steady_at()
+        candidates = best_ranked(members.all, excluded, now)
         if not candidates:
             return None
         return self._choose_of(candidates, now).endpoint
@@ -124,6 +124,9 @@
                 del self._departed[endpoint_name]
             return
         self._learn(evidence, result, latency_seconds)
+        evidence.stale_in_flight = min(
+            evidence.stale_in_flight, evidence.in_flight
+        )
 
     def report_load(self, endpoint_name: str, load: float) -> None:
         """Note a reported load, which breaks ties and nothing else."""
@@ -164,7 +167,7 @@
             return None
         first = self._draw(local)
         second = self._draw(local)
-        chosen = first if first is second else _better(first, second, now)
+        chosen = first if first is second else better_of(first, second, now)
         return None if chosen.is_full else chosen
 
     def _choose_of(
@@ -174,7 +177,7 @@
             return candidates[0]
         shares = [evidence.share(now) for evidence in candidates]
         first, second = self._random.choices(candidates, shares, k=2)
-        return first if first is second else _better(first, second, now)
+        return first if first is second else better_of(first, second, now)
 
     def _draw(self, members: Sequence[UpstreamEvidence]) -> UpstreamEvidence:
         return members[int(self._random.random() * len(members))]
@@ -209,7 +212,7 @@
             evidence.is_on_trial = False
             evidence.ejections = 0
             evidence.slow_start_at = now
-            self._note_change(evidence)
+            self._members_of(evidence).update_steady_at()
 
     def _learn_refusal(self, evidence: UpstreamEvidence, now: float) -> None:
         doublings = min(evidence.refusals, MAX_REFUSAL_DOUBLINGS)
@@ -217,7 +220,7 @@
         seconds = BASE_REFUSAL_SECONDS * 2**doublings
         # jitter keeps the callers of one node from returning together
         evidence.refusing_until = now + seconds * (0.5 + self._random.random())
-        self._note_change(evidence)
+        self._members_of(evidence).update_steady_at()
 
     def _learn_failure(
         self, evidence: UpstreamEvidence, now: float, *, is_unreachable: bool
@@ -227,9 +230,9 @@
             evidence.stale_in_flight -= 1
             return
         evidence.consecutive_failures += 1
-        is_due = (
-            evidence.is_on_trial
-            or evidence.consecutive_failures >= FAILURES_TO_EJECT
+        limit = UNREACHABLE_TO_EJECT if is_unreachable else FAILURES_TO_EJECT
+        is_due = evidence.is_on_trial or (
+            evidence.consecutive_failures >= limit
         )
         if is_due and now >= evidence.ejected_until:
             self._maybe_eject(evidence, now, is_unreachable=is_unreachable)
@@ -237,7 +240,7 @@
     def _maybe_eject(
         self, evidence: UpstreamEvidence, now: float, *, is_unreachable: bool
     ) -> None:
-        members = self._by_service[evidence.endpoint.service]
+        members = self._members_of(evidence)
         if not members.may_eject(now, is_unreachable=is_unreachable):
             return
         doublings = min(evidence.ejections, MAX_EJECTION_DOUBLINGS)
@@ -249,120 +252,17 @@
         evidence.ejected_until = now + seconds * (
             0.75 + self._random.random() / 2
         )
-        self._note_change(evidence)
+        members.update_steady_at()
         members.check(now)
 
-    def _note_change(self, evidence: UpstreamEvidence) -> None:
-        members = self._by_service[evidence.endpoint.service]
-        members.steady_at = max(members.steady_at, evidence.steady_at)
-
-
-class _ServiceEvidence:
-    """Hold the evidence on the endpoints of one service."""
-
-    __slots__ = ("all", "local", "steady_at")
-
-    def __init__(self, members: tuple[UpstreamEvidence, ...]) -> None:
-        self.all = members
-        self.local = tuple(
-            evidence
-            for evidence in members
-            if evidence.is_local and not evidence.is_leaving
-        )
-        # before this some endpoint differs by more than its load
-        self.steady_at = max(
-            (evidence.steady_at for evidence in members), default=0.0
-        )
-
-    def may_eject(self, now: float, *, is_unreachable: bool) -> bool:
-        up, ejected = self._counts(now)
-        limit = up - 1 if is_unreachable else int(up * MAX_EJECTED_SHARE)
-        return ejected < limit
-
-    def bound_ejections(self, now: float) -> None:
-        """Readmit an endpoint if a new table left only ejected ones."""
-        up, ejected = self._counts(now)
-        if not up or ejected < up:
-            return
-        live = (e for e in self.all if not e.is_leaving)
-        min(live, key=lambda e: e.ejected_until).ejected_until = now
-        self.check(now)
-
-    def check(self, now: float) -> None:
-        up, ejected = self._counts(now)
-        if up and ejected >= up:
-            raise TooManyEjected
-
-    def _counts(self, now: float) -> tuple[int, int]:
-        live = [e for e in self.all if not e.is_leaving]
-        return len(live), sum(e.ejected_until > now for e in live)
-
-
-def _best_ranked(
-    members: Sequence[UpstreamEvidence], excluded: Collection[str], now: float
-) -> list[UpstreamEvidence]:
-    best: list[UpstreamEvidence] = []
-    best_rank = Eligibility.LEAVING
-    for evidence in members:
-        rank = _rank(evidence, now)
-        if rank is Eligibility.LEAVING or evidence.endpoint.name in excluded:
-            continue
-        if rank < best_rank:
-            best_rank = rank
-            best = [evidence]
-        elif rank is best_rank:
-            best.append(evidence)
-    return best
-
-
-def _rank(evidence: UpstreamEvidence, now: float) -> Eligibility:
-    if evidence.is_leaving:
-        return Eligibility.LEAVING
-    if evidence.ejected_until > now:
-        return Eligibility.EJECTED
-    if evidence.is_on_trial and evidence.in_flight:
-        # one call at a time until the first answer
-        return Eligibility.EJECTED
-    if evidence.refusing_until > now:
-        return Eligibility.REFUSING
-    if evidence.is_full:
-        if evidence.is_local:
-            return Eligibility.LOCAL_FULL
-        return Eligibility.REMOTE_FULL
-    return Eligibility.LOCAL if evidence.is_local else Eligibility.REMOTE
-
-
-def _better(
-    first: UpstreamEvidence, second: UpstreamEvidence, now: float
-) -> UpstreamEvidence:
-    first_score = _score(first, second, now)
-    second_score = _score(second, first, now)
-    if first_score * TIE_RATIO < second_score:
-        return first
-    if second_score * TIE_RATIO < first_score:
-        return second
-    first_load = first.reported_load
-    second_load = second.reported_load
-    if first_load is not None and second_load is not None:
-        return first if first_load <= second_load else second
-    return first if first_score <= second_score else second
-
-
-def _score(
-    evidence: UpstreamEvidence, other: UpstreamEvidence, now: float
-) -> float:
-    latency = evidence.faded_latency(now)
-    if latency is None:
-        # unknown counts as equal, so that a newcomer draws no rush
-        latency = other.faded_latency(now) or 1.0
-    failures = 1 + evidence.consecutive_failures
-    return (evidence.in_flight + 1) * latency * failures
+    def _members_of(self, evidence: UpstreamEvidence) -> ServiceEvidence:
+        return self._by_service[evidence.endpoint.service]
 
 
 def _view(evidence: UpstreamEvidence, now: float) -> CandidateView:
     return CandidateView(
         endpoint=evidence.endpoint,
-        eligibility=_rank(evidence, now),
+        eligibility=rank_endpoint(evidence, now),
         in_flight=evidence.in_flight,
         latency_seconds=evidence.latency_seconds,
         consecutive_failures=evidence.consecutive_failures,
--- a/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_calls.endpoint import EndpointState
@@ -58,6 +59,8 @@
     @property
     def steady_at(self) -> float:
         """Return when nothing but its load tells it from others."""
+        if self.is_on_trial:
+            return math.inf
         return max(
             self.slow_start_at + SLOW_START_SECONDS,
             self.ejected_until,
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_ranking.py
@@ -0,0 +1,79 @@
+"""The order of preference among endpoints on own evidence."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_calls.candidate_view import Eligibility
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Sequence
+
+    from rhubarbhollow_calls.upstream_evidence import UpstreamEvidence
+
+# scores closer than this are a tie, which reported load breaks
+TIE_RATIO: Final = 1.1
+
+
+def best_ranked(
+    members: Sequence[UpstreamEvidence], excluded: Collection[str], now: float
+) -> list[UpstreamEvidence]:
+    """Return the endpoints of the best rank that is not empty."""
+    best: list[UpstreamEvidence] = []
+    best_rank = Eligibility.LEAVING
+    for evidence in members:
+        rank = rank_endpoint(evidence, now)
+        if rank is Eligibility.LEAVING or evidence.endpoint.name in excluded:
+            continue
+        if rank < best_rank:
+            best_rank = rank
+            best = [evidence]
+        elif rank is best_rank:
+            best.append(evidence)
+    return best
+
+
+def rank_endpoint(evidence: UpstreamEvidence, now: float) -> Eligibility:
+    """Return how far an endpoint is preferred before its load."""
+    if evidence.is_leaving:
+        return Eligibility.LEAVING
+    if evidence.ejected_until > now:
+        return Eligibility.EJECTED
+    if evidence.is_on_trial and evidence.in_flight:
+        # one call at a time until the first answer
+        return Eligibility.EJECTED
+    if evidence.refusing_until > now:
+        return Eligibility.REFUSING
+    if evidence.is_full:
+        if evidence.is_local:
+            return Eligibility.LOCAL_FULL
+        return Eligibility.REMOTE_FULL
+    return Eligibility.LOCAL if evidence.is_local else Eligibility.REMOTE
+
+
+def better_of(
+    first: UpstreamEvidence, second: UpstreamEvidence, now: float
+) -> UpstreamEvidence:
+    """Return the one with fewer calls in flight times latency."""
+    first_score = _score(first, second, now)
+    second_score = _score(second, first, now)
+    if first_score * TIE_RATIO < second_score:
+        return first
+    if second_score * TIE_RATIO < first_score:
+        return second
+    first_load = first.reported_load
+    second_load = second.reported_load
+    if first_load is not None and second_load is not None:
+        return first if first_load <= second_load else second
+    return first if first_score <= second_score else second
+
+
+def _score(
+    evidence: UpstreamEvidence, other: UpstreamEvidence, now: float
+) -> float:
+    latency = evidence.faded_latency(now)
+    if latency is None:
+        # unknown counts as equal, so that a newcomer draws no rush
+        latency = other.faded_latency(now) or 1.0
+    failures = 1 + evidence.consecutive_failures
+    return (evidence.in_flight + 1) * latency * failures
