Test the release core against naive versions and bad input

Purpose: show that the ledger answers as a plain list of whole releases does, whatever is raced, sent again, restarted or restored; that nodes accept just what the published schema accepts; that no damaged bytes pass.

Changed: apply no longer looks at the trusted keys. They are settings, and replicas whose settings differ while a key is replaced, or a replay after it, would give one position to two releases. plan_submission and check_signature verify by the settings, and each node verifies before it applies. Ruled out: keys in the log, since nobody yet could sign their replacement.

--- a/packages/release/src/rhubarbhollow_release/approval.py
+++ b/packages/release/src/rhubarbhollow_release/approval.py
@@ -56,21 +56,35 @@
     return Approval(mesh, version, digest, key_id, signature)
 
 
-def verify_approval(
+def check_terms(
     approval: Approval,
     *,
     mesh: str,
     version: int,
     digest: bytes,
-    trusted: Mapping[str, Ed25519PublicKey],
 ) -> Result[None, ApprovalFault]:
-    """Check that a trusted key has approved just this."""
+    """Check what an approval is for, but not who gave it."""
     if approval.mesh != mesh:
         return _fault(ApprovalFaultKind.OTHER_MESH, approval.mesh)
     if approval.version != version:
         return _fault(ApprovalFaultKind.OTHER_VERSION, str(approval.version))
     if approval.digest != digest:
         return _fault(ApprovalFaultKind.OTHER_DIGEST, approval.digest.hex())
+    return Ok(None)
+
+
+def verify_approval(
+    approval: Approval,
+    *,
+    mesh: str,
+    version: int,
+    digest: bytes,
+    trusted: Mapping[str, Ed25519PublicKey],
+) -> Result[None, ApprovalFault]:
+    """Check that a trusted key has approved just this."""
+    terms = check_terms(approval, mesh=mesh, version=version, digest=digest)
+    if isinstance(terms, Err):
+        return terms
     public = trusted.get(approval.key_id)
     if public is None:
         return _fault(ApprovalFaultKind.UNKNOWN_KEY, approval.key_id)
--- a/packages/release/src/rhubarbhollow_release/difference_codec.py
+++ b/packages/release/src/rhubarbhollow_release/difference_codec.py
@@ -95,7 +95,7 @@
         plain = decompressor.decompress(packed, MAX_DECODED_BYTES)
     except zlib.error:
         return _malformed("not a deflate stream")
-    if decompressor.unconsumed_tail:
+    if len(plain) == MAX_DECODED_BYTES and not decompressor.eof:
         return _fault(DifferenceFaultKind.TOO_LARGE, "once decompressed")
     if not decompressor.eof or decompressor.unused_data:
         return _malformed("deflate stream cut short or followed by more")
@@ -147,8 +147,10 @@
 def _is_header(value: object) -> bool:
     match value:
         case [format_, mesh, version]:
-            return (_is_count(format_) and checks.is_name(mesh)) and _is_count(
-                version
+            return (
+                _is_count(format_)
+                and checks.is_name(mesh)
+                and checks.is_version(version)
             )
     return False
 
--- a/packages/release/src/rhubarbhollow_release/ledger.py
+++ b/packages/release/src/rhubarbhollow_release/ledger.py
@@ -1,8 +1,12 @@
 """The replicated order of releases.
 
 A pure state machine: equal commands in equal order give equal states
-and outcomes on every replica.  That takes equal trusted keys on every
-control instance as well.
+and outcomes on every replica, now and in a later replay of the log.
+So ``apply`` does not look at the trusted keys: they are settings, and
+replicas whose settings differ while a key is replaced would give one
+position to two releases.  Signatures are checked before a command is
+proposed, may be checked before it is stored, and are checked by every
+node before it applies a release.
 """
 
 from __future__ import annotations
@@ -11,7 +15,11 @@
 
 from result import Err, Ok, Result
 
-from rhubarbhollow_release.approval import Approval, verify_approval
+from rhubarbhollow_release.approval import (
+    Approval,
+    check_terms,
+    verify_approval,
+)
 from rhubarbhollow_release.command import (
     ActivateRelease,
     Command,
@@ -191,7 +199,13 @@
         before it, the outcome is ``BaseMoved`` and a new plan is due.
         """
         target = split_manifest(manifest)
-        verified = self._verify(approval, manifest.version, target.digest)
+        verified = verify_approval(
+            approval,
+            mesh=self._mesh,
+            version=manifest.version,
+            digest=target.digest,
+            trusted=self._trusted,
+        )
         if isinstance(verified, Err):
             return verified
         base = self.latest.resources if self.latest else None
@@ -204,6 +218,22 @@
             ),
         )
 
+    def check_signature(
+        self,
+        approval: Approval,
+    ) -> Result[None, ApprovalFault]:
+        """Check by the local settings that a trusted key has signed.
+
+        A replica may call this before it stores a submission.
+        """
+        return verify_approval(
+            approval,
+            mesh=self._mesh,
+            version=approval.version,
+            digest=approval.digest,
+            trusted=self._trusted,
+        )
+
     def apply(self, command: Command) -> Outcome:
         """Apply the next command of the log."""
         match command:
@@ -217,9 +247,6 @@
         answer = self.find_answer(approval.version, approval.digest)
         if answer is not None:
             return answer
-        verified = self._verify(approval, approval.version, approval.digest)
-        if isinstance(verified, Err):
-            return Refused(verified.err_value)
         rejection = self._reject_version(approval.version)
         if rejection is not None:
             return rejection
@@ -230,20 +257,6 @@
             return Refused(resources.err_value)
         return self._accept(resources.ok_value, approval)
 
-    def _verify(
-        self,
-        approval: Approval,
-        version: int,
-        digest: bytes,
-    ) -> Result[None, ApprovalFault]:
-        return verify_approval(
-            approval,
-            mesh=self._mesh,
-            version=version,
-            digest=digest,
-            trusted=self._trusted,
-        )
-
     def _reject_version(self, version: int) -> SubmissionOutcome | None:
         winner = self._records.get(version)
         if winner is not None:
@@ -271,21 +284,18 @@
         if isinstance(target, Err):
             return target
         resources = target.ok_value
-        approval = command.approval
-        verified = self._verify(
-            approval,
-            resources.header.version,
-            resources.digest,
+        header = resources.header
+        if header.mesh != self._mesh:
+            fault = DifferenceFaultKind.OTHER_MESH
+            return Err(DifferenceFault(fault, header.mesh))
+        terms = check_terms(
+            command.approval,
+            mesh=self._mesh,
+            version=header.version,
+            digest=resources.digest,
         )
-        if isinstance(verified, Err):
-            return verified
-        if resources.header.mesh != self._mesh:
-            return Err(
-                DifferenceFault(
-                    DifferenceFaultKind.OTHER_MESH,
-                    resources.header.mesh,
-                ),
-            )
+        if isinstance(terms, Err):
+            return terms
         joined = join_resources(resources)
         return joined if isinstance(joined, Err) else Ok(resources)
 
--- a/packages/release/src/rhubarbhollow_release/parsing.py
+++ b/packages/release/src/rhubarbhollow_release/parsing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from itertools import chain
 from typing import TYPE_CHECKING, Any
 
 from result import Err, Ok, Result
@@ -12,7 +13,12 @@
 from rhubarbhollow_release.closure import Closure, PlacedItem
 from rhubarbhollow_release.codec import read_item
 from rhubarbhollow_release.document import load_document
-from rhubarbhollow_release.manifest_fault import ManifestFault, ManifestFaults
+from rhubarbhollow_release.manifest_fault import (
+    ManifestFault,
+    ManifestFaults,
+    is_truncated,
+    limit_faults,
+)
 from rhubarbhollow_release.manifest_header import ManifestHeader
 from rhubarbhollow_release.schema import find_schema_faults
 
@@ -36,8 +42,11 @@
     faults = find_schema_faults(value)
     if not isinstance(value, dict) or not _has_sections(value):
         return Err(ManifestFaults(faults))
+    if is_truncated(faults):
+        # which resources are well-formed is not known
+        return Err(ManifestFaults(faults))
     closure = _closure_of(value, faults)
-    faults = (*faults, *closure.find_faults())
+    faults = limit_faults(chain(faults, closure.find_faults()))
     if faults:
         return Err(ManifestFaults(faults))
     header = ManifestHeader(value["format"], value["mesh"], value["version"])
--- a/packages/release/src/rhubarbhollow_release/resource_set.py
+++ b/packages/release/src/rhubarbhollow_release/resource_set.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from functools import cached_property
+from itertools import chain
 from typing import TYPE_CHECKING
 
 from result import Err, Ok, Result
@@ -20,6 +21,7 @@
     FaultKind,
     ManifestFault,
     ManifestFaults,
+    limit_faults,
 )
 from rhubarbhollow_release.resource import Resource, resource_of
 from rhubarbhollow_release.resource_kind import ResourceKind
@@ -80,9 +82,9 @@
                 items.append(item)
             case Err(found):
                 faults.extend(_at_resource(resource, found))
-    faults.extend(closure_of(items).find_faults())
-    if faults:
-        return Err(ManifestFaults(tuple(faults)))
+    every = limit_faults(chain(faults, closure_of(items).find_faults()))
+    if every:
+        return Err(ManifestFaults(every))
     return Ok(assemble_manifest(header, items))
 
 
--- a/packages/release/src/rhubarbhollow_release/schema.py
+++ b/packages/release/src/rhubarbhollow_release/schema.py
@@ -5,11 +5,14 @@
 import json
 from functools import lru_cache
 from importlib.resources import files
-from itertools import islice
 from typing import TYPE_CHECKING, Any, Final, cast
 
-from rhubarbhollow_release.document import pointer_to
-from rhubarbhollow_release.manifest_fault import FaultKind, ManifestFault
+from rhubarbhollow_release.manifest_fault import (
+    FaultKind,
+    ManifestFault,
+    limit_faults,
+    pointer_to,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
@@ -17,7 +20,6 @@
     from jsonschema import ValidationError
     from jsonschema.protocols import Validator
 
-MAX_FAULTS: Final = 1000
 MAX_DETAIL_CHARACTERS: Final = 80
 
 _KINDS: Final[Mapping[str, FaultKind]] = {
@@ -46,11 +48,7 @@
     faults = (fault for error in errors for fault in _faults_of(error))
     # one error of the library may stand for several of our faults, and
     # several of its errors for one
-    distinct = dict.fromkeys(islice(faults, MAX_FAULTS + 1))
-    if len(distinct) <= MAX_FAULTS:
-        return tuple(distinct)
-    last = ManifestFault("", FaultKind.TRUNCATED, f"over {MAX_FAULTS} faults")
-    return (*islice(distinct, MAX_FAULTS), last)
+    return limit_faults(faults)
 
 
 @lru_cache(maxsize=1)
--- a/packages/release/src/rhubarbhollow_release/snapshot.py
+++ b/packages/release/src/rhubarbhollow_release/snapshot.py
@@ -211,7 +211,8 @@
     ):
         return _malformed("records out of order")
     if not all(
-        right.position > left.position for left, right in pairwise(releases)
+        right.position == left.position + 1
+        for left, right in pairwise(releases)
     ):
         return _malformed("releases out of order")
     last_record = records[-1].position if records else 0
--- /dev/null
+++ b/packages/release/tests/test_ledger.py
@@ -0,0 +1,359 @@
+from dataclasses import dataclass, replace
+from unittest import mock
+
+import pytest
+from cryptography.hazmat.primitives.asymmetric.ed25519 import (
+    Ed25519PrivateKey,
+)
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+)
+from result import Err, Ok
+
+from rhubarbhollow_release import ledger as ledger_module
+from rhubarbhollow_release import outcome as outcomes
+from rhubarbhollow_release.approval import sign_approval
+from rhubarbhollow_release.approval_fault import ApprovalFaultKind
+from rhubarbhollow_release.command import (
+    ActivateRelease,
+    SubmitRelease,
+    decode_command,
+    encode_command,
+)
+from rhubarbhollow_release.difference import EMPTY_DIGEST, diff_resources
+from rhubarbhollow_release.difference_codec import encode_difference
+from rhubarbhollow_release.difference_fault import DifferenceFaultKind
+from rhubarbhollow_release.invariant_violation import InvariantViolation
+from rhubarbhollow_release.keys import generate_key, key_id_of
+from rhubarbhollow_release.ledger import ReleaseLedger
+from rhubarbhollow_release.manifest import Manifest
+from rhubarbhollow_release.manifest_fault import ManifestFaults
+from rhubarbhollow_release.resource_set import split_manifest
+from rhubarbhollow_release.route import Route
+from rhubarbhollow_release.service import Service
+from rhubarbhollow_release.snapshot import SnapshotFaultKind
+
+KEY = Ed25519PrivateKey.from_private_bytes(bytes(32))
+TRUSTED = {key_id_of(KEY.public_key()): KEY.public_key()}
+KEPT_RECORDS = 6
+KEPT_RELEASES = 3
+
+
+def manifest_of(version, content, mesh="lab", service="s"):
+    routes = tuple(
+        Route(f"r{index}", "*", f"/{index}", service, 1000)
+        for index in range(content)
+    )
+    return Manifest(1, mesh, version, (Service("s"),), routes)
+
+
+def plan(ledger, version, content):
+    manifest = manifest_of(version, content)
+    digest = split_manifest(manifest).digest
+    approval = sign_approval(KEY, "lab", version, digest)
+    return ledger.plan_submission(manifest, approval).unwrap()
+
+
+def new_ledger():
+    return ReleaseLedger("lab", TRUSTED)
+
+
+@dataclass
+class NaiveLedger:
+    """Keep every release whole in one list."""
+
+    accepted: list
+    active: int = 0
+
+    def submit(self, version, digest, base):
+        kept = self.accepted[-KEPT_RECORDS:]
+        lost = self.accepted[:-KEPT_RECORDS]
+        top = self.accepted[-1][0] if self.accepted else 0
+        for index, (other, held) in enumerate(self.accepted):
+            if other != version or (other, held) not in kept:
+                continue
+            if held == digest:
+                return outcomes.AlreadyAccepted(index + 1, version, digest)
+            return outcomes.VersionConflict(version, held, index + 1)
+        if lost and version <= lost[-1][0]:
+            return outcomes.Superseded(version, top)
+        if version <= top:
+            return outcomes.StaleVersion(version, top)
+        latest = self.accepted[-1][1] if self.accepted else EMPTY_DIGEST
+        if base != latest:
+            return outcomes.BaseMoved(latest)
+        self.accepted.append((version, digest))
+        return outcomes.Accepted(len(self.accepted), version, digest)
+
+    def activate(self, position):
+        if position > len(self.accepted):
+            return outcomes.NotActivatable(position, len(self.accepted))
+        if position <= self.active:
+            return outcomes.AlreadyActivated(position, self.active)
+        self.active = position
+        return outcomes.Activated(position)
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Drive two replicas and the naive ledger by the same commands."""
+
+    commands = Bundle("commands")
+
+    def __init__(self):
+        super().__init__()
+        self._patch = mock.patch.multiple(
+            ledger_module,
+            MAX_RECORDS=KEPT_RECORDS,
+            MAX_PAST_RELEASES=KEPT_RELEASES,
+        )
+        self._patch.start()
+        self.ledger = new_ledger()
+        # trusts nobody: settings must not change what is decided
+        self.replica = ReleaseLedger("lab", {})
+        self.naive = NaiveLedger([])
+
+    def teardown(self):
+        self._patch.stop()
+
+    @rule(
+        target=commands,
+        step=st.integers(-9, 3),
+        content=st.integers(0, 3),
+    )
+    def plan(self, step, content):
+        version = max(1, self.ledger.highest_version + step)
+        return plan(self.ledger, version, content)
+
+    @rule(command=commands)
+    def submit(self, command):
+        approval = command.approval
+        expected = self.naive.submit(
+            approval.version,
+            approval.digest,
+            command.base_digest,
+        )
+        self._apply(command, expected)
+
+    @rule(content=st.integers(0, 3), target=commands)
+    def submit_next(self, content):
+        command = plan(self.ledger, self.ledger.highest_version + 1, content)
+        self.submit(command)
+        return command
+
+    @rule(step=st.integers(-3, 3))
+    def activate(self, step):
+        position = max(0, self.ledger.latest_position + step)
+        expected = self.naive.activate(position)
+        self._apply(ActivateRelease(position), expected)
+
+    @rule()
+    def restart(self):
+        snapshot = self.ledger.snapshot()
+        restored = ReleaseLedger.restore(snapshot, "lab", TRUSTED)
+        self.ledger = restored.unwrap()
+
+    @rule()
+    def install_snapshot(self):
+        snapshot = self.ledger.snapshot()
+        self.replica = ReleaseLedger.restore(snapshot, "lab", {}).unwrap()
+
+    def _apply(self, command, expected):
+        command = decode_command(encode_command(command)).unwrap()
+        assert self.ledger.apply(command) == expected
+        assert self.replica.apply(command) == expected
+
+    @invariant()
+    def agrees(self):
+        assert self.ledger.snapshot() == self.replica.snapshot()
+        accepted, active = self.naive.accepted, self.naive.active
+        assert self.ledger.latest_position == len(accepted)
+        assert self.ledger.active_position == active
+        oldest = max(1, min(active, len(accepted) - KEPT_RELEASES))
+        if not accepted:
+            return
+        for position in range(len(accepted) + 2):
+            release = self.ledger.release_at(position)
+            is_kept = oldest <= position <= len(accepted)
+            assert (release is not None) == is_kept
+            if release is not None:
+                held = (release.approval.version, release.resources.digest)
+                assert held == accepted[position - 1]
+                resources = self.ledger.resources_at(position)
+                assert resources is release.resources
+
+
+TestLedgerMachine = LedgerMachine.TestCase
+TestLedgerMachine.settings = settings(
+    max_examples=60,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+)
+
+
+def test_replays_the_log_whatever_the_trusted_keys_are():
+    ledger, later = new_ledger(), ReleaseLedger("lab", {})
+    commands = [plan(ledger, 1, 1), ActivateRelease(1)]
+    for command in commands:
+        assert ledger.apply(command) == later.apply(command)
+    assert ledger.snapshot() == later.snapshot()
+
+
+def test_a_withdrawal_rises():
+    ledger = new_ledger()
+    for version, content in ((1, 1), (2, 2), (3, 1)):
+        ledger.apply(plan(ledger, version, content))
+        ledger.apply(ActivateRelease(version))
+    assert ledger.active.position == 3
+    first, last = ledger.resources_at(1), ledger.resources_at(3)
+    assert first.resources == last.resources
+    assert first.digest != last.digest
+
+
+def test_releases_share_what_did_not_change():
+    ledger = new_ledger()
+    ledger.apply(plan(ledger, 1, 2))
+    ledger.apply(plan(ledger, 2, 3))
+    old, new = ledger.resources_at(1), ledger.resources_at(2)
+    assert all(held in new.resources for held in old.resources)
+    held = {id(resource) for resource in new.resources}
+    assert {id(resource) for resource in old.resources} <= held
+
+
+def test_plans_only_what_is_approved():
+    ledger = new_ledger()
+    manifest = manifest_of(1, 1)
+    digest = split_manifest(manifest).digest
+    stranger = sign_approval(generate_key(), "lab", 1, digest)
+    for approval, kind in (
+        (stranger, ApprovalFaultKind.UNKNOWN_KEY),
+        (
+            sign_approval(KEY, "lab", 2, digest),
+            ApprovalFaultKind.OTHER_VERSION,
+        ),
+        (sign_approval(KEY, "sea", 1, digest), ApprovalFaultKind.OTHER_MESH),
+        (
+            sign_approval(KEY, "lab", 1, bytes(32)),
+            ApprovalFaultKind.OTHER_DIGEST,
+        ),
+    ):
+        planned = ledger.plan_submission(manifest, approval)
+        assert planned.err_value.kind is kind
+    fault = ledger.check_signature(stranger).err_value
+    assert fault.kind is ApprovalFaultKind.UNKNOWN_KEY
+    good = sign_approval(KEY, "lab", 1, digest)
+    assert ledger.check_signature(good) == Ok(None)
+
+
+def submission(manifest, approval_of=None, base=None, damage=b""):
+    target = split_manifest(manifest)
+    terms = {"mesh": "lab", "version": 1, "digest": target.digest}
+    approval = sign_approval(KEY, **{**terms, **(approval_of or {})})
+    difference = diff_resources(base, target)
+    encoded = encode_difference(difference) + damage
+    return SubmitRelease(difference.base_digest, encoded, approval)
+
+
+OTHER_BASE = split_manifest(manifest_of(9, 2))
+
+
+@pytest.mark.parametrize(
+    ("command", "kind"),
+    [
+        (
+            submission(manifest_of(1, 1), {"mesh": "sea"}),
+            ApprovalFaultKind.OTHER_MESH,
+        ),
+        (
+            submission(manifest_of(1, 1), {"version": 2}),
+            ApprovalFaultKind.OTHER_VERSION,
+        ),
+        (
+            submission(manifest_of(1, 1), {"digest": bytes(32)}),
+            ApprovalFaultKind.OTHER_DIGEST,
+        ),
+        (
+            submission(manifest_of(1, 1, mesh="sea")),
+            DifferenceFaultKind.OTHER_MESH,
+        ),
+        (
+            submission(manifest_of(1, 1), damage=b"x"),
+            DifferenceFaultKind.MALFORMED,
+        ),
+        (
+            replace(
+                submission(manifest_of(1, 1), base=OTHER_BASE),
+                base_digest=EMPTY_DIGEST,
+            ),
+            DifferenceFaultKind.BASE_MISMATCH,
+        ),
+    ],
+)
+def test_refuses_and_changes_nothing(command, kind):
+    ledger = new_ledger()
+    before = ledger.snapshot()
+    assert ledger.apply(command).fault.kind is kind
+    assert ledger.snapshot() == before
+
+
+def test_refuses_what_is_not_closed_even_when_approved():
+    ledger = new_ledger()
+    outcome = ledger.apply(submission(manifest_of(1, 1, service="none")))
+    assert isinstance(outcome.fault, ManifestFaults)
+    assert ledger.latest is None
+    assert ledger.active is None
+
+
+def test_stops_on_a_broken_invariant():
+    ledger = new_ledger()
+    ledger.apply(plan(ledger, 1, 1))
+    ledger._forgotten_version = 1
+    with pytest.raises(InvariantViolation):
+        ledger.apply(ActivateRelease(1))
+
+
+@pytest.fixture
+def snapshot():
+    ledger = new_ledger()
+    for version in (1, 2, 3):
+        ledger.apply(plan(ledger, version, version))
+    ledger.apply(ActivateRelease(2))
+    return ledger.snapshot()
+
+
+def test_refuses_every_damaged_snapshot(snapshot):
+    for index in range(len(snapshot)):
+        damaged = bytearray(snapshot)
+        damaged[index] ^= 1 << index % 8
+        restored = ReleaseLedger.restore(bytes(damaged), "lab", TRUSTED)
+        assert restored.err_value.kind is SnapshotFaultKind.CHECKSUM
+        cut = ReleaseLedger.restore(snapshot[:index], "lab", TRUSTED)
+        assert isinstance(cut, Err)
+
+
+def test_refuses_the_snapshot_of_another_mesh(snapshot):
+    restored = ReleaseLedger.restore(snapshot, "sea", TRUSTED)
+    assert restored.err_value.kind is SnapshotFaultKind.OTHER_MESH
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"X",
+        b"A",
+        b"A" + bytes(9),
+        b"S" + bytes(33),
+        b"S" + bytes(32) + b"\x00\x09{}",
+        b"S" + bytes(32) + b"\x00\x02{}",
+        b"S" + bytes(32) + b"\x00\x02{}" + bytes((8 << 20) + 1),
+    ],
+    ids=lambda data: repr(data)[:20],
+)
+def test_refuses_other_commands(data):
+    assert isinstance(decode_command(data), Err)
