--- a/packages/calls/src/rhubarbhollow_calls/upstream_book.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_book.py
@@ -192,7 +192,7 @@
             case CallResult.REFUSED_NOT_RUN:
                 self._learn_refusal(evidence, now)
             case CallResult.CANCELLED:
-                evidence.observe_latency_floor(seconds, now)
+                self._learn_cancellation(evidence, seconds, now)
             case CallResult.UPSTREAM_ERROR:
                 evidence.observe_latency_floor(seconds, now)
                 self._learn_failure(evidence, now, is_unreachable=False)
@@ -214,6 +214,16 @@
             evidence.slow_start_at = now
             self._members_of(evidence).update_steady_at()
 
+    def _learn_cancellation(
+        self, evidence: UpstreamEvidence, seconds: float, now: float
+    ) -> None:
+        if evidence.latency_seconds is None:
+            # an upstream that never answers in time has no other
+            # evidence against it
+            evidence.observe_latency(seconds, now)
+            return
+        evidence.observe_latency_floor(seconds, now)
+
     def _learn_refusal(self, evidence: UpstreamEvidence, now: float) -> None:
         doublings = min(evidence.refusals, MAX_REFUSAL_DOUBLINGS)
         evidence.refusals += 1
--- a/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
@@ -108,9 +108,13 @@
         self.latency_at = now
 
     def observe_latency_floor(self, seconds: float, now: float) -> None:
-        """Mix in a call that was cut short after this time."""
+        """Mix in a failed call's time if it shows a higher latency.
+
+        A quick failure says nothing about the latency of answers; taken
+        as the first evidence it would attract calls.
+        """
         known = self.latency_seconds
-        if known is None or seconds > known:
+        if known is not None and seconds > known:
             self.observe_latency(seconds, now)
 
     def faded_latency(self, now: float) -> float | None:
