Test the decisions on staging, activation and endpoints

Tables of faults and seeded runs for the holder, start rule, activation planner, register, admission and endpoint tables. Found while writing them: an ended lease was not told to the other instances when the node had moved, so the endpoint outlived the node there; vouched records of a lost instance were forgotten, though it may come back without a full list; a node's withdrawal was lost with its connection.

--- a/packages/distribution/src/rhubarbhollow_distribution/announcement_book.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/announcement_book.py
@@ -11,12 +11,18 @@
     EndpointRecord,
     EndpointState,
 )
+from rhubarbhollow_distribution.endpoint_store import (
+    TOMBSTONE_SECONDS,
+    is_load_only,
+)
 
 if TYPE_CHECKING:
     from rhubarbhollow_distribution.announcement import Announcement
     from rhubarbhollow_wire.clock import Clock
 
 MAX_UPSTREAMS: Final = 64
+LOAD_STEP_PERCENT: Final = 20
+LOAD_SECONDS: Final = 5.0
 NO_LOAD_PERCENT: Final = -1
 
 
@@ -38,15 +44,27 @@
 class _Listed:
     announcement: Announcement
     record: EndpointRecord
+    issued_at: float
     expires_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Grave:
+    record: EndpointRecord
+    gone_at: float
+
+
 class AnnouncementBook:
     """Turn announcements into endpoint records with rising order.
 
     The node is the one authority on these records.  ``sequence`` rises
     over all its endpoints, also after one of them has gone, and
     ``incarnation`` rises with each start of the process.
+
+    A change of load alone is a late hint: it is passed on only when it
+    is large, and seldom.  Tombstones stay among the records for a
+    while, so that a withdrawal which was lost with a connection is told
+    again after the next hello.
     """
 
     def __init__(
@@ -67,12 +85,14 @@
         self._clock = clock
         self._sequence = 0
         self._listed: dict[str, _Listed] = {}
+        self._graves: dict[str, _Grave] = {}
         self._changed: dict[str, EndpointRecord] = {}
 
     @property
     def records(self) -> tuple[EndpointRecord, ...]:
-        """Return the records of all listed endpoints, for a hello."""
-        return tuple(listed.record for listed in self._listed.values())
+        """Return all records, with recent tombstones, for a hello."""
+        live = (listed.record for listed in self._listed.values())
+        return (*live, *(grave.record for grave in self._graves.values()))
 
     @property
     def announcements(self) -> tuple[Announcement, ...]:
@@ -87,25 +107,25 @@
         known = self._listed.get(announcement.name)
         if known is None and len(self._listed) >= MAX_UPSTREAMS:
             return Err(TooManyUpstreams(MAX_UPSTREAMS))
+        now = self._clock.monotonic()
         record = self._build(announcement)
-        if known is not None and _is_same(known.record, record):
-            record = known.record
+        if known is not None and self._may_keep(known, record):
+            record, issued_at = known.record, known.issued_at
         else:
-            record = self._issue(record)
-        expires_at = (
-            self._clock.monotonic() + announcement.lease.total_seconds()
-        )
+            record, issued_at = self._issue(record), now
         self._listed[announcement.name] = _Listed(
-            announcement, record, expires_at
+            announcement=announcement,
+            record=record,
+            issued_at=issued_at,
+            expires_at=now + announcement.lease.total_seconds(),
         )
         return Ok(record)
 
     def withdraw(self, name: str) -> Result[EndpointRecord, UnknownUpstream]:
         """Take an upstream off the list at once."""
-        known = self._listed.pop(name, None)
-        if known is None:
+        if name not in self._listed:
             return Err(UnknownUpstream(name))
-        return Ok(self._issue(_bury(known.record)))
+        return Ok(self._remove(name))
 
     def leave_all(self) -> tuple[EndpointRecord, ...]:
         """Mark every endpoint as leaving, before the node stops."""
@@ -114,14 +134,13 @@
     def expire(self) -> tuple[EndpointRecord, ...]:
         """Take off the list every upstream whose lease has ended."""
         now = self._clock.monotonic()
+        self._forget_graves(now - TOMBSTONE_SECONDS)
         ended = tuple(
             name
             for name, listed in self._listed.items()
             if listed.expires_at <= now
         )
-        return tuple(
-            self._issue(_bury(self._listed.pop(name).record)) for name in ended
-        )
+        return tuple(self._remove(name) for name in ended)
 
     def take_changes(self) -> tuple[EndpointRecord, ...]:
         """Return the latest records issued since the last call."""
@@ -129,6 +148,27 @@
         self._changed.clear()
         return changed
 
+    def _remove(self, name: str) -> EndpointRecord:
+        listed = self._listed.pop(name)
+        record = self._issue(listed.record.bury())
+        self._graves[name] = _Grave(record, self._clock.monotonic())
+        return record
+
+    def _forget_graves(self, oldest: float) -> None:
+        self._graves = {
+            name: grave
+            for name, grave in self._graves.items()
+            if grave.gone_at > oldest
+        }
+
+    def _may_keep(self, known: _Listed, fresh: EndpointRecord) -> bool:
+        before = known.record
+        if not is_load_only(before, fresh):
+            return False
+        step = abs(fresh.load_percent - before.load_percent)
+        age_seconds = self._clock.monotonic() - known.issued_at
+        return step < LOAD_STEP_PERCENT or age_seconds < LOAD_SECONDS
+
     def _mark_leaving(self, name: str) -> EndpointRecord:
         listed = self._listed[name]
         if listed.record.state == EndpointState.LEAVING:
@@ -162,18 +202,11 @@
     def _issue(self, record: EndpointRecord) -> EndpointRecord:
         self._sequence += 1
         issued = replace(record, sequence=self._sequence)
+        self._graves.pop(issued.name, None)
         self._changed[issued.name] = issued
         return issued
 
 
-def _bury(record: EndpointRecord) -> EndpointRecord:
-    return replace(record, state=int(EndpointState.GONE))
-
-
-def _is_same(known: EndpointRecord, fresh: EndpointRecord) -> bool:
-    return replace(known, sequence=0) == replace(fresh, sequence=0)
-
-
 def _to_percent(load: float | None) -> int:
     if load is None:
         return NO_LOAD_PERCENT
--- a/packages/distribution/src/rhubarbhollow_distribution/endpoint_record.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/endpoint_record.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import IntEnum
 from typing import TypeAlias
 
@@ -52,3 +52,7 @@
     def is_gone(self) -> bool:
         """Tell whether this record is a tombstone."""
         return self.state == EndpointState.GONE
+
+    def bury(self) -> EndpointRecord:
+        """Return a tombstone of the same order."""
+        return replace(self, state=int(EndpointState.GONE))
--- a/packages/distribution/src/rhubarbhollow_distribution/endpoint_store.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/endpoint_store.py
@@ -6,16 +6,15 @@
 from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_distribution.endpoint_change import EndpointChange
-from rhubarbhollow_distribution.endpoint_record import (
-    EndpointRecord,
-    EndpointState,
-)
 from rhubarbhollow_distribution.invariant import check_invariant
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from rhubarbhollow_distribution.endpoint_record import EndpointKey
+    from rhubarbhollow_distribution.endpoint_record import (
+        EndpointKey,
+        EndpointRecord,
+    )
     from rhubarbhollow_wire.clock import Clock
 
 TOMBSTONE_SECONDS: Final = 120.0
@@ -39,6 +38,11 @@
     are connected to it.  Among the vouched records of one endpoint the
     highest order wins.  At equal order a live record beats a tombstone,
     which then stems from an ended lease only: the node has moved.
+
+    Methods that change what this instance vouches for return just that,
+    to be sent to the other instances.  It may differ from what becomes
+    visible here: they must learn of an ended lease even if the node
+    lives on elsewhere.
     """
 
     def __init__(
@@ -58,6 +62,7 @@
         self._urgent_version = 0
         self._purged_version = 0
         self._lost_at: dict[str, float] = {}
+        self._suspended: set[str] = set()
         self._cached: dict[int, EndpointChange] = {}
 
     @property
@@ -89,10 +94,11 @@
         records: Iterable[EndpointRecord],
         via: str,
     ) -> tuple[EndpointRecord, ...]:
-        """Take over what ``via`` vouches for; return what changed."""
-        self._lost_at.pop(via, None)
-        changed = (self._merge_one(record, via) for record in records)
-        return tuple(record for record in changed if record is not None)
+        """Take over what ``via`` vouches for; return what is new."""
+        self._resume(via)
+        return tuple(
+            record for record in records if self._merge_one(record, via)
+        )
 
     def own_records(self) -> tuple[EndpointRecord, ...]:
         """Return what this instance vouches for, with tombstones."""
@@ -106,15 +112,27 @@
         self,
         records: Iterable[EndpointRecord],
         via: str,
-    ) -> tuple[EndpointRecord, ...]:
+    ) -> None:
         """Take over the full list of ``via``; the rest is withdrawn."""
         listed = tuple(records)
-        changed = list(self.merge(listed, via))
+        self.merge(listed, via)
         keys = {record.key for record in listed}
-        for key in tuple(self._entries):
-            if key not in keys:
-                changed.extend(self._withdraw(key, via))
-        return tuple(changed)
+        for key, entry in tuple(self._entries.items()):
+            if key not in keys and via in entry.vouched:
+                del entry.vouched[via]
+                self._refresh(key)
+
+    def admit_node(
+        self,
+        node: str,
+        incarnation: int,
+    ) -> tuple[EndpointRecord, ...]:
+        """Bury what earlier incarnations of a node have announced."""
+        return self._bury_own(
+            record
+            for record in self.own_records()
+            if record.node == node and record.incarnation < incarnation
+        )
 
     def end_lease(self, node: str) -> tuple[EndpointRecord, ...]:
         """Bury the endpoints of a node whose lease ended here.
@@ -122,28 +140,27 @@
         The tombstone keeps the record's own order, so that the same
         record wins when the node is alive at another instance.
         """
-        changed: list[EndpointRecord] = []
-        for key, entry in tuple(self._entries.items()):
-            own = entry.vouched.get(self._owner)
-            if own is None or own.node != node or own.is_gone:
-                continue
-            entry.vouched[self._owner] = _bury(own)
-            changed.extend(self._refresh(key))
-        return tuple(changed)
+        return self._bury_own(
+            record for record in self.own_records() if record.node == node
+        )
 
     def note_lost(self, control: str) -> None:
         """Note that a control instance cannot be reached from here."""
-        self._lost_at.setdefault(control, self._clock.monotonic())
+        if control not in self._suspended:
+            self._lost_at.setdefault(control, self._clock.monotonic())
 
-    def expire(self) -> tuple[EndpointRecord, ...]:
-        """Drop old tombstones and what lost instances vouch for."""
-        changed = tuple(
-            record
-            for control in self._expired_vouchers()
-            for record in self._withdraw_all(control)
-        )
+    def expire(self) -> None:
+        """Drop old tombstones and distrust instances lost for long.
+
+        What a distrusted instance vouches for is kept aside and counts
+        again as soon as the instance is heard.
+        """
+        oldest = self._clock.monotonic() - self._voucher_seconds
+        for control, lost_at in tuple(self._lost_at.items()):
+            if lost_at <= oldest:
+                del self._lost_at[control]
+                self._suspend(control)
         self._purge_tombstones()
-        return changed
 
     def changes_since(self, source: str, version: int) -> EndpointChange:
         """Return the net change from ``version``, or the full table.
@@ -189,57 +206,73 @@
             is_full=False,
         )
 
-    def _merge_one(
-        self,
-        record: EndpointRecord,
-        via: str,
-    ) -> EndpointRecord | None:
+    def _merge_one(self, record: EndpointRecord, via: str) -> bool:
         entry = self._entries.get(record.key)
         if entry is None:
             entry = self._entries[record.key] = _Entry()
         known = entry.vouched.get(via)
         if known is not None and record.order < known.order:
-            return None
+            return False
         entry.vouched[via] = record
-        return next(iter(self._refresh(record.key)), None)
+        self._refresh(record.key)
+        return record != known
 
-    def _withdraw(self, key: EndpointKey, via: str) -> list[EndpointRecord]:
-        entry = self._entries[key]
-        if entry.vouched.pop(via, None) is None:
-            return []
-        return self._refresh(key)
+    def _bury_own(
+        self,
+        records: Iterable[EndpointRecord],
+    ) -> tuple[EndpointRecord, ...]:
+        buried = tuple(
+            record.bury() for record in records if not record.is_gone
+        )
+        self.merge(buried, self._owner)
+        return buried
 
-    def _withdraw_all(self, via: str) -> list[EndpointRecord]:
-        return [
-            record
-            for key in tuple(self._entries)
-            for record in self._withdraw(key, via)
-        ]
+    def _suspend(self, control: str) -> None:
+        self._suspended.add(control)
+        self._refresh_vouched(control)
 
-    def _expired_vouchers(self) -> tuple[str, ...]:
-        oldest = self._clock.monotonic() - self._voucher_seconds
-        expired = tuple(
-            control
-            for control, since in self._lost_at.items()
-            if since <= oldest
-        )
-        for control in expired:
-            del self._lost_at[control]
-        return expired
+    def _resume(self, control: str) -> None:
+        self._lost_at.pop(control, None)
+        if control in self._suspended:
+            self._suspended.remove(control)
+            self._refresh_vouched(control)
+
+    def _refresh_vouched(self, control: str) -> None:
+        for key, entry in tuple(self._entries.items()):
+            if control in entry.vouched:
+                self._refresh(key)
 
-    def _refresh(self, key: EndpointKey) -> list[EndpointRecord]:
+    def _refresh(self, key: EndpointKey) -> None:
         entry = self._entries[key]
         before = entry.visible
-        after = _pick_visible(entry)
+        after = self._pick_visible(entry)
         if after is None or after == before:
-            return []
+            return
         check_invariant(
             before is None or after.order >= before.order,
             "the visible record of an endpoint never gets older",
         )
         entry.visible = after
-        self._touch(key, entry, is_urgent=not _is_load_only(before, after))
-        return [after]
+        self._touch(key, entry, is_urgent=not is_load_only(before, after))
+
+    def _pick_visible(self, entry: _Entry) -> EndpointRecord | None:
+        trusted = (
+            record
+            for control, record in entry.vouched.items()
+            if control not in self._suspended
+        )
+        best = max(
+            trusted,
+            key=lambda record: (record.order, not record.is_gone),
+            default=None,
+        )
+        known = entry.visible
+        if known is None:
+            return best
+        if best is None or best.order < known.order:
+            # Nobody vouches for the newest record any more.
+            return known.bury()
+        return best
 
     def _touch(
         self,
@@ -263,34 +296,19 @@
             visible = entry.visible
             if visible is None or not visible.is_gone:
                 continue
-            if entry.gone_at <= oldest:
+            has_live = any(
+                not record.is_gone for record in entry.vouched.values()
+            )
+            if entry.gone_at <= oldest and not has_live:
                 self._purged_version = max(self._purged_version, entry.version)
                 del self._entries[key]
 
 
-def _bury(record: EndpointRecord) -> EndpointRecord:
-    return replace(record, state=int(EndpointState.GONE), load_percent=0)
-
-
-def _pick_visible(entry: _Entry) -> EndpointRecord | None:
-    best = max(
-        entry.vouched.values(),
-        key=lambda record: (record.order, not record.is_gone),
-        default=None,
-    )
-    known = entry.visible
-    if known is None:
-        return best
-    if best is None or best.order < known.order:
-        # Nobody vouches for the newest record any more.
-        return _bury(known)
-    return best
-
-
-def _is_load_only(
+def is_load_only(
     before: EndpointRecord | None,
     after: EndpointRecord,
 ) -> bool:
+    """Tell whether two records differ in nothing that matters."""
     if before is None:
         return False
     return after == replace(
--- a/packages/distribution/src/rhubarbhollow_distribution/endpoint_table.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/endpoint_table.py
@@ -2,22 +2,21 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from result import Err, Ok, Result
 
-from rhubarbhollow_distribution.endpoint_record import (
-    EndpointRecord,
-    EndpointState,
-)
 from rhubarbhollow_distribution.endpoint_store import TOMBSTONE_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from rhubarbhollow_distribution.endpoint_change import EndpointChange
-    from rhubarbhollow_distribution.endpoint_record import EndpointKey
+    from rhubarbhollow_distribution.endpoint_record import (
+        EndpointKey,
+        EndpointRecord,
+    )
     from rhubarbhollow_wire.clock import Clock
 
 
@@ -118,6 +117,6 @@
         for key, held in tuple(self._records.items()):
             if key in listed or held.is_gone:
                 continue
-            buried = replace(held, state=int(EndpointState.GONE))
+            buried = held.bury()
             self._records[key] = buried
             yield buried
--- a/packages/distribution/src/rhubarbhollow_distribution/feed.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/feed.py
@@ -27,6 +27,7 @@
     from rhubarbhollow_wire.clock import Clock
 
 NEVER: Final = float("-inf")
+START_POLL_SECONDS: Final = 0.05
 
 
 class NodeFeed:
@@ -71,13 +72,19 @@
         self._endpoints_version = hello.endpoints_version
         self._endpoints_sent_at = NEVER
         self._sent_at = now
-        self._told_fresh: bool | None = None
+        # A node takes its source for fresh until it hears otherwise.
+        self._told_fresh = True
 
     @property
     def active_position(self) -> int:
         """Return the position that the node reported as in force."""
         return self._active_position
 
+    @property
+    def is_waiting_to_start(self) -> bool:
+        """Tell whether the node has no memory and may not start yet."""
+        return not self._has_memory and self._start_position is None
+
     def accept(self, message: NodeMessage) -> None:
         """Take over what the node reports."""
         match message:
@@ -91,9 +98,8 @@
             ):
                 self._raise_active(active)
                 self._take_staged(staged)
-            case StageRequest(base_digest=base_digest):
-                self._outstanding = None
-                self._requested_base = base_digest
+            case StageRequest():
+                self._restart_from(message)
             case _:
                 pass
 
@@ -111,24 +117,26 @@
 
     def next_due(self) -> float:
         """Return the latest time at which to ask again, unprompted."""
-        times = [self._sent_at + self._settings.heartbeat_seconds]
-        if self._outstanding is not None:
-            times.append(
-                self._stage_sent_at + self._settings.stage_timeout_seconds
-            )
-        if self._stage_sent_at > NEVER:
-            times.append(self._stage_ready_at())
+        now = self._clock.monotonic()
+        heartbeat_at = self._sent_at + self._settings.heartbeat_seconds
+        times = [
+            self._stage_sent_at + self._settings.stage_timeout_seconds,
+            self._stage_ready_at(),
+        ]
         if self._has_endpoint_change():
             times.append(self._endpoints_ready_at())
-        now = self._clock.monotonic()
-        return min(time for time in times if time > now or time == times[0])
+        if self.is_waiting_to_start:
+            times.append(now + START_POLL_SECONDS)
+        return min([heartbeat_at, *(time for time in times if time > now)])
 
     def _maybe_activate(self, ledger: LedgerView) -> Activate | None:
         target = self._activation_target(ledger)
         if target <= max(self._active_position, self._activate_sent):
             return None
         digest = self._staged.get(target)
-        if digest is None:
+        # It may have been staged by another instance, so the floor of
+        # this one need not cover it yet.
+        if digest is None or target > ledger.recorded_floor:
             return None
         self._activate_sent = target
         return Activate(target, digest)
@@ -147,7 +155,9 @@
         target = self._stage_target(ledger)
         if target is None or self._must_wait():
             return None
-        base = self._requested_base or self._held_digest()
+        base = self._requested_base
+        if base is None:
+            base = self._held_digest()
         stage = self._releases.build_stage(target, base)
         self._requested_base = None
         self._outstanding = target
@@ -214,9 +224,7 @@
     def _maybe_heartbeat(self, ledger: LedgerView) -> ControlHeartbeat | None:
         now = self._clock.monotonic()
         is_idle = now >= self._sent_at + self._settings.heartbeat_seconds
-        # The first one waits for an idle moment: a welcome is enough.
-        has_turned = self._told_fresh not in (None, ledger.is_fresh)
-        if not is_idle and not has_turned:
+        if not is_idle and self._told_fresh == ledger.is_fresh:
             return None
         self._told_fresh = ledger.is_fresh
         return ControlHeartbeat(
@@ -230,6 +238,17 @@
             return self._staged[max(self._staged)]
         return self._active_digest
 
+    def _restart_from(self, request: StageRequest) -> None:
+        """Believe the node's own word on what it holds."""
+        self._outstanding = None
+        self._activate_sent = 0
+        self._requested_base = request.base_digest
+        self._staged = {
+            position: digest
+            for position, digest in self._staged.items()
+            if digest == request.base_digest
+        }
+
     def _note_staged(self, position: int, digest: bytes) -> None:
         if self._outstanding == position:
             self._outstanding = None
--- a/packages/distribution/src/rhubarbhollow_distribution/holder.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/holder.py
@@ -41,6 +41,8 @@
 
 MAX_STAGED_RELEASES: Final = 8
 
+_NO_BASE: Final = (b"", EMPTY_DIGEST)
+
 
 class ReleaseHolder:
     """Stage whole releases and put one of them in force at a time.
@@ -175,7 +177,7 @@
         if len(self._staged) >= MAX_STAGED_RELEASES:
             return Err(StagingFull(self.staged_positions))
         base = self._find_base(message.base_digest)
-        if base is None and message.base_digest != EMPTY_DIGEST:
+        if base is None and message.base_digest not in _NO_BASE:
             return Err(NeedsDifference(self.staged_position, self.held_digest))
         opened = open_release(message, base, self._mesh, self._trusted)
         if isinstance(opened, Err):
--- a/packages/distribution/src/rhubarbhollow_distribution/node_register.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/node_register.py
@@ -42,13 +42,15 @@
         self._lease_seconds = lease_seconds
         self._entries: dict[str, NodeEntry] = {}
         self._floor = 0
+        self._checked_at = clock.monotonic()
 
     @property
     def floor(self) -> int:
-        """Return the highest position in force on a local node.
+        """Return the highest position that a local node has held.
 
-        Only nodes of this data centre count; the value never falls, not
-        even when the node that reported it is gone.
+        A staged release counts, since a call may put it in force at
+        any moment.  Only nodes of this data centre count, and the value
+        never falls, not even when the node that reported it is gone.
         """
         return self._floor
 
@@ -75,7 +77,7 @@
             staged_positions=staged,
             heard_at=self._clock.monotonic(),
         )
-        self._raise_floor(hello.data_centre, hello.active_position)
+        self._raise_floor(self._entries[hello.node])
         return True
 
     def accept(self, node: str, message: NodeMessage) -> None:
@@ -97,7 +99,7 @@
             case _:
                 pass
         self._entries[node] = entry
-        self._raise_floor(entry.data_centre, entry.active_position)
+        self._raise_floor(entry)
 
     def remove(self, node: str, incarnation: int) -> None:
         """Forget a node whose connection ended."""
@@ -106,7 +108,13 @@
             del self._entries[node]
 
     def expired(self) -> tuple[str, ...]:
-        """Return the nodes whose lease has ended, for removal."""
+        """Return the nodes whose lease has ended, for removal.
+
+        This is to be called many times within a lease.  After a pause
+        of this process the messages that arrived meanwhile are still
+        unread, so the pause does not count against any lease.
+        """
+        self._forgive_pause()
         live = {entry.node for entry in self._live()}
         return tuple(node for node in self._entries if node not in live)
 
@@ -134,6 +142,17 @@
             in_force=_count(entry.active_position for entry in live),
         )
 
+    def _forgive_pause(self) -> None:
+        now = self._clock.monotonic()
+        pause_seconds = now - self._checked_at
+        self._checked_at = now
+        if pause_seconds < self._lease_seconds / 2:
+            return
+        self._entries = {
+            node: replace(entry, heard_at=entry.heard_at + pause_seconds)
+            for node, entry in self._entries.items()
+        }
+
     def _live(self) -> Iterable[NodeEntry]:
         oldest = self._clock.monotonic() - self._lease_seconds
         return (
@@ -142,9 +161,9 @@
             if entry.heard_at >= oldest
         )
 
-    def _raise_floor(self, data_centre: str, position: int) -> None:
-        if data_centre == self._data_centre:
-            self._floor = max(self._floor, position)
+    def _raise_floor(self, entry: NodeEntry) -> None:
+        if entry.data_centre == self._data_centre:
+            self._floor = max(self._floor, entry.staged_position)
 
 
 def _add_staged(entry: NodeEntry, position: int) -> NodeEntry:
--- a/packages/distribution/src/rhubarbhollow_distribution/stage.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/stage.py
@@ -9,9 +9,9 @@
 class Stage:
     """Carry one net difference that leads to a whole release.
 
-    ``base_digest`` is ``EMPTY_DIGEST`` when ``difference`` holds the
-    whole release.  ``digest`` names the content after the difference,
-    and the approval signs it with the mesh and ``version``.
+    ``base_digest`` is empty or ``EMPTY_DIGEST`` when ``difference``
+    holds the whole release.  ``digest`` names the content after the
+    difference, and the approval signs it with mesh and ``version``.
     """
 
     position: int
--- /dev/null
+++ b/packages/distribution/tests/endpoint_fakes.py
@@ -0,0 +1,41 @@
+"""Short ways to write endpoint records."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from rhubarbhollow_distribution.endpoint_record import (
+    EndpointRecord,
+    EndpointState,
+)
+
+
+def record(name="a", *, node="node", incarnation=1, sequence=1):
+    return EndpointRecord(
+        name=name,
+        service="counter-desk",
+        node=node,
+        data_centre="ilala",
+        peer_host="127.0.0.1",
+        peer_port=7101,
+        slots=9,
+        state=int(EndpointState.UP),
+        load_percent=-1,
+        incarnation=incarnation,
+        sequence=sequence,
+    )
+
+
+def gone(each):
+    """Bury a record as the end of a lease does: at its own order."""
+    return each.bury()
+
+
+def load(each, percent):
+    return replace(each, load_percent=percent)
+
+
+def states(records):
+    return {
+        each.name: EndpointState(each.state).name.lower() for each in records
+    }
--- /dev/null
+++ b/packages/distribution/tests/test_activation.py
@@ -0,0 +1,162 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from rhubarbhollow_distribution.activation import (
+    PROPOSAL_RETRY_SECONDS,
+    SUMMARY_LEASE_SECONDS,
+    ActivationPlanner,
+)
+from rhubarbhollow_distribution.invariant import InvariantViolation
+from rhubarbhollow_distribution.position_count import PositionCount
+from rhubarbhollow_distribution.register_summary import RegisterSummary
+from rhubarbhollow_wire.clock import ManualClock
+
+DEADLINE = 5.0
+NONE: dict[int, int] = {}
+
+
+def summary(control, live, staged=NONE, in_force=NONE):
+    return RegisterSummary(
+        control,
+        live,
+        tuple(PositionCount(*pair) for pair in staged.items()),
+        tuple(PositionCount(*pair) for pair in in_force.items()),
+    )
+
+
+def planner_of(clock, *accepted, controls=("a", "b")):
+    planner = ActivationPlanner(controls, clock, DEADLINE)
+    for position in accepted:
+        planner.note_accepted(position)
+    return planner
+
+
+@pytest.mark.parametrize(
+    ("summaries", "expected"),
+    [
+        # Every node of every instance has it.
+        ([("a", 2, {3: 2}, {2: 2}), ("b", 1, {3: 1}, {2: 1})], 3),
+        # One node lacks it.
+        ([("a", 2, {3: 1}, {2: 2}), ("b", 1, {3: 1}, {2: 1})], None),
+        # A node that passed it counts; one that skipped it does not.
+        ([("a", 2, {3: 1}, {2: 1, 4: 1}), ("b", 0)], 3),
+        ([("a", 2, {3: 1, 4: 1}, {2: 2}), ("b", 0)], None),
+        # The highest common one is chosen, not the first.
+        ([("a", 2, {3: 2, 4: 2}, {2: 2}), ("b", 0)], 4),
+        # An instance without nodes is ready; a missing one is not.
+        ([("a", 1, {3: 1}, {2: 1}), ("b", 0)], 3),
+        ([("a", 1, {3: 1}, {2: 1})], None),
+        # A removed instance no longer counts.
+        ([("a", 1, {3: 1}), ("b", 0), ("z", 9, {})], 3),
+    ],
+)
+def test_ready_release_is_proposed(summaries, expected):
+    planner = planner_of(ManualClock(), 3, 4)
+    for fields in summaries:
+        planner.note_summary(summary(*fields))
+    assert planner.maybe_propose() == expected
+
+
+def test_silent_instance_is_awaited_for_its_lease_only():
+    clock = ManualClock()
+    planner = planner_of(clock, 3)
+    clock.advance(SUMMARY_LEASE_SECONDS / 2)
+    planner.note_summary(summary("a", 1, {3: 1}))
+    planner.note_summary(summary("b", 1))
+    assert planner.maybe_propose() is None
+    clock.advance(SUMMARY_LEASE_SECONDS * 0.99)
+    planner.note_summary(summary("a", 1, {3: 1}))
+    assert planner.maybe_propose() is None
+    clock.advance(SUMMARY_LEASE_SECONDS * 0.01)
+    assert planner.maybe_propose() == 3
+
+
+def test_slow_node_delays_by_the_deadline_only():
+    clock = ManualClock()
+    planner = planner_of(clock, 3)
+    planner.note_summary(summary("a", 5, {3: 4}))
+    planner.note_summary(summary("b", 0))
+    assert planner.next_due() == DEADLINE
+    for _ in range(5):
+        assert planner.maybe_propose() is None
+        clock.advance(1)
+        planner.note_summary(summary("a", 5, {3: 4}))
+    assert planner.maybe_propose() == 3
+    planner.note_activated(3)
+    assert planner.next_due() is None
+    assert planner.maybe_propose() is None
+
+
+def test_overdue_release_gives_way_to_one_staged_more_widely():
+    clock = ManualClock()
+    planner = planner_of(clock, 3)
+    clock.advance(DEADLINE / 2)
+    for position in (4, 5, 6):
+        planner.note_accepted(position)
+    clock.advance(DEADLINE / 2)
+    planner.note_summary(summary("a", 5, {3: 1, 4: 2, 5: 3, 6: 3}))
+    assert planner.maybe_propose() == 6
+
+
+def test_release_without_any_node_is_still_activated_in_time():
+    clock = ManualClock()
+    planner = planner_of(clock, 3, 4)
+    clock.advance(DEADLINE)
+    assert planner.maybe_propose() == 4
+
+
+def test_lost_proposal_is_repeated_seldom():
+    clock = ManualClock()
+    planner = planner_of(clock, 3, controls=())
+    assert planner.maybe_propose() == 3
+    assert planner.maybe_propose() is None
+    clock.advance(PROPOSAL_RETRY_SECONDS)
+    assert planner.maybe_propose() == 3
+    planner.note_accepted(4)
+    assert planner.maybe_propose() == 4
+
+
+def test_activation_never_goes_down():
+    planner = planner_of(ManualClock())
+    planner.note_activated(5)
+    planner.note_accepted(5)
+    assert planner.maybe_propose() is None
+    with pytest.raises(InvariantViolation):
+        planner.note_activated(4)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_every_release_is_in_force_by_its_deadline(seed):
+    """Random churn, lost summaries and proposals, a cut instance."""
+    rng = random.Random(seed)
+    clock = ManualClock()
+    controls = tuple("abcde")
+    planner = planner_of(clock, controls=controls)
+    accepted_at: dict[int, float] = {}
+    latest, active = 0, 0
+    for _ in range(2000):
+        clock.advance(0.05)
+        if rng.random() < 0.1:
+            latest += 1
+            accepted_at[latest] = clock.monotonic()
+            planner.note_accepted(latest)
+        # The last instance is cut off for the second half.
+        heard = controls if clock.monotonic() < 50 else controls[:-1]
+        for control in heard:
+            if rng.random() < 0.3:
+                held = {p: rng.randint(0, 3) for p in range(active, latest)}
+                planner.note_summary(summary(control, 3, held, {active: 3}))
+        chosen = planner.maybe_propose()
+        if chosen is not None and rng.random() < 0.8:
+            assert active < chosen <= latest
+            active = chosen
+            planner.note_activated(active)
+        overdue = [p for p in accepted_at if p > active]
+        slack = DEADLINE + 4 * PROPOSAL_RETRY_SECONDS + 0.1
+        assert all(
+            clock.monotonic() - accepted_at[p] <= slack for p in overdue
+        )
+    assert active > 100
--- /dev/null
+++ b/packages/distribution/tests/test_announcement.py
@@ -0,0 +1,170 @@
+from __future__ import annotations
+
+from dataclasses import replace
+from datetime import timedelta
+from itertools import pairwise
+
+import pytest
+from endpoint_fakes import states
+
+from rhubarbhollow_distribution.announcement import (
+    Announcement,
+    read_announcement,
+)
+from rhubarbhollow_distribution.announcement_book import (
+    LOAD_SECONDS,
+    LOAD_STEP_PERCENT,
+    MAX_UPSTREAMS,
+    AnnouncementBook,
+    TooManyUpstreams,
+    UnknownUpstream,
+)
+from rhubarbhollow_distribution.endpoint_store import TOMBSTONE_SECONDS
+from rhubarbhollow_wire.clock import ManualClock
+
+DOCUMENT = {
+    "name": "desk-1",
+    "service": "counter-desk",
+    "host": "127.0.0.1",
+    "port": 9000,
+    "slots": 9,
+    "connections": 120,
+    "lease_seconds": 3,
+}
+DESK = read_announcement(DOCUMENT).unwrap()
+
+
+def test_announcement_is_read_with_defaults():
+    assert (
+        Announcement(
+            name="desk-1",
+            service="counter-desk",
+            host="127.0.0.1",
+            port=9000,
+            slots=9,
+            connections=120,
+            lease=timedelta(seconds=3),
+        )
+        == DESK
+    )
+    full = {**DOCUMENT, "state": "leaving", "load": 0.25, "host": "::1"}
+    read = read_announcement(full).unwrap()
+    assert (read.is_leaving, read.load, read.host) == (True, 0.25, "::1")
+
+
+@pytest.mark.parametrize(
+    ("changes", "expected"),
+    [
+        ({"port": 0}, {("port", "out_of_range")}),
+        ({"port": "80"}, {("port", "wrong_type")}),
+        ({"port": True}, {("port", "wrong_type")}),
+        ({"state": "down"}, {("state", "bad_value")}),
+        ({"name": "Desk 1"}, {("name", "bad_value")}),
+        ({"name": "desk-1\n"}, {("name", "bad_value")}),
+        ({"host": "desk.example"}, {("host", "bad_value")}),
+        ({"host": 7}, {("host", "wrong_type")}),
+        ({"load": 1.5}, {("load", "out_of_range")}),
+        (
+            {"zone": 1, "x": 2, "slots": 0, "lease_seconds": 9e9, "port": {}},
+            {
+                ("'zone'", "unknown"),
+                ("'x'", "unknown"),
+                ("slots", "out_of_range"),
+                ("lease_seconds", "out_of_range"),
+                ("port", "wrong_type"),
+            },
+        ),
+    ],
+)
+def test_every_fault_is_reported_by_field(changes, expected):
+    faults = read_announcement({**DOCUMENT, **changes}).unwrap_err().faults
+    assert {(fault.field, str(fault.kind)) for fault in faults} == expected
+
+
+@pytest.mark.parametrize("value", [None, [], "x", 7])
+def test_announcement_that_is_no_object_is_refused(value):
+    faults = read_announcement(value).unwrap_err().faults
+    assert [(fault.field, fault.kind) for fault in faults] == [
+        ("", "wrong_type")
+    ]
+
+
+def test_every_missing_field_is_reported():
+    faults = read_announcement({}).unwrap_err().faults
+    assert [fault.field for fault in faults] == sorted(DOCUMENT)
+
+
+def book_of(clock):
+    return AnnouncementBook(
+        node="node",
+        data_centre="ilala",
+        peer_host="127.0.0.1",
+        peer_port=7101,
+        incarnation=4,
+        clock=clock,
+    )
+
+
+def test_repeated_announcement_only_renews_the_lease():
+    clock = ManualClock()
+    book = book_of(clock)
+    first = book.announce(DESK).unwrap()
+    assert (first.order, first.peer_port) == ((4, 1), 7101)
+    for _ in range(5):
+        clock.advance(2)
+        assert book.announce(DESK).unwrap() == first
+        assert book.expire() == ()
+    assert book.take_changes() == (first,)
+    assert book.take_changes() == ()
+    clock.advance(3)
+    (buried,) = book.expire()
+    assert (buried.order, buried.is_gone) == ((4, 2), True)
+    assert book.take_changes() == book.records == (buried,)
+    assert book.announcements == ()
+    clock.advance(TOMBSTONE_SECONDS)
+    book.expire()
+    assert book.records == ()
+
+
+def test_changes_raise_the_sequence_over_all_endpoints():
+    book = book_of(ManualClock())
+    book.announce(DESK).unwrap()
+    book.announce(replace(DESK, name="desk-2")).unwrap()
+    book.announce(replace(DESK, slots=3)).unwrap()
+    leaving = book.announce(replace(DESK, is_leaving=True)).unwrap()
+    assert leaving.sequence == 4
+    assert states(book.records) == {"desk-1": "leaving", "desk-2": "up"}
+    book.leave_all()
+    book.leave_all()
+    assert [each.sequence for each in book.records] == [4, 5]
+    assert book.withdraw("desk-1").unwrap().sequence == 6
+    assert book.withdraw("desk-1").unwrap_err() == UnknownUpstream("desk-1")
+    assert states(book.take_changes()) == {
+        "desk-1": "gone",
+        "desk-2": "leaving",
+    }
+    again = book.announce(DESK).unwrap()
+    assert (again.sequence, len(book.records)) == (7, 2)
+
+
+def test_load_is_passed_on_when_it_changes_much_and_seldom():
+    clock = ManualClock()
+    book = book_of(clock)
+    sent = []
+    for second in range(60):
+        share = (0.1, 0.25, 0.9)[second % 3]
+        book.announce(replace(DESK, load=share)).unwrap()
+        sent += [each.load_percent for each in book.take_changes()]
+        clock.advance(1)
+    assert len(sent) <= 1 + 60 / LOAD_SECONDS
+    steps = [abs(a - b) for a, b in pairwise(sent)]
+    assert len(steps) > 5
+    assert min(steps) >= LOAD_STEP_PERCENT
+
+
+def test_number_of_upstreams_is_bounded():
+    book = book_of(ManualClock())
+    names = [f"desk-{number}" for number in range(MAX_UPSTREAMS + 1)]
+    outcomes = [book.announce(replace(DESK, name=name)) for name in names]
+    assert outcomes[-1].unwrap_err() == TooManyUpstreams(MAX_UPSTREAMS)
+    assert book.announce(replace(DESK, name="desk-0")).is_ok()
