--- a/packages/distribution/src/rhubarbhollow_distribution/feed.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/feed.py
@@ -63,7 +63,6 @@
         self._active_position = hello.active_position
         self._active_digest = hello.active_digest
         self._staged: dict[int, bytes] = {}
-        self._take_staged(hello.staged_position)
         self._requested_base: bytes | None = None
         self._outstanding: int | None = None
         self._stage_sent_at = NEVER
@@ -74,6 +73,7 @@
         self._sent_at = now
         # A node takes its source for fresh until it hears otherwise.
         self._told_fresh = True
+        self._take_staged(hello.staged_position)
 
     @property
     def active_position(self) -> int:
--- /dev/null
+++ b/packages/distribution/tests/test_source_choice.py
@@ -0,0 +1,199 @@
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+
+from rhubarbhollow_distribution.control_address import ControlAddress
+from rhubarbhollow_distribution.control_heartbeat import ControlHeartbeat
+from rhubarbhollow_distribution.source_choice import (
+    BACKOFF_CAP_SECONDS,
+    BEHIND_SECONDS,
+    NOT_FRESH_SECONDS,
+    RETURN_SECONDS,
+    SILENCE_SECONDS,
+    SUSPECT_CAP_SECONDS,
+    ChangeReason,
+    SourceChooser,
+)
+from rhubarbhollow_wire.clock import ManualClock
+
+LOCAL_1, LOCAL_2, FAR_1, FAR_2 = CONTROLS = tuple(
+    ControlAddress(name, data_centre, "127.0.0.1", 7000 + number)
+    for number, (name, data_centre) in enumerate(
+        [
+            *(("local-1", "ilala"), ("local-2", "ilala")),
+            *(("far-1", "temeke"), ("far-2", "kinondoni")),
+        ]
+    )
+)
+
+
+def chooser_of(clock, controls=CONTROLS, seed=1):
+    return SourceChooser("ilala", controls, clock, random.Random(seed))
+
+
+def beat(chooser, latest=5, *, is_fresh=True):
+    chooser.note_heartbeat(ControlHeartbeat(is_fresh, latest, latest))
+
+
+def pass_time(clock, chooser, seconds, latest=5, *, is_fresh=True):
+    """Let time pass with a heartbeat every second."""
+    for _ in range(int(seconds)):
+        clock.advance(1)
+        beat(chooser, latest, is_fresh=is_fresh)
+
+
+def alternative_of(chooser):
+    attempt = chooser.maybe_alternative()
+    return (attempt.address.name, attempt.reason) if attempt else None
+
+
+def test_local_instances_come_first_and_are_spread():
+    firsts = Counter(
+        chooser_of(ManualClock(), seed=seed).next_attempt().address.name
+        for seed in range(200)
+    )
+    assert set(firsts) == {"local-1", "local-2"}
+    assert min(firsts.values()) > 70
+
+
+def test_every_instance_is_tried_with_rising_jittered_delay():
+    clock = ManualClock()
+    chooser = chooser_of(clock)
+    order, delays = [], []
+    for _ in range(40):
+        attempt = chooser.next_attempt()
+        order.append(attempt.address.name)
+        delays.append(attempt.delay_seconds)
+        clock.advance(attempt.delay_seconds)
+        chooser.note_failed(attempt.address)
+    assert {"local-1", "local-2"} == set(order[:2])
+    assert {"far-1", "far-2"} < set(order[:10])
+    assert max(delays[:3]) < 1
+    assert max(delays) <= BACKOFF_CAP_SECONDS
+    assert len(set(delays)) == len(delays)
+    assert min(Counter(order).values()) >= 5
+
+
+def test_herd_returns_spread_out():
+    clock = ManualClock()
+    delays = []
+    for seed in range(300):
+        chooser = chooser_of(clock, controls=(LOCAL_1,), seed=seed)
+        chooser.note_connected(LOCAL_1)
+        chooser.note_lost()
+        for _ in range(6):
+            chooser.note_failed(LOCAL_1)
+        delays.append(chooser.next_attempt().delay_seconds)
+    tenths = Counter(int(delay / BACKOFF_CAP_SECONDS * 10) for delay in delays)
+    assert max(tenths.values()) < 100
+
+
+def test_redirect_delays_the_return_to_that_instance():
+    clock = ManualClock()
+    chooser = chooser_of(clock, controls=(LOCAL_1, FAR_1))
+    chooser.note_failed(LOCAL_1, retry_after_seconds=60)
+    for _ in range(10):
+        attempt = chooser.next_attempt()
+        assert attempt.address == FAR_1
+        chooser.note_failed(FAR_1)
+        clock.advance(attempt.delay_seconds)
+    only = chooser_of(clock, controls=(LOCAL_1,))
+    only.note_failed(LOCAL_1, retry_after_seconds=60)
+    assert only.next_attempt().delay_seconds >= 60
+
+
+@pytest.mark.parametrize(
+    ("seconds", "latest", "observed", "is_fresh", "expected"),
+    [
+        (30, 5, 5, True, None),
+        (NOT_FRESH_SECONDS, 5, 0, False, None),
+        (NOT_FRESH_SECONDS + 1, 5, 0, False, ChangeReason.NOT_FRESH),
+        (BEHIND_SECONDS, 5, 6, True, ChangeReason.BEHIND),
+        (30, 6, 6, True, None),
+    ],
+)
+def test_dissatisfaction(seconds, latest, observed, is_fresh, expected):
+    clock = ManualClock()
+    chooser = chooser_of(clock)
+    chooser.note_connected(LOCAL_1)
+    beat(chooser, 5)
+    chooser.note_observed(observed)
+    pass_time(clock, chooser, seconds, latest, is_fresh=is_fresh)
+    attempt = chooser.maybe_alternative()
+    assert (attempt.reason if attempt else None) == expected
+    if attempt:
+        assert attempt.address == LOCAL_2
+        assert chooser.maybe_alternative() is None
+
+
+def test_silence_counts_from_the_last_message():
+    clock = ManualClock()
+    chooser = chooser_of(clock)
+    chooser.note_connected(LOCAL_1)
+    clock.advance(SILENCE_SECONDS - 1)
+    chooser.note_message()
+    clock.advance(SILENCE_SECONDS - 1)
+    assert not chooser.is_silent
+    clock.advance(1)
+    assert chooser.is_silent
+    assert alternative_of(chooser) == ("local-2", ChangeReason.SILENT)
+    chooser.note_lost()
+    assert chooser.current is None
+    assert not chooser.is_silent
+
+
+def test_isolated_data_centre_keeps_its_source():
+    """Fails every attempt elsewhere: the local source stays."""
+    clock = ManualClock()
+    chooser = chooser_of(clock, controls=(LOCAL_1, FAR_1, FAR_2))
+    chooser.note_connected(LOCAL_1)
+    attempts = 0
+    for _ in range(600):
+        pass_time(clock, chooser, 1, is_fresh=False)
+        attempt = chooser.maybe_alternative()
+        if attempt is not None:
+            attempts += 1
+            chooser.note_failed(attempt.address)
+    assert chooser.current == LOCAL_1
+    assert 600 / BACKOFF_CAP_SECONDS < attempts < 300
+
+
+def test_all_instances_stale_does_not_flap():
+    clock = ManualClock()
+    chooser = chooser_of(clock)
+    chooser.note_connected(LOCAL_1)
+    changes = 0
+    for _ in range(3600):
+        pass_time(clock, chooser, 1, is_fresh=False)
+        attempt = chooser.maybe_alternative()
+        if attempt is not None:
+            changes += 1
+            chooser.note_connected(attempt.address)
+    # Each of four is left about as often as its suspicion has doubled.
+    assert 4 <= changes <= 4 * (5 + 3600 / SUSPECT_CAP_SECONDS)
+    assert len(chooser.explain().suspects) >= 3
+
+
+def test_node_returns_to_its_data_centre_once_that_is_settled():
+    clock = ManualClock()
+    chooser = chooser_of(clock, controls=(LOCAL_1, FAR_1))
+    chooser.note_connected(LOCAL_1)
+    chooser.note_lost()
+    chooser.note_connected(FAR_1)
+    pass_time(clock, chooser, RETURN_SECONDS - 1)
+    assert alternative_of(chooser) is None
+    pass_time(clock, chooser, 1)
+    assert alternative_of(chooser) == ("local-1", ChangeReason.PREFERS_LOCAL)
+    assert chooser.explain().dissatisfaction == "prefers_local"
+    chooser.note_connected(LOCAL_1)
+    assert chooser.explain().suspects == ()
+    pass_time(clock, chooser, 10 * RETURN_SECONDS)
+    assert alternative_of(chooser) is None
+
+
+def test_chooser_without_addresses_is_a_programming_fault():
+    with pytest.raises(ValueError, match="control instance"):
+        chooser_of(ManualClock(), controls=())
