--- a/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
@@ -21,6 +21,7 @@
 SUSPECT_SECONDS: Final = 30.0
 SUSPECT_CAP_SECONDS: Final = 300.0
 RETURN_SECONDS: Final = 60.0
+TRIES_PER_TURN: Final = 2
 
 
 class ChangeReason(Enum):
@@ -270,14 +271,18 @@
             return False
         return candidate.suspect_until <= now
 
-    def _preference(self, candidate: _Candidate) -> tuple[bool, bool, float]:
+    def _preference(
+        self,
+        candidate: _Candidate,
+    ) -> tuple[bool, bool, int, float]:
         now = self._clock.monotonic()
+        is_early = candidate.not_before > now
         return (
-            candidate.not_before > now,
+            is_early,
             candidate.suspect_until > now,
-            candidate.not_before
-            if candidate.not_before > now
-            else candidate.rank,
+            # A dead instance must not keep the others from their turn.
+            0 if is_early else candidate.failures // TRIES_PER_TURN,
+            candidate.not_before if is_early else candidate.rank,
         )
 
     def _suspect(
--- a/packages/distribution/tests/test_source_choice.py
+++ b/packages/distribution/tests/test_source_choice.py
@@ -70,7 +70,7 @@
         clock.advance(attempt.delay_seconds)
         chooser.note_failed(attempt.address)
     assert {"local-1", "local-2"} == set(order[:2])
-    assert {"far-1", "far-2"} < set(order[:10])
+    assert {"far-1", "far-2"} < set(order[:8])
     assert max(delays[:3]) < 1
     assert max(delays) <= BACKOFF_CAP_SECONDS
     assert len(set(delays)) == len(delays)
