--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_building.py
@@ -0,0 +1,147 @@
+"""Building of a control instance from its settings."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from result import Err, Ok, Result
+
+from rhubarbhollow_daemon.control_parts import ControlParts
+from rhubarbhollow_daemon.endpoint_exchange import EndpointExchange
+from rhubarbhollow_daemon.floor_file import FloorFile
+from rhubarbhollow_daemon.leader_desk import LeaderDesk
+from rhubarbhollow_daemon.messages import PeerHello
+from rhubarbhollow_daemon.node_desk import NodeDesk
+from rhubarbhollow_daemon.peer_links import PeerLinks
+from rhubarbhollow_daemon.release_machine import ReleaseMachine
+from rhubarbhollow_daemon.stage_builder import StageBuilder
+from rhubarbhollow_distribution.admission import AdmissionQueue
+from rhubarbhollow_distribution.endpoint_store import EndpointStore
+from rhubarbhollow_distribution.feed_settings import FeedSettings
+from rhubarbhollow_distribution.node_register import NodeRegister
+from rhubarbhollow_distribution.start_floor import StartFloor
+from rhubarbhollow_distribution.welcome import Welcome
+from rhubarbhollow_replication.replica import Replica
+from rhubarbhollow_replication.settings import ReplicaSettings
+from rhubarbhollow_replication.store import LogStore, set_aside
+from rhubarbhollow_replication.store_fault import CorruptRecord, StoreFault
+
+if TYPE_CHECKING:
+    from pathlib import Path
+    from random import Random
+
+    from rhubarbhollow_daemon.settings import Settings
+    from rhubarbhollow_daemon.settings_control import ControlSettings
+    from rhubarbhollow_wire.clock import Clock
+    from rhubarbhollow_wire.traffic import Traffic
+
+LOG_FOLDER_NAME: Final = "log"
+MAX_WAITING_NODES: Final = 1_024
+
+
+def build_control(
+    settings: Settings,
+    control: ControlSettings,
+    incarnation: int,
+    traffic: Traffic,
+    clock: Clock,
+    random: Random,
+) -> Result[ControlParts, StoreFault]:
+    """Open the data folder and join the parts around its log."""
+    opened = _open_store(control.data_folder / LOG_FOLDER_NAME)
+    if isinstance(opened, Err):
+        return opened
+    name = settings.instance.name
+    hello = PeerHello(settings.mesh, name, incarnation)
+    links = PeerLinks(hello, settings.controls, traffic, random)
+    machine = ReleaseMachine(settings.mesh, settings.trusted)
+    replica = Replica(
+        settings=_replica_settings(name, control),
+        store=opened.ok_value,
+        machine=machine,
+        clock=clock,
+        random=random,
+        send=links.send,
+    )
+    store = EndpointStore(name, incarnation, clock)
+    register = NodeRegister(
+        name,
+        settings.instance.data_centre,
+        clock,
+        settings.distribution.lease.total_seconds(),
+    )
+    exchange = EndpointExchange(name, store, links, clock)
+    floor_file = FloorFile(control.data_folder)
+    return Ok(
+        ControlParts(
+            name=name,
+            data_centre=settings.instance.data_centre,
+            clock=clock,
+            replica=replica,
+            machine=machine,
+            stages=StageBuilder(machine),
+            store=store,
+            register=register,
+            desk=NodeDesk(
+                Welcome(name, settings.instance.data_centre, incarnation),
+                register,
+                _admission(control, clock, random),
+                store,
+                exchange,
+                clock,
+            ),
+            exchange=exchange,
+            leader_desk=LeaderDesk(
+                (address.name for address in settings.controls),
+                machine,
+                replica,
+                clock,
+                control.staging_deadline.total_seconds(),
+            ),
+            links=links,
+            floor=StartFloor(floor_file.position),
+            floor_file=floor_file,
+            feed_settings=FeedSettings(
+                settings.distribution.coalescing.total_seconds(),
+                settings.distribution.heartbeat.total_seconds(),
+                settings.distribution.load.total_seconds(),
+            ),
+        )
+    )
+
+
+def _open_store(folder: Path) -> Result[LogStore, StoreFault]:
+    """Open a store; set a corrupt one aside and begin as a learner."""
+    folder.parent.mkdir(parents=True, exist_ok=True)
+    opened = LogStore.open(folder)
+    if isinstance(opened, Err) and isinstance(opened.err_value, CorruptRecord):
+        set_aside(folder)
+        return LogStore.open(folder)
+    return opened
+
+
+def _replica_settings(name: str, control: ControlSettings) -> ReplicaSettings:
+    return ReplicaSettings(
+        name=name,
+        initial_members=control.members,
+        election_timeout_ms=round(
+            control.election_timeout.total_seconds() * 1000
+        ),
+        heartbeat_ms=round(control.heartbeat.total_seconds() * 1000),
+        snapshot_after_entries=control.snapshot_after_entries,
+        repair_after_seconds=control.repair_after.total_seconds(),
+    )
+
+
+def _admission(
+    control: ControlSettings,
+    clock: Clock,
+    random: Random,
+) -> AdmissionQueue:
+    return AdmissionQueue(
+        rate=control.admission_per_second,
+        burst=max(1, round(control.admission_per_second / 4)),
+        limit=MAX_WAITING_NODES,
+        clock=clock,
+        random=random,
+    )
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
@@ -0,0 +1,236 @@
+"""The task of a control instance: log, nodes and peers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import anyio
+import anyio.to_thread
+import structlog
+from result import Err
+
+from rhubarbhollow_daemon.control_event import (
+    ControlEvent,
+    LogAdvanced,
+    NodeJoined,
+    NodeLeft,
+    NodeSaid,
+    PeerSaid,
+)
+from rhubarbhollow_daemon.messages import EndpointsRequest
+from rhubarbhollow_daemon.node_link import NodeLink
+from rhubarbhollow_distribution.endpoint_change import EndpointChange
+from rhubarbhollow_distribution.feed import NodeFeed
+from rhubarbhollow_distribution.ledger_view import LedgerView
+from rhubarbhollow_distribution.register_summary import RegisterSummary
+
+if TYPE_CHECKING:
+    from rhubarbhollow_daemon.control_parts import ControlParts
+    from rhubarbhollow_distribution.hello import Hello
+    from rhubarbhollow_wire.connection import FrameConnection
+
+INBOX_EVENTS: Final = 8_192
+TICK_SECONDS: Final = 0.1
+SUMMARY_SECONDS: Final = 0.5
+SUMMARY_MIN_SECONDS: Final = 0.01
+
+_log = structlog.get_logger()
+
+
+class ControlInstance:
+    """React to nodes, peers and the log, one event at a time.
+
+    Connections live in tasks of their own and talk to this one through
+    its inbox; what it decides goes back through their outboxes.
+    """
+
+    def __init__(self, parts: ControlParts) -> None:
+        self._parts = parts
+        self._sender, self._receiver = anyio.create_memory_object_stream[
+            ControlEvent
+        ](INBOX_EVENTS)
+        self._ticked_at = 0.0
+        self._summary_at = 0.0
+        self._sent_summary: RegisterSummary | None = None
+        self._store_version = 0
+        self._was_fresh = False
+        parts.replica.on_applied(lambda _: self.post(LogAdvanced()))
+
+    def post(self, event: ControlEvent) -> None:
+        """Queue an event; peers repeat what a full inbox drops."""
+        try:
+            self._sender.send_nowait(event)
+        except anyio.WouldBlock:
+            _log.warning("control_inbox_full", event_type=type(event).__name__)
+
+    async def serve_node(
+        self,
+        connection: FrameConnection,
+        hello: Hello,
+    ) -> None:
+        """Serve one node's connection until it ends."""
+        parts = self._parts
+        feed = NodeFeed(
+            hello,
+            data_centre=parts.data_centre,
+            settings=parts.feed_settings,
+            releases=parts.stages,
+            endpoints=parts.store,
+            clock=parts.clock,
+        )
+        link = NodeLink(hello, feed)
+        await self._sender.send(NodeJoined(link))
+        try:
+            await self._run_link(connection, link)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._sender.send(NodeLeft(link))
+
+    def serve_peer(self, control: str, message: object) -> None:
+        """Queue what another control instance said."""
+        self.post(PeerSaid(control, message))
+
+    async def run(self) -> None:
+        """React to events until cancelled."""
+        parts = self._parts
+        parts.leader_desk.note_log()
+        async with anyio.create_task_group() as group:
+            while True:
+                event = await self._next_event()
+                view = await self._view()
+                if event is not None:
+                    self._react(event, view)
+                self._tick(view)
+                self._feed(event, view)
+                self._send_summary()
+                position = parts.leader_desk.maybe_plan()
+                if position is not None:
+                    group.start_soon(parts.leader_desk.activate, position)
+
+    async def _next_event(self) -> ControlEvent | None:
+        now = self._parts.clock.monotonic()
+        due = min(self._ticked_at + TICK_SECONDS, self._parts.desk.next_due)
+        with anyio.move_on_after(max(0.0, due - now)):
+            return await self._receiver.receive()
+        return None
+
+    def _react(self, event: ControlEvent, view: LedgerView) -> None:
+        desk = self._parts.desk
+        match event:
+            case NodeJoined(link):
+                desk.join(link, view)
+            case NodeSaid(link, message):
+                desk.hear(link, message, view)
+            case NodeLeft(link):
+                desk.leave(link)
+            case PeerSaid(control, message):
+                self._hear_peer(control, message)
+            case LogAdvanced():
+                self._parts.leader_desk.note_log()
+
+    def _hear_peer(self, control: str, message: object) -> None:
+        parts = self._parts
+        match message:
+            case RegisterSummary():
+                parts.leader_desk.note_summary(message)
+            case EndpointChange():
+                parts.exchange.receive(control, message)
+            case EndpointsRequest():
+                parts.exchange.answer(control)
+            case _:
+                _log.warning(
+                    "peer_message_unexpected",
+                    peer=control,
+                    message=type(message).__name__,
+                )
+
+    def _tick(self, view: LedgerView) -> None:
+        now = self._parts.clock.monotonic()
+        if now < self._ticked_at + TICK_SECONDS:
+            return
+        self._ticked_at = now
+        self._parts.desk.tick(view)
+        self._parts.exchange.tick()
+
+    def _feed(self, event: ControlEvent | None, view: LedgerView) -> None:
+        """Feed all nodes on news for all, else those that are due."""
+        parts = self._parts
+        is_news = (
+            isinstance(event, LogAdvanced)
+            or parts.store.version != self._store_version
+            or view.is_fresh != self._was_fresh
+        )
+        self._store_version = parts.store.version
+        self._was_fresh = view.is_fresh
+        if is_news:
+            parts.desk.feed_all(view)
+        else:
+            parts.desk.feed_due(view)
+
+    def _send_summary(self) -> None:
+        parts = self._parts
+        now = parts.clock.monotonic()
+        if now < self._summary_at + SUMMARY_MIN_SECONDS:
+            return
+        summary = parts.register.summary()
+        is_due = now >= self._summary_at + SUMMARY_SECONDS
+        if not is_due and summary == self._sent_summary:
+            return
+        self._summary_at = now
+        self._sent_summary = summary
+        parts.leader_desk.note_summary(summary)
+        parts.links.broadcast(summary)
+
+    async def _view(self) -> LedgerView:
+        """Return what the log holds, after syncing a higher floor."""
+        parts = self._parts
+        ledger = parts.machine.ledger
+        status = parts.replica.status
+        parts.floor.require(max(ledger.latest_position, parts.register.floor))
+        pending = parts.floor.pending
+        if pending is not None:
+            await anyio.to_thread.run_sync(parts.floor_file.raise_to, pending)
+            parts.floor.confirm(pending)
+        return LedgerView(
+            latest_position=ledger.latest_position,
+            active_position=ledger.active_position,
+            is_fresh=status.is_fresh,
+            confirmed_at=status.confirmed_at,
+            recorded_floor=parts.floor.recorded,
+        )
+
+    async def _run_link(
+        self,
+        connection: FrameConnection,
+        link: NodeLink,
+    ) -> None:
+        async with anyio.create_task_group() as group:
+
+            async def receive() -> None:
+                await self._receive(connection, link)
+                group.cancel_scope.cancel()
+
+            async def end() -> None:
+                await link.wait_ended()
+                group.cancel_scope.cancel()
+
+            group.start_soon(receive)
+            group.start_soon(end)
+            await link.outbox.pump(connection)
+            group.cancel_scope.cancel()
+
+    async def _receive(
+        self,
+        connection: FrameConnection,
+        link: NodeLink,
+    ) -> None:
+        while True:
+            received = await connection.receive()
+            if isinstance(received, Err):
+                _log.info(
+                    "node_closed",
+                    node=link.hello.node,
+                    cause=repr(received.err_value),
+                )
+                return
+            await self._sender.send(NodeSaid(link, received.ok_value))
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_listener.py
@@ -0,0 +1,115 @@
+"""The control port: accepts nodes and other control instances."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import anyio
+import structlog
+from result import Err, Ok, Result
+
+from rhubarbhollow_daemon.codec import CODEC
+from rhubarbhollow_daemon.messages import PeerHello
+from rhubarbhollow_distribution.hello import Hello
+from rhubarbhollow_wire.connection import FrameConnection
+from rhubarbhollow_wire.faults import UnexpectedFrame, WireFault
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from anyio.abc import ByteStream, SocketStream
+    from anyio.streams.stapled import MultiListener
+
+    from rhubarbhollow_wire.traffic import Traffic
+
+HELLO_TIMEOUT_SECONDS: Final = 5.0
+MAX_CONNECTIONS: Final = 2_048
+
+_log = structlog.get_logger()
+
+
+class ControlListener:
+    """Tell nodes from control instances by their first message.
+
+    A stranger, a slow peer, or one of another mesh is closed with a
+    log line; the listener itself goes on.
+    """
+
+    def __init__(
+        self,
+        mesh: str,
+        node_traffic: Traffic,
+        peer_traffic: Traffic,
+        serve_node: Callable[[FrameConnection, Hello], Awaitable[None]],
+        serve_peer: Callable[[str, object], None],
+    ) -> None:
+        self._mesh = mesh
+        self._node_traffic = node_traffic
+        self._peer_traffic = peer_traffic
+        self._serve_node = serve_node
+        self._serve_peer = serve_peer
+        self._connections = 0
+
+    async def run(self, listener: MultiListener[SocketStream]) -> None:
+        """Accept connections until cancelled."""
+        await listener.serve(self._accept)
+
+    async def _accept(self, stream: ByteStream) -> None:
+        if self._connections >= MAX_CONNECTIONS:
+            _log.warning("connection_refused", reason="too_many_connections")
+            await anyio.aclose_forcefully(stream)
+            return
+        self._connections += 1
+        connection = FrameConnection(stream, CODEC, self._node_traffic)
+        try:
+            await self._greet(connection)
+        except Exception:
+            # one connection's fault must not end those of all others
+            _log.exception("connection_failed")
+        finally:
+            self._connections -= 1
+            await connection.close()
+
+    async def _greet(self, connection: FrameConnection) -> None:
+        first: Result[object, WireFault] = Err(UnexpectedFrame(("timeout",)))
+        with anyio.move_on_after(HELLO_TIMEOUT_SECONDS):
+            first = await _receive_first(connection)
+        match first:
+            case Ok(Hello(mesh=mesh) as hello) if mesh == self._mesh:
+                await self._serve_node(connection, hello)
+            case Ok(PeerHello(mesh=mesh) as hello) if mesh == self._mesh:
+                connection.count_on(self._peer_traffic)
+                await self._receive_from_peer(connection, hello.control)
+            case Ok(message):
+                _log.warning(
+                    "connection_refused",
+                    reason="other_mesh_or_no_hello",
+                    message=type(message).__name__,
+                )
+            case Err(fault):
+                _log.warning("connection_refused", reason=repr(fault))
+
+    async def _receive_from_peer(
+        self,
+        connection: FrameConnection,
+        name: str,
+    ) -> None:
+        while True:
+            received = await connection.receive()
+            if isinstance(received, Err):
+                _log.info(
+                    "peer_closed",
+                    peer=name,
+                    cause=repr(received.err_value),
+                )
+                return
+            self._serve_peer(name, received.ok_value)
+
+
+async def _receive_first(
+    connection: FrameConnection,
+) -> Result[object, WireFault]:
+    opened = await connection.open()
+    if isinstance(opened, Err):
+        return opened
+    return await connection.receive()
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_parts.py
@@ -0,0 +1,42 @@
+"""What a control instance is made of."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rhubarbhollow_daemon.endpoint_exchange import EndpointExchange
+    from rhubarbhollow_daemon.floor_file import FloorFile
+    from rhubarbhollow_daemon.leader_desk import LeaderDesk
+    from rhubarbhollow_daemon.node_desk import NodeDesk
+    from rhubarbhollow_daemon.peer_links import PeerLinks
+    from rhubarbhollow_daemon.release_machine import ReleaseMachine
+    from rhubarbhollow_daemon.stage_builder import StageBuilder
+    from rhubarbhollow_distribution.endpoint_store import EndpointStore
+    from rhubarbhollow_distribution.feed_settings import FeedSettings
+    from rhubarbhollow_distribution.node_register import NodeRegister
+    from rhubarbhollow_distribution.start_floor import StartFloor
+    from rhubarbhollow_replication.replica import Replica
+    from rhubarbhollow_wire.clock import Clock
+
+
+@dataclass(frozen=True, slots=True)
+class ControlParts:
+    """Hold the parts that one control instance joins."""
+
+    name: str
+    data_centre: str
+    clock: Clock
+    replica: Replica
+    machine: ReleaseMachine
+    stages: StageBuilder
+    store: EndpointStore
+    register: NodeRegister
+    desk: NodeDesk
+    exchange: EndpointExchange
+    leader_desk: LeaderDesk
+    links: PeerLinks
+    floor: StartFloor
+    floor_file: FloorFile
+    feed_settings: FeedSettings
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/floor_file.py
@@ -0,0 +1,70 @@
+"""The durable floor of a data centre."""
+
+from __future__ import annotations
+
+import os
+import zlib
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+FLOOR_FILE_NAME: Final = "floor"
+
+
+class FloorFile:
+    """Remember the highest position in force on a local node.
+
+    The file holds the position and its checksum in text. A damaged file
+    reads as 0 and is reported, since a floor that is too low is caught
+    by the log of the control instance itself in all but double faults.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._path = folder / FLOOR_FILE_NAME
+        self._position, self._is_damaged = _read(self._path)
+
+    @property
+    def position(self) -> int:
+        """Return the floor that is durable."""
+        return self._position
+
+    @property
+    def is_damaged(self) -> bool:
+        """Return whether the file failed its checksum at the start."""
+        return self._is_damaged
+
+    def raise_to(self, position: int) -> None:
+        """Make a higher floor durable; raise ``OSError`` on failure."""
+        if position <= self._position:
+            return
+        body = str(position)
+        line = f"{body} {zlib.crc32(body.encode())}\n"
+        temporary = self._path.with_suffix(".new")
+        with temporary.open("w") as file:
+            file.write(line)
+            file.flush()
+            os.fsync(file.fileno())
+        temporary.replace(self._path)
+        _sync_folder(self._path.parent)
+        self._position = position
+
+
+def _read(path: Path) -> tuple[int, bool]:
+    try:
+        body, checksum = path.read_text().split()
+        if int(checksum) == zlib.crc32(body.encode()):
+            return int(body), False
+    except FileNotFoundError:
+        return 0, False
+    except (OSError, ValueError):
+        return 0, True
+    return 0, True
+
+
+def _sync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/http_response.py
@@ -0,0 +1,50 @@
+"""Answers of the admin port."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+JSON_TYPE: Final = "application/json"
+PROBLEM_TYPE: Final = "application/problem+json"
+PROBLEM_PREFIX: Final = "urn:rhubarbhollow:problem:"
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """Hold one answer whole."""
+
+    status: int
+    body: bytes
+    content_type: str = JSON_TYPE
+
+
+def answer_json(document: object, status: int = 200) -> HttpResponse:
+    """Return an answer with ``document`` as its JSON body."""
+    return HttpResponse(status, encode_json(document))
+
+
+def answer_problem(
+    kind: str,
+    status: int,
+    detail: str,
+    members: Mapping[str, object] | None = None,
+) -> HttpResponse:
+    """Return an RFC 9457 problem document."""
+    document = {
+        "type": f"{PROBLEM_PREFIX}{kind}",
+        "title": kind.replace("_", " "),
+        "status": int(status),
+        "detail": detail,
+        **(members or {}),
+    }
+    return HttpResponse(int(status), encode_json(document), PROBLEM_TYPE)
+
+
+def encode_json(document: object) -> bytes:
+    """Return compact JSON."""
+    return json.dumps(document, separators=(",", ":")).encode()
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/http_server.py
@@ -0,0 +1,171 @@
+"""The admin port: an ASGI application served by uvicorn."""
+
+from __future__ import annotations
+
+import re
+from contextlib import contextmanager
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any, Final
+
+import structlog
+import uvicorn
+
+from rhubarbhollow_daemon.http_request import HttpRequest
+from rhubarbhollow_daemon.http_response import HttpResponse, answer_problem
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Awaitable, Callable, Iterator, Mapping
+
+    Handler = Callable[
+        [HttpRequest, Mapping[str, str]], Awaitable[HttpResponse]
+    ]
+
+MAX_BODY_BYTES: Final = 24 * 1024 * 1024
+
+_log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """Bind a method and a path pattern to a handler.
+
+    The pattern's named groups become the handler's second argument.
+    """
+
+    method: str
+    pattern: re.Pattern[str]
+    handler: Handler
+
+
+class AdminApplication:
+    """Dispatch requests of the admin port to handlers."""
+
+    def __init__(self) -> None:
+        self._endpoints: list[Endpoint] = []
+
+    async def __call__(
+        self,
+        scope: Mapping[str, Any],
+        receive: Callable[[], Awaitable[Mapping[str, Any]]],
+        send: Callable[[Mapping[str, Any]], Awaitable[None]],
+    ) -> None:
+        """Answer one request, as ASGI asks."""
+        if scope["type"] != "http":
+            return
+        body = await _read_body(receive)
+        response = await self._respond(scope, body)
+        headers = [
+            (b"content-type", response.content_type.encode()),
+            (b"content-length", str(len(response.body)).encode()),
+        ]
+        await send(
+            {
+                "type": "http.response.start",
+                "status": response.status,
+                "headers": headers,
+            }
+        )
+        await send({"type": "http.response.body", "body": response.body})
+
+    def add(self, method: str, pattern: str, handler: Handler) -> None:
+        """Serve ``pattern``, a regular expression of a whole path."""
+        self._endpoints.append(Endpoint(method, re.compile(pattern), handler))
+
+    async def _respond(
+        self,
+        scope: Mapping[str, Any],
+        body: bytes | None,
+    ) -> HttpResponse:
+        if body is None:
+            return answer_problem(
+                "body_too_large",
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                f"a body may have {MAX_BODY_BYTES} bytes",
+            )
+        request = HttpRequest(
+            scope["method"],
+            scope["path"],
+            scope["query_string"].decode("latin-1"),
+            body,
+        )
+        try:
+            return await self._dispatch(request)
+        except Exception:
+            _log.exception("admin_request_failed", path=request.path)
+            return answer_problem(
+                "internal_error",
+                HTTPStatus.INTERNAL_SERVER_ERROR,
+                "the instance's log has the cause",
+            )
+
+    async def _dispatch(self, request: HttpRequest) -> HttpResponse:
+        is_path_known = False
+        for endpoint in self._endpoints:
+            match = endpoint.pattern.fullmatch(request.path)
+            if match is None:
+                continue
+            is_path_known = True
+            if endpoint.method == request.method:
+                return await endpoint.handler(request, match.groupdict())
+        if is_path_known:
+            return answer_problem(
+                "method_not_allowed",
+                HTTPStatus.METHOD_NOT_ALLOWED,
+                f"{request.method} is not served here",
+            )
+        return answer_problem(
+            "not_found",
+            HTTPStatus.NOT_FOUND,
+            "nothing is served at this path",
+        )
+
+
+class AdminServer(uvicorn.Server):
+    """Serve until told to stop, and leave signals to the process."""
+
+    @contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave the process's signal handlers alone."""
+        yield
+
+    def stop(self) -> None:
+        """Ask the server to finish."""
+        self.should_exit = True
+
+
+def build_admin_server(application: AdminApplication) -> AdminServer:
+    """Return a server for sockets that the caller has bound."""
+    config = uvicorn.Config(
+        application,
+        loop="none",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        timeout_graceful_shutdown=1,
+    )
+    return AdminServer(config)
+
+
+async def serve_admin(server: AdminServer, bound: socket.socket) -> None:
+    """Serve on a bound socket until the server is stopped."""
+    await server.serve(sockets=[bound])
+
+
+async def _read_body(
+    receive: Callable[[], Awaitable[Mapping[str, Any]]],
+) -> bytes | None:
+    body = bytearray()
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return bytes(body)
+        body += message.get("body", b"")
+        if len(body) > MAX_BODY_BYTES:
+            return None
+        if not message.get("more_body", False):
+            return bytes(body)
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/leader_relay.py
@@ -0,0 +1,141 @@
+"""Handing operators' requests to the leader."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import anyio
+import structlog
+
+from rhubarbhollow_daemon.http_request import HttpRequest
+from rhubarbhollow_daemon.http_response import (
+    JSON_TYPE,
+    PROBLEM_TYPE,
+    HttpResponse,
+    answer_problem,
+)
+from rhubarbhollow_daemon.messages import ProposeAnswer, ProposeRequest
+from rhubarbhollow_replication.role import Role
+
+if TYPE_CHECKING:
+    from rhubarbhollow_daemon.peer_links import PeerLinks
+    from rhubarbhollow_daemon.submission import SubmissionDesk
+    from rhubarbhollow_replication.replica import Replica
+    from rhubarbhollow_wire.clock import Clock
+
+RELEASE_GROUP: Final = 0
+SUBMIT_KIND: Final = 1
+SUBMIT_DEADLINE_SECONDS: Final = 8.0
+ANSWER_TIMEOUT_SECONDS: Final = 2.0
+RETRY_SECONDS: Final = 0.1
+MAX_RELAYED: Final = 64
+
+HTTP_OK: Final = 200
+HTTP_UNAVAILABLE: Final = 503
+HTTP_TIMEOUT: Final = 504
+
+_log = structlog.get_logger()
+
+
+class LeaderRelay:
+    """Have a submission answered by whoever leads.
+
+    The same bytes get the same answer from any leader, so a lost
+    answer is asked for again until the deadline. Only after a request
+    may have reached a leader is the outcome called unknown.
+    """
+
+    def __init__(
+        self,
+        own_name: str,
+        replica: Replica,
+        desk: SubmissionDesk,
+        links: PeerLinks,
+        clock: Clock,
+    ) -> None:
+        self._own_name = own_name
+        self._replica = replica
+        self._desk = desk
+        self._links = links
+        self._clock = clock
+        self._last_id = 0
+        self._answers: dict[int, ProposeAnswer] = {}
+        self._waiting: dict[int, anyio.Event] = {}
+        self._relayed = anyio.CapacityLimiter(MAX_RELAYED)
+
+    async def submit(self, body: bytes) -> HttpResponse:
+        """Return the leader's answer, or why there is none."""
+        deadline = self._clock.monotonic() + SUBMIT_DEADLINE_SECONDS
+        is_outcome_open = False
+        response = _no_leader()
+        while self._clock.monotonic() < deadline:
+            response = await self._submit_once(body)
+            if response.status not in (HTTP_UNAVAILABLE, HTTP_TIMEOUT):
+                return response
+            is_outcome_open |= response.status == HTTP_TIMEOUT
+            await anyio.sleep(RETRY_SECONDS)
+        return _unknown() if is_outcome_open else response
+
+    def take_answer(self, answer: ProposeAnswer) -> None:
+        """Hand a leader's answer to whoever waits for it."""
+        event = self._waiting.get(answer.request_id)
+        if event is not None:
+            self._answers[answer.request_id] = answer
+            event.set()
+
+    async def serve(self, control: str, request: ProposeRequest) -> None:
+        """Answer a submission that another instance handed over."""
+        async with self._relayed:
+            http = HttpRequest("POST", "/v1/releases", "", request.payload)
+            response = await self._desk.submit(http)
+        self._links.send(
+            control,
+            ProposeAnswer(
+                request.request_id,
+                response.status,
+                response.body,
+                self._replica.status.leader or "",
+            ),
+        )
+
+    async def _submit_once(self, body: bytes) -> HttpResponse:
+        status = self._replica.status
+        if status.role is Role.LEADER:
+            request = HttpRequest("POST", "/v1/releases", "", body)
+            return await self._desk.submit(request)
+        link = self._links.by_name.get(status.leader or "")
+        if link is None or not link.is_up:
+            return _no_leader()
+        self._last_id += 1
+        request_id = self._last_id
+        event = self._waiting[request_id] = anyio.Event()
+        try:
+            link.send(
+                ProposeRequest(request_id, RELEASE_GROUP, body, SUBMIT_KIND),
+            )
+            with anyio.move_on_after(ANSWER_TIMEOUT_SECONDS):
+                await event.wait()
+        finally:
+            del self._waiting[request_id]
+        answer = self._answers.pop(request_id, None)
+        if answer is None:
+            return _unknown()
+        is_ok = answer.status == HTTP_OK
+        content_type = JSON_TYPE if is_ok else PROBLEM_TYPE
+        return HttpResponse(answer.status, answer.outcome, content_type)
+
+
+def _no_leader() -> HttpResponse:
+    return answer_problem(
+        "no_leader",
+        HTTP_UNAVAILABLE,
+        "no leader is known; nothing was accepted",
+    )
+
+
+def _unknown() -> HttpResponse:
+    return answer_problem(
+        "outcome_unknown",
+        HTTP_TIMEOUT,
+        "the release may or may not be accepted; submit it again",
+    )
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/local_upstreams.py
@@ -0,0 +1,107 @@
+"""The upstream beside a node, from its announcements."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+from result import Ok
+
+from rhubarbhollow_calls.io_local_upstream import LocalUpstream
+from rhubarbhollow_daemon.endpoint_view import name_endpoint
+from rhubarbhollow_distribution.endpoint_report import EndpointReport
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from rhubarbhollow_calls.io_node import CallNode
+    from rhubarbhollow_daemon.outbox import Outbox
+    from rhubarbhollow_distribution.announcement import Announcement
+    from rhubarbhollow_distribution.announcement_book import (
+        AnnouncementBook,
+        TooManyUpstreams,
+        UnknownUpstream,
+    )
+    from rhubarbhollow_distribution.endpoint_record import EndpointRecord
+
+_log = structlog.get_logger()
+
+
+class LocalUpstreams:
+    """Take announcements, and tell the call path and the mesh."""
+
+    def __init__(
+        self,
+        node: str,
+        book: AnnouncementBook,
+        call_node: CallNode,
+        outbox: Outbox,
+    ) -> None:
+        self._node = node
+        self._book = book
+        self._call_node = call_node
+        self._outbox = outbox
+
+    @property
+    def announcements(self) -> tuple[Announcement, ...]:
+        """Return the last announcement of each listed upstream."""
+        return self._book.announcements
+
+    def announce(
+        self,
+        announcement: Announcement,
+    ) -> Result[EndpointRecord, TooManyUpstreams]:
+        """List an upstream or renew its lease."""
+        outcome = self._book.announce(announcement)
+        if isinstance(outcome, Ok):
+            self._apply_changes()
+        return outcome
+
+    def withdraw(self, name: str) -> Result[EndpointRecord, UnknownUpstream]:
+        """Take an upstream off the list at once."""
+        outcome = self._book.withdraw(name)
+        if isinstance(outcome, Ok):
+            self._apply_changes()
+        return outcome
+
+    def leave_all(self) -> None:
+        """Tell the mesh that no upstream here takes new work."""
+        self._book.leave_all()
+        self._apply_changes()
+
+    def expire(self) -> None:
+        """Take off the list every upstream whose lease has ended."""
+        self._book.expire()
+        self._apply_changes()
+
+    def _apply_changes(self) -> None:
+        changed = self._book.take_changes()
+        if not changed:
+            return
+        self._outbox.put(EndpointReport(changed))
+        self._call_node.set_local_upstream(self._maybe_local())
+        for record in changed:
+            _log.info(
+                "upstream_changed",
+                upstream=record.name,
+                service=record.service,
+                state=record.state,
+                sequence=record.sequence,
+            )
+
+    def _maybe_local(self) -> LocalUpstream | None:
+        listed = sorted(
+            self._book.announcements,
+            key=lambda announcement: announcement.is_leaving,
+        )
+        if not listed:
+            return None
+        announcement = listed[0]
+        return LocalUpstream(
+            name=name_endpoint(self._node, announcement.name),
+            service=announcement.service,
+            host=announcement.host,
+            port=announcement.port,
+            slots=announcement.slots,
+            connections=announcement.connections,
+        )
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/logs.py
@@ -0,0 +1,33 @@
+"""Structured logs: one line of key=value pairs for each event."""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+import structlog
+
+
+def configure_logs(level: str, instance: str, data_centre: str) -> None:
+    """Write events of ``level`` and above to standard error."""
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.LogfmtRenderer(
+                key_order=["timestamp", "level", "event", "instance"],
+                bool_as_flag=False,
+            ),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelNamesMapping()[level.upper()],
+        ),
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(
+        instance=instance,
+        data_centre=data_centre,
+    )
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/main.py
@@ -0,0 +1,59 @@
+"""The command line of ``rhubarbhollowd``."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Final
+
+import anyio
+import click
+import structlog
+from result import Err
+
+from rhubarbhollow_daemon.logs import configure_logs
+from rhubarbhollow_daemon.process import run_process
+from rhubarbhollow_daemon.settings import load_settings
+
+EXIT_BAD_SETTINGS: Final = 2
+EXIT_STORE_FAILED: Final = 4
+
+
+@click.command()
+@click.option(
+    "--config",
+    required=True,
+    type=click.Path(path_type=Path),
+    help="The YAML file with this instance's settings.",
+)
+@click.option("--check", is_flag=True, help="Validate the settings and stop.")
+@click.version_option(package_name="rhubarbhollow-daemon")
+def main(config: Path, check: bool) -> None:
+    """Run one process of the mesh: a node, or a control instance too.
+
+    SIGTERM drains and stops; a second one stops at once.
+    """
+    loaded = load_settings(config)
+    if isinstance(loaded, Err):
+        for fault in loaded.err_value.faults:
+            line = f"{config}: {fault.path}: {fault.kind.value} {fault.detail}"
+            click.echo(line, err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if check:
+        click.echo(f"{config}: valid")
+        return
+    settings = loaded.ok_value
+    configure_logs(
+        settings.logs.level,
+        settings.instance.name,
+        settings.instance.data_centre,
+    )
+    outcome = anyio.run(
+        run_process,
+        settings,
+        backend_options={"use_uvloop": True},
+    )
+    if isinstance(outcome, Err):
+        log = structlog.get_logger()
+        log.error("process_failed", fault=repr(outcome.err_value))
+        sys.exit(EXIT_STORE_FAILED)
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -0,0 +1,100 @@
+"""Building of a node from its settings."""
+
+from __future__ import annotations
+
+from importlib.metadata import version
+from typing import TYPE_CHECKING
+
+from rhubarbhollow_calls.io_node import CallNode
+from rhubarbhollow_calls.io_settings import CallSettings
+from rhubarbhollow_calls.quarantine import Quarantine
+from rhubarbhollow_calls.upstream_book import UpstreamBook
+from rhubarbhollow_daemon.endpoint_view import EndpointView
+from rhubarbhollow_daemon.local_upstreams import LocalUpstreams
+from rhubarbhollow_daemon.node_parts import NodeParts
+from rhubarbhollow_daemon.node_session import NodeSession
+from rhubarbhollow_daemon.node_state import NodeState
+from rhubarbhollow_daemon.outbox import Outbox
+from rhubarbhollow_distribution.announcement_book import AnnouncementBook
+from rhubarbhollow_distribution.endpoint_table import EndpointTable
+from rhubarbhollow_distribution.holder import ReleaseHolder
+from rhubarbhollow_distribution.source_choice import SourceChooser
+from rhubarbhollow_wire.traffic import Traffic
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from rhubarbhollow_daemon.settings import Settings
+    from rhubarbhollow_daemon.settings_calls import CallsSettings
+    from rhubarbhollow_wire.clock import Clock
+
+
+def build_node(
+    settings: Settings,
+    incarnation: int,
+    clock: Clock,
+    random: Random,
+) -> NodeParts:
+    """Join the parts of a node; nothing runs yet."""
+    name = settings.instance.name
+    data_centre = settings.instance.data_centre
+    outbox = Outbox()
+    book = UpstreamBook(data_centre, clock, random)
+    announcements = AnnouncementBook(
+        node=name,
+        data_centre=data_centre,
+        peer_host=settings.advertise_host,
+        peer_port=settings.listen.peer_port,
+        incarnation=incarnation,
+        clock=clock,
+    )
+    chooser = SourceChooser(data_centre, settings.controls, clock, random)
+    state = NodeState(
+        settings.mesh,
+        name,
+        data_centre,
+        incarnation,
+        ReleaseHolder(settings.mesh, settings.trusted, clock),
+        EndpointTable(clock),
+        EndpointView(book, clock),
+        announcements,
+        chooser,
+        outbox,
+    )
+    call_node = CallNode(
+        name,
+        data_centre,
+        book,
+        clock,
+        state.observe_position,
+        _call_settings(settings.calls),
+        Quarantine(clock),
+        request_id_prefix=f"{name}-{incarnation:x}".encode(),
+    )
+    state.attach(call_node)
+    traffic = Traffic()
+    return NodeParts(
+        settings=settings,
+        version=version("rhubarbhollow-daemon"),
+        clock=clock,
+        call_node=call_node,
+        state=state,
+        chooser=chooser,
+        session=NodeSession(
+            state,
+            chooser,
+            outbox,
+            traffic,
+            settings.distribution.heartbeat.total_seconds(),
+        ),
+        upstreams=LocalUpstreams(name, announcements, call_node, outbox),
+        traffic=traffic,
+    )
+
+
+def _call_settings(calls: CallsSettings) -> CallSettings:
+    return CallSettings(
+        queue_limit=calls.queue_limit,
+        connect_timeout_seconds=calls.connect_timeout.total_seconds(),
+        head_timeout_seconds=round(calls.head_timeout.total_seconds()),
+    )
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_desk.py
@@ -0,0 +1,189 @@
+"""The nodes that are connected to one control instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import structlog
+
+from rhubarbhollow_distribution.active_report import ActiveReport
+from rhubarbhollow_distribution.admission import Admitted, Queued
+from rhubarbhollow_distribution.endpoint_report import EndpointReport
+from rhubarbhollow_distribution.node_heartbeat import NodeHeartbeat
+from rhubarbhollow_distribution.redirect import Redirect, RedirectReason
+from rhubarbhollow_distribution.stage_request import StageRequest
+from rhubarbhollow_distribution.staged_report import StagedReport
+
+if TYPE_CHECKING:
+    from rhubarbhollow_daemon.endpoint_exchange import EndpointExchange
+    from rhubarbhollow_daemon.node_link import NodeLink
+    from rhubarbhollow_distribution.admission import AdmissionQueue
+    from rhubarbhollow_distribution.endpoint_store import EndpointStore
+    from rhubarbhollow_distribution.ledger_view import LedgerView
+    from rhubarbhollow_distribution.node_register import NodeRegister
+    from rhubarbhollow_distribution.welcome import Welcome
+    from rhubarbhollow_wire.clock import Clock
+
+REJOIN_DELAY_MS: Final = 500
+
+_log = structlog.get_logger()
+
+
+class NodeDesk:
+    """Admit nodes, follow what they report and feed them.
+
+    Only the control instance's own task calls these methods, so the
+    state needs no lock.
+    """
+
+    def __init__(
+        self,
+        welcome: Welcome,
+        register: NodeRegister,
+        admission: AdmissionQueue,
+        store: EndpointStore,
+        exchange: EndpointExchange,
+        clock: Clock,
+    ) -> None:
+        self._welcome = welcome
+        self._register = register
+        self._admission = admission
+        self._store = store
+        self._exchange = exchange
+        self._clock = clock
+        self._links: dict[str, NodeLink] = {}
+        self._waiting: dict[str, NodeLink] = {}
+        self._incarnations: dict[str, int] = {}
+
+    @property
+    def next_due(self) -> float:
+        """Return the time at which some node is due for a message."""
+        due = min(
+            (link.due for link in self._links.values()),
+            default=float("inf"),
+        )
+        return min(due, self._admission.next_due() or float("inf"))
+
+    def join(self, link: NodeLink, view: LedgerView) -> None:
+        """Admit a node, queue it, or send it away for a while."""
+        match self._admission.offer(link.hello.node):
+            case Admitted():
+                self._admit(link, view)
+            case Queued():
+                self._end_replaced(self._waiting.pop(link.hello.node, None))
+                self._waiting[link.hello.node] = link
+            case Redirect() as redirect:
+                self._send_away(link, redirect)
+
+    def hear(
+        self,
+        link: NodeLink,
+        message: object,
+        view: LedgerView,
+    ) -> None:
+        """Take over a node's message and send what it leads to."""
+        if self._links.get(link.hello.node) is not link:
+            return
+        match message:
+            case EndpointReport():
+                self._merge(message)
+                self._register.accept(link.hello.node, message)
+            case (
+                ActiveReport() | NodeHeartbeat() | StageRequest()
+            ) | StagedReport():
+                self._register.accept(link.hello.node, message)
+                link.feed.accept(message)
+            case _:
+                _log.warning(
+                    "node_message_unexpected",
+                    node=link.hello.node,
+                    message=type(message).__name__,
+                )
+                link.end()
+                return
+        self.feed(link, view)
+
+    def leave(self, link: NodeLink) -> None:
+        """Forget a node whose connection ended.
+
+        Its endpoints stay until its lease ends: a node that reconnects
+        in time must not disappear from the fleet's tables.
+        """
+        name = link.hello.node
+        if self._waiting.get(name) is link:
+            del self._waiting[name]
+            self._admission.withdraw(name)
+        if self._links.get(name) is link:
+            del self._links[name]
+
+    def tick(self, view: LedgerView) -> None:
+        """Admit whose turn has come; end the leases of the silent."""
+        for name in self._admission.admit_due():
+            link = self._waiting.pop(name, None)
+            if link is not None:
+                self._admit(link, view)
+        for name in self._register.expired():
+            self._end_lease(name)
+        self._store.expire()
+
+    def feed_due(self, view: LedgerView) -> None:
+        """Feed every node whose time has come."""
+        now = self._clock.monotonic()
+        for link in self._links.values():
+            if link.due <= now:
+                self.feed(link, view)
+
+    def feed_all(self, view: LedgerView) -> None:
+        """Feed every node, since something changed for all."""
+        for link in self._links.values():
+            self.feed(link, view)
+
+    def feed(self, link: NodeLink, view: LedgerView) -> None:
+        """Queue all that the node should be sent now."""
+        message = link.feed.next_message(view)
+        while message is not None:
+            link.outbox.put(message)
+            message = link.feed.next_message(view)
+        link.due = link.feed.next_due()
+
+    def _admit(self, link: NodeLink, view: LedgerView) -> None:
+        if not self._register.admit(link.hello):
+            self._send_away(
+                link,
+                Redirect(int(RedirectReason.BUSY), REJOIN_DELAY_MS),
+            )
+            return
+        self._end_replaced(self._links.pop(link.hello.node, None))
+        self._links[link.hello.node] = link
+        self._incarnations[link.hello.node] = link.hello.incarnation
+        link.outbox.put(self._welcome)
+        _log.info(
+            "node_joined",
+            node=link.hello.node,
+            node_data_centre=link.hello.data_centre,
+            active_position=link.hello.active_position,
+        )
+        self.feed(link, view)
+
+    def _send_away(self, link: NodeLink, redirect: Redirect) -> None:
+        _log.info(
+            "node_sent_away",
+            node=link.hello.node,
+            reason=RedirectReason(redirect.reason).name.lower(),
+            retry_after_ms=redirect.retry_after_ms,
+        )
+        link.outbox.put(redirect)
+
+    def _merge(self, report: EndpointReport) -> None:
+        changed = self._store.merge(report.records, self._welcome.control)
+        self._exchange.publish(changed)
+
+    def _end_lease(self, name: str) -> None:
+        _log.warning("node_lease_ended", node=name)
+        self._register.remove(name, self._incarnations.pop(name, 0))
+        self._end_replaced(self._links.pop(name, None))
+        self._exchange.publish(self._store.end_lease(name))
+
+    def _end_replaced(self, link: NodeLink | None) -> None:
+        if link is not None:
+            link.end()
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
@@ -0,0 +1,31 @@
+"""What every node is made of."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.io_node import CallNode
+    from rhubarbhollow_daemon.local_upstreams import LocalUpstreams
+    from rhubarbhollow_daemon.node_session import NodeSession
+    from rhubarbhollow_daemon.node_state import NodeState
+    from rhubarbhollow_daemon.settings import Settings
+    from rhubarbhollow_distribution.source_choice import SourceChooser
+    from rhubarbhollow_wire.clock import Clock
+    from rhubarbhollow_wire.traffic import Traffic
+
+
+@dataclass(frozen=True, slots=True)
+class NodeParts:
+    """Hold the parts that one node joins."""
+
+    settings: Settings
+    version: str
+    clock: Clock
+    call_node: CallNode
+    state: NodeState
+    chooser: SourceChooser
+    session: NodeSession
+    upstreams: LocalUpstreams
+    traffic: Traffic
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_session.py
@@ -0,0 +1,169 @@
+"""The task that keeps a node connected to a control instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import anyio
+import structlog
+from result import Err, Ok
+
+from rhubarbhollow_daemon.source_connection import connect_source
+from rhubarbhollow_distribution.endpoint_report import EndpointReport
+from rhubarbhollow_distribution.node_heartbeat import NodeHeartbeat
+
+if TYPE_CHECKING:
+    from rhubarbhollow_daemon.node_state import NodeState
+    from rhubarbhollow_daemon.outbox import Outbox
+    from rhubarbhollow_distribution.source_choice import SourceChooser
+    from rhubarbhollow_wire.connection import FrameConnection
+    from rhubarbhollow_wire.traffic import Traffic
+
+TICK_SECONDS: Final = 0.1
+
+_log = structlog.get_logger()
+
+
+class NodeSession:
+    """Stay connected to the best control instance there is.
+
+    While one is connected the node looks for another only if this one
+    is silent, not fresh or behind, and leaves it only once the other
+    has answered: a node that is cut off goes on with what it has.
+    """
+
+    def __init__(
+        self,
+        state: NodeState,
+        chooser: SourceChooser,
+        outbox: Outbox,
+        traffic: Traffic,
+        heartbeat_seconds: float,
+    ) -> None:
+        self._state = state
+        self._chooser = chooser
+        self._outbox = outbox
+        self._traffic = traffic
+        self._heartbeat_seconds = heartbeat_seconds
+        self._is_connected = False
+
+    @property
+    def is_connected(self) -> bool:
+        """Return whether a control instance has welcomed this node."""
+        return self._is_connected
+
+    async def run(self) -> None:
+        """Connect and reconnect until cancelled."""
+        while True:
+            attempt = self._chooser.next_attempt()
+            await anyio.sleep(attempt.delay_seconds)
+            connected = await connect_source(
+                attempt.address,
+                self._state.hello(),
+                self._traffic,
+            )
+            if isinstance(connected, Err):
+                fault = connected.err_value
+                self._chooser.note_failed(
+                    attempt.address,
+                    fault.retry_after_seconds,
+                )
+                _log.info(
+                    "source_unreachable",
+                    control=attempt.address.name,
+                    cause=fault.cause,
+                )
+                continue
+            self._chooser.note_connected(attempt.address)
+            await self._serve_until_lost(connected.ok_value)
+            self._chooser.note_lost()
+
+    async def _serve_until_lost(self, connection: FrameConnection) -> None:
+        current: FrameConnection | None = connection
+        while current is not None:
+            source = self._chooser.current
+            _log.info(
+                "source_connected",
+                control=source.name if source else None,
+            )
+            self._outbox.clear()
+            self._outbox.put(EndpointReport(self._state.endpoint_records))
+            self._is_connected = True
+            try:
+                current = await self._serve(current)
+            finally:
+                self._is_connected = False
+
+    async def _serve(
+        self,
+        connection: FrameConnection,
+    ) -> FrameConnection | None:
+        """Serve one connection; return the one that replaces it."""
+        successor: FrameConnection | None = None
+        try:
+            async with anyio.create_task_group() as group:
+
+                async def receive() -> None:
+                    await self._receive(connection)
+                    group.cancel_scope.cancel()
+
+                async def seek() -> None:
+                    nonlocal successor
+                    successor = await self._seek_successor()
+                    group.cancel_scope.cancel()
+
+                group.start_soon(receive)
+                group.start_soon(seek)
+                group.start_soon(self._send_heartbeats)
+                await self._outbox.pump(connection)
+                group.cancel_scope.cancel()
+        finally:
+            await connection.close()
+        return successor
+
+    async def _receive(self, connection: FrameConnection) -> None:
+        while True:
+            match await connection.receive():
+                case Ok(message):
+                    self._chooser.note_message()
+                    self._state.take(message)
+                case Err(fault):
+                    _log.info("source_lost", cause=repr(fault))
+                    return
+
+    async def _seek_successor(self) -> FrameConnection | None:
+        while True:
+            await anyio.sleep(TICK_SECONDS)
+            attempt = self._chooser.maybe_alternative()
+            if attempt is None:
+                if self._chooser.is_silent:
+                    _log.warning("source_silent")
+                    return None
+                continue
+            await anyio.sleep(attempt.delay_seconds)
+            connected = await connect_source(
+                attempt.address,
+                self._state.hello(),
+                self._traffic,
+            )
+            if isinstance(connected, Err):
+                self._chooser.note_failed(
+                    attempt.address,
+                    connected.err_value.retry_after_seconds,
+                )
+                continue
+            _log.info(
+                "source_changed",
+                control=attempt.address.name,
+                reason=attempt.reason.name.lower(),
+            )
+            self._chooser.note_connected(attempt.address)
+            return connected.ok_value
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            await anyio.sleep(self._heartbeat_seconds)
+            holder = self._state.holder
+            self._outbox.put(
+                NodeHeartbeat(holder.active_position, holder.staged_position),
+            )
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -0,0 +1,184 @@
+"""What a node holds, and its reactions to its control instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+from result import Err, Ok
+
+from rhubarbhollow_calls.io_position import PositionCheck as CallPositionCheck
+from rhubarbhollow_daemon.route_building import build_snapshot
+from rhubarbhollow_distribution.activate import Activate
+from rhubarbhollow_distribution.activation_result import (
+    Activated,
+    AlreadyActive,
+)
+from rhubarbhollow_distribution.active_report import ActiveReport
+from rhubarbhollow_distribution.control_heartbeat import ControlHeartbeat
+from rhubarbhollow_distribution.endpoint_change import EndpointChange
+from rhubarbhollow_distribution.hello import Hello
+from rhubarbhollow_distribution.position_check import PositionCheck
+from rhubarbhollow_distribution.stage import Stage
+from rhubarbhollow_distribution.stage_fault import NeedsDifference
+from rhubarbhollow_distribution.stage_request import StageRequest
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.io_node import CallNode
+    from rhubarbhollow_daemon.endpoint_view import EndpointView
+    from rhubarbhollow_daemon.outbox import Outbox
+    from rhubarbhollow_distribution.announcement_book import AnnouncementBook
+    from rhubarbhollow_distribution.endpoint_record import EndpointRecord
+    from rhubarbhollow_distribution.endpoint_table import EndpointTable
+    from rhubarbhollow_distribution.holder import ReleaseHolder
+    from rhubarbhollow_distribution.source_choice import SourceChooser
+
+_log = structlog.get_logger()
+
+
+class NodeState:
+    """Join the release holder, the endpoints and the call path.
+
+    Every method runs on the event loop without waiting, so a release
+    is swapped between two steps of any call and never within one.
+    """
+
+    def __init__(
+        self,
+        mesh: str,
+        node: str,
+        data_centre: str,
+        incarnation: int,
+        holder: ReleaseHolder,
+        endpoints: EndpointTable,
+        view: EndpointView,
+        announcements: AnnouncementBook,
+        chooser: SourceChooser,
+        outbox: Outbox,
+    ) -> None:
+        self._mesh = mesh
+        self._node = node
+        self._data_centre = data_centre
+        self._incarnation = incarnation
+        self._holder = holder
+        self._endpoints = endpoints
+        self._view = view
+        self._announcements = announcements
+        self._chooser = chooser
+        self._outbox = outbox
+        self._call_node: CallNode | None = None
+
+    @property
+    def holder(self) -> ReleaseHolder:
+        """Return the releases that this node holds."""
+        return self._holder
+
+    @property
+    def endpoint_records(self) -> tuple[EndpointRecord, ...]:
+        """Return the records of the upstreams beside this node."""
+        return self._announcements.records
+
+    @property
+    def endpoints(self) -> EndpointTable:
+        """Return the mesh's endpoints as this node knows them."""
+        return self._endpoints
+
+    def attach(self, call_node: CallNode) -> None:
+        """Route the calls of ``call_node`` by what is held here."""
+        self._call_node = call_node
+
+    def hello(self) -> Hello:
+        """Return the first message of a new connection."""
+        return Hello(
+            mesh=self._mesh,
+            node=self._node,
+            data_centre=self._data_centre,
+            incarnation=self._incarnation,
+            active_position=self._holder.active_position,
+            active_digest=self._holder.active_digest,
+            staged_position=self._holder.staged_position,
+            endpoints_source=self._endpoints.source,
+            endpoints_version=self._endpoints.version,
+        )
+
+    def take(self, message: object) -> None:
+        """React to a message of the control instance."""
+        match message:
+            case Stage():
+                self._stage(message)
+            case Activate(position, digest):
+                self._activate(position, digest)
+            case EndpointChange():
+                self._change_endpoints(message)
+            case ControlHeartbeat():
+                self._chooser.note_heartbeat(message)
+            case _:
+                _log.warning(
+                    "control_message_unexpected",
+                    message=type(message).__name__,
+                )
+
+    def observe_position(self, position: int) -> CallPositionCheck:
+        """Follow a position that a call carries, if it is staged."""
+        match self._holder.observe_position(position):
+            case PositionCheck.CURRENT:
+                return CallPositionCheck.CURRENT
+            case PositionCheck.ACTIVATED:
+                self._put_in_force()
+                return CallPositionCheck.ACTIVATED
+            case PositionCheck.BEHIND:
+                self._chooser.note_observed(position)
+                return CallPositionCheck.BEHIND
+
+    def _stage(self, message: Stage) -> None:
+        self._chooser.note_source_position(message.position)
+        match self._holder.stage(message):
+            case Ok(report):
+                self._outbox.put(report)
+            case Err(NeedsDifference(position, digest)):
+                self._outbox.put(StageRequest(position, digest))
+            case Err(fault):
+                _log.error(
+                    "release_refused",
+                    position=message.position,
+                    fault=repr(fault),
+                )
+
+    def _activate(self, position: int, digest: bytes) -> None:
+        match self._holder.activate(position, digest):
+            case Ok(Activated()):
+                self._put_in_force()
+            case Ok(AlreadyActive(active)):
+                self._outbox.put(ActiveReport(active))
+            case Err(fault):
+                _log.warning(
+                    "activation_refused",
+                    position=position,
+                    fault=repr(fault),
+                )
+                self._outbox.put(
+                    StageRequest(
+                        self._holder.staged_position,
+                        self._holder.held_digest,
+                    ),
+                )
+
+    def _put_in_force(self) -> None:
+        active = self._holder.active
+        if active is None or self._call_node is None:
+            return
+        self._call_node.install(build_snapshot(active))
+        self._outbox.put(ActiveReport(active.position))
+        _log.info(
+            "release_in_force",
+            position=active.position,
+            version=active.version,
+            digest=active.digest.hex(),
+        )
+
+    def _change_endpoints(self, change: EndpointChange) -> None:
+        match self._endpoints.apply(change):
+            case Ok(changed):
+                self._view.update(changed)
+            case Err(fault):
+                _log.warning("endpoints_refused", fault=repr(fault))
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/outbox.py
@@ -0,0 +1,64 @@
+"""A bounded queue of messages for one connection."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import anyio
+
+if TYPE_CHECKING:
+    from rhubarbhollow_wire.connection import FrameConnection
+
+OUTBOX_MESSAGES: Final = 4_096
+BATCH_MESSAGES: Final = 64
+
+
+class Outbox:
+    """Queue messages from any task for the one task that sends them.
+
+    A full queue drops the newest message: every protocol on top of it
+    repeats what matters, and a queue without a bound would only hide a
+    peer that is too slow.
+    """
+
+    def __init__(self, limit: int = OUTBOX_MESSAGES) -> None:
+        self._sender, self._receiver = anyio.create_memory_object_stream[
+            object
+        ](limit)
+        self._dropped = 0
+
+    @property
+    def dropped(self) -> int:
+        """Return how many messages found the queue full."""
+        return self._dropped
+
+    def put(self, message: object) -> None:
+        """Queue a message; never waits."""
+        try:
+            self._sender.send_nowait(message)
+        except (anyio.WouldBlock, anyio.BrokenResourceError):
+            self._dropped += 1
+
+    def clear(self) -> None:
+        """Forget what was queued for an earlier connection."""
+        while self._maybe_next() is not None:
+            pass
+
+    async def pump(self, connection: FrameConnection) -> None:
+        """Send what is queued until the connection fails."""
+        while True:
+            batch = [await self._receiver.receive()]
+            while len(batch) < BATCH_MESSAGES:
+                message = self._maybe_next()
+                if message is None:
+                    break
+                batch.append(message)
+            sent = await connection.send(*batch)
+            if sent.is_err():
+                return
+
+    def _maybe_next(self) -> object | None:
+        try:
+            return self._receiver.receive_nowait()
+        except anyio.WouldBlock:
+            return None
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/peer_link.py
@@ -0,0 +1,121 @@
+"""The connection on which one control instance sends to another."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import anyio
+import structlog
+from result import Err
+
+from rhubarbhollow_daemon.codec import CODEC
+from rhubarbhollow_daemon.outbox import Outbox
+from rhubarbhollow_wire.connection import FrameConnection
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from rhubarbhollow_daemon.messages import PeerHello
+    from rhubarbhollow_wire.traffic import Traffic
+
+CONNECT_TIMEOUT_SECONDS: Final = 1.0
+RECONNECT_MIN_SECONDS: Final = 0.05
+RECONNECT_MAX_SECONDS: Final = 1.0
+
+_log = structlog.get_logger()
+
+
+class PeerLink:
+    """Send messages to one control instance, reconnecting for ever.
+
+    Messages flow one way: the peer answers on its own link. A message
+    that was queued while the peer was away is dropped on reconnecting,
+    since every protocol above repeats itself and old messages only
+    delay the new ones.
+    """
+
+    def __init__(
+        self,
+        hello: PeerHello,
+        name: str,
+        host: str,
+        port: int,
+        traffic: Traffic,
+        random: Random,
+    ) -> None:
+        self._hello = hello
+        self._name = name
+        self._host = host
+        self._port = port
+        self._traffic = traffic
+        self._random = random
+        self._outbox = Outbox()
+        self._is_up = False
+        self._generation = 0
+
+    @property
+    def generation(self) -> int:
+        """Return how many connections have stood so far."""
+        return self._generation
+
+    @property
+    def is_up(self) -> bool:
+        """Return whether the connection stands."""
+        return self._is_up
+
+    def send(self, message: object) -> None:
+        """Queue a message, or drop it while the peer is away."""
+        if self._is_up:
+            self._outbox.put(message)
+
+    async def run(self) -> None:
+        """Keep the connection up until cancelled."""
+        failures = 0
+        while True:
+            if await self._run_once():
+                failures = 0
+            failures += 1
+            ceiling = min(
+                RECONNECT_MAX_SECONDS,
+                RECONNECT_MIN_SECONDS * 2 ** min(failures, 10),
+            )
+            await anyio.sleep(self._random.uniform(0, ceiling))
+
+    async def _run_once(self) -> bool:
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
+                stream = await anyio.connect_tcp(self._host, self._port)
+        except (OSError, TimeoutError):
+            return False
+        connection = FrameConnection(stream, CODEC, self._traffic)
+        try:
+            with anyio.move_on_after(CONNECT_TIMEOUT_SECONDS):
+                opened = await connection.open()
+                if isinstance(opened, Err):
+                    return False
+                self._outbox.clear()
+                self._is_up = True
+                self._generation += 1
+            if not self._is_up:
+                return False
+            _log.info("peer_link_up", peer=self._name)
+            await self._serve(connection)
+            return True
+        finally:
+            self._is_up = False
+            await connection.close()
+            _log.info("peer_link_down", peer=self._name)
+
+    async def _serve(self, connection: FrameConnection) -> None:
+        sent = await connection.send(self._hello)
+        if isinstance(sent, Err):
+            return
+        async with anyio.create_task_group() as group:
+
+            async def watch() -> None:
+                await connection.receive()
+                group.cancel_scope.cancel()
+
+            group.start_soon(watch)
+            await self._outbox.pump(connection)
+            group.cancel_scope.cancel()
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/process.py
@@ -0,0 +1,255 @@
+"""The process: listeners, tasks and their end."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+from dataclasses import asdict
+from random import SystemRandom
+from typing import TYPE_CHECKING, Final
+
+import anyio
+import structlog
+from result import Err, Ok, Result
+
+from rhubarbhollow_daemon.control_building import build_control
+from rhubarbhollow_daemon.control_handlers import ControlHandlers
+from rhubarbhollow_daemon.control_instance import ControlInstance
+from rhubarbhollow_daemon.control_listener import ControlListener
+from rhubarbhollow_daemon.fleet import Fleet
+from rhubarbhollow_daemon.http_response import answer_json
+from rhubarbhollow_daemon.http_server import (
+    AdminApplication,
+    build_admin_server,
+    serve_admin,
+)
+from rhubarbhollow_daemon.leader_relay import LeaderRelay
+from rhubarbhollow_daemon.metrics import Metrics
+from rhubarbhollow_daemon.node_building import build_node
+from rhubarbhollow_daemon.node_handlers import NodeHandlers
+from rhubarbhollow_daemon.peer_dispatch import PeerDispatch
+from rhubarbhollow_daemon.readings import read_control, read_node
+from rhubarbhollow_daemon.submission import SubmissionDesk
+from rhubarbhollow_wire.clock import SystemClock
+from rhubarbhollow_wire.traffic import Traffic
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+    from anyio.abc import TaskGroup
+
+    from rhubarbhollow_daemon.control_parts import ControlParts
+    from rhubarbhollow_daemon.http_request import HttpRequest
+    from rhubarbhollow_daemon.http_response import HttpResponse
+    from rhubarbhollow_daemon.node_parts import NodeParts
+    from rhubarbhollow_daemon.reading import Reading
+    from rhubarbhollow_daemon.settings import Settings
+    from rhubarbhollow_replication.store_fault import StoreFault
+
+HOUSEKEEPING_SECONDS: Final = 1.0
+DRAIN_POLL_SECONDS: Final = 0.02
+LISTEN_BACKLOG: Final = 1_024
+
+_log = structlog.get_logger()
+
+
+async def run_process(settings: Settings) -> Result[None, StoreFault]:
+    """Run until a signal ends the process."""
+    clock = SystemClock()
+    random = SystemRandom()
+    incarnation = int(clock.utc().timestamp() * 1000)
+    node = build_node(settings, incarnation, clock, random)
+    application = AdminApplication()
+    peer_traffic = Traffic()
+    control: ControlParts | None = None
+    if settings.control is not None:
+        built = build_control(
+            settings,
+            settings.control,
+            incarnation,
+            peer_traffic,
+            clock,
+            random,
+        )
+        if isinstance(built, Err):
+            return built
+        control = built.ok_value
+    process = _Process(settings, node, control, application, peer_traffic)
+    await process.run()
+    return Ok(None)
+
+
+class _Process:
+    """Own the listeners and the order in which things stop."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        node: NodeParts,
+        control: ControlParts | None,
+        application: AdminApplication,
+        peer_traffic: Traffic,
+    ) -> None:
+        self._settings = settings
+        self._node = node
+        self._control = control
+        self._application = application
+        self._peer_traffic = peer_traffic
+        self._served_traffic = Traffic()
+        self._admin = build_admin_server(application)
+
+    async def run(self) -> None:
+        """Serve until drained."""
+        listen = self._settings.listen
+        host = listen.host
+        loop = asyncio.get_running_loop()
+        call_node = self._node.call_node
+        servers = [
+            await loop.create_server(
+                call_node.caller_protocol_factory,
+                sock=_bind(host, listen.caller_port),
+            ),
+            await loop.create_server(
+                call_node.peer_protocol_factory,
+                sock=_bind(host, listen.peer_port),
+            ),
+        ]
+        admin_socket = _bind(host, listen.admin_port)
+        async with anyio.create_task_group() as group:
+            self._start_control(group)
+            self._register_handlers()
+            group.start_soon(self._node.session.run)
+            group.start_soon(self._keep_house)
+            group.start_soon(serve_admin, self._admin, admin_socket)
+            _log.info("process_started", mesh=self._settings.mesh)
+            await self._wait_for_end()
+            for server in servers:
+                server.close()
+            call_node.close()
+            self._admin.stop()
+            group.cancel_scope.cancel()
+        _log.info("process_stopped")
+
+    def _start_control(self, group: TaskGroup) -> None:
+        parts = self._control
+        if parts is None:
+            return
+        instance = ControlInstance(parts)
+        desk = SubmissionDesk(parts.machine, parts.replica)
+        relay = LeaderRelay(
+            parts.name,
+            parts.replica,
+            desk,
+            parts.links,
+            parts.clock,
+        )
+        fleet = Fleet(parts)
+        dispatch = PeerDispatch(parts, instance, relay, fleet, group)
+        listener = ControlListener(
+            self._settings.mesh,
+            self._served_traffic,
+            self._peer_traffic,
+            instance.serve_node,
+            dispatch.take,
+        )
+        ControlHandlers(
+            self._settings,
+            self._node.version,
+            parts,
+            relay,
+            fleet,
+        ).register(self._application)
+        group.start_soon(parts.replica.run)
+        group.start_soon(parts.links.run)
+        group.start_soon(instance.run)
+        group.start_soon(self._listen_control, listener)
+
+    async def _listen_control(self, listener: ControlListener) -> None:
+        port = self._settings.listen.control_port
+        multi = await anyio.create_tcp_listener(
+            local_host=self._settings.listen.host,
+            local_port=port or 0,
+            backlog=LISTEN_BACKLOG,
+        )
+        await listener.run(multi)
+
+    def _register_handlers(self) -> None:
+        metrics = Metrics(
+            self._settings.instance.name,
+            self._settings.instance.data_centre,
+        )
+        handlers = NodeHandlers(self._node, metrics, self._read_all)
+        handlers.register(self._application)
+        if self._control is None:
+
+            async def show_status(
+                _: HttpRequest,
+                __: Mapping[str, str],
+            ) -> HttpResponse:
+                return answer_json(_as_document(handlers))
+
+            self._application.add("GET", "/v1/status", show_status)
+
+    def _read_all(self) -> Iterator[Reading]:
+        yield from read_node(self._node)
+        if self._control is not None:
+            traffic = {
+                "served": self._served_traffic,
+                "peer": self._peer_traffic,
+            }
+            yield from read_control(self._control, traffic)
+
+    async def _keep_house(self) -> None:
+        while True:
+            await anyio.sleep(HOUSEKEEPING_SECONDS)
+            self._node.call_node.tick()
+            self._node.upstreams.expire()
+            self._node.state.endpoints.purge()
+
+    async def _wait_for_end(self) -> None:
+        """Drain on the first signal, stop on the second."""
+        with anyio.open_signal_receiver(
+            signal.SIGTERM,
+            signal.SIGINT,
+        ) as signals:
+            await signals.__anext__()
+            async with anyio.create_task_group() as group:
+
+                async def drain() -> None:
+                    await self._drain()
+                    group.cancel_scope.cancel()
+
+                group.start_soon(drain)
+                await signals.__anext__()
+                _log.warning("stop_without_drain")
+                group.cancel_scope.cancel()
+
+    async def _drain(self) -> None:
+        """Withdraw, let that spread, then finish what is in flight."""
+        drain = self._settings.drain
+        call_node = self._node.call_node
+        _log.info("drain_started", in_flight=call_node.in_flight)
+        self._node.upstreams.leave_all()
+        await anyio.sleep(drain.spread.total_seconds())
+        call_node.begin_drain()
+        with anyio.move_on_after(drain.budget.total_seconds()) as scope:
+            while call_node.in_flight:  # noqa: ASYNC110 - no event to await
+                await anyio.sleep(DRAIN_POLL_SECONDS)
+        _log.info(
+            "drain_finished",
+            is_complete=not scope.cancelled_caught,
+            in_flight=call_node.in_flight,
+        )
+
+
+def _bind(host: str, port: int) -> socket.socket:
+    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind((host, port))
+    bound.setblocking(False)
+    return bound
+
+
+def _as_document(handlers: NodeHandlers) -> dict[str, object]:
+    return asdict(handlers.status())
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/release_machine.py
@@ -0,0 +1,64 @@
+"""The release ledger as the state machine of the quorum log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from rhubarbhollow_release.command import decode_command
+from rhubarbhollow_release.ledger import ReleaseLedger
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from cryptography.hazmat.primitives.asymmetric.ed25519 import (
+        Ed25519PublicKey,
+    )
+
+    from rhubarbhollow_release.snapshot import SnapshotFault
+
+
+class UnreadableSnapshotError(Exception):
+    """A snapshot passed its checksum and still is no ledger."""
+
+    def __init__(self, fault: SnapshotFault) -> None:
+        super().__init__(fault)
+        self.fault = fault
+
+
+class ReleaseMachine:
+    """Apply committed commands to the ledger."""
+
+    def __init__(
+        self,
+        mesh: str,
+        trusted: Mapping[str, Ed25519PublicKey],
+    ) -> None:
+        self._mesh = mesh
+        self._trusted = trusted
+        self._ledger = ReleaseLedger(mesh, trusted)
+
+    @property
+    def ledger(self) -> ReleaseLedger:
+        """Return the ledger as of the last applied entry."""
+        return self._ledger
+
+    def apply(self, index: int, payload: bytes) -> object:
+        """Return the ledger's outcome, or why there is no command."""
+        del index
+        command = decode_command(payload)
+        if isinstance(command, Err):
+            return command.err_value
+        return self._ledger.apply(command.ok_value)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return self._ledger.snapshot()
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by that of a snapshot."""
+        restored = ReleaseLedger.restore(data, self._mesh, self._trusted)
+        if isinstance(restored, Err):
+            raise UnreadableSnapshotError(restored.err_value)
+        self._ledger = restored.ok_value
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/route_building.py
@@ -0,0 +1,60 @@
+"""Translation of a held release to the routes that calls use."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_calls.call_priority import CallPriority
+from rhubarbhollow_calls.call_route import CallRoute
+from rhubarbhollow_calls.io_snapshot import Snapshot
+from rhubarbhollow_calls.route_table import RouteTable
+from rhubarbhollow_release.priority import Priority
+from rhubarbhollow_release.retry_policy import RetryPolicy
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from rhubarbhollow_distribution.held_release import HeldRelease
+    from rhubarbhollow_release.route import Route
+    from rhubarbhollow_release.service import Service
+
+NO_RETRIES: Final = RetryPolicy("", 1, 0.0)
+
+
+def build_snapshot(release: HeldRelease) -> Snapshot:
+    """Return the routes of a release with its position."""
+    manifest = release.manifest
+    policies = {policy.name: policy for policy in manifest.retry_policies}
+    services = {service.name: service for service in manifest.services}
+    routes = (
+        _build_route(route, policies, services) for route in manifest.routes
+    )
+    return Snapshot(release.position, RouteTable(release.position, routes))
+
+
+def _build_route(
+    route: Route,
+    policies: Mapping[str, RetryPolicy],
+    services: Mapping[str, Service],
+) -> CallRoute:
+    policy = policies.get(route.retry_policy or "", NO_RETRIES)
+    return CallRoute(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        service=route.service,
+        timeout_ms=route.timeout_ms,
+        attempts=policy.attempts,
+        budget_ratio=policy.budget_ratio,
+        priority=_priority(route.priority),
+        is_idempotent=route.is_idempotent,
+        fallback=services[route.service].fallback,
+    )
+
+
+def _priority(priority: Priority) -> CallPriority:
+    match priority:
+        case Priority.INTERACTIVE:
+            return CallPriority.INTERACTIVE
+        case Priority.BULK:
+            return CallPriority.BULK
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/source_connection.py
@@ -0,0 +1,77 @@
+"""Connecting to a control instance as a node."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import anyio
+from result import Err, Ok, Result
+
+from rhubarbhollow_daemon.codec import CODEC
+from rhubarbhollow_distribution.redirect import Redirect
+from rhubarbhollow_distribution.welcome import Welcome
+from rhubarbhollow_wire.connection import FrameConnection
+
+if TYPE_CHECKING:
+    from rhubarbhollow_distribution.control_address import ControlAddress
+    from rhubarbhollow_distribution.hello import Hello
+    from rhubarbhollow_wire.traffic import Traffic
+
+CONNECT_TIMEOUT_SECONDS: Final = 1.0
+WELCOME_TIMEOUT_SECONDS: Final = 10.0
+MS_PER_SECOND: Final = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class NotConnected:
+    """No welcome came; try again after the delay at the earliest."""
+
+    cause: str
+    retry_after_seconds: float = 0.0
+
+
+async def connect_source(
+    address: ControlAddress,
+    hello: Hello,
+    traffic: Traffic,
+) -> Result[FrameConnection, NotConnected]:
+    """Return a connection on which the welcome has arrived."""
+    try:
+        with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
+            stream = await anyio.connect_tcp(address.host, address.port)
+    except (OSError, TimeoutError) as error:
+        return Err(NotConnected(type(error).__name__))
+    connection = FrameConnection(stream, CODEC, traffic)
+    outcome: Result[FrameConnection, NotConnected] = Err(
+        NotConnected("no_welcome")
+    )
+    try:
+        with anyio.move_on_after(WELCOME_TIMEOUT_SECONDS):
+            outcome = await _greet(connection, hello)
+    finally:
+        if outcome.is_err():
+            await connection.close()
+    return outcome
+
+
+async def _greet(
+    connection: FrameConnection,
+    hello: Hello,
+) -> Result[FrameConnection, NotConnected]:
+    opened = await connection.open()
+    if isinstance(opened, Err):
+        return Err(NotConnected(type(opened.err_value).__name__))
+    sent = await connection.send(hello)
+    if isinstance(sent, Err):
+        return Err(NotConnected(type(sent.err_value).__name__))
+    match await connection.receive():
+        case Ok(Welcome()):
+            return Ok(connection)
+        case Ok(Redirect(retry_after_ms=retry_after_ms)):
+            delay_seconds = retry_after_ms / MS_PER_SECOND
+            return Err(NotConnected("redirected", delay_seconds))
+        case Ok(message):
+            return Err(NotConnected(type(message).__name__))
+        case Err(fault):
+            return Err(NotConnected(type(fault).__name__))
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/stage_builder.py
@@ -0,0 +1,84 @@
+"""The differences that a control instance offers to its nodes."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_distribution.stage import Stage
+from rhubarbhollow_release.approval_codec import encode_approval
+from rhubarbhollow_release.difference import EMPTY_DIGEST, diff_resources
+from rhubarbhollow_release.difference_codec import encode_difference
+
+if TYPE_CHECKING:
+    from rhubarbhollow_daemon.release_machine import ReleaseMachine
+    from rhubarbhollow_release.release import Release
+    from rhubarbhollow_release.resource_set import ResourceSet
+
+CACHED_STAGES: Final = 32
+
+
+class UnknownPositionError(Exception):
+    """A stage was asked for a release that is no longer kept."""
+
+
+class StageBuilder:
+    """Build net differences from the ledger, each of them once.
+
+    Nodes of one fleet hold few different bases at a time, so a small
+    cache spares nearly all of the work.
+    """
+
+    def __init__(self, machine: ReleaseMachine) -> None:
+        self._machine = machine
+        self._cache: OrderedDict[tuple[int, bytes], Stage] = OrderedDict()
+
+    def maybe_digest(self, position: int) -> bytes | None:
+        """Return the digest at ``position``, or none if unknown."""
+        release = self._machine.ledger.release_at(position)
+        return release.resources.digest if release else None
+
+    def build_stage(self, position: int, base_digest: bytes) -> Stage:
+        """Return the net difference from ``base_digest``."""
+        key = (position, base_digest)
+        stage = self._cache.get(key)
+        if stage is None:
+            stage = self._build(position, base_digest)
+            self._cache[key] = stage
+            if len(self._cache) > CACHED_STAGES:
+                self._cache.popitem(last=False)
+        return stage
+
+    def _build(self, position: int, base_digest: bytes) -> Stage:
+        release = self._machine.ledger.release_at(position)
+        if release is None:
+            raise UnknownPositionError(position)
+        base = self._find_base(base_digest)
+        return _stage_of(release, base)
+
+    def _find_base(self, digest: bytes) -> ResourceSet | None:
+        if digest in (b"", EMPTY_DIGEST):
+            return None
+        ledger = self._machine.ledger
+        releases = (
+            ledger.release_at(position)
+            for position in range(ledger.latest_position, 0, -1)
+        )
+        for release in releases:
+            if release is None:
+                return None
+            if release.resources.digest == digest:
+                return release.resources
+        return None
+
+
+def _stage_of(release: Release, base: ResourceSet | None) -> Stage:
+    difference = diff_resources(base, release.resources)
+    return Stage(
+        position=release.position,
+        version=release.approval.version,
+        base_digest=base.digest if base else b"",
+        digest=release.resources.digest,
+        approval_document=encode_approval(release.approval),
+        difference=encode_difference(difference),
+    )
--- a/packages/wire/src/rhubarbhollow_wire/codec.py
+++ b/packages/wire/src/rhubarbhollow_wire/codec.py
@@ -52,6 +52,10 @@
         self.field = field
 
 
+class SchemaMismatchError(Exception):
+    """A data class and its Thrift struct differ in their fields."""
+
+
 class MessageCodec:
     """Translate data classes to frames and back, field by field.
 
@@ -68,6 +72,7 @@
         self._slots: dict[type, str] = {}
         self._types: dict[str, type] = {}
         for kind in types:
+            self._shape(kind)
             slot = _frame_field(kind.__name__)
             self._slots[kind] = slot
             self._types[slot] = kind
@@ -157,6 +162,9 @@
             (item.name, _wire_name(item.name), hints[item.name])
             for item in fields(kind)
         )
+        names = {wire_name for _, wire_name, _ in self.fields}
+        if names != set(getattr(self.struct, "__slots__", ())):
+            raise SchemaMismatchError(kind.__name__)
 
 
 def _is_enum(hint: object) -> TypeGuard[type[IntEnum]]:
--- a/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
+++ b/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
@@ -374,6 +374,8 @@
      - entries
      - commit_index
      - round
+     - acked_round
+     - confirmed_round
      - store_id
 
     """
@@ -386,11 +388,13 @@
         'entries',
         'commit_index',
         'round',
+        'acked_round',
+        'confirmed_round',
         'store_id',
     )
 
 
-    def __init__(self, term=None, leader=None, previous_index=None, previous_term=None, entries=None, commit_index=None, round=None, store_id=None,):
+    def __init__(self, term=None, leader=None, previous_index=None, previous_term=None, entries=None, commit_index=None, round=None, acked_round=None, confirmed_round=None, store_id=None,):
         self.term = term
         self.leader = leader
         self.previous_index = previous_index
@@ -398,6 +402,8 @@
         self.entries = entries
         self.commit_index = commit_index
         self.round = round
+        self.acked_round = acked_round
+        self.confirmed_round = confirmed_round
         self.store_id = store_id
 
     def read(self, iprot):
@@ -451,6 +457,16 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
+                if ftype == TType.I64:
+                    self.acked_round = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.confirmed_round = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
                 if ftype == TType.STRING:
                     self.store_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
@@ -496,8 +512,16 @@
             oprot.writeFieldBegin('round', TType.I64, 7)
             oprot.writeI64(self.round)
             oprot.writeFieldEnd()
+        if self.acked_round is not None:
+            oprot.writeFieldBegin('acked_round', TType.I64, 8)
+            oprot.writeI64(self.acked_round)
+            oprot.writeFieldEnd()
+        if self.confirmed_round is not None:
+            oprot.writeFieldBegin('confirmed_round', TType.I64, 9)
+            oprot.writeI64(self.confirmed_round)
+            oprot.writeFieldEnd()
         if self.store_id is not None:
-            oprot.writeFieldBegin('store_id', TType.STRING, 8)
+            oprot.writeFieldBegin('store_id', TType.STRING, 10)
             oprot.writeString(self.store_id.encode('utf-8') if sys.version_info[0] == 2 else self.store_id)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2371,6 +2395,74 @@
         return not (self == other)
 
 
+class EndpointsRequest(object):
+    """
+    Attributes:
+     - control
+
+    """
+
+    __slots__ = (
+        'control',
+    )
+
+
+    def __init__(self, control=None,):
+        self.control = control
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.control = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointsRequest')
+        if self.control is not None:
+            oprot.writeFieldBegin('control', TType.STRING, 1)
+            oprot.writeString(self.control.encode('utf-8') if sys.version_info[0] == 2 else self.control)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PositionCount(object):
     """
     Attributes:
@@ -3093,6 +3185,7 @@
      - nodes_answer
      - propose_request
      - propose_answer
+     - endpoints_request
 
     """
 
@@ -3121,10 +3214,11 @@
         'nodes_answer',
         'propose_request',
         'propose_answer',
+        'endpoints_request',
     )
 
 
-    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_chunk=None, snapshot_reply=None, hello=None, staged_report=None, active_report=None, node_heartbeat=None, stage_request=None, endpoint_report=None, welcome=None, stage=None, activate=None, control_heartbeat=None, endpoint_change=None, redirect=None, peer_hello=None, register_summary=None, nodes_request=None, nodes_answer=None, propose_request=None, propose_answer=None,):
+    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_chunk=None, snapshot_reply=None, hello=None, staged_report=None, active_report=None, node_heartbeat=None, stage_request=None, endpoint_report=None, welcome=None, stage=None, activate=None, control_heartbeat=None, endpoint_change=None, redirect=None, peer_hello=None, register_summary=None, nodes_request=None, nodes_answer=None, propose_request=None, propose_answer=None, endpoints_request=None,):
         self.vote_request = vote_request
         self.vote_reply = vote_reply
         self.append_request = append_request
@@ -3149,6 +3243,7 @@
         self.nodes_answer = nodes_answer
         self.propose_request = propose_request
         self.propose_answer = propose_answer
+        self.endpoints_request = endpoints_request
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3303,6 +3398,12 @@
                     self.propose_answer.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.STRUCT:
+                    self.endpoints_request = EndpointsRequest()
+                    self.endpoints_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3409,6 +3510,10 @@
             oprot.writeFieldBegin('propose_answer', TType.STRUCT, 24)
             self.propose_answer.write(oprot)
             oprot.writeFieldEnd()
+        if self.endpoints_request is not None:
+            oprot.writeFieldBegin('endpoints_request', TType.STRUCT, 25)
+            self.endpoints_request.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3469,7 +3574,9 @@
     (5, TType.LIST, 'entries', (TType.STRUCT, [Entry, None], False), None, ),  # 5
     (6, TType.I64, 'commit_index', None, None, ),  # 6
     (7, TType.I64, 'round', None, None, ),  # 7
-    (8, TType.STRING, 'store_id', 'UTF8', None, ),  # 8
+    (8, TType.I64, 'acked_round', None, None, ),  # 8
+    (9, TType.I64, 'confirmed_round', None, None, ),  # 9
+    (10, TType.STRING, 'store_id', 'UTF8', None, ),  # 10
 )
 all_structs.append(AppendReply)
 AppendReply.thrift_spec = (
@@ -3612,6 +3719,11 @@
     (2, TType.STRING, 'control', 'UTF8', None, ),  # 2
     (3, TType.I64, 'incarnation', None, None, ),  # 3
 )
+all_structs.append(EndpointsRequest)
+EndpointsRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'control', 'UTF8', None, ),  # 1
+)
 all_structs.append(PositionCount)
 PositionCount.thrift_spec = (
     None,  # 0
@@ -3690,6 +3802,7 @@
     (22, TType.STRUCT, 'nodes_answer', [NodesAnswer, None], None, ),  # 22
     (23, TType.STRUCT, 'propose_request', [ProposeRequest, None], None, ),  # 23
     (24, TType.STRUCT, 'propose_answer', [ProposeAnswer, None], None, ),  # 24
+    (25, TType.STRUCT, 'endpoints_request', [EndpointsRequest, None], None, ),  # 25
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
+++ b/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
@@ -37,7 +37,9 @@
   5: list<Entry> entries
   6: i64 commit_index
   7: i64 round
-  8: string store_id
+  8: i64 acked_round
+  9: i64 confirmed_round
+  10: string store_id
 }
 
 struct AppendReply {
@@ -170,6 +172,11 @@
   3: i64 incarnation
 }
 
+// Asks a control instance for every endpoint that it vouches for.
+struct EndpointsRequest {
+  1: string control
+}
+
 struct PositionCount {
   1: i64 position
   2: i32 count
@@ -241,4 +248,5 @@
   22: optional NodesAnswer nodes_answer
   23: optional ProposeRequest propose_request
   24: optional ProposeAnswer propose_answer
+  25: optional EndpointsRequest endpoints_request
 }
--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -5,7 +5,7 @@
 import pytest
 from result import Err, Ok
 
-from rhubarbhollow_wire.codec import MessageCodec
+from rhubarbhollow_wire.codec import MessageCodec, SchemaMismatchError
 from rhubarbhollow_wire.faults import (
     MissingField,
     UndecodableFrame,
@@ -35,6 +35,8 @@
     entries: tuple[Entry, ...]
     commit_index: int
     round: int
+    acked_round: int
+    confirmed_round: int
     store_id: str
 
 
@@ -51,6 +53,8 @@
     (Entry(8, 3, Kind.COMMAND, b"\x00\xff"), Entry(9, 3, Kind.COMMAND, b"")),
     6,
     11,
+    10,
+    9,
     "s1",
 )
 
@@ -90,3 +94,12 @@
                 outcome.err_value,
                 UndecodableFrame | UnexpectedFrame | MissingField,
             )
+
+
+def test_refuses_a_class_that_differs_from_its_struct():
+    @dataclass(frozen=True)
+    class Activate:
+        position: int
+
+    with pytest.raises(SchemaMismatchError):
+        MessageCodec([Activate])
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Drivers that start the mesh on this machine."""
