Give operators a command line that fails over and types every failure

Purpose: operators approve, submit, watch and withdraw releases from scripts that rely on exit codes.

Weighed: a submission is sent again, byte for byte, at the next server until the deadline, since the ledger gives the first answer again; only when some attempt may have reached a server is the outcome called unknown. A status is believed only from an instance that proves it is fresh.

Ruled out: the shell library's own bash completion, which starts bash to ask for its version.

--- /dev/null
+++ b/packages/cli/src/rhubarbhollow_cli/fleet_commands.py
@@ -0,0 +1,54 @@
+"""Commands that show what instances know of the fleet."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from rhubarbhollow_cli.query import show_command
+
+status: Final = show_command(
+    "status",
+    "Show an instance and the release in force on it.",
+    "/v1/status",
+    "members",
+    ("name", "role", "match_index"),
+)
+
+releases: Final = show_command(
+    "releases",
+    "List the accepted releases.",
+    "/v1/releases",
+    "releases",
+    ("position", "version", "state", "digest", "key_id"),
+)
+
+nodes: Final = show_command(
+    "nodes",
+    "List the nodes and the release that each has applied.",
+    "/v1/nodes",
+    "nodes",
+    (
+        "name",
+        "data_centre",
+        "control",
+        "active_position",
+        "staged_position",
+        "age_seconds",
+    ),
+)
+
+upstreams: Final = show_command(
+    "upstreams",
+    "List the announced upstreams.",
+    "/v1/upstreams",
+    "upstreams",
+    (
+        "name",
+        "service",
+        "data_centre",
+        "address",
+        "state",
+        "slots",
+        "node",
+    ),
+)
--- /dev/null
+++ b/packages/cli/src/rhubarbhollow_cli/output.py
@@ -0,0 +1,38 @@
+"""Printing of results in the format that was asked for."""
+
+from __future__ import annotations
+
+import json
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import click
+
+from rhubarbhollow_cli.view import View
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+class OutputFormat(StrEnum):
+    """Name an output format."""
+
+    TABLE = "table"
+    JSON = "json"
+
+
+def print_document(
+    document: Mapping[str, object],
+    output: OutputFormat,
+    view: View | None = None,
+) -> None:
+    """Print a document to the standard output."""
+    if output is OutputFormat.JSON:
+        click.echo(json.dumps(document))
+        return
+    click.echo((view or View()).format(document))
+
+
+def print_progress(text: str) -> None:
+    """Print a line for people to the standard error."""
+    click.echo(text, err=True)
--- /dev/null
+++ b/packages/cli/src/rhubarbhollow_cli/query.py
@@ -0,0 +1,67 @@
+"""Commands that show one document of a server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import click
+
+from rhubarbhollow_cli.options import (
+    READ_TIMEOUT_SECONDS,
+    output_option,
+    servers_option,
+    timeout_option,
+)
+from rhubarbhollow_cli.session import Session, open_session
+from rhubarbhollow_cli.view import View
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from rhubarbhollow_cli.environment import Environment
+    from rhubarbhollow_cli.output import OutputFormat
+    from rhubarbhollow_cli.server_address import ServerAddress
+
+
+def query_command(
+    name: str,
+    short_help: str,
+    run: Callable[..., None],
+    *arguments: click.Parameter,
+) -> click.Command:
+    """Build a command that hands a session and arguments to ``run``."""
+
+    @click.command(name, help=short_help)
+    @servers_option
+    @timeout_option(READ_TIMEOUT_SECONDS)
+    @output_option
+    @click.pass_obj
+    def command(
+        environment: Environment,
+        /,
+        servers: tuple[ServerAddress, ...],
+        timeout_seconds: float,
+        output: OutputFormat,
+        **values: str,
+    ) -> None:
+        session = open_session(environment, servers, timeout_seconds, output)
+        run(session, **values)
+
+    command.params[:0] = arguments
+    return command
+
+
+def show_command(
+    name: str,
+    short_help: str,
+    target: str,
+    list_field: str = "",
+    columns: tuple[str, ...] = (),
+) -> click.Command:
+    """Build a command that shows the document at a fixed target."""
+    view = View(list_field, columns)
+
+    def run(session: Session) -> None:
+        session.show(target, view)
+
+    return query_command(name, short_help, run)
--- /dev/null
+++ b/packages/cli/src/rhubarbhollow_cli/replies.py
@@ -0,0 +1,124 @@
+"""The parts of servers' replies that commands act on."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeVar
+
+from result import Err, Ok, Result
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+Value = TypeVar("Value", int, str, bool)
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyFault:
+    """Name a field that is missing or of another type."""
+
+    field: str
+
+
+@dataclass(frozen=True, slots=True)
+class SubmissionReply:
+    """Hold the answer to a submitted release."""
+
+    outcome: str
+    position: int
+    version: int
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class FleetStatus:
+    """Hold how far the fleet has come."""
+
+    is_fresh: bool
+    active_position: int
+    nodes_known: int
+    nodes_in_force: int
+
+    def is_in_force(self, position: int) -> bool:
+        """Say whether every node has a position or a later one.
+
+        An instance that cannot prove it is fresh, or that has heard
+        from no node yet, cannot say so.
+        """
+        return (
+            self.is_fresh
+            and self.active_position >= position
+            and 0 < self.nodes_known <= self.nodes_in_force
+        )
+
+
+def read_submission_reply(
+    document: Mapping[str, object],
+) -> Result[SubmissionReply, ReplyFault]:
+    """Read the answer to a submitted release."""
+    outcome = _read(document, "outcome", str)
+    position = _read(document, "position", int)
+    version = _read(document, "version", int)
+    digest = _read(document, "digest", str)
+    for each in (outcome, position, version, digest):
+        if isinstance(each, Err):
+            return each
+    return Ok(
+        SubmissionReply(
+            outcome.unwrap(),
+            position.unwrap(),
+            version.unwrap(),
+            digest.unwrap(),
+        ),
+    )
+
+
+def read_fleet_status(
+    document: Mapping[str, object],
+) -> Result[FleetStatus, ReplyFault]:
+    """Read the fleet's part of an instance's status."""
+    is_fresh = _read(document, "is_fresh", bool)
+    active = _read(document, "active_position", int)
+    known = _read(document, "nodes_known", int)
+    in_force = _read(document, "nodes_in_force", int)
+    for each in (is_fresh, active, known, in_force):
+        if isinstance(each, Err):
+            return each
+    return Ok(
+        FleetStatus(
+            is_fresh.unwrap(),
+            active.unwrap(),
+            known.unwrap(),
+            in_force.unwrap(),
+        ),
+    )
+
+
+def read_highest_version(
+    document: Mapping[str, object],
+) -> Result[int, ReplyFault]:
+    """Return the highest version in a list of releases, or 0."""
+    releases = document.get("releases")
+    if not isinstance(releases, list):
+        return Err(ReplyFault("releases"))
+    highest = 0
+    for release in releases:
+        if not isinstance(release, dict):
+            return Err(ReplyFault("releases"))
+        version = _read(release, "version", int)
+        if isinstance(version, Err):
+            return version
+        highest = max(highest, version.ok_value)
+    return Ok(highest)
+
+
+def _read(
+    document: Mapping[str, object],
+    field: str,
+    kind: type[Value],
+) -> Result[Value, ReplyFault]:
+    value = document.get(field)
+    # a boolean is an integer to isinstance
+    if type(value) is not kind:
+        return Err(ReplyFault(field))
+    return Ok(value)
--- /dev/null
+++ b/packages/cli/src/rhubarbhollow_cli/submission.py
@@ -0,0 +1,85 @@
+"""Submitting a release and waiting until it is in force."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import TYPE_CHECKING, Final
+
+from result import Err, Ok, Result
+
+from rhubarbhollow_cli.client_fault import BadReply, ClientFault
+from rhubarbhollow_cli.exchange import Request
+from rhubarbhollow_cli.not_confirmed import NotConfirmed
+from rhubarbhollow_cli.replies import (
+    FleetStatus,
+    SubmissionReply,
+    read_fleet_status,
+    read_submission_reply,
+)
+from rhubarbhollow_release.approval_codec import encode_approval
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from rhubarbhollow_cli.operator_client import OperatorClient
+    from rhubarbhollow_release.approval import Approval
+
+POLL_SECONDS: Final = 0.25
+
+
+def submit_release(
+    client: OperatorClient,
+    document: bytes,
+    approval: Approval,
+    deadline: float,
+) -> Result[SubmissionReply, ClientFault]:
+    """Submit the same bytes at one server after the other."""
+    body = json.dumps(
+        {
+            "manifest": base64.b64encode(document).decode(),
+            "approval": json.loads(encode_approval(approval)),
+        },
+    )
+    request = Request("POST", "/v1/releases", body.encode())
+    reply = client.call_json(request, deadline)
+    if isinstance(reply, Err):
+        return reply
+    read = read_submission_reply(reply.ok_value)
+    if isinstance(read, Err):
+        server = client.preferred
+        return Err(BadReply(server, f"field {read.err_value.field}"))
+    return read
+
+
+def wait_in_force(
+    client: OperatorClient,
+    position: int,
+    deadline: float,
+    show: Callable[[FleetStatus], None],
+) -> Result[FleetStatus, NotConfirmed]:
+    """Wait until every known node has a position or a later one."""
+    last: FleetStatus | None = None
+    while client.clock.monotonic() < deadline:
+        status = _read_status(client, deadline)
+        if status is None or not status.is_fresh:
+            # a server that is cut off would show no progress
+            client.prefer_next()
+        elif status.is_in_force(position):
+            return Ok(status)
+        if status is not None and status != last:
+            show(status)
+            last = status
+        remaining = deadline - client.clock.monotonic()
+        client.sleep(max(0.0, min(POLL_SECONDS, remaining)))
+    return Err(NotConfirmed(position, last))
+
+
+def _read_status(
+    client: OperatorClient,
+    deadline: float,
+) -> FleetStatus | None:
+    document = client.get_json("/v1/status", deadline)
+    if isinstance(document, Err):
+        return None
+    return read_fleet_status(document.ok_value).ok()
--- a/packages/release/tests/test_ledger.py
+++ b/packages/release/tests/test_ledger.py
@@ -215,6 +215,24 @@
     assert first.digest != last.digest
 
 
+def test_forgets_the_oldest_answers(monkeypatch):
+    monkeypatch.setattr(ledger_module, "MAX_RECORDS", 2)
+    ledger = new_ledger()
+    commands = {version: plan(ledger, version, 1) for version in (2, 4, 6)}
+    for version, content in ((2, 1), (4, 2), (6, 3), (8, 4)):
+        ledger.apply(plan(ledger, version, content))
+    answers = {
+        version: type(ledger.apply(plan(ledger, version, 5)))
+        for version in range(2, 9)
+    }
+    assert answers == {
+        **dict.fromkeys((2, 3, 4), outcomes.Superseded),
+        **dict.fromkeys((5, 7), outcomes.StaleVersion),
+        **dict.fromkeys((6, 8), outcomes.VersionConflict),
+    }
+    assert ledger.apply(commands[2]) == outcomes.Superseded(2, 8)
+
+
 def test_releases_share_what_did_not_change():
     ledger = new_ledger()
     ledger.apply(plan(ledger, 1, 2))
