--- a/packages/calls/src/rhubarbhollow_calls/candidate_view.py
+++ b/packages/calls/src/rhubarbhollow_calls/candidate_view.py
@@ -24,7 +24,12 @@
 
 @dataclass(frozen=True, slots=True)
 class CandidateView:
-    """Show this node's own evidence on one endpoint."""
+    """Show this node's own evidence on one endpoint.
+
+    ``latency_seconds`` is what choices compare: the average, less by
+    the time without evidence. ``remaining_seconds`` is the time until
+    nothing but its load tells the endpoint from others.
+    """
 
     endpoint: Endpoint
     eligibility: Eligibility
--- a/packages/calls/src/rhubarbhollow_calls/service_evidence.py
+++ b/packages/calls/src/rhubarbhollow_calls/service_evidence.py
@@ -25,7 +25,7 @@
     another by more than its load, so that all need not be ranked.
     """
 
-    __slots__ = ("all", "local", "steady_at")
+    __slots__ = ("all", "local", "remote", "steady_at")
 
     def __init__(self, members: tuple[UpstreamEvidence, ...]) -> None:
         self.all = members
@@ -34,6 +34,11 @@
             for evidence in members
             if evidence.is_local and not evidence.is_leaving
         )
+        self.remote = tuple(
+            evidence
+            for evidence in members
+            if not evidence.is_local and not evidence.is_leaving
+        )
         self.steady_at = 0.0
         self.update_steady_at()
 
--- a/packages/calls/src/rhubarbhollow_calls/slot_gate.py
+++ b/packages/calls/src/rhubarbhollow_calls/slot_gate.py
@@ -21,7 +21,6 @@
 
 # after so many interactive tickets in a row a waiting bulk one is next
 INTERACTIVE_RUN_LIMIT: Final = 8
-HAND_OVER_WEIGHT: Final = 0.1
 # keeps room in the queue for interactive tickets
 BULK_QUEUE_SHARE: Final = 0.75
 
@@ -48,9 +47,7 @@
 
     Interactive tickets go before bulk ones, except that a waiting bulk
     ticket gets a slot after ``INTERACTIVE_RUN_LIMIT`` interactive ones
-    in a row. Within a priority the order is that of arrival. A ticket
-    that would wait past its deadline at the present pace is refused at
-    once, while its call can still be sent elsewhere.
+    in a row. Within a priority the order is that of arrival.
     """
 
     __slots__ = (
@@ -58,8 +55,6 @@
         "_bulk_limit",
         "_clock",
         "_expired",
-        "_hand_over_at",
-        "_hand_over_seconds",
         "_in_use",
         "_interactive",
         "_interactive_run",
@@ -79,9 +74,6 @@
         self._bulk: OrderedDict[int, Ticket] = OrderedDict()
         self._interactive_run = 0
         self._expired: list[Ticket] = []
-        # mean time between hand-overs while tickets wait
-        self._hand_over_seconds = 0.0
-        self._hand_over_at: float | None = None
 
     @property
     def slots(self) -> int:
@@ -112,15 +104,12 @@
         """Give the ticket a slot, a place in the queue, or neither."""
         if self._is_draining:
             return _REFUSED_DRAINING
-        now = self._clock.monotonic()
-        if now >= ticket.deadline:
+        if self._clock.monotonic() >= ticket.deadline:
             return _REFUSED_DEADLINE
         if self._in_use < self._slots:
             # a free slot means that no live ticket waits
             self._in_use += 1
             return _ADMITTED
-        if now + self._expected_wait(ticket) > ticket.deadline:
-            return _REFUSED_DEADLINE
         return self._enqueue(ticket)
 
     def release(self) -> Ticket | None:
@@ -177,7 +166,6 @@
         while (ticket := self._maybe_pop()) is not None:
             if now < ticket.deadline:
                 self._note_turn(ticket)
-                self._note_pace(now)
                 self._in_use += 1
                 return ticket
             self._expired.append(ticket)
@@ -198,19 +186,6 @@
         else:
             self._interactive_run += 1
 
-    def _note_pace(self, now: float) -> None:
-        if self._hand_over_at is not None:
-            gap = now - self._hand_over_at
-            change = gap - self._hand_over_seconds
-            self._hand_over_seconds += HAND_OVER_WEIGHT * change
-        # a pause in which nobody waits says nothing about the pace
-        self._hand_over_at = now if self.waiting else None
-
-    def _expected_wait(self, ticket: Ticket) -> float:
-        is_bulk = ticket.priority is CallPriority.BULK
-        ahead = self.waiting if is_bulk else len(self._interactive)
-        return ahead * self._hand_over_seconds
-
     def _check_idle(self) -> None:
         if self._in_use < self._slots and self.waiting:
             raise IdleSlot
--- a/packages/calls/src/rhubarbhollow_calls/upstream_book.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_book.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_calls.call_result import CallResult
-from rhubarbhollow_calls.candidate_view import CandidateView
+from rhubarbhollow_calls.candidate_view import CandidateView, Eligibility
 from rhubarbhollow_calls.invariant import InvariantViolation
 from rhubarbhollow_calls.service_evidence import ServiceEvidence
 from rhubarbhollow_calls.upstream_evidence import UpstreamEvidence
@@ -29,7 +29,10 @@
 BASE_EJECTION_SECONDS: Final = 1.0
 MAX_EJECTION_SECONDS: Final = 30.0
 MAX_EJECTION_DOUBLINGS: Final = 5
-BASE_REFUSAL_SECONDS: Final = 0.05
+# a local endpoint this much slower than a remote one counts as full
+SPILL_RATIO: Final = 2.0
+EXPLORED_SHARE: Final = 0.01
+BASE_REFUSAL_SECONDS: Final = 0.01
 MAX_REFUSAL_DOUBLINGS: Final = 2
 
 
@@ -97,15 +100,16 @@
         if members is None:
             return None
         now = self._clock.monotonic()
-        if now >= members.steady_at and not excluded:
-            chosen = self._maybe_choose_steady(members.local, now)
-            if chosen is not None:
-                return chosen.endpoint
-        members.update_steady_at()
-        candidates = best_ranked(members.all, excluded, now)
-        if not candidates:
+        chosen = self._maybe_choose(members, excluded, now)
+        if chosen is None:
             return None
-        return self._choose_of(candidates, now).endpoint
+        if chosen.is_local and members.remote:
+            remote = members.remote[self._draw(len(members.remote))]
+            if self._is_faster(remote, chosen, now) and (
+                remote.endpoint.name not in excluded
+            ):
+                return remote.endpoint
+        return chosen.endpoint
 
     def started(self, endpoint_name: str) -> None:
         """Count a call as in flight on a chosen endpoint."""
@@ -159,15 +163,41 @@
             raise UnstartedCall(name)
         return evidence
 
+    def _maybe_choose(
+        self,
+        members: ServiceEvidence,
+        excluded: Collection[str],
+        now: float,
+    ) -> UpstreamEvidence | None:
+        if now >= members.steady_at and not excluded:
+            chosen = self._maybe_choose_steady(members.local, now)
+            if chosen is not None:
+                return chosen
+        members.update_steady_at()
+        candidates = best_ranked(members.all, excluded, now)
+        return self._choose_of(candidates, now) if candidates else None
+
+    def _is_faster(
+        self, remote: UpstreamEvidence, local: UpstreamEvidence, now: float
+    ) -> bool:
+        local_latency = local.faded_latency(now)
+        if local_latency is None:
+            return False
+        if rank_endpoint(remote, now) is not Eligibility.REMOTE:
+            return False
+        remote_latency = remote.faded_latency(now)
+        if remote_latency is None:
+            # a few calls find out, since only calls give evidence
+            return self._random.random() < EXPLORED_SHARE
+        return local_latency > SPILL_RATIO * remote_latency
+
     def _maybe_choose_steady(
         self, local: Sequence[UpstreamEvidence], now: float
     ) -> UpstreamEvidence | None:
         # takes two draws instead of ranking all, in the usual case
         if not local:
             return None
-        first = self._draw(local)
-        second = self._draw(local)
-        chosen = first if first is second else better_of(first, second, now)
+        chosen = self._better_of_two(local, now)
         return None if chosen.is_full else chosen
 
     def _choose_of(
@@ -176,11 +206,24 @@
         if len(candidates) == 1:
             return candidates[0]
         shares = [evidence.share(now) for evidence in candidates]
+        if min(shares) >= 1:
+            return self._better_of_two(candidates, now)
+        # drawn with replacement, so that the share bounds the calls
         first, second = self._random.choices(candidates, shares, k=2)
         return first if first is second else better_of(first, second, now)
 
-    def _draw(self, members: Sequence[UpstreamEvidence]) -> UpstreamEvidence:
-        return members[int(self._random.random() * len(members))]
+    def _better_of_two(
+        self, members: Sequence[UpstreamEvidence], now: float
+    ) -> UpstreamEvidence:
+        count = len(members)
+        if count == 1:
+            return members[0]
+        first = self._draw(count)
+        second = (first + 1 + self._draw(count - 1)) % count
+        return better_of(members[first], members[second], now)
+
+    def _draw(self, count: int) -> int:
+        return int(self._random.random() * count)
 
     def _learn(
         self, evidence: UpstreamEvidence, result: CallResult, seconds: float
@@ -240,6 +283,7 @@
             evidence.stale_in_flight -= 1
             return
         evidence.consecutive_failures += 1
+        evidence.failed_at = now
         limit = UNREACHABLE_TO_EJECT if is_unreachable else FAILURES_TO_EJECT
         is_due = evidence.is_on_trial or (
             evidence.consecutive_failures >= limit
@@ -259,6 +303,8 @@
         )
         evidence.ejections += 1
         evidence.is_on_trial = True
+        # the trial is drawn on equal terms and needs one failure only
+        evidence.consecutive_failures = 0
         evidence.ejected_until = now + seconds * (
             0.75 + self._random.random() / 2
         )
@@ -274,7 +320,7 @@
         endpoint=evidence.endpoint,
         eligibility=rank_endpoint(evidence, now),
         in_flight=evidence.in_flight,
-        latency_seconds=evidence.latency_seconds,
+        latency_seconds=evidence.faded_latency(now),
         consecutive_failures=evidence.consecutive_failures,
         refusals=evidence.refusals,
         remaining_seconds=max(0.0, evidence.steady_at - now),
--- a/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
@@ -11,9 +11,9 @@
     from rhubarbhollow_calls.endpoint import Endpoint
 
 LATENCY_WEIGHT: Final = 0.2
-# latency evidence loses half its weight after this without a call, so
-# that an endpoint that was slow once is tried again
-LATENCY_MEMORY_SECONDS: Final = 5.0
+# evidence counts half after this without a call, so that an endpoint
+# that was slow or failed once is tried again
+EVIDENCE_MEMORY_SECONDS: Final = 5.0
 SLOW_START_SECONDS: Final = 10.0
 MIN_SLOW_START_SHARE: Final = 0.1
 
@@ -26,6 +26,7 @@
         "ejected_until",
         "ejections",
         "endpoint",
+        "failed_at",
         "in_flight",
         "is_local",
         "is_on_trial",
@@ -72,6 +73,7 @@
         self.latency_seconds: float | None = None
         self.latency_at = 0.0
         self.consecutive_failures = 0
+        self.failed_at = 0.0
         self.refusals = 0
         self.refusing_until = 0.0
         self.ejections = 0
@@ -121,5 +123,14 @@
         """Return the latency, less by the time without evidence."""
         if self.latency_seconds is None:
             return None
-        idle = max(0.0, now - self.latency_at)
-        return self.latency_seconds / (1 + idle / LATENCY_MEMORY_SECONDS)
+        return self.latency_seconds * _fade(now - self.latency_at)
+
+    def faded_failures(self, now: float) -> float:
+        """Return the failures in a row, less by the time since."""
+        if not self.consecutive_failures:
+            return 0.0
+        return self.consecutive_failures * _fade(now - self.failed_at)
+
+
+def _fade(age_seconds: float) -> float:
+    return 1 / (1 + max(0.0, age_seconds) / EVIDENCE_MEMORY_SECONDS)
--- a/packages/calls/src/rhubarbhollow_calls/upstream_ranking.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_ranking.py
@@ -65,7 +65,8 @@
     second_load = second.reported_load
     if first_load is not None and second_load is not None:
         return first if first_load <= second_load else second
-    return first if first_score <= second_score else second
+    # the order of drawing is random, which spreads equal endpoints
+    return first
 
 
 def _score(
@@ -75,5 +76,5 @@
     if latency is None:
         # unknown counts as equal, so that a newcomer draws no rush
         latency = other.faded_latency(now) or 1.0
-    failures = 1 + evidence.consecutive_failures
+    failures = 1 + evidence.faded_failures(now)
     return (evidence.in_flight + 1) * latency * failures
