Give claims a quorum log of their own and spread quarantines

Claims of non-idempotent requests come at the rate of calls and releases a few times an hour, so each kind has its own log, store and links between control instances; a burst of claims cannot hold up a release. A node proposes through its control instance, which hands the command to the leader; the same command again gets the same outcome.

Crash reports go node to control instance to all nodes, each once, and are remembered for nodes that join later.

Weighed: one log for both (ruled out as above), a wrapper message naming the log (ruled out: it costs bytes on every heartbeat; the greeting of a connection names it once).

The call path does not use claims yet.

--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/claim_desk.py
@@ -0,0 +1,161 @@
+"""Claims of nodes, committed by whoever leads their log."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING, Final
+
+import anyio
+import structlog
+from result import Err
+
+from rhubarbhollow_calls.claim import ClaimKey, ExpireClaims
+from rhubarbhollow_calls.claim_codec import (
+    ClaimCodecFault,
+    decode_command,
+    encode_command,
+    encode_outcome,
+)
+from rhubarbhollow_calls.claim_ledger import RETENTION_MS
+from rhubarbhollow_daemon.log_group import LogGroup
+from rhubarbhollow_daemon.messages import (
+    ClaimAnswer,
+    ClaimRequest,
+    ProposeAnswer,
+    ProposeRequest,
+)
+from rhubarbhollow_replication.role import Role
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from rhubarbhollow_daemon.claim_machine import ClaimMachine
+    from rhubarbhollow_daemon.peer_links import PeerLinks
+    from rhubarbhollow_replication.replica import Replica
+    from rhubarbhollow_wire.clock import Clock
+
+CLAIM_KIND: Final = 2
+MAX_CONCURRENT: Final = 1_024
+ANSWER_TIMEOUT_SECONDS: Final = 2.0
+EXPIRY_INTERVAL_SECONDS: Final = 60.0
+MS_PER_SECOND: Final = 1000
+
+HTTP_OK: Final = 200
+HTTP_UNAVAILABLE: Final = 503
+
+_log = structlog.get_logger()
+
+
+class ClaimDesk:
+    """Commit claim commands here, or hand them to the leader.
+
+    An empty outcome tells the node that nothing is known: it proposes
+    the same command again, and the ledger answers a repeat like the
+    first.
+    """
+
+    def __init__(
+        self,
+        machine: ClaimMachine,
+        replica: Replica,
+        links: PeerLinks,
+        clock: Clock,
+    ) -> None:
+        self._machine = machine
+        self._replica = replica
+        self._links = links
+        self._clock = clock
+        self._last_id = 0
+        self._waiting: dict[int, Callable[[bytes], None]] = {}
+        self._slots = anyio.CapacityLimiter(MAX_CONCURRENT)
+
+    async def serve_node(
+        self,
+        request: ClaimRequest,
+        send: Callable[[object], None],
+    ) -> None:
+        """Answer a node's command; nothing is left open."""
+        outcome = b""
+        async with self._slots:
+            status = self._replica.status
+            if status.role is Role.LEADER:
+                outcome = await self._commit(request.command)
+            elif status.leader is not None:
+                outcome = await self._relay(status.leader, request.command)
+        send(ClaimAnswer(request.request_id, outcome))
+
+    async def serve_peer(self, control: str, request: ProposeRequest) -> None:
+        """Answer a command that another control instance relays."""
+        async with self._slots:
+            outcome = await self._commit(request.payload)
+        answer = ProposeAnswer(
+            request.request_id,
+            HTTP_OK if outcome else HTTP_UNAVAILABLE,
+            outcome,
+            self._replica.status.leader or "",
+        )
+        self._links.send(control, answer)
+
+    def take_answer(self, answer: ProposeAnswer) -> None:
+        """Hand the leader's answer to the command that waits for it."""
+        resolve = self._waiting.get(answer.request_id)
+        if resolve is not None:
+            resolve(answer.outcome)
+
+    async def expire(self) -> None:
+        """Drop old claims from time to time, on the leader only."""
+        while True:
+            await anyio.sleep(EXPIRY_INTERVAL_SECONDS)
+            if self._replica.status.role is not Role.LEADER:
+                continue
+            if self._machine.ledger.claims == 0:
+                continue
+            command = ExpireClaims(self._now_ms() - RETENTION_MS)
+            await self._replica.propose(encode_command(command))
+
+    async def _commit(self, encoded: bytes) -> bytes:
+        decoded = decode_command(encoded)
+        if isinstance(decoded, Err):
+            _log.warning("claim_unreadable", fault=repr(decoded.err_value))
+            return b""
+        command = decoded.ok_value
+        if isinstance(command, ClaimKey):
+            # the leader's time, so that all replicas expire alike
+            command = replace(command, claimed_at_ms=self._now_ms())
+        proposed = await self._replica.propose(encode_command(command))
+        if isinstance(proposed, Err):
+            return b""
+        outcome = proposed.ok_value
+        if isinstance(outcome, ClaimCodecFault):
+            return b""
+        return encode_outcome(outcome)  # type: ignore[arg-type]
+
+    async def _relay(self, leader: str, command: bytes) -> bytes:
+        self._last_id += 1
+        request_id = self._last_id
+        done = anyio.Event()
+        outcomes: list[bytes] = []
+
+        def resolve(outcome: bytes) -> None:
+            outcomes.append(outcome)
+            done.set()
+
+        self._waiting[request_id] = resolve
+        try:
+            self._links.send(
+                leader,
+                ProposeRequest(
+                    request_id,
+                    LogGroup.CLAIMS,
+                    command,
+                    CLAIM_KIND,
+                ),
+            )
+            with anyio.move_on_after(ANSWER_TIMEOUT_SECONDS):
+                await done.wait()
+        finally:
+            del self._waiting[request_id]
+        return outcomes[0] if outcomes else b""
+
+    def _now_ms(self) -> int:
+        return int(self._clock.utc().timestamp() * MS_PER_SECOND)
--- a/packages/daemon/src/rhubarbhollow_daemon/codec.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/codec.py
@@ -4,7 +4,10 @@
 
 from typing import Final
 
+from rhubarbhollow_calls.quarantine_message import CrashReport, Exoneration
 from rhubarbhollow_daemon.messages import (
+    ClaimAnswer,
+    ClaimRequest,
     EndpointsRequest,
     NodesAnswer,
     NodesRequest,
@@ -36,10 +39,14 @@
         ActiveReport,
         AppendReply,
         AppendRequest,
+        ClaimAnswer,
+        ClaimRequest,
         ControlHeartbeat,
+        CrashReport,
         EndpointChange,
         EndpointReport,
         EndpointsRequest,
+        Exoneration,
         Hello,
         NodeHeartbeat,
         NodesAnswer,
--- a/packages/daemon/src/rhubarbhollow_daemon/control_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_building.py
@@ -6,13 +6,17 @@
 
 from result import Err, Ok, Result
 
-from rhubarbhollow_daemon.control_parts import ControlParts
+from rhubarbhollow_daemon.claim_desk import ClaimDesk
+from rhubarbhollow_daemon.claim_machine import ClaimMachine
+from rhubarbhollow_daemon.control_parts import ClaimParts, ControlParts
 from rhubarbhollow_daemon.endpoint_exchange import EndpointExchange
 from rhubarbhollow_daemon.floor_file import FloorFile
 from rhubarbhollow_daemon.leader_desk import LeaderDesk
+from rhubarbhollow_daemon.log_group import LogGroup
 from rhubarbhollow_daemon.messages import PeerHello
 from rhubarbhollow_daemon.node_desk import NodeDesk
 from rhubarbhollow_daemon.peer_links import PeerLinks
+from rhubarbhollow_daemon.quarantine_relay import QuarantineRelay
 from rhubarbhollow_daemon.release_machine import ReleaseMachine
 from rhubarbhollow_daemon.stage_builder import StageBuilder
 from rhubarbhollow_distribution.admission import AdmissionQueue
@@ -36,6 +40,7 @@
     from rhubarbhollow_wire.traffic import Traffic
 
 LOG_FOLDER_NAME: Final = "log"
+CLAIMS_FOLDER_NAME: Final = "claims"
 MAX_WAITING_NODES: Final = 1_024
 
 
@@ -51,8 +56,18 @@
     opened = _open_store(control.data_folder / LOG_FOLDER_NAME)
     if isinstance(opened, Err):
         return opened
+    claims = _build_claims(
+        settings,
+        control,
+        incarnation,
+        traffic,
+        clock,
+        random,
+    )
+    if isinstance(claims, Err):
+        return claims
     name = settings.instance.name
-    hello = PeerHello(settings.mesh, name, incarnation)
+    hello = PeerHello(settings.mesh, name, incarnation, LogGroup.RELEASES)
     links = PeerLinks(hello, settings.controls, traffic, random)
     machine = ReleaseMachine(settings.mesh, settings.trusted)
     replica = Replica(
@@ -88,6 +103,8 @@
                 _admission(control, clock, random),
                 store,
                 exchange,
+                QuarantineRelay(clock),
+                links,
                 clock,
             ),
             exchange=exchange,
@@ -106,10 +123,38 @@
                 settings.distribution.heartbeat.total_seconds(),
                 settings.distribution.load.total_seconds(),
             ),
+            claims=claims.ok_value,
         )
     )
 
 
+def _build_claims(
+    settings: Settings,
+    control: ControlSettings,
+    incarnation: int,
+    traffic: Traffic,
+    clock: Clock,
+    random: Random,
+) -> Result[ClaimParts, StoreFault]:
+    opened = _open_store(control.data_folder / CLAIMS_FOLDER_NAME)
+    if isinstance(opened, Err):
+        return opened
+    name = settings.instance.name
+    hello = PeerHello(settings.mesh, name, incarnation, LogGroup.CLAIMS)
+    links = PeerLinks(hello, settings.controls, traffic, random)
+    machine = ClaimMachine()
+    replica = Replica(
+        settings=_replica_settings(name, control),
+        store=opened.ok_value,
+        machine=machine,
+        clock=clock,
+        random=random,
+        send=links.send,
+    )
+    desk = ClaimDesk(machine, replica, links, clock)
+    return Ok(ClaimParts(replica, machine, links, desk))
+
+
 def _open_store(folder: Path) -> Result[LogStore, StoreFault]:
     """Open a store; set a corrupt one aside and begin as a learner."""
     folder.parent.mkdir(parents=True, exist_ok=True)
--- a/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
@@ -9,6 +9,7 @@
 import structlog
 from result import Err
 
+from rhubarbhollow_calls.quarantine_message import CrashReport, Exoneration
 from rhubarbhollow_daemon.control_event import (
     ControlEvent,
     LogAdvanced,
@@ -17,7 +18,7 @@
     NodeSaid,
     PeerSaid,
 )
-from rhubarbhollow_daemon.messages import EndpointsRequest
+from rhubarbhollow_daemon.messages import ClaimRequest, EndpointsRequest
 from rhubarbhollow_daemon.node_link import NodeLink
 from rhubarbhollow_distribution.endpoint_change import EndpointChange
 from rhubarbhollow_distribution.feed import NodeFeed
@@ -25,6 +26,8 @@
 from rhubarbhollow_distribution.register_summary import RegisterSummary
 
 if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
     from rhubarbhollow_daemon.control_parts import ControlParts
     from rhubarbhollow_distribution.hello import Hello
     from rhubarbhollow_wire.connection import FrameConnection
@@ -135,6 +138,8 @@
                 parts.leader_desk.note_summary(message)
             case EndpointChange():
                 parts.exchange.receive(control, message)
+            case CrashReport() | Exoneration():
+                parts.desk.spread(message, is_from_peer=True)
             case EndpointsRequest():
                 parts.exchange.answer(control)
             case _:
@@ -207,7 +212,7 @@
         async with anyio.create_task_group() as group:
 
             async def receive() -> None:
-                await self._receive(connection, link)
+                await self._receive(connection, link, group)
                 group.cancel_scope.cancel()
 
             async def end() -> None:
@@ -223,7 +228,9 @@
         self,
         connection: FrameConnection,
         link: NodeLink,
+        group: TaskGroup,
     ) -> None:
+        claims = self._parts.claims.desk
         while True:
             received = await connection.receive()
             if isinstance(received, Err):
@@ -233,4 +240,13 @@
                     cause=repr(received.err_value),
                 )
                 return
-            await self._sender.send(NodeSaid(link, received.ok_value))
+            message = received.ok_value
+            if isinstance(message, ClaimRequest):
+                # claims wait for a quorum and own no state here
+                group.start_soon(
+                    claims.serve_node,
+                    message,
+                    link.outbox.put,
+                )
+                continue
+            await self._sender.send(NodeSaid(link, message))
--- a/packages/daemon/src/rhubarbhollow_daemon/control_listener.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_listener.py
@@ -41,7 +41,7 @@
         node_traffic: Traffic,
         peer_traffic: Traffic,
         serve_node: Callable[[FrameConnection, Hello], Awaitable[None]],
-        serve_peer: Callable[[str, object], None],
+        serve_peer: Callable[[PeerHello, object], None],
     ) -> None:
         self._mesh = mesh
         self._node_traffic = node_traffic
@@ -79,7 +79,7 @@
                 await self._serve_node(connection, hello)
             case Ok(PeerHello(mesh=mesh) as hello) if mesh == self._mesh:
                 connection.count_on(self._peer_traffic)
-                await self._receive_from_peer(connection, hello.control)
+                await self._receive_from_peer(connection, hello)
             case Ok(message):
                 _log.warning(
                     "connection_refused",
@@ -92,18 +92,18 @@
     async def _receive_from_peer(
         self,
         connection: FrameConnection,
-        name: str,
+        hello: PeerHello,
     ) -> None:
         while True:
             received = await connection.receive()
             if isinstance(received, Err):
                 _log.info(
                     "peer_closed",
-                    peer=name,
+                    peer=hello.control,
                     cause=repr(received.err_value),
                 )
                 return
-            self._serve_peer(name, received.ok_value)
+            self._serve_peer(hello, received.ok_value)
 
 
 async def _receive_first(
--- a/packages/daemon/src/rhubarbhollow_daemon/control_parts.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_parts.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from rhubarbhollow_daemon.claim_desk import ClaimDesk
+    from rhubarbhollow_daemon.claim_machine import ClaimMachine
     from rhubarbhollow_daemon.endpoint_exchange import EndpointExchange
     from rhubarbhollow_daemon.floor_file import FloorFile
     from rhubarbhollow_daemon.leader_desk import LeaderDesk
@@ -21,6 +23,16 @@
     from rhubarbhollow_wire.clock import Clock
 
 
+@dataclass(frozen=True, slots=True)
+class ClaimParts:
+    """Hold the parts of the quorum log of claims."""
+
+    replica: Replica
+    machine: ClaimMachine
+    links: PeerLinks
+    desk: ClaimDesk
+
+
 @dataclass(frozen=True, slots=True)
 class ControlParts:
     """Hold the parts that one control instance joins."""
@@ -40,3 +52,4 @@
     floor: StartFloor
     floor_file: FloorFile
     feed_settings: FeedSettings
+    claims: ClaimParts
--- a/packages/daemon/src/rhubarbhollow_daemon/messages.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/messages.py
@@ -7,11 +7,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerHello:
-    """Open a connection between two control instances."""
+    """Open a connection between two control instances.
+
+    ``group`` names the quorum log whose messages follow.
+    """
 
     mesh: str
     control: str
     incarnation: int
+    group: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,3 +74,19 @@
     status: int
     outcome: bytes
     leader: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRequest:
+    """Ask for a command of the claim ledger to be committed."""
+
+    request_id: int
+    command: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimAnswer:
+    """Return the ledger's outcome, or nothing if there was none."""
+
+    request_id: int
+    outcome: bytes
--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -9,6 +9,7 @@
 from rhubarbhollow_calls.io_settings import CallSettings
 from rhubarbhollow_calls.quarantine import Quarantine
 from rhubarbhollow_calls.upstream_book import UpstreamBook
+from rhubarbhollow_daemon.claim_client import ClaimClient
 from rhubarbhollow_daemon.endpoint_view import EndpointView
 from rhubarbhollow_daemon.local_upstreams import LocalUpstreams
 from rhubarbhollow_daemon.node_parts import NodeParts
@@ -49,6 +50,8 @@
         clock=clock,
     )
     chooser = SourceChooser(data_centre, settings.controls, clock, random)
+    quarantine = Quarantine(clock)
+    claims = ClaimClient(name, incarnation, outbox)
     state = NodeState(
         settings.mesh,
         name,
@@ -60,6 +63,8 @@
         announcements,
         chooser,
         outbox,
+        quarantine,
+        claims,
     )
     call_node = CallNode(
         name,
@@ -68,7 +73,8 @@
         clock,
         state.observe_position,
         _call_settings(settings.calls),
-        Quarantine(clock),
+        quarantine,
+        outbox.put,
         request_id_prefix=f"{name}-{incarnation:x}".encode(),
     )
     state.attach(call_node)
--- a/packages/daemon/src/rhubarbhollow_daemon/node_desk.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_desk.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from rhubarbhollow_calls.quarantine_message import CrashReport, Exoneration
 from rhubarbhollow_distribution.active_report import ActiveReport
 from rhubarbhollow_distribution.admission import Admitted, Queued
 from rhubarbhollow_distribution.endpoint_report import EndpointReport
@@ -15,8 +16,11 @@
 from rhubarbhollow_distribution.staged_report import StagedReport
 
 if TYPE_CHECKING:
+    from rhubarbhollow_calls.quarantine_message import QuarantineMessage
     from rhubarbhollow_daemon.endpoint_exchange import EndpointExchange
     from rhubarbhollow_daemon.node_link import NodeLink
+    from rhubarbhollow_daemon.peer_links import PeerLinks
+    from rhubarbhollow_daemon.quarantine_relay import QuarantineRelay
     from rhubarbhollow_distribution.admission import AdmissionQueue
     from rhubarbhollow_distribution.endpoint_store import EndpointStore
     from rhubarbhollow_distribution.ledger_view import LedgerView
@@ -43,6 +47,8 @@
         admission: AdmissionQueue,
         store: EndpointStore,
         exchange: EndpointExchange,
+        relay: QuarantineRelay,
+        peers: PeerLinks,
         clock: Clock,
     ) -> None:
         self._welcome = welcome
@@ -50,6 +56,8 @@
         self._admission = admission
         self._store = store
         self._exchange = exchange
+        self._relay = relay
+        self._peers = peers
         self._clock = clock
         self._links: dict[str, NodeLink] = {}
         self._waiting: dict[str, NodeLink] = {}
@@ -93,6 +101,8 @@
             ) | StagedReport():
                 self._register.accept(link.hello.node, message)
                 link.feed.accept(message)
+            case CrashReport() | Exoneration():
+                self.spread(message, is_from_peer=False)
             case _:
                 _log.warning(
                     "node_message_unexpected",
@@ -103,6 +113,20 @@
                 return
         self.feed(link, view)
 
+    def spread(
+        self,
+        message: QuarantineMessage,
+        *,
+        is_from_peer: bool,
+    ) -> None:
+        """Pass on what a node has learnt of a request that crashes."""
+        if not self._relay.is_news(message):
+            return
+        for link in self._links.values():
+            link.outbox.put(message)
+        if not is_from_peer:
+            self._peers.broadcast(message)
+
     def leave(self, link: NodeLink) -> None:
         """Forget a node whose connection ended.
 
@@ -157,6 +181,8 @@
         self._links[link.hello.node] = link
         self._incarnations[link.hello.node] = link.hello.incarnation
         link.outbox.put(self._welcome)
+        for message in self._relay.recent():
+            link.outbox.put(message)
         _log.info(
             "node_joined",
             node=link.hello.node,
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -8,6 +8,8 @@
 from result import Err, Ok
 
 from rhubarbhollow_calls.io_position import PositionCheck as CallPositionCheck
+from rhubarbhollow_calls.quarantine_message import CrashReport, Exoneration
+from rhubarbhollow_daemon.messages import ClaimAnswer
 from rhubarbhollow_daemon.route_building import build_snapshot
 from rhubarbhollow_distribution.activate import Activate
 from rhubarbhollow_distribution.activation_result import (
@@ -25,6 +27,8 @@
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.io_node import CallNode
+    from rhubarbhollow_calls.quarantine import Quarantine
+    from rhubarbhollow_daemon.claim_client import ClaimClient
     from rhubarbhollow_daemon.endpoint_view import EndpointView
     from rhubarbhollow_daemon.outbox import Outbox
     from rhubarbhollow_distribution.announcement_book import AnnouncementBook
@@ -55,6 +59,8 @@
         announcements: AnnouncementBook,
         chooser: SourceChooser,
         outbox: Outbox,
+        quarantine: Quarantine,
+        claims: ClaimClient,
     ) -> None:
         self._mesh = mesh
         self._node = node
@@ -66,6 +72,8 @@
         self._announcements = announcements
         self._chooser = chooser
         self._outbox = outbox
+        self._quarantine = quarantine
+        self._claims = claims
         self._call_node: CallNode | None = None
 
     @property
@@ -110,6 +118,10 @@
                 self._activate(position, digest)
             case EndpointChange():
                 self._change_endpoints(message)
+            case ClaimAnswer():
+                self._claims.take(message)
+            case CrashReport() | Exoneration():
+                self._quarantine.merge(message)
             case ControlHeartbeat():
                 self._chooser.note_heartbeat(message)
             case _:
--- a/packages/daemon/src/rhubarbhollow_daemon/peer_dispatch.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/peer_dispatch.py
@@ -4,6 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+import structlog
+
+from rhubarbhollow_daemon.log_group import LogGroup
 from rhubarbhollow_daemon.messages import (
     NodesAnswer,
     NodesRequest,
@@ -21,6 +24,9 @@
     from rhubarbhollow_daemon.control_parts import ControlParts
     from rhubarbhollow_daemon.fleet import Fleet
     from rhubarbhollow_daemon.leader_relay import LeaderRelay
+    from rhubarbhollow_daemon.messages import PeerHello
+
+_log = structlog.get_logger()
 
 
 class PeerDispatch:
@@ -40,8 +46,41 @@
         self._fleet = fleet
         self._group = group
 
-    def take(self, control: str, message: object) -> None:
+    def take(self, hello: PeerHello, message: object) -> None:
         """Pass a message on without waiting."""
+        if hello.group == LogGroup.CLAIMS:
+            self._take_claims(hello.control, message)
+        else:
+            self._take_releases(hello.control, message)
+
+    def _take_claims(self, control: str, message: object) -> None:
+        claims = self._parts.claims
+        match message:
+            case (
+                AppendRequest()
+                | AppendReply()
+                | SnapshotChunk()
+                | SnapshotReply()
+                | VoteRequest()
+                | VoteReply()
+            ):
+                claims.replica.receive(message)
+            case ProposeRequest():
+                self._group.start_soon(
+                    claims.desk.serve_peer,
+                    control,
+                    message,
+                )
+            case ProposeAnswer():
+                claims.desk.take_answer(message)
+            case _:
+                _log.warning(
+                    "peer_message_unexpected",
+                    peer=control,
+                    message=type(message).__name__,
+                )
+
+    def _take_releases(self, control: str, message: object) -> None:
         match message:
             case (
                 AppendRequest()
--- a/packages/daemon/src/rhubarbhollow_daemon/process.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/process.py
@@ -162,6 +162,9 @@
         ).register(self._application)
         group.start_soon(parts.replica.run)
         group.start_soon(parts.links.run)
+        group.start_soon(parts.claims.replica.run)
+        group.start_soon(parts.claims.links.run)
+        group.start_soon(parts.claims.desk.expire)
         group.start_soon(instance.run)
         group.start_soon(self._listen_control, listener)
 
--- a/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
+++ b/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
@@ -2309,6 +2309,7 @@
      - mesh
      - control
      - incarnation
+     - group
 
     """
 
@@ -2316,13 +2317,15 @@
         'mesh',
         'control',
         'incarnation',
+        'group',
     )
 
 
-    def __init__(self, mesh=None, control=None, incarnation=None,):
+    def __init__(self, mesh=None, control=None, incarnation=None, group=None,):
         self.mesh = mesh
         self.control = control
         self.incarnation = incarnation
+        self.group = group
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2348,6 +2351,11 @@
                     self.incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.group = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2370,6 +2378,10 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 3)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.I32, 4)
+            oprot.writeI32(self.group)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3158,6 +3170,374 @@
         return not (self == other)
 
 
+class ClaimRequest(object):
+    """
+    Attributes:
+     - request_id
+     - command
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'command',
+    )
+
+
+    def __init__(self, request_id=None, command=None,):
+        self.request_id = request_id
+        self.command = command
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.command = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ClaimRequest')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
+            oprot.writeFieldEnd()
+        if self.command is not None:
+            oprot.writeFieldBegin('command', TType.STRING, 2)
+            oprot.writeBinary(self.command)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ClaimAnswer(object):
+    """
+    Attributes:
+     - request_id
+     - outcome
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'outcome',
+    )
+
+
+    def __init__(self, request_id=None, outcome=None,):
+        self.request_id = request_id
+        self.outcome = outcome
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.outcome = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ClaimAnswer')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
+            oprot.writeFieldEnd()
+        if self.outcome is not None:
+            oprot.writeFieldBegin('outcome', TType.STRING, 2)
+            oprot.writeBinary(self.outcome)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashReport(object):
+    """
+    Attributes:
+     - fingerprint
+     - upstream
+     - incarnation
+     - at
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'upstream',
+        'incarnation',
+        'at',
+    )
+
+
+    def __init__(self, fingerprint=None, upstream=None, incarnation=None, at=None,):
+        self.fingerprint = fingerprint
+        self.upstream = upstream
+        self.incarnation = incarnation
+        self.at = at
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.at = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashReport')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeBinary(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 2)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 3)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.at is not None:
+            oprot.writeFieldBegin('at', TType.DOUBLE, 4)
+            oprot.writeDouble(self.at)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Exoneration(object):
+    """
+    Attributes:
+     - fingerprint
+     - upstream
+     - incarnation
+     - at
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'upstream',
+        'incarnation',
+        'at',
+    )
+
+
+    def __init__(self, fingerprint=None, upstream=None, incarnation=None, at=None,):
+        self.fingerprint = fingerprint
+        self.upstream = upstream
+        self.incarnation = incarnation
+        self.at = at
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.at = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Exoneration')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeBinary(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 2)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 3)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.at is not None:
+            oprot.writeFieldBegin('at', TType.DOUBLE, 4)
+            oprot.writeDouble(self.at)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -3186,6 +3566,10 @@
      - propose_request
      - propose_answer
      - endpoints_request
+     - claim_request
+     - claim_answer
+     - crash_report
+     - exoneration
 
     """
 
@@ -3215,10 +3599,14 @@
         'propose_request',
         'propose_answer',
         'endpoints_request',
+        'claim_request',
+        'claim_answer',
+        'crash_report',
+        'exoneration',
     )
 
 
-    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_chunk=None, snapshot_reply=None, hello=None, staged_report=None, active_report=None, node_heartbeat=None, stage_request=None, endpoint_report=None, welcome=None, stage=None, activate=None, control_heartbeat=None, endpoint_change=None, redirect=None, peer_hello=None, register_summary=None, nodes_request=None, nodes_answer=None, propose_request=None, propose_answer=None, endpoints_request=None,):
+    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_chunk=None, snapshot_reply=None, hello=None, staged_report=None, active_report=None, node_heartbeat=None, stage_request=None, endpoint_report=None, welcome=None, stage=None, activate=None, control_heartbeat=None, endpoint_change=None, redirect=None, peer_hello=None, register_summary=None, nodes_request=None, nodes_answer=None, propose_request=None, propose_answer=None, endpoints_request=None, claim_request=None, claim_answer=None, crash_report=None, exoneration=None,):
         self.vote_request = vote_request
         self.vote_reply = vote_reply
         self.append_request = append_request
@@ -3244,6 +3632,10 @@
         self.propose_request = propose_request
         self.propose_answer = propose_answer
         self.endpoints_request = endpoints_request
+        self.claim_request = claim_request
+        self.claim_answer = claim_answer
+        self.crash_report = crash_report
+        self.exoneration = exoneration
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3404,6 +3796,30 @@
                     self.endpoints_request.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 26:
+                if ftype == TType.STRUCT:
+                    self.claim_request = ClaimRequest()
+                    self.claim_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 27:
+                if ftype == TType.STRUCT:
+                    self.claim_answer = ClaimAnswer()
+                    self.claim_answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 28:
+                if ftype == TType.STRUCT:
+                    self.crash_report = CrashReport()
+                    self.crash_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 29:
+                if ftype == TType.STRUCT:
+                    self.exoneration = Exoneration()
+                    self.exoneration.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3514,6 +3930,22 @@
             oprot.writeFieldBegin('endpoints_request', TType.STRUCT, 25)
             self.endpoints_request.write(oprot)
             oprot.writeFieldEnd()
+        if self.claim_request is not None:
+            oprot.writeFieldBegin('claim_request', TType.STRUCT, 26)
+            self.claim_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.claim_answer is not None:
+            oprot.writeFieldBegin('claim_answer', TType.STRUCT, 27)
+            self.claim_answer.write(oprot)
+            oprot.writeFieldEnd()
+        if self.crash_report is not None:
+            oprot.writeFieldBegin('crash_report', TType.STRUCT, 28)
+            self.crash_report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.exoneration is not None:
+            oprot.writeFieldBegin('exoneration', TType.STRUCT, 29)
+            self.exoneration.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3718,6 +4150,7 @@
     (1, TType.STRING, 'mesh', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'control', 'UTF8', None, ),  # 2
     (3, TType.I64, 'incarnation', None, None, ),  # 3
+    (4, TType.I32, 'group', None, None, ),  # 4
 )
 all_structs.append(EndpointsRequest)
 EndpointsRequest.thrift_spec = (
@@ -3775,6 +4208,34 @@
     (3, TType.STRING, 'outcome', 'BINARY', None, ),  # 3
     (4, TType.STRING, 'leader', 'UTF8', None, ),  # 4
 )
+all_structs.append(ClaimRequest)
+ClaimRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.STRING, 'command', 'BINARY', None, ),  # 2
+)
+all_structs.append(ClaimAnswer)
+ClaimAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.STRING, 'outcome', 'BINARY', None, ),  # 2
+)
+all_structs.append(CrashReport)
+CrashReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'incarnation', None, None, ),  # 3
+    (4, TType.DOUBLE, 'at', None, None, ),  # 4
+)
+all_structs.append(Exoneration)
+Exoneration.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'incarnation', None, None, ),  # 3
+    (4, TType.DOUBLE, 'at', None, None, ),  # 4
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -3803,6 +4264,10 @@
     (23, TType.STRUCT, 'propose_request', [ProposeRequest, None], None, ),  # 23
     (24, TType.STRUCT, 'propose_answer', [ProposeAnswer, None], None, ),  # 24
     (25, TType.STRUCT, 'endpoints_request', [EndpointsRequest, None], None, ),  # 25
+    (26, TType.STRUCT, 'claim_request', [ClaimRequest, None], None, ),  # 26
+    (27, TType.STRUCT, 'claim_answer', [ClaimAnswer, None], None, ),  # 27
+    (28, TType.STRUCT, 'crash_report', [CrashReport, None], None, ),  # 28
+    (29, TType.STRUCT, 'exoneration', [Exoneration, None], None, ),  # 29
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
+++ b/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
@@ -170,6 +170,7 @@
   1: string mesh
   2: string control
   3: i64 incarnation
+  4: i32 group
 }
 
 // Asks a control instance for every endpoint that it vouches for.
@@ -222,6 +223,36 @@
   4: string leader
 }
 
+// --- requests that run at most once ---------------------------------
+
+// A command for the claim ledger; see rhubarbhollow_calls.claim_codec.
+struct ClaimRequest {
+  1: i64 request_id
+  2: binary command
+}
+
+// ``outcome`` is empty if the command was not committed in time.
+struct ClaimAnswer {
+  1: i64 request_id
+  2: binary outcome
+}
+
+// --- requests that crash upstreams ----------------------------------
+
+struct CrashReport {
+  1: binary fingerprint
+  2: string upstream
+  3: i64 incarnation
+  4: double at
+}
+
+struct Exoneration {
+  1: binary fingerprint
+  2: string upstream
+  3: i64 incarnation
+  4: double at
+}
+
 // One frame carries exactly one message.
 struct Frame {
   1: optional VoteRequest vote_request
@@ -249,4 +280,8 @@
   23: optional ProposeRequest propose_request
   24: optional ProposeAnswer propose_answer
   25: optional EndpointsRequest endpoints_request
+  26: optional ClaimRequest claim_request
+  27: optional ClaimAnswer claim_answer
+  28: optional CrashReport crash_report
+  29: optional Exoneration exoneration
 }
