Find faults of the log with long seeded runs

Also may_form_cluster, which bars a second history, and confirmed_at in the status. The replica tests moved to a clock that the test advances, after one failed when fsync was slow.

--- a/packages/replication/src/rhubarbhollow_replication/append.py
+++ b/packages/replication/src/rhubarbhollow_replication/append.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from rhubarbhollow_replication.entry import Entry
+# the codec resolves the hints of messages at run time
+from rhubarbhollow_replication.entry import Entry  # noqa: TC001
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,9 +14,9 @@
 
     ``round`` numbers the leader's broadcasts within its term.
     ``acked_round`` is the latest round whose reply from this follower
-    has reached the leader, and ``confirmed_round`` the latest that a
-    quorum has answered: the two bound the age of what the follower
-    holds without a shared clock.
+    had reached the leader when this round began, and
+    ``confirmed_round`` the latest that a quorum has answered: the two
+    bound the age of what the follower holds without a shared clock.
     """
 
     term: int
--- a/packages/replication/src/rhubarbhollow_replication/core.py
+++ b/packages/replication/src/rhubarbhollow_replication/core.py
@@ -89,7 +89,7 @@
         self._tally: Tally | None = None
         self._freshness = Freshness(settings.lease_seconds)
         self._receiver = SnapshotReceiver()
-        self._committed: list[Entry | Snapshot] = []
+        self._installed: Snapshot | None = None
         self._taken_index = self._journal.commit_index
         self._written_index = self._journal.log.last_index
         # A replica that restarts may have answered a leader just before
@@ -161,12 +161,28 @@
         limit = self._settings.snapshot_after_bytes
         return count > 0 and log.payload_bytes >= limit
 
+    @property
+    def confirmed_at(self) -> float | None:
+        """A past time; what was acknowledged before is applied."""
+        if self._leadership is None:
+            return self._freshness.confirmed_at(self._taken_index)
+        if self._journal.log.term_at(self._taken_index) != self.term:
+            return None
+        return self._leadership.lease.confirmed_at
+
     @property
     def _is_voter(self) -> bool:
         return self.configuration.is_voting_store(
             self._settings.name, self._store_id
         )
 
+    @property
+    def _is_forming_barred(self) -> bool:
+        """Whether an empty store may not help to start a history."""
+        if self.configuration.is_bound:
+            return False
+        return not self._settings.may_form_cluster
+
     def leads(self, term: int) -> bool:
         """Whether this replica is the leader of ``term``."""
         return self._leadership is not None and self.term == term
@@ -289,13 +305,24 @@
         journal = self._journal
         journal.synced_index = min(self._written_index, self.last_index)
         self._advance_commit()
-        self._hand_out_committed()
 
     def take_committed(self) -> tuple[Entry | Snapshot, ...]:
-        """Return what to apply or restore next, in order."""
-        committed = tuple(self._committed)
-        self._committed.clear()
-        return committed
+        """Return what to apply or restore now, in order.
+
+        Only what is durable here as well is released, so that a crash
+        never leaves the state machine ahead of its log.
+        """
+        items: list[Entry | Snapshot] = []
+        journal = self._journal
+        if self._installed is not None:
+            items.append(self._installed)
+            self._taken_index = self._installed.last_index
+            self._installed = None
+        last = min(journal.commit_index, journal.synced_index)
+        if last > self._taken_index:
+            items.extend(journal.log.read(self._taken_index + 1, last))
+            self._taken_index = last
+        return tuple(items)
 
     def compact(self, data: bytes) -> None:
         """Let the state machine's snapshot replace the log so far."""
@@ -313,7 +340,7 @@
         self._advance_commit()
 
     def _start_election(self, now: float, *, is_probe: bool) -> None:
-        if not self._is_voter:
+        if not self._is_voter or self._is_forming_barred:
             return
         name = self._settings.name
         self._leader = None
@@ -360,6 +387,8 @@
         if own is not None and own.store_id not in ("", self._store_id):
             # This store does not remember what the bound one promised.
             return False
+        if request.last_index == 0 and self._is_forming_barred:
+            return False
         log = self._journal.log
         offered = (request.last_term, request.last_index)
         if offered < (log.last_term, log.last_index):
@@ -429,6 +458,7 @@
         if not self._accept_leader(request.term, request.leader, now):
             self._answer_append(request, self.last_index, is_success=False)
             return
+        self._freshness.note_reply(request.term, request.round, now)
         log = self._journal.log
         if request.previous_index > log.last_index:
             self._answer_append(request, log.last_index, is_success=False)
@@ -442,7 +472,8 @@
         self._journal.merge(request.entries)
         last_index = request.previous_index + len(request.entries)
         self._journal.commit(min(request.commit_index, last_index))
-        self._freshness.note_request(request, now)
+        is_current = log.term_at(request.commit_index) == request.term
+        self._freshness.note_request(request, is_current=is_current)
         self._answer_append(request, last_index, is_success=True)
 
     def _answer_append(
@@ -461,11 +492,11 @@
     def _handle_chunk(self, chunk: SnapshotChunk, now: float) -> None:
         if not self._accept_leader(chunk.term, chunk.leader, now):
             return
+        self._freshness.note_reply(chunk.term, chunk.round, now)
         snapshot = self._receiver.add(chunk)
         if snapshot is not None and snapshot.last_index > self.commit_index:
             self._journal.install(snapshot)
-            self._committed.append(snapshot)
-            self._taken_index = snapshot.last_index
+            self._installed = snapshot
         if chunk.last_index > self.commit_index:
             self._outbox.add(chunk.leader, self._ask_for_chunk(chunk))
             return
@@ -500,7 +531,6 @@
         if isinstance(reply, AppendReply):
             self._leadership.handle_append_reply(reply, now)
             self._advance_commit()
-            self._hand_out_committed()
             return
         self._leadership.handle_snapshot_reply(reply, now)
 
@@ -551,15 +581,6 @@
         if self._journal.commit(self._leadership.find_committed()):
             self._leadership.note_commit()
 
-    def _hand_out_committed(self) -> None:
-        """Release what is committed and durable here to be applied."""
-        journal = self._journal
-        last = min(journal.commit_index, journal.synced_index)
-        if last <= self._taken_index:
-            return
-        self._committed.extend(journal.log.read(self._taken_index + 1, last))
-        self._taken_index = last
-
     def _restart_election_timer(self, now: float) -> None:
         timeout = self._settings.election_timeout_seconds
         self._election_at = now + timeout * (1 + self._random.random())
--- a/packages/replication/src/rhubarbhollow_replication/freshness.py
+++ b/packages/replication/src/rhubarbhollow_replication/freshness.py
@@ -32,32 +32,54 @@
     def __init__(self, lease_seconds: float) -> None:
         self._lease_seconds = lease_seconds
         self._term = 0
+        self._last_round = 0
         self._replied_at: OrderedDict[int, float] = OrderedDict()
         self._rounds: OrderedDict[int, _Round] = OrderedDict()
         self._proof: _Round | None = None
 
-    def note_request(self, request: AppendRequest, now: float) -> None:
-        """Learn from a leader's request whose entries were taken."""
-        if request.term != self._term:
-            self._term = request.term
+    def note_reply(self, term: int, round_number: int, now: float) -> None:
+        """Remember when a round was first answered, or earlier."""
+        if term != self._term:
+            self._term = term
+            self._last_round = 0
             self._replied_at.clear()
             self._rounds.clear()
             self._proof = None
+        if round_number <= self._last_round:
+            # A repeat must not make the first answer look later.
+            return
+        self._last_round = round_number
+        self._replied_at[round_number] = now
+        _bound(self._replied_at)
+
+    def note_request(
+        self, request: AppendRequest, *, is_current: bool
+    ) -> None:
+        """Learn from a leader's request whose entries were taken.
+
+        ``is_current`` says that the request's commit index is of its
+        term: until then a new leader may not know of all commits.
+        """
         replied_at = self._replied_at.get(request.acked_round)
-        if replied_at is not None:
+        if replied_at is not None and is_current:
             proof = _Round(replied_at, request.commit_index)
             self._rounds.setdefault(request.round, proof)
+            _bound(self._rounds)
         self._settle(request.confirmed_round)
-        self._replied_at.setdefault(request.round, now)
-        _bound(self._replied_at)
-        _bound(self._rounds)
 
-    def is_fresh(self, applied_index: int, now: float) -> bool:
-        """Whether all that was committed a lease ago is applied."""
+    def confirmed_at(self, applied_index: int) -> float | None:
+        """Return a past time whose commits are all applied here."""
         proof = self._proof
         if proof is None or applied_index < proof.commit_index:
+            return None
+        return proof.sent_after
+
+    def is_fresh(self, applied_index: int, now: float) -> bool:
+        """Whether all that was committed a lease ago is applied."""
+        confirmed_at = self.confirmed_at(applied_index)
+        if confirmed_at is None:
             return False
-        return now < proof.sent_after + self._lease_seconds
+        return now < confirmed_at + self._lease_seconds
 
     def _settle(self, confirmed_round: int) -> None:
         settled = [r for r in self._rounds if r <= confirmed_round]
--- a/packages/replication/src/rhubarbhollow_replication/leadership.py
+++ b/packages/replication/src/rhubarbhollow_replication/leadership.py
@@ -96,6 +96,7 @@
         self._has_news = False
         self._heartbeat_at = now + self._settings.heartbeat_seconds
         for name, peer in self._peers.items():
+            peer.echoed_round = peer.acked_round
             self._send_round(name, peer, now)
         self._confirm_rounds()
         return number
@@ -250,7 +251,7 @@
             entries=entries,
             commit_index=self._journal.commit_index,
             round=self.lease.round,
-            acked_round=peer.acked_round,
+            acked_round=peer.echoed_round,
             confirmed_round=self.lease.confirmed_round,
             store_id=self._store_id,
         )
--- a/packages/replication/src/rhubarbhollow_replication/plan.py
+++ b/packages/replication/src/rhubarbhollow_replication/plan.py
@@ -35,15 +35,16 @@
     """Return the next change that repairs the membership, if any.
 
     A lost store comes first, since its voter counts for nothing; then
-    a missing voter; then a silent voter, whose vote is taken only if a
-    caught-up learner can have it at once. Taking the vote first needs
-    no more living voters than the quorum did before: promoting first
-    would make the new voter's survival a condition.
+    a missing voter. A silent voter is replaced in two steps: a
+    caught-up learner is promoted beside it, and then it is demoted.
+    While both vote, the silent one can still help if it comes back
+    and another member is lost; demoted first, it could not.
     """
+    wanted = view.wanted_voters + _has_silent_voter(view)
     return (
         _rebind_lost_store(view)
-        or _fill_missing_voter(view)
-        or _retire_silent_voter(view)
+        or _fill_missing_voter(view, wanted)
+        or _retire_surplus_voter(view)
     )
 
 
@@ -104,8 +105,14 @@
     return None
 
 
-def _fill_missing_voter(view: MembershipView) -> Configuration | None:
-    if len(view.configuration.voters) >= view.wanted_voters:
+def _has_silent_voter(view: MembershipView) -> bool:
+    return any(view.is_silent(v) for v in view.configuration.voters)
+
+
+def _fill_missing_voter(
+    view: MembershipView, wanted: int
+) -> Configuration | None:
+    if len(view.configuration.voters) >= wanted:
         return None
     for member in view.configuration.members:
         if member.is_voter or not view.is_caught_up(member):
@@ -116,19 +123,16 @@
     return None
 
 
-def _retire_silent_voter(view: MembershipView) -> Configuration | None:
-    members = view.configuration.members
-    spares = (m for m in members if not m.is_voter and view.is_caught_up(m))
-    if next(spares, None) is None:
+def _retire_surplus_voter(view: MembershipView) -> Configuration | None:
+    """Demote the voter not heard for longest if there are too many."""
+    voters = view.configuration.voters
+    if len(voters) <= view.wanted_voters:
         return None
-    for voter in view.configuration.voters:
-        if not view.is_silent(voter):
-            continue
-        learner = Member(voter.name, voter.store_id, MemberRole.LEARNER)
-        proposed = view.configuration.with_member(learner)
-        if view.is_quorum_alive(proposed):
-            return proposed
-    return None
+    others = (v for v in voters if v.name in view.peers)
+    oldest = min(others, key=lambda v: view.peers[v.name].heard_at)
+    learner = Member(oldest.name, oldest.store_id, MemberRole.LEARNER)
+    proposed = view.configuration.with_member(learner)
+    return proposed if view.is_quorum_alive(proposed) else None
 
 
 def _as_voter(member: Member) -> Member:
--- a/packages/replication/src/rhubarbhollow_replication/progress.py
+++ b/packages/replication/src/rhubarbhollow_replication/progress.py
@@ -25,12 +25,15 @@
 
     ``match_index`` is durable at the peer, ``next_index`` the next to
     send and ``store_id`` the store that the peer last answered from.
+    ``echoed_round`` is what ``acked_round`` was when the current round
+    began, so that the peer can tell how late that was.
     """
 
     next_index: int
     heard_at: float
     match_index: int = 0
     acked_round: int = 0
+    echoed_round: int = 0
     store_id: str = ""
     transfer: SnapshotTransfer | None = None
 
@@ -41,6 +44,7 @@
         self.store_id = store_id
         self.match_index = 0
         self.acked_round = 0
+        self.echoed_round = 0
         self.next_index = last_index + 1
         self.transfer = None
 
@@ -48,6 +52,8 @@
         """Raise what is durable at the peer."""
         self.match_index = max(self.match_index, index)
         self.next_index = max(self.next_index, index + 1)
+        if self.transfer and index >= self.transfer.snapshot.last_index:
+            self.transfer = None
 
     def note_refusal(self, hint: int) -> None:
         """Go back to where the peer says its log may agree.
--- a/packages/replication/src/rhubarbhollow_replication/replica.py
+++ b/packages/replication/src/rhubarbhollow_replication/replica.py
@@ -98,6 +98,7 @@
             term=core.term,
             leader=core.leader,
             is_fresh=not is_failed and core.is_fresh(now),
+            confirmed_at=core.confirmed_at,
             commit_index=core.commit_index,
             applied_index=self._applied_index,
             members=self._member_statuses(now),
--- a/packages/replication/src/rhubarbhollow_replication/segments.py
+++ b/packages/replication/src/rhubarbhollow_replication/segments.py
@@ -67,6 +67,7 @@
         self._segment_bytes = segment_bytes
         self._segments: list[_Segment] = []
         self._file: DiskFile | None = None
+        self._is_synced = True
 
     @property
     def last_path(self) -> Path:
@@ -83,14 +84,14 @@
         contents: list[Entry | Reset] = []
         mark_number, mark_offset = self._read_mark()
         for path in paths:
-            number = int(path.name.removesuffix(_SUFFIX))
+            number = _number(path)
             durable = mark_offset if number == mark_number else 0
             is_last = path == paths[-1] and number >= mark_number
             found = self._load_segment(path, number, durable, is_last)
             if isinstance(found, CorruptRecord):
                 return found
             contents.extend(found)
-        if mark_number and mark_number not in _numbers(paths):
+        if mark_number > max(map(_number, paths), default=0):
             return CorruptRecord(str(self._folder / _MARK_NAME), 0)
         return tuple(contents)
 
@@ -98,8 +99,9 @@
         """Write records in one piece, not yet durable."""
         segment = self._open_segment()
         encoded = bytearray()
-        for position, content in enumerate(contents):
-            encoded += encode_record(content, is_batch_start=position == 0)
+        for content in contents:
+            encoded += encode_record(content, self._is_synced)
+            self._is_synced = False
             segment.last_index = max(segment.last_index, content.index)
         if self._file is not None:
             self._file.write(bytes(encoded))
@@ -110,6 +112,7 @@
         if self._file is None:
             return
         self._file.sync()
+        self._is_synced = True
         segment = self._segments[-1]
         mark = seal(_MARK.pack(segment.number, segment.size))
         self._disk.overwrite(self._folder / _MARK_NAME, mark)
@@ -124,7 +127,10 @@
             self._disk.sync_folder(self._folder)
 
     def roll(self) -> None:
-        """Start a new segment at the next append."""
+        """Start a new segment at the next append.
+
+        Everything appended so far must be synced.
+        """
         if self._file is not None:
             self._file.close()
             self._file = None
@@ -132,7 +138,8 @@
     def _open_segment(self) -> _Segment:
         if self._file is None:
             return self._create_segment()
-        if self._segments[-1].size >= self._segment_bytes:
+        is_full = self._segments[-1].size >= self._segment_bytes
+        if is_full and self._is_synced:
             self.roll()
             return self._create_segment()
         return self._segments[-1]
@@ -195,5 +202,5 @@
         return []
 
 
-def _numbers(paths: Iterable[Path]) -> set[int]:
-    return {int(path.name.removesuffix(_SUFFIX)) for path in paths}
+def _number(path: Path) -> int:
+    return int(path.name.removesuffix(_SUFFIX))
--- a/packages/replication/src/rhubarbhollow_replication/settings.py
+++ b/packages/replication/src/rhubarbhollow_replication/settings.py
@@ -14,6 +14,9 @@
     ``initial_members`` must be the same at every one of them; it is
     read only while a store is empty. A replica that it does not list
     starts as a learner and waits to be added.
+    ``may_form_cluster`` lets empty stores of all the initial members
+    start a new history; switched off after the first start, not even
+    the loss of all their disks at once can start a second one.
     ``max_clock_drift_ratio`` bounds how much faster one member's clock
     runs than another's, as a share of elapsed time.
     """
@@ -28,6 +31,7 @@
     max_batch_bytes: int = 256 * 1024
     max_pending_proposals: int = 1024
     repair_after_seconds: float = 60.0
+    may_form_cluster: bool = True
 
     def __post_init__(self) -> None:
         if self.heartbeat_ms * 2 > self.election_timeout_ms:
--- a/packages/replication/src/rhubarbhollow_replication/status.py
+++ b/packages/replication/src/rhubarbhollow_replication/status.py
@@ -30,13 +30,16 @@
     """Describe a replica at one moment.
 
     ``is_fresh`` holds while no newer commit than a lease ago can be
-    missing here; ``fault`` is set once the store has failed.
+    missing here. Everything acknowledged before ``confirmed_at``, on
+    this replica's monotonic clock, is applied here. ``fault`` is set
+    once the store has failed.
     """
 
     role: Role
     term: int
     leader: str | None
     is_fresh: bool
+    confirmed_at: float | None
     commit_index: int
     applied_index: int
     members: tuple[MemberStatus, ...]
--- /dev/null
+++ b/packages/replication/tests/seeded_run.py
@@ -0,0 +1,503 @@
+"""A long random run of several cores over fake disks and links.
+
+Everything that a run sees is compared with one naive history: the
+first command applied at an index is the command of that index for
+ever, on every member, and whatever was acknowledged is in it.
+"""
+
+from __future__ import annotations
+
+import bisect
+import heapq
+import itertools
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+from fake_disk import CrashError, FakeDisk
+from result import Ok
+
+from rhubarbhollow_replication.change import AddLearner, RemoveMember
+from rhubarbhollow_replication.core import Core, Position
+from rhubarbhollow_replication.entry import EntryKind
+from rhubarbhollow_replication.pending import PendingProposal, PendingRead
+from rhubarbhollow_replication.role import Role
+from rhubarbhollow_replication.settings import ReplicaSettings
+from rhubarbhollow_replication.snapshot import Snapshot
+from rhubarbhollow_replication.store import LogStore, set_aside
+from rhubarbhollow_replication.store_fault import CorruptRecord
+from rhubarbhollow_replication.vote import VoteReply
+from rhubarbhollow_replication.waiting import Waiting
+
+INITIAL = ("a", "b", "c")
+SPARES = ("d", "e")
+TIMEOUT_SECONDS = 0.3
+MAX_RATE_ERROR = 0.02
+SETTLE_STEPS = 6000
+STEPS_PER_PHASE = 400
+FAULT_RATES = (0.0, 0.002, 0.005, 0.02)
+
+
+@dataclass
+class RunReport:
+    """Count what a run did, so that an idle run does not pass."""
+
+    seed: int
+    steps: int
+    acknowledged: int = 0
+    unknown: int = 0
+    reads: int = 0
+    terms: int = 0
+    fresh_claims: int = 0
+    is_settled: bool = False
+    events: Counter = field(default_factory=Counter)
+
+
+class Machine:
+    def __init__(self):
+        self.applied = {}
+
+    def apply(self, index, payload):
+        self.applied[index] = payload
+        return index
+
+    def snapshot(self):
+        rows = [b"%d %s" % row for row in sorted(self.applied.items())]
+        return b"\n".join(rows)
+
+    def restore(self, data):
+        rows = (row.split(b" ", 1) for row in data.splitlines())
+        self.applied = {int(index): payload for index, payload in rows}
+
+
+class Member:
+    """One core with its disk, clock and the requests that it holds."""
+
+    def __init__(self, name, run):
+        self.name = name
+        self.run = run
+        self.random = Random(f"{run.report.seed} {name}")
+        self.rate = 1 + self.random.uniform(-1, 1) * MAX_RATE_ERROR
+        self.disk = FakeDisk(self.random)
+        self.folder = Path("/data") / name
+        self.is_up = self.is_damaged = False
+        self.frozen_until = 0.0
+        self.core = None
+        self.start()
+
+    def now(self):
+        return 1000 + self.run.time * self.rate
+
+    def start(self):
+        opened = self.open()
+        if not isinstance(opened, Ok):
+            assert isinstance(opened.err_value, CorruptRecord), opened
+            assert self.is_damaged, opened
+            self.run.report.events["corrupt"] += 1
+            set_aside(self.folder, self.disk)
+            opened = self.open()
+        self.store = opened.unwrap()
+        settings = ReplicaSettings(
+            self.name,
+            INITIAL,
+            election_timeout_ms=int(TIMEOUT_SECONDS * 1000),
+            heartbeat_ms=60,
+            snapshot_after_entries=20,
+            max_batch_bytes=200,
+            repair_after_seconds=3.0,
+        )
+        recovered = self.store.recovered
+        self.machine = Machine()
+        self.applied_index = 0
+        self.core = Core(settings, recovered, self.random, self.now())
+        self.waiting = Waiting()
+        self.requests = []
+        self.inbox = []
+        self.in_write = None
+        self.is_up = True
+        self.is_damaged = False
+        if recovered.snapshot:
+            self.restore(recovered.snapshot)
+
+    def open(self):
+        return LogStore.open(
+            self.folder,
+            disk=self.disk,
+            random_source=self.random,
+            segment_bytes=500,
+        )
+
+    @property
+    def is_awake(self):
+        return self.is_up and self.run.time >= self.frozen_until
+
+    def crash(self):
+        self.is_up = False
+        self.disk.crash()
+        self.down_until = self.run.time + self.random.choice((0.1, 1, 6))
+
+    def restore(self, snapshot):
+        self.machine.restore(snapshot.data)
+        self.applied_index = snapshot.last_index
+        for index, payload in self.machine.applied.items():
+            self.run.note_applied(index, payload)
+
+    def step(self):
+        """Take in what came, or finish a write that is under way."""
+        if not self.is_up and self.run.time >= self.down_until:
+            self.start()
+        if not self.is_awake:
+            return
+        try:
+            if self.in_write is None:
+                self.drain()
+            elif self.run.time >= self.in_write[1]:
+                self.finish_write()
+        except CrashError:
+            self.run.report.events["crash in write"] += 1
+            self.crash()
+
+    def drain(self):
+        now = self.now()
+        self.core.tick(now)
+        for message in self.inbox:
+            self.core.handle(message, now)
+        self.inbox.clear()
+        effects = self.core.take_effects(now)
+        for send in effects.early:
+            self.run.send(self, send)
+        delay = self.random.choice((0, 0, 0, 0.01, 0.05))
+        delay *= bool(effects.writes) and not self.run.is_calm
+        self.in_write = effects, self.run.time + delay
+        if not delay:
+            self.finish_write()
+
+    def finish_write(self):
+        effects = self.in_write[0]
+        self.in_write = None
+        if effects.writes and self.store.write(effects.writes).is_err():
+            self.run.report.events["store failed"] += 1
+            self.crash()
+            return
+        self.core.handle_synced()
+        for send in effects.late:
+            self.run.send(self, send)
+        for item in self.core.take_committed():
+            if isinstance(item, Snapshot):
+                self.restore(item)
+            else:
+                self.apply(item)
+        self.waiting.settle(self.core, self.applied_index, self.now())
+        if self.core.wants_snapshot:
+            self.core.compact(self.machine.snapshot())
+
+    def apply(self, entry):
+        assert entry.index == self.applied_index + 1
+        outcome = None
+        if entry.kind is EntryKind.COMMAND:
+            outcome = self.machine.apply(entry.index, entry.payload)
+            self.run.note_applied(entry.index, entry.payload)
+        self.applied_index = entry.index
+        position = Position(entry.index, entry.term)
+        self.waiting.resolve(position, outcome, self.core, self.now())
+
+    def propose(self, payload):
+        proposal = PendingProposal(payload)
+        position = self.core.propose(payload, self.now())
+        if position.is_ok():
+            self.waiting.add(position.ok_value, proposal)
+            self.requests.append((proposal, payload))
+
+    def read(self):
+        read = PendingRead()
+        ticket = self.core.begin_read(self.now())
+        if ticket.is_ok():
+            self.waiting.add_read(ticket.ok_value, read)
+            self.requests.append((read, self.run.acknowledged_index))
+
+    def has_survivors_without(self, lost):
+        """Whether this configuration outlives the loss of a disk."""
+        configuration = self.core.configuration
+        stores = {m.name: m.core.store_id for m in self.run.members.values()}
+        intact = {
+            voter.name
+            for voter in configuration.voters
+            if voter.store_id in ("", stores[voter.name])
+            and voter.name != lost
+            and self.run.members[voter.name].is_awake
+        }
+        return configuration.is_quorum(intact) or not configuration.is_bound
+
+
+class Run:
+    def __init__(self, seed, steps):
+        self.report = RunReport(seed, steps)
+        self.random = Random(seed)
+        self.time = 0.0
+        self.is_calm = False
+        self.fault_rate = 0.0
+        self.links = []
+        self.ids = itertools.count()
+        self.cut = set()
+        self.history = {}
+        self.acknowledged_index = 0
+        self.acknowledgements = []
+        self.acknowledged = {}
+        self.votes = defaultdict(set)
+        self.leaders = defaultdict(set)
+        self.members = {name: Member(name, self) for name in INITIAL + SPARES}
+
+    def send(self, member, send):
+        message = send.message
+        match message:
+            case VoteReply(is_granted=True, is_probe=False):
+                vote = self.votes[message.store_id, message.term]
+                vote.add(send.to)
+                assert len(vote) == 1, "second vote in one term"
+        loss = 0.0 if self.is_calm else 0.05
+        if (member.name, send.to) in self.cut or self.random.random() < loss:
+            return
+        copies = 2 if self.random.random() < loss else 1
+        for _ in range(copies):
+            delay = self.random.uniform(0.0005, 0.004)
+            if self.random.random() < loss:
+                delay = self.random.uniform(0, 4 * TIMEOUT_SECONDS)
+            row = (self.time + delay, next(self.ids), send.to, message)
+            heapq.heappush(self.links, row)
+
+    def note_applied(self, index, payload):
+        known = self.history.setdefault(index, payload)
+        assert known == payload, f"history differs at {index}"
+
+    def step(self):
+        self.time += self.random.uniform(0, 0.01)
+        while self.links and self.links[0][0] <= self.time:
+            _, _, name, message = heapq.heappop(self.links)
+            if self.members[name].is_up:
+                self.members[name].inbox.append(message)
+        order = list(self.members.values())
+        self.random.shuffle(order)
+        for member in order:
+            member.step()
+            self.collect(member)
+        self.check()
+
+    def collect(self, member):
+        """Note the answers that a member gave."""
+        still_open = []
+        for request, expected in member.requests:
+            if not request.answer._is_set.is_set():
+                still_open.append((request, expected))
+                continue
+            value = request.answer._value
+            if isinstance(request, PendingRead):
+                self.report.reads += value
+                assert not value or member.applied_index >= expected
+            elif isinstance(value, Ok):
+                self.acknowledge(value.ok_value, expected)
+            else:
+                self.report.unknown += 1
+        member.requests = still_open
+
+    def acknowledge(self, index, payload):
+        self.report.acknowledged += 1
+        assert self.history[index] == payload
+        assert index not in self.acknowledged, "acknowledged twice"
+        self.acknowledged[index] = payload
+        self.acknowledged_index = max(self.acknowledged_index, index)
+        self.acknowledgements.append((self.time, self.acknowledged_index))
+
+    def survives_without(self, name):
+        """Whether every configuration seen outlives a disk's loss."""
+        members = self.members.values()
+        if self.cut or not all(m.has_survivors_without(name) for m in members):
+            return False
+        remembering = (
+            other
+            for other in INITIAL
+            if other != name and self.members[other].core.last_index
+        )
+        return not self.history or any(remembering)
+
+    def check(self):
+        awake = [m for m in self.members.values() if m.is_awake]
+        holders = [m for m in awake if m.core.has_lease(m.now())]
+        assert len(holders) <= 1, "two leases at one time"
+        for member in awake:
+            if member.core.role is Role.LEADER:
+                self.leaders[member.core.term].add(member.name)
+                assert len(self.leaders[member.core.term]) == 1
+            self.check_confirmed(member)
+
+    def check_confirmed(self, member):
+        """Compare the claim to be recent with what was acknowledged."""
+        now = member.now()
+        confirmed_at = member.core.confirmed_at
+        is_fresh = member.core.is_fresh(now)
+        self.report.fresh_claims += is_fresh
+        if confirmed_at is None:
+            assert not is_fresh
+            return
+        assert not is_fresh or confirmed_at > now - TIMEOUT_SECONDS
+        moment = (confirmed_at - 1000) / member.rate
+        position = bisect.bisect_left(self.acknowledgements, (moment, 0))
+        if position:
+            required = self.acknowledgements[position - 1][1]
+            assert member.applied_index >= required, "stale claim"
+
+    def act(self):
+        """Let a client act, and now and then a fault happen."""
+        member = self.random.choice(list(self.members.values()))
+        if member.is_awake and member.core.role is Role.LEADER:
+            self.ask(member)
+        if self.random.random() < 1 / STEPS_PER_PHASE:
+            self.fault_rate = self.random.choice(FAULT_RATES)
+            heal(self, member)
+        if self.random.random() < self.fault_rate:
+            fault = self.random.choice(FAULTS)
+            self.report.events[fault.__name__] += 1
+            fault(self, member)
+
+    def ask(self, leader):
+        draw = self.random.random()
+        if draw < 0.7:
+            leader.propose(b"%d" % next(self.ids))
+        elif draw < 0.9:
+            leader.read()
+        elif draw < 0.97:
+            name = self.random.choice(SPARES)
+            leader.core.change_membership(AddLearner(name), leader.now())
+        else:
+            name = self.random.choice(SPARES)
+            leader.core.change_membership(RemoveMember(name), leader.now())
+
+    def settle(self):
+        """Heal everything; all members must come to one state."""
+        self.is_calm = True
+        self.cut.clear()
+        for member in self.members.values():
+            member.disk.crash_after = None
+            member.frozen_until = 0
+            if not member.is_up:
+                member.start()
+        marker = None
+        for _ in range(SETTLE_STEPS):
+            self.step()
+            leader = next(
+                (
+                    m
+                    for m in self.members.values()
+                    if m.core.has_lease(m.now())
+                ),
+                None,
+            )
+            if leader is None:
+                continue
+            for name in INITIAL + SPARES:
+                change = AddLearner(name)
+                leader.core.change_membership(change, leader.now())
+            if marker is None or not leader.requests:
+                if marker in self.acknowledged.values() and self.is_even():
+                    self.report.is_settled = True
+                    return
+                marker = marker or b"last"
+                if marker not in self.acknowledged.values():
+                    leader.propose(marker)
+
+    def is_even(self):
+        states = [member.machine.applied for member in self.members.values()]
+        voters = {
+            len(m.core.configuration.voters) for m in self.members.values()
+        }
+        return voters == {len(INITIAL)} and all(
+            state == self.history for state in states
+        )
+
+
+def crash(run, member):
+    if member.is_up:
+        member.crash()
+
+
+def crash_in_write(run, member):
+    if member.is_up:
+        member.disk.crash_after = run.random.randint(0, 12)
+
+
+def crash_all(run, member):
+    for other in run.members.values():
+        crash(run, other)
+
+
+def lose_disk(run, member):
+    if not run.survives_without(member.name):
+        return
+    crash(run, member)
+    run.report.events["disk lost"] += 1
+    member.disk = FakeDisk(member.random)
+    member.start()
+
+
+def flip_bit(run, member):
+    """Damage synced bytes where the store promises to notice."""
+    if not run.survives_without(member.name):
+        return
+    crash(run, member)
+    paths = [p for p in member.disk.names_now if p.parent == member.folder]
+    logs = sorted(p for p in paths if p.suffix == ".log")[:-1]
+    known = [p for p in paths if p.name in ("store", "vote", "snapshot")]
+    path = run.random.choice(sorted([*logs, *known]))
+    size = len(member.disk.read(path))
+    member.is_damaged = True
+    member.disk.flip(path, run.random.randrange(size))
+    before = run.report.events["corrupt"]
+    member.start()
+    assert run.report.events["corrupt"] == before + 1
+
+
+def fail_sync(run, member):
+    member.disk.fails_sync = member.is_up
+
+
+def fill_disk(run, member):
+    member.disk.is_full = member.is_up
+
+
+def freeze(run, member):
+    member.frozen_until = run.time + run.random.uniform(0, 1.5)
+
+
+def cut_one_way(run, member):
+    other = run.random.choice(INITIAL + SPARES)
+    run.cut.add((member.name, other))
+
+
+def isolate(run, member):
+    for other in run.members:
+        run.cut |= {(member.name, other), (other, member.name)}
+
+
+def heal(run, member):
+    run.cut.clear()
+
+
+FAULTS = (
+    *(crash, crash_in_write, crash_in_write, lose_disk, flip_bit),
+    *(fail_sync, fill_disk, freeze, freeze, cut_one_way, isolate),
+    *(heal, heal, heal, crash_all),
+)
+
+
+def run_seed(seed: int, steps: int) -> RunReport:
+    """Run ``steps`` with faults, then heal and compare all members."""
+    run = Run(seed, steps)
+    for _ in range(steps):
+        run.step()
+        run.act()
+    run.settle()
+    assert run.report.is_settled, "members did not come to one state"
+    for index, payload in run.acknowledged.items():
+        assert run.history[index] == payload
+    run.report.terms = len(run.leaders)
+    return run.report
--- a/packages/replication/tests/test_replica.py
+++ b/packages/replication/tests/test_replica.py
@@ -1,25 +1,44 @@
-"""Replicas on real files, joined by a direct call in one process."""
+"""Replicas in one process, under a clock that the test moves."""
 
 from __future__ import annotations
 
 import json
 from contextlib import asynccontextmanager
+from pathlib import Path
 from random import Random
 
 import anyio
+import anyio.lowlevel
+import anyio.to_thread
 import pytest
+from fake_disk import FakeDisk
 from result import Err, Ok
 
 from rhubarbhollow_replication import (
+    AddLearner,
     LogStore,
     NotLeader,
+    OutcomeUnknown,
+    Overloaded,
     Replica,
     ReplicaSettings,
     Role,
+    StoreFailed,
 )
-from rhubarbhollow_wire.clock import SystemClock
+from rhubarbhollow_replication.disk import OsDisk
+from rhubarbhollow_replication.store_fault import DiskFull, SyncFailed
+from rhubarbhollow_wire.clock import ManualClock
 
 NAMES = ("a", "b", "c")
+STEP_SECONDS = 0.01
+MAX_STEPS = 3000
+TURNS_PER_STEP = 12
+
+
+async def settle():
+    """Let every task run until it waits again."""
+    for _ in range(TURNS_PER_STEP):
+        await anyio.lowlevel.checkpoint()
 
 
 class Journal:
@@ -40,29 +59,32 @@
 
 
 class Group:
-    """Three replicas and the set of members that are running."""
+    """Replicas joined by direct calls, and a clock moved in steps."""
 
-    def __init__(self, folder, **settings):
+    def __init__(self, folder, disks=None, **settings):
         self.folder = folder
+        self.disks = disks or {}
         self.settings = settings
+        self.clock = ManualClock()
         self.replicas = {}
         self.machines = {}
         self.scopes = {}
-        self.traffic = anyio.Event()
+        self.silent = set()
 
     def send(self, to, message):
-        self.traffic.set()
-        if to in self.replicas:
+        if to in self.replicas and to not in self.silent:
             self.replicas[to].receive(message)
 
-    async def start(self, tasks, name):
-        store = LogStore.open(self.folder / name).unwrap()
+    def start(self, tasks, name):
+        disk = self.disks.get(name, OsDisk())
+        store = LogStore.open(self.folder / name, disk=disk).unwrap()
         self.machines[name] = Journal()
+        settings = ReplicaSettings(name, NAMES, 300, 50, **self.settings)
         replica = Replica(
-            settings=ReplicaSettings(name, NAMES, 300, 50, **self.settings),
+            settings=settings,
             store=store,
             machine=self.machines[name],
-            clock=SystemClock(),
+            clock=self.clock,
             random=Random(name),
             send=self.send,
         )
@@ -80,26 +102,39 @@
         del self.replicas[name]
         self.scopes.pop(name).cancel()
 
+    async def advance(self, seconds=STEP_SECONDS):
+        self.clock.advance(seconds)
+        for replica in self.replicas.values():
+            replica._wake.set()
+        await settle()
+
     async def wait_until(self, condition):
-        with anyio.fail_after(20):
-            while not (found := condition()):
-                self.traffic = anyio.Event()
-                await self.traffic.wait()
-        return found
+        for _ in range(MAX_STEPS):
+            if found := condition():
+                return found
+            await self.advance()
+        raise AssertionError("condition not reached")
+
+    async def call(self, function, *arguments):
+        answers = []
+
+        async def keep():
+            answers.append(await function(*arguments))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(keep)
+            await self.wait_until(lambda: answers)
+        return answers[0]
+
+    def find_leader(self):
+        statuses = [(r.status, r) for r in self.replicas.values()]
+        return next(
+            (r for s, r in statuses if s.role is Role.LEADER and s.is_fresh),
+            None,
+        )
 
     async def leader(self):
-        def find():
-            return next(
-                (
-                    replica
-                    for replica in self.replicas.values()
-                    if replica.status.role is Role.LEADER
-                    and replica.status.is_fresh
-                ),
-                None,
-            )
-
-        return await self.wait_until(find)
+        return await self.wait_until(self.find_leader)
 
     async def wait_applied(self, count):
         await self.wait_until(
@@ -115,37 +150,50 @@
     group = Group(folder, **settings)
     async with anyio.create_task_group() as tasks:
         for name in NAMES:
-            await group.start(tasks, name)
+            group.start(tasks, name)
         yield group, tasks
         tasks.cancel_scope.cancel()
 
 
+@pytest.fixture(autouse=True)
+def direct_writes(monkeypatch):
+    """Write on the event loop, so that no time passes meanwhile."""
+
+    async def run_sync(function, *arguments, limiter):
+        return function(*arguments)
+
+    monkeypatch.setattr(anyio.to_thread, "run_sync", run_sync)
+
+
 @pytest.mark.parametrize("snapshot_after", [10_000, 5])
 def test_commits_survive_a_restart_of_everyone(tmp_path, snapshot_after):
     commands = [f"c{number}" for number in range(12)]
+    settings = {"snapshot_after_entries": snapshot_after}
 
     async def first_run():
-        async with running(
-            tmp_path, snapshot_after_entries=snapshot_after
-        ) as (group, _):
+        async with running(tmp_path, **settings) as (group, _):
             leader = await group.leader()
+            told = []
+            leader.on_applied(told.append)
             for position, command in enumerate(commands):
-                outcome = await leader.propose(command.encode())
+                outcome = await group.call(leader.propose, command.encode())
                 assert outcome == Ok(position + 1)
-            assert await leader.confirm_leadership()
+            assert told == sorted(set(told))
+            assert told[-1] == leader.status.applied_index
+            assert await group.call(leader.confirm_leadership)
             follower = next(
                 r for r in group.replicas.values() if r is not leader
             )
-            refused = await follower.propose(b"x")
+            assert not await group.call(follower.confirm_leadership)
+            refused = await group.call(follower.propose, b"x")
             assert refused == Err(NotLeader(leader.status.leader))
             await group.wait_applied(len(commands))
 
     async def second_run():
-        async with running(
-            tmp_path, snapshot_after_entries=snapshot_after
-        ) as (group, _):
+        async with running(tmp_path, **settings) as (group, _):
             leader = await group.leader()
-            assert await leader.propose(b"last") == Ok(len(commands) + 1)
+            outcome = await group.call(leader.propose, b"last")
+            assert outcome == Ok(len(commands) + 1)
             await group.wait_applied(len(commands) + 1)
             for machine in group.machines.values():
                 assert machine.commands == [*commands, "last"]
@@ -162,19 +210,109 @@
         ):
             leader = await group.leader()
             name = leader.status.leader
-            await leader.propose(b"one")
+            await group.call(leader.propose, b"one")
             group.stop(name)
             leader = await group.leader()
             for word in (b"two", b"three", b"four", b"five"):
-                assert (await leader.propose(word)).is_ok()
+                assert (await group.call(leader.propose, word)).is_ok()
             for path in (tmp_path / name).iterdir():
                 path.unlink()
-            await group.start(tasks, name)
+            group.start(tasks, name)
             await group.wait_applied(5)
             await group.wait_until(
                 lambda: all(
-                    m.role.value == "voter" for m in leader.status.members
+                    m.role.value == "voter" and m.is_alive
+                    for m in leader.status.members
                 )
             )
 
     anyio.run(run)
+
+
+@pytest.mark.parametrize(
+    ("attribute", "fault"), [("fails_sync", SyncFailed), ("is_full", DiskFull)]
+)
+def test_a_failed_store_ends_voting_and_acknowledging(attribute, fault):
+    async def run():
+        disks = {name: FakeDisk(Random(name)) for name in NAMES}
+        async with running(Path("/data"), disks=disks) as (group, _):
+            leader = await group.leader()
+            name = leader.status.leader
+            await group.call(leader.propose, b"one")
+            setattr(disks[name], attribute, True)
+            outcome = await group.call(leader.propose, b"two")
+            assert outcome == Err(OutcomeUnknown())
+            assert leader.status.role is Role.FAILED
+            assert isinstance(leader.status.fault, fault)
+            refused = await group.call(leader.propose, b"three")
+            assert refused == Err(StoreFailed(leader.status.fault))
+            other = await group.leader()
+            assert other is not leader
+            assert (await group.call(other.propose, b"four")).is_ok()
+
+    anyio.run(run)
+
+
+def test_a_leader_that_was_frozen_acknowledges_nothing(tmp_path):
+    async def run():
+        async with running(tmp_path) as (group, _):
+            leader = await group.leader()
+            name = leader.status.leader
+            group.silent = set(NAMES) - {name}
+            answers = []
+
+            async def keep(request, *arguments):
+                answers.append(await request(*arguments))
+
+            async with anyio.create_task_group() as requests:
+                requests.start_soon(keep, leader.propose, b"one")
+                requests.start_soon(keep, leader.confirm_leadership)
+                await settle()
+                assert answers == []
+                await group.advance(10)
+            assert sorted(answers, key=str) == [Err(OutcomeUnknown()), False]
+            assert not leader.status.is_fresh
+
+    anyio.run(run)
+
+
+def test_proposals_beyond_the_limit_are_refused_before_the_log(tmp_path):
+    async def run():
+        async with running(tmp_path, max_pending_proposals=1) as (group, _):
+            leader = await group.leader()
+            answers = []
+
+            async def keep(payload):
+                answers.append(await leader.propose(payload))
+
+            async with anyio.create_task_group() as requests:
+                for payload in (b"one", b"two"):
+                    requests.start_soon(keep, payload)
+                await settle()
+            assert sorted(answers, key=str) == [Err(Overloaded()), Ok(1)]
+
+    anyio.run(run)
+
+
+def test_a_silent_voter_is_replaced_by_a_caught_up_learner(tmp_path):
+    async def run():
+        async with running(tmp_path, repair_after_seconds=2.0) as (
+            group,
+            tasks,
+        ):
+            leader = await group.leader()
+            await group.call(leader.propose, b"one")
+            group.start(tasks, "d")
+            added = await group.call(leader.change_membership, AddLearner("d"))
+            assert added.is_ok()
+            lost = next(n for n in NAMES if n != leader.status.leader)
+            group.stop(lost)
+
+            def voters():
+                members = leader.status.members
+                return {m.name for m in members if m.role.value == "voter"}
+
+            await group.wait_until(lambda: voters() == {*NAMES, "d"} - {lost})
+            assert (await group.call(leader.propose, b"two")).is_ok()
+
+    anyio.run(run)
