Wake up for a summary that was held back

Cause: a control instance sends its nodes' progress to the leader at most every 10 ms. A change within that time was not sent until the next event or the 100 ms tick, so that every release but the first waited for a tick.

Ruled out by the log's times: the quorum commit (accepted within 20 ms of the request) and the step from the committed activation to the nodes (1 to 4 ms); only the step from staging to activation was slow.

--- a/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
@@ -20,6 +20,7 @@
 )
 from rhubarbhollow_daemon.messages import ClaimRequest, EndpointsRequest
 from rhubarbhollow_daemon.node_link import NodeLink
+from rhubarbhollow_daemon.summary_schedule import SummarySchedule
 from rhubarbhollow_distribution.endpoint_change import EndpointChange
 from rhubarbhollow_distribution.feed import NodeFeed
 from rhubarbhollow_distribution.ledger_view import LedgerView
@@ -34,8 +35,6 @@
 
 INBOX_EVENTS: Final = 8_192
 TICK_SECONDS: Final = 0.1
-SUMMARY_SECONDS: Final = 0.5
-SUMMARY_MIN_SECONDS: Final = 0.01
 
 _log = structlog.get_logger()
 
@@ -53,8 +52,7 @@
             ControlEvent
         ](INBOX_EVENTS)
         self._ticked_at = 0.0
-        self._summary_at = 0.0
-        self._sent_summary: RegisterSummary | None = None
+        self._schedule = SummarySchedule(parts.clock)
         self._store_version = 0
         self._was_fresh = False
         parts.replica.on_applied(lambda _: self.post(LogAdvanced()))
@@ -112,7 +110,11 @@
 
     async def _next_event(self) -> ControlEvent | None:
         now = self._parts.clock.monotonic()
-        due = min(self._ticked_at + TICK_SECONDS, self._parts.desk.next_due)
+        due = min(
+            self._ticked_at + TICK_SECONDS,
+            self._parts.desk.next_due,
+            self._schedule.due,
+        )
         with anyio.move_on_after(max(0.0, due - now)):
             return await self._receiver.receive()
         return None
@@ -174,15 +176,9 @@
 
     def _send_summary(self) -> None:
         parts = self._parts
-        now = parts.clock.monotonic()
-        if now < self._summary_at + SUMMARY_MIN_SECONDS:
-            return
         summary = parts.register.summary()
-        is_due = now >= self._summary_at + SUMMARY_SECONDS
-        if not is_due and summary == self._sent_summary:
+        if not self._schedule.should_send(summary):
             return
-        self._summary_at = now
-        self._sent_summary = summary
         parts.leader_desk.note_summary(summary)
         parts.links.broadcast(summary)
 
