--- a/packages/distribution/src/rhubarbhollow_distribution/start_rule.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/start_rule.py
@@ -44,11 +44,12 @@
         return _start_isolated(ledger)
 
     def _is_confirmed(self, ledger: LedgerView) -> bool:
-        # An older confirmation may miss what this node applied last.
+        # A confirmation that began no later than the hello may miss
+        # what this node applied just before it ended.
         return (
             ledger.is_fresh
             and ledger.confirmed_at is not None
-            and ledger.confirmed_at >= self._hello_at
+            and ledger.confirmed_at > self._hello_at
         )
 
     def _start_fresh(self, ledger: LedgerView) -> int | None:
--- /dev/null
+++ b/packages/distribution/tests/small_mesh.py
@@ -0,0 +1,398 @@
+"""A few nodes and control instances, joined by queues in one process.
+
+The log is taken as given: ``Mesh`` holds what a quorum has committed,
+and a control instance that is not cut off reads it.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from result import Err
+from small_releases import (
+    MESH,
+    QUICK,
+    TRUSTED,
+    Releases,
+    hello_of,
+    resources_at,
+)
+
+from rhubarbhollow_distribution.activate import Activate
+from rhubarbhollow_distribution.activation import ActivationPlanner
+from rhubarbhollow_distribution.active_report import ActiveReport
+from rhubarbhollow_distribution.announcement_book import AnnouncementBook
+from rhubarbhollow_distribution.endpoint_change import EndpointChange
+from rhubarbhollow_distribution.endpoint_report import EndpointReport
+from rhubarbhollow_distribution.endpoint_store import EndpointStore
+from rhubarbhollow_distribution.endpoint_table import EndpointTable
+from rhubarbhollow_distribution.feed import NodeFeed
+from rhubarbhollow_distribution.holder import ReleaseHolder
+from rhubarbhollow_distribution.ledger_view import LedgerView
+from rhubarbhollow_distribution.node_heartbeat import NodeHeartbeat
+from rhubarbhollow_distribution.node_register import NodeRegister
+from rhubarbhollow_distribution.position_check import PositionCheck
+from rhubarbhollow_distribution.stage import Stage
+from rhubarbhollow_distribution.stage_fault import NeedsDifference
+from rhubarbhollow_distribution.stage_request import StageRequest
+from rhubarbhollow_distribution.start_floor import StartFloor
+from rhubarbhollow_wire.clock import ManualClock
+
+FRESH_SECONDS = 1.0
+LEASE_SECONDS = 4.0
+DEADLINE_SECONDS = 2.0
+
+
+class Link:
+    """An ordered connection; what is in flight is lost with it."""
+
+    def __init__(self, node, control, feed):
+        self.node = node
+        self.control = control
+        self.feed = feed
+        self.to_node = deque()
+        self.to_control = deque()
+
+
+class Control:
+    def __init__(self, name, data_centre, mesh):
+        self.name = name
+        self.data_centre = data_centre
+        self.mesh = mesh
+        self.releases = Releases()
+        self.active = 0
+        self.confirmed_at = None
+        self.recorded = 0
+        self.incarnation = 0
+        self.restart()
+
+    def restart(self):
+        """Start anew with the log and the recorded floor."""
+        self.incarnation += 1
+        clock = self.mesh.clock
+        self.floor = StartFloor(self.recorded)
+        self.register = NodeRegister(
+            self.name, self.data_centre, clock, LEASE_SECONDS
+        )
+        self.store = EndpointStore(self.name, self.incarnation, clock)
+        self.confirmed_at = None
+
+    def sync(self):
+        self.releases.latest = self.mesh.latest
+        self.active = self.mesh.active
+        self.confirmed_at = self.mesh.clock.monotonic()
+
+    def view(self):
+        latest = self.releases.latest
+        self.floor.require(max(latest, self.register.floor))
+        if self.floor.pending is not None:
+            self.recorded = self.floor.pending
+            self.floor.confirm(self.recorded)
+        now = self.mesh.clock.monotonic()
+        confirmed = self.confirmed_at
+        return LedgerView(
+            latest_position=latest,
+            active_position=self.active,
+            is_fresh=confirmed is not None and now < confirmed + FRESH_SECONDS,
+            confirmed_at=confirmed,
+            recorded_floor=self.floor.recorded,
+        )
+
+
+@dataclass
+class Node:
+    name: str
+    data_centre: str
+    mesh: Mesh
+    incarnation: int = 0
+    # What outlives the process in the test's memory only.
+    applied: int = 0
+    offered_by: dict[str, int] = field(default_factory=dict)
+
+    def __post_init__(self):
+        self.restart()
+
+    def restart(self):
+        self.incarnation += 1
+        clock = self.mesh.clock
+        self.holder = ReleaseHolder(MESH, TRUSTED, clock)
+        self.table = EndpointTable(clock)
+        self.book = AnnouncementBook(
+            node=self.name,
+            data_centre=self.data_centre,
+            peer_host="127.0.0.1",
+            peer_port=7101,
+            incarnation=self.incarnation,
+            clock=clock,
+        )
+        self.promised = set()
+        self.received = []
+
+    def hello(self):
+        return hello_of(
+            self.holder,
+            table=self.table,
+            node=self.name,
+            data_centre=self.data_centre,
+            incarnation=self.incarnation,
+        )
+
+    def handle(self, message, control):
+        """Take over a message; return the answers."""
+        self.received.append(message)
+        match message:
+            case Stage():
+                return self._stage(message, control)
+            case Activate(position=position, digest=digest):
+                return self._activate(position, digest, control)
+            case EndpointChange():
+                self.table.apply(message)
+        return []
+
+    def _stage(self, message, control):
+        outcome = self.holder.stage(message)
+        if isinstance(outcome, Err):
+            fault = outcome.err_value
+            if isinstance(fault, NeedsDifference):
+                return [StageRequest(fault.held_position, fault.held_digest)]
+            return []
+        self.promised.add(message.position)
+        self.offered_by[control.name] = max(
+            message.position, self.offered_by.get(control.name, 0)
+        )
+        return [outcome.ok_value]
+
+    def _activate(self, position, digest, control):
+        was_without_memory = self.holder.active is None
+        outcome = self.holder.activate(position, digest)
+        if isinstance(outcome, Err):
+            held = self.holder.held_digest
+            return [StageRequest(self.holder.staged_position, held)]
+        self.check(control if was_without_memory else None)
+        return [ActiveReport(self.holder.active_position)]
+
+    def check(self, started_by=None):
+        """Assert what must hold after every change."""
+        position = self.holder.active_position
+        if position == 0:
+            return
+        if position < self.applied:
+            is_excused = started_by and self._is_excused(started_by)
+            assert is_excused, "the node went back"
+        self.applied = position
+        assert position <= self.mesh.latest
+        assert self.holder.active.digest == resources_at(position).digest
+        kept = set(self.holder.staged_positions)
+        assert all(p <= position or p in kept for p in self.promised)
+
+    def _is_excused(self, control):
+        """Tell whether the written exception to the start rule holds.
+
+        The instance is of the node's own data centre and cut off, and
+        another one has offered the node more than this one recorded.
+        """
+        if control.data_centre != self.data_centre:
+            return False
+        most = max(
+            (
+                position
+                for name, position in self.offered_by.items()
+                if name != control.name
+            ),
+            default=0,
+        )
+        self.mesh.excused += 1
+        return not control.view().is_fresh and most > control.recorded
+
+
+class Mesh:
+    def __init__(self, controls, nodes, settings=QUICK):
+        self.clock = ManualClock()
+        self.settings = settings
+        self.latest = 0
+        self.active = 0
+        self.excused = 0
+        self.cut = set()
+        self.controls = [Control(*each, self) for each in controls]
+        self.nodes = [Node(*each, self) for each in nodes]
+        self.links = {}
+        self.planner = ActivationPlanner(
+            [control.name for control in self.controls],
+            self.clock,
+            DEADLINE_SECONDS,
+        )
+
+    def reaches(self, one, other):
+        apart = one.data_centre != other.data_centre
+        return not (apart and {one.data_centre, other.data_centre} & self.cut)
+
+    def accept_release(self):
+        self.latest += 1
+        self.planner.note_accepted(self.latest)
+
+    def sync(self, control):
+        if control.data_centre not in self.cut:
+            control.sync()
+
+    def plan(self):
+        """Sum up the registers that can be reached, and plan."""
+        for control in self.controls:
+            if control.data_centre not in self.cut:
+                self.planner.note_summary(control.register.summary())
+        chosen = self.planner.maybe_propose()
+        if chosen is not None:
+            self.active = chosen
+            self.planner.note_activated(chosen)
+
+    def set_cut(self, data_centres):
+        self.cut = set(data_centres)
+        for node in self.nodes:
+            link = self.links.get(node.name)
+            if link and not self.reaches(node, link.control):
+                self.disconnect(node)
+
+    def connect(self, node, control):
+        if not self.reaches(node, control):
+            return
+        self.disconnect(node)
+        hello = node.hello()
+        if not control.register.admit(hello):
+            return
+        buried = control.store.admit_node(node.name, node.incarnation)
+        self.publish(control, buried)
+        feed = NodeFeed(
+            hello,
+            data_centre=control.data_centre,
+            settings=self.settings,
+            releases=control.releases,
+            endpoints=control.store,
+            clock=self.clock,
+        )
+        link = self.links[node.name] = Link(node, control, feed)
+        link.to_control.append(EndpointReport(node.book.records))
+        node.book.take_changes()
+
+    def disconnect(self, node):
+        self.links.pop(node.name, None)
+
+    def restart_node(self, node):
+        self.disconnect(node)
+        node.restart()
+
+    def restart_control(self, control):
+        for link in list(self.links.values()):
+            if link.control is control:
+                self.disconnect(link.node)
+        control.restart()
+
+    def send(self, link):
+        """Let the control instance send all that is due."""
+        view = link.control.view()
+        while (message := link.feed.next_message(view)) is not None:
+            link.to_node.append(message)
+
+    def deliver_to_node(self, link):
+        if link.to_node:
+            message = link.to_node.popleft()
+            if isinstance(message, Stage | Activate):
+                assert message.position <= link.control.recorded
+            link.to_control.extend(link.node.handle(message, link.control))
+
+    def deliver_to_control(self, link):
+        control, node = link.control, link.node
+        changed = node.book.take_changes()
+        if changed:
+            link.to_control.append(EndpointReport(changed))
+        if not link.to_control:
+            return
+        message = link.to_control.popleft()
+        control.register.accept(node.name, message)
+        link.feed.accept(message)
+        if isinstance(message, EndpointReport):
+            changed = control.store.merge(message.records, control.name)
+            self.publish(control, changed)
+
+    def publish(self, control, records):
+        for peer in self.controls:
+            if peer is not control and self.reaches(peer, control):
+                peer.store.merge(records, control.name)
+
+    def exchange_all(self):
+        """Let instances that see each other trade their full lists."""
+        for control in self.controls:
+            for peer in self.controls:
+                if peer is control:
+                    continue
+                if self.reaches(peer, control):
+                    records = peer.store.own_records()
+                    control.store.replace_all(records, peer.name)
+                else:
+                    control.store.note_lost(peer.name)
+
+    def call(self, caller, callee):
+        """Route a call at the caller's position."""
+        position = caller.holder.active_position
+        if not self.reaches(caller, callee):
+            return None
+        check = callee.holder.observe_position(position)
+        callee.check()
+        if check is PositionCheck.ACTIVATED:
+            link = self.links.get(callee.name)
+            if link:
+                link.to_control.append(ActiveReport(position))
+        return check
+
+    def pass_time(self, seconds):
+        self.clock.advance(seconds)
+        for control in self.controls:
+            for name in control.register.expired():
+                incarnation = next(
+                    entry.incarnation
+                    for entry in control.register._entries.values()
+                    if entry.node == name
+                )
+                control.register.remove(name, incarnation)
+                self.publish(control, control.store.end_lease(name))
+                link = self.links.get(name)
+                if link and link.control is control:
+                    self.disconnect(link.node)
+            control.store.expire()
+
+    def settle(self, steps=60):
+        """Heal everything and go on until nothing moves any more."""
+        self.set_cut(())
+        for _ in range(steps):
+            for node in self.nodes:
+                if node.name not in self.links:
+                    home = next(
+                        control
+                        for control in self.controls
+                        if control.data_centre == node.data_centre
+                    )
+                    self.connect(node, home)
+            self.plan()
+            for control in self.controls:
+                self.sync(control)
+            self.exchange_all()
+            self.pump_all()
+            self.pass_time(0.1)
+
+    def pump_all(self):
+        for link in list(self.links.values()):
+            self.pump(link)
+
+    def pump(self, link):
+        """Exchange messages until nothing is left to say."""
+        holder = link.node.holder
+        link.to_control.append(
+            NodeHeartbeat(holder.active_position, holder.staged_position)
+        )
+        is_moving = True
+        while is_moving:
+            self.send(link)
+            is_moving = bool(link.to_node or link.to_control)
+            while link.to_node:
+                self.deliver_to_node(link)
+            while link.to_control or link.node.book._changed:
+                self.deliver_to_control(link)
--- a/packages/distribution/tests/test_feed.py
+++ b/packages/distribution/tests/test_feed.py
@@ -228,13 +228,13 @@
 
 def test_node_without_memory_is_staged_at_once_and_started_by_the_rule():
     bench = Bench(hello_at(0), latest=4)
-    early = {"confirmed_at": -1.0}
+    early = {"confirmed_at": 0.0}
     assert bench.feed.is_waiting_to_start
     assert bench.send(4, **early) == [stage_at(4)]
     bench.feed.accept(staged(4))
     assert bench.send(4, **early) == []
     assert bench.feed.next_due() == START_POLL_SECONDS
-    assert bench.send(4, confirmed_at=0.0) == [activate(4)]
+    assert bench.send(4, confirmed_at=0.1) == [activate(4)]
     assert not bench.feed.is_waiting_to_start
 
 
--- a/packages/distribution/tests/test_start_rule.py
+++ b/packages/distribution/tests/test_start_rule.py
@@ -12,8 +12,8 @@
 
 HELLO_AT = 100.0
 LATER = HELLO_AT + ISOLATION_WAIT_SECONDS
-CONFIRMED = {"is_fresh": True, "confirmed_at": HELLO_AT}
-BEFORE = {"is_fresh": True, "confirmed_at": HELLO_AT - 0.001}
+CONFIRMED = {"is_fresh": True, "confirmed_at": HELLO_AT + 0.001}
+BEFORE = {"is_fresh": True, "confirmed_at": HELLO_AT}
 ISOLATED = {"is_fresh": False, "confirmed_at": HELLO_AT - 50}
 NEVER_FRESH = {"is_fresh": False, "confirmed_at": None}
 
