--- a/packages/release/src/rhubarbhollow_release/ledger.py
+++ b/packages/release/src/rhubarbhollow_release/ledger.py
@@ -197,8 +197,12 @@
 
         It starts from the latest release; when another one is accepted
         before it, the outcome is ``BaseMoved`` and a new plan is due.
+        A release that was accepted before is planned without content
+        and whoever signed it, since its key may have been replaced.
         """
         target = split_manifest(manifest)
+        if self.find_answer(manifest.version, target.digest) is not None:
+            return self._plan_repeat(target, approval)
         verified = verify_approval(
             approval,
             mesh=self._mesh,
@@ -218,6 +222,21 @@
             ),
         )
 
+    def _plan_repeat(
+        self,
+        target: ResourceSet,
+        approval: Approval,
+    ) -> Result[SubmitRelease, ApprovalFault]:
+        terms = check_terms(
+            approval,
+            mesh=self._mesh,
+            version=target.header.version,
+            digest=target.digest,
+        )
+        if isinstance(terms, Err):
+            return terms
+        return Ok(SubmitRelease(target.digest, b"", approval))
+
     def check_signature(
         self,
         approval: Approval,
--- a/packages/release/src/rhubarbhollow_release/snapshot.py
+++ b/packages/release/src/rhubarbhollow_release/snapshot.py
@@ -139,13 +139,17 @@
     if preamble.get("format") != SNAPSHOT_FORMAT:
         return _fault(SnapshotFaultKind.OTHER_FORMAT, "format is not known")
     counts = ("active_position", "forgotten_version", "records")
-    if not all(type(preamble.get(key)) is int for key in counts):
+    if not all(_is_count(preamble.get(key)) for key in counts):
         return _malformed("counts")
     if not isinstance(preamble.get("mesh"), str):
         return _malformed("mesh")
     return Ok(preamble)
 
 
+def _is_count(value: object) -> bool:
+    return type(value) is int and value >= 0
+
+
 def _encode_record(record: ReleaseRecord) -> bytes:
     return _RECORD.pack(
         record.position,
--- a/packages/release/tests/test_ledger.py
+++ b/packages/release/tests/test_ledger.py
@@ -204,6 +204,24 @@
     assert ledger.snapshot() == later.snapshot()
 
 
+def test_repeats_the_first_answer_after_its_key_was_replaced():
+    ledger = new_ledger()
+    first = plan(ledger, 1, 1)
+    ledger.apply(first)
+    ledger.apply(plan(ledger, 2, 2))
+    later = ReleaseLedger.restore(ledger.snapshot(), "lab", {}).unwrap()
+    planned = later.plan_submission(manifest_of(1, 1), first.approval)
+    command = planned.unwrap()
+    assert command.difference == b""
+    answer = outcomes.AlreadyAccepted(1, 1, first.approval.digest)
+    assert later.apply(command) == answer
+    forged = replace(first.approval, mesh="sea")
+    fault = later.plan_submission(manifest_of(1, 1), forged).err_value
+    assert fault.kind is ApprovalFaultKind.OTHER_MESH
+    unknown = later.plan_submission(manifest_of(3, 1), first.approval)
+    assert isinstance(unknown, Err)
+
+
 def test_a_withdrawal_rises():
     ledger = new_ledger()
     for version, content in ((1, 1), (2, 2), (3, 1)):
