Split voting and following out of the replica's core

Ballot now holds the term and its one vote, Follower makes the log equal to the leader's. What is in flight to a peer is bounded by bytes, since one entry may be as large as a manifest, and a payload that no store could read back is refused.

--- a/packages/replication/src/rhubarbhollow_replication/core.py
+++ b/packages/replication/src/rhubarbhollow_replication/core.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from rhubarbhollow_replication.append import AppendReply, AppendRequest
+from rhubarbhollow_replication.ballot import Ballot
 from rhubarbhollow_replication.chunk import SnapshotChunk, SnapshotReply
 from rhubarbhollow_replication.configuration import (
     Configuration,
@@ -20,7 +21,7 @@
     ChangeInFlight,
     NotLeader,
 )
-from rhubarbhollow_replication.freshness import Freshness
+from rhubarbhollow_replication.follower import Follower
 from rhubarbhollow_replication.invariants import require
 from rhubarbhollow_replication.journal import Journal
 from rhubarbhollow_replication.leadership import Leadership
@@ -28,10 +29,9 @@
 from rhubarbhollow_replication.plan import plan_request
 from rhubarbhollow_replication.role import Role
 from rhubarbhollow_replication.snapshot import Snapshot
-from rhubarbhollow_replication.snapshot_receiver import SnapshotReceiver
+from rhubarbhollow_replication.snapshot_receiver import MAX_SNAPSHOT_BYTES
 from rhubarbhollow_replication.tally import Tally
 from rhubarbhollow_replication.vote import VoteReply, VoteRequest
-from rhubarbhollow_replication.vote_state import VoteState
 from rhubarbhollow_replication.write import SaveVote
 
 if TYPE_CHECKING:
@@ -81,20 +81,18 @@
         self._store_id = recovered.store_id
         initial = initial_configuration(settings.initial_members)
         self._journal = Journal(recovered, initial)
-        self._vote = recovered.vote
         self._outbox = Outbox()
-        self._leader: str | None = None
-        self._term_leader: str | None = None
+        self._ballot = Ballot(
+            settings, self._store_id, recovered.vote, self._journal
+        )
+        self._follower = Follower(
+            settings, self._store_id, self._journal, self._outbox, now
+        )
         self._leadership: Leadership | None = None
         self._tally: Tally | None = None
-        self._freshness = Freshness(settings.lease_seconds)
-        self._receiver = SnapshotReceiver()
         self._installed: Snapshot | None = None
         self._taken_index = self._journal.commit_index
         self._written_index = self._journal.log.last_index
-        # A replica that restarts may have answered a leader just before
-        # and so waits as if it had: the leader's lease may still run.
-        self._heard_leader_at = now
         self._election_at = 0.0
         self._restart_election_timer(now)
 
@@ -105,19 +103,20 @@
             return Role.LEADER
         if self._tally is not None:
             return Role.CANDIDATE
-        if not self._is_voter:
+        own = self.configuration.find(self._settings.name)
+        if own is None or not own.is_voter:
             return Role.LEARNER
         return Role.FOLLOWER
 
     @property
     def term(self) -> int:
         """The current term."""
-        return self._vote.term
+        return self._ballot.term
 
     @property
     def leader(self) -> str | None:
         """The leader of the current term, as far as known."""
-        return self._leader
+        return self._ballot.leader
 
     @property
     def store_id(self) -> str:
@@ -165,24 +164,11 @@
     def confirmed_at(self) -> float | None:
         """A past time; what was acknowledged before is applied."""
         if self._leadership is None:
-            return self._freshness.confirmed_at(self._taken_index)
+            return self._follower.freshness.confirmed_at(self._taken_index)
         if self._journal.log.term_at(self._taken_index) != self.term:
             return None
         return self._leadership.lease.confirmed_at
 
-    @property
-    def _is_voter(self) -> bool:
-        return self.configuration.is_voting_store(
-            self._settings.name, self._store_id
-        )
-
-    @property
-    def _is_forming_barred(self) -> bool:
-        """Whether an empty store may not help to start a history."""
-        if self.configuration.is_bound:
-            return False
-        return not self._settings.may_form_cluster
-
     def leads(self, term: int) -> bool:
         """Whether this replica is the leader of ``term``."""
         return self._leadership is not None and self.term == term
@@ -196,7 +182,7 @@
     def is_fresh(self, now: float) -> bool:
         """Whether all that was committed a lease ago is applied."""
         if self._leadership is None:
-            return self._freshness.is_fresh(self._taken_index, now)
+            return self._follower.freshness.is_fresh(self._taken_index, now)
         journal = self._journal
         has_own = journal.log.term_at(self._taken_index) == self.term
         return has_own and self.has_lease(now)
@@ -248,7 +234,7 @@
     ) -> Result[Position, NotLeader]:
         """Append a command if this replica leads."""
         if self._leadership is None:
-            return Err(NotLeader(self._leader))
+            return Err(NotLeader(self.leader))
         index = self._leadership.append(EntryKind.COMMAND, payload, now)
         return Ok(Position(index, self.term))
 
@@ -258,7 +244,7 @@
         """Append a configuration that differs in one member."""
         leadership = self._leadership
         if leadership is None:
-            return Err(NotLeader(self._leader))
+            return Err(NotLeader(self.leader))
         if not leadership.may_change_membership:
             return Err(ChangeInFlight())
         planned = plan_request(leadership.view(now), change)
@@ -273,7 +259,7 @@
         leadership = self._leadership
         commit_index = self.commit_index
         if leadership is None:
-            return Err(NotLeader(self._leader))
+            return Err(NotLeader(self.leader))
         if self._journal.log.term_at(commit_index) != self.term:
             # Earlier terms may have committed more than is known here.
             return Err(NotLeader(None))
@@ -326,6 +312,7 @@
 
     def compact(self, data: bytes) -> None:
         """Let the state machine's snapshot replace the log so far."""
+        require(len(data) < MAX_SNAPSHOT_BYTES, "snapshot beyond its limit")
         index = self._taken_index
         term = self._journal.log.term_at(index) or 0
         configuration = self._journal.memberships.at(index)
@@ -334,18 +321,18 @@
     def _tick_leader(self, leadership: Leadership, now: float) -> None:
         timeout = self._settings.election_timeout_seconds
         if now - leadership.lease.confirmed_at > timeout:
-            self._follow(self.term, None, now)
+            self._follow(self.term, now)
             return
         leadership.tick(now)
         self._advance_commit()
 
     def _start_election(self, now: float, *, is_probe: bool) -> None:
-        if not self._is_voter or self._is_forming_barred:
+        if not self._ballot.may_stand:
             return
         name = self._settings.name
-        self._leader = None
+        self._ballot.forget_leader()
         if not is_probe:
-            self._save_vote(VoteState(self.term + 1, name, self._store_id))
+            self._ballot.stand()
         term = self.term + is_probe
         self._tally = Tally(term, is_probe, {name: self._store_id})
         request = VoteRequest(
@@ -366,39 +353,18 @@
             self._answer_vote(request, is_granted=False)
             return
         if not request.is_probe and request.term > self.term:
-            self._follow(request.term, None, now)
-        is_granted = self._may_vote_for(request)
+            self._follow(request.term, now)
+        is_granted = self._ballot.may_grant(request)
         if is_granted and not request.is_probe:
-            vote = VoteState(request.term, request.candidate, request.store_id)
-            if vote != self._vote:
-                self._save_vote(vote)
+            self._ballot.grant(request)
             self._restart_election_timer(now)
         self._answer_vote(request, is_granted=is_granted)
 
     def _is_leader_recent(self, now: float) -> bool:
-        """Whether a leader may hold a lease that rests on this one."""
+        """Whether another candidate has to wait for a lease to end."""
         if self._leadership is not None:
             return self._leadership.lease.is_live(now)
-        timeout = self._settings.election_timeout_seconds
-        return now < self._heard_leader_at + timeout
-
-    def _may_vote_for(self, request: VoteRequest) -> bool:
-        own = self.configuration.find(self._settings.name)
-        if own is not None and own.store_id not in ("", self._store_id):
-            # This store does not remember what the bound one promised.
-            return False
-        if request.last_index == 0 and self._is_forming_barred:
-            return False
-        log = self._journal.log
-        offered = (request.last_term, request.last_index)
-        if offered < (log.last_term, log.last_index):
-            return False
-        if request.is_probe:
-            return request.term > self.term
-        if request.term != self.term:
-            return False
-        asked = VoteState(request.term, request.candidate, request.store_id)
-        return not self._vote.candidate or self._vote == asked
+        return self._follower.may_owe_lease(now)
 
     def _answer_vote(self, request: VoteRequest, *, is_granted: bool) -> None:
         reply = VoteReply(
@@ -413,7 +379,7 @@
     def _handle_vote_reply(self, reply: VoteReply, now: float) -> None:
         tally = self._tally
         if not reply.is_granted and reply.term > self.term:
-            self._follow(reply.term, None, now)
+            self._follow(reply.term, now)
             return
         if tally is None or not reply.is_granted:
             return
@@ -433,12 +399,9 @@
 
     def _lead(self, tally: Tally, now: float) -> None:
         require(tally.term == self.term, "elected in another term")
-        require(
-            self._vote.candidate == self._settings.name,
-            "elected without the own vote",
-        )
+        require(self._ballot.has_own_vote, "elected without the own vote")
         self._tally = None
-        self._note_leader(self._settings.name)
+        self._ballot.note_leader(self._settings.name)
         leadership = Leadership(
             self._settings,
             self._store_id,
@@ -455,76 +418,32 @@
         leadership.append(EntryKind.CONFIG, bound.encode(), now)
 
     def _handle_append(self, request: AppendRequest, now: float) -> None:
-        if not self._accept_leader(request.term, request.leader, now):
-            self._answer_append(request, self.last_index, is_success=False)
+        if request.term < self.term:
+            self._follower.refuse(request, self.term, self.last_index)
             return
-        self._freshness.note_reply(request.term, request.round, now)
-        log = self._journal.log
-        if request.previous_index > log.last_index:
-            self._answer_append(request, log.last_index, is_success=False)
-            return
-        held_term = log.term_at(request.previous_index)
-        if held_term not in (None, request.previous_term):
-            hint = log.first_of_term(request.previous_index) - 1
-            hint = max(hint, self.commit_index)
-            self._answer_append(request, hint, is_success=False)
-            return
-        self._journal.merge(request.entries)
-        last_index = request.previous_index + len(request.entries)
-        self._journal.commit(min(request.commit_index, last_index))
-        is_current = log.term_at(request.commit_index) == request.term
-        self._freshness.note_request(request, is_current=is_current)
-        self._answer_append(request, last_index, is_success=True)
-
-    def _answer_append(
-        self, request: AppendRequest, match_index: int, *, is_success: bool
-    ) -> None:
-        reply = AppendReply(
-            term=self.term,
-            follower=self._settings.name,
-            is_success=is_success,
-            match_index=match_index,
-            round=request.round,
-            store_id=self._store_id,
-        )
-        self._outbox.add(request.leader, reply)
+        self._accept_leader(request, now)
+        self._follower.take_append(request)
 
     def _handle_chunk(self, chunk: SnapshotChunk, now: float) -> None:
-        if not self._accept_leader(chunk.term, chunk.leader, now):
-            return
-        self._freshness.note_reply(chunk.term, chunk.round, now)
-        snapshot = self._receiver.add(chunk)
-        if snapshot is not None and snapshot.last_index > self.commit_index:
-            self._journal.install(snapshot)
-            self._installed = snapshot
-        if chunk.last_index > self.commit_index:
-            self._outbox.add(chunk.leader, self._ask_for_chunk(chunk))
+        if chunk.term < self.term:
             return
-        reply = AppendReply(
-            term=self.term,
-            follower=self._settings.name,
-            is_success=True,
-            match_index=self.commit_index,
-            round=chunk.round,
-            store_id=self._store_id,
-        )
-        self._outbox.add(chunk.leader, reply)
-
-    def _ask_for_chunk(self, chunk: SnapshotChunk) -> SnapshotReply:
-        return SnapshotReply(
-            term=self.term,
-            follower=self._settings.name,
-            last_index=chunk.last_index,
-            offset=self._receiver.offset,
-            round=chunk.round,
-            store_id=self._store_id,
-        )
+        self._accept_leader(chunk, now)
+        self._installed = self._follower.take_chunk(chunk) or self._installed
+
+    def _accept_leader(
+        self, request: AppendRequest | SnapshotChunk, now: float
+    ) -> None:
+        if request.term > self.term or self._leadership is None:
+            self._follow(request.term, now)
+        self._ballot.note_leader(request.leader)
+        self._follower.note_leader(request.term, request.round, now)
+        self._restart_election_timer(now)
 
     def _handle_follower_reply(
         self, reply: AppendReply | SnapshotReply, now: float
     ) -> None:
         if reply.term > self.term:
-            self._follow(reply.term, None, now)
+            self._follow(reply.term, now)
             return
         if self._leadership is None or reply.term < self.term:
             return
@@ -534,46 +453,15 @@
             return
         self._leadership.handle_snapshot_reply(reply, now)
 
-    def _accept_leader(self, term: int, leader: str, now: float) -> bool:
-        if term < self.term:
-            return False
-        if term > self.term or self._leadership is None:
-            self._follow(term, leader, now)
-        self._note_leader(leader)
-        self._heard_leader_at = now
-        self._restart_election_timer(now)
-        return True
-
-    def _note_leader(self, leader: str) -> None:
-        is_same = self._term_leader in (None, leader)
-        require(is_same, "two leaders in one term")
-        self._term_leader = leader
-        self._leader = leader
-
-    def _follow(self, term: int, leader: str | None, now: float) -> None:
+    def _follow(self, term: int, now: float) -> None:
         """Give up leading or standing; move to a newer ``term``."""
         if term > self.term:
-            self._leader = None
-            self._save_vote(VoteState(term))
+            self._ballot.advance(term)
         if self._leadership is not None:
-            self._leader = None
+            self._ballot.forget_leader()
             self._restart_election_timer(now)
         self._leadership = None
         self._tally = None
-        if leader is not None:
-            self._note_leader(leader)
-
-    def _save_vote(self, vote: VoteState) -> None:
-        current = self._vote
-        require(vote.term >= current.term, "term falls")
-        require(
-            vote.term > current.term or not current.candidate,
-            "second vote in one term",
-        )
-        if vote.term > current.term:
-            self._term_leader = None
-        self._vote = vote
-        self._journal.add_write(SaveVote(vote))
 
     def _advance_commit(self) -> None:
         if self._leadership is None:
--- /dev/null
+++ b/packages/replication/src/rhubarbhollow_replication/follower.py
@@ -0,0 +1,120 @@
+"""The work of a follower or learner under an accepted leader."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from rhubarbhollow_replication.append import AppendReply, AppendRequest
+from rhubarbhollow_replication.chunk import SnapshotChunk, SnapshotReply
+from rhubarbhollow_replication.freshness import Freshness
+from rhubarbhollow_replication.snapshot_receiver import SnapshotReceiver
+
+if TYPE_CHECKING:
+    from rhubarbhollow_replication.journal import Journal
+    from rhubarbhollow_replication.outbox import Outbox
+    from rhubarbhollow_replication.settings import ReplicaSettings
+    from rhubarbhollow_replication.snapshot import Snapshot
+
+
+class Follower:
+    """Make the log equal to the leader's, and answer for it.
+
+    Answers leave after the writes that they promise are durable.
+    """
+
+    def __init__(
+        self,
+        settings: ReplicaSettings,
+        store_id: str,
+        journal: Journal,
+        outbox: Outbox,
+        now: float,
+    ) -> None:
+        self._settings = settings
+        self._store_id = store_id
+        self._journal = journal
+        self._outbox = outbox
+        self._receiver = SnapshotReceiver()
+        # A replica that restarts may have answered a leader just before
+        # and so waits as if it had: the leader's lease may still run.
+        self._heard_at = now
+        self.freshness = Freshness(settings.lease_seconds)
+
+    def note_leader(self, term: int, round_number: int, now: float) -> None:
+        """Note that the leader of ``term`` was heard."""
+        self._heard_at = now
+        self.freshness.note_reply(term, round_number, now)
+
+    def may_owe_lease(self, now: float) -> bool:
+        """Whether a leader's lease may rest on this replica."""
+        timeout = self._settings.election_timeout_seconds
+        return now < self._heard_at + timeout
+
+    def take_append(self, request: AppendRequest) -> None:
+        """Take entries that fit the log, or say where to retry."""
+        log = self._journal.log
+        if request.previous_index > log.last_index:
+            self.refuse(request, request.term, log.last_index)
+            return
+        held_term = log.term_at(request.previous_index)
+        if held_term not in (None, request.previous_term):
+            hint = log.first_of_term(request.previous_index) - 1
+            hint = max(hint, self._journal.commit_index)
+            self.refuse(request, request.term, hint)
+            return
+        self._journal.merge(request.entries)
+        last_index = request.previous_index + len(request.entries)
+        self._journal.commit(min(request.commit_index, last_index))
+        is_current = log.term_at(request.commit_index) == request.term
+        self.freshness.note_request(request, is_current=is_current)
+        self._agree(request, last_index)
+
+    def refuse(self, request: AppendRequest, term: int, hint: int) -> None:
+        """Answer that nothing was taken, with this replica's term."""
+        reply = AppendReply(
+            term=term,
+            follower=self._settings.name,
+            is_success=False,
+            match_index=hint,
+            round=request.round,
+            store_id=self._store_id,
+        )
+        self._outbox.add(request.leader, reply)
+
+    def take_chunk(self, chunk: SnapshotChunk) -> Snapshot | None:
+        """Take part of a snapshot; return it once it is installed."""
+        journal = self._journal
+        snapshot = self._receiver.add(chunk)
+        if snapshot is None or snapshot.last_index <= journal.commit_index:
+            snapshot = None
+        else:
+            journal.install(snapshot)
+        if chunk.last_index <= journal.commit_index:
+            self._agree(chunk, journal.commit_index)
+        else:
+            self._ask_for_more(chunk)
+        return snapshot
+
+    def _agree(
+        self, request: AppendRequest | SnapshotChunk, match_index: int
+    ) -> None:
+        reply = AppendReply(
+            term=request.term,
+            follower=self._settings.name,
+            is_success=True,
+            match_index=match_index,
+            round=request.round,
+            store_id=self._store_id,
+        )
+        self._outbox.add(request.leader, reply)
+
+    def _ask_for_more(self, chunk: SnapshotChunk) -> None:
+        reply = SnapshotReply(
+            term=chunk.term,
+            follower=self._settings.name,
+            last_index=chunk.last_index,
+            offset=self._receiver.offset,
+            round=chunk.round,
+            store_id=self._store_id,
+        )
+        self._outbox.add(chunk.leader, reply)
--- a/packages/replication/src/rhubarbhollow_replication/leadership.py
+++ b/packages/replication/src/rhubarbhollow_replication/leadership.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_replication.append import AppendReply, AppendRequest
 from rhubarbhollow_replication.chunk import SnapshotChunk, SnapshotReply
@@ -18,7 +18,7 @@
     from rhubarbhollow_replication.outbox import Outbox
     from rhubarbhollow_replication.settings import ReplicaSettings
 
-MAX_ENTRIES_IN_FLIGHT = 4096
+MAX_BATCHES_IN_FLIGHT: Final = 4
 
 
 class Leadership:
@@ -222,17 +222,23 @@
         if peer.next_index <= self._journal.log.base_index:
             self._resume_transfer(name, peer, now)
             return
-        if peer.next_index - peer.match_index <= MAX_ENTRIES_IN_FLIGHT:
+        if self._has_room(peer):
             self._send_entries(name, peer)
 
     def _send_entries(self, name: str, peer: Progress) -> None:
         peer.transfer = None
         entries: tuple[Entry, ...] = ()
-        if peer.next_index - peer.match_index <= MAX_ENTRIES_IN_FLIGHT:
+        if self._has_room(peer):
             limit = self._settings.max_batch_bytes
             entries = self._journal.log.read_batch(peer.next_index, limit)
         self._send_append(name, peer, peer.next_index - 1, entries)
-        peer.next_index += len(entries)
+        if entries:
+            peer.note_sent(entries)
+
+    def _has_room(self, peer: Progress) -> bool:
+        """Whether one more batch may be sent before an answer."""
+        limit = MAX_BATCHES_IN_FLIGHT * self._settings.max_batch_bytes
+        return peer.in_flight_bytes < limit
 
     def _send_append(
         self,
--- a/packages/replication/src/rhubarbhollow_replication/progress.py
+++ b/packages/replication/src/rhubarbhollow_replication/progress.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from rhubarbhollow_replication.entry import Entry
     from rhubarbhollow_replication.snapshot import Snapshot
 
 
@@ -19,6 +23,14 @@
     sent_at: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class SentBatch:
+    """Remember a batch until its last index is durable at the peer."""
+
+    last_index: int
+    payload_bytes: int
+
+
 @dataclass(slots=True)
 class Progress:
     """Track one peer of a leader during its term.
@@ -36,6 +48,12 @@
     echoed_round: int = 0
     store_id: str = ""
     transfer: SnapshotTransfer | None = None
+    in_flight: deque[SentBatch] = field(default_factory=deque)
+
+    @property
+    def in_flight_bytes(self) -> int:
+        """The payload bytes sent and not yet known to be durable."""
+        return sum(batch.payload_bytes for batch in self.in_flight)
 
     def note_store(self, store_id: str, last_index: int) -> None:
         """Start over if the peer came back with another store."""
@@ -47,11 +65,22 @@
         self.echoed_round = 0
         self.next_index = last_index + 1
         self.transfer = None
+        self.in_flight.clear()
+
+    def note_sent(self, entries: Iterable[Entry]) -> None:
+        """Expect the peer to take a batch, and go on after it."""
+        size = 0
+        for entry in entries:
+            size += len(entry.payload)
+            self.next_index = entry.index + 1
+        self.in_flight.append(SentBatch(self.next_index - 1, size))
 
     def note_match(self, index: int) -> None:
         """Raise what is durable at the peer."""
         self.match_index = max(self.match_index, index)
         self.next_index = max(self.next_index, index + 1)
+        while self.in_flight and self.in_flight[0].last_index <= index:
+            self.in_flight.popleft()
         if self.transfer and index >= self.transfer.snapshot.last_index:
             self.transfer = None
 
@@ -62,3 +91,4 @@
         or names the start of a term: that only sends entries again.
         """
         self.next_index = hint + 1
+        self.in_flight.clear()
--- a/packages/replication/src/rhubarbhollow_replication/replica.py
+++ b/packages/replication/src/rhubarbhollow_replication/replica.py
@@ -26,6 +26,7 @@
     PendingProposal,
     PendingRead,
 )
+from rhubarbhollow_replication.record import MAX_PAYLOAD_BYTES
 from rhubarbhollow_replication.role import Role
 from rhubarbhollow_replication.snapshot import Snapshot
 from rhubarbhollow_replication.status import MemberStatus, ReplicaStatus
@@ -115,7 +116,12 @@
         self._wake.set()
 
     async def propose(self, payload: bytes) -> Result[object, ProposeFault]:
-        """Commit a command and return the machine's outcome."""
+        """Commit a command and return the machine's outcome.
+
+        Raise ValueError for a payload that no store could read back.
+        """
+        if len(payload) > MAX_PAYLOAD_BYTES:
+            raise ValueError("payload above MAX_PAYLOAD_BYTES")
         fault = self._refusal()
         if fault is not None:
             return Err(fault)
--- a/packages/replication/src/rhubarbhollow_replication/store.py
+++ b/packages/replication/src/rhubarbhollow_replication/store.py
@@ -7,6 +7,7 @@
 import random
 from typing import TYPE_CHECKING, Final
 
+import structlog
 from result import Err, Ok, Result
 
 from rhubarbhollow_replication.disk import Disk, OsDisk, SyncError
@@ -41,6 +42,8 @@
 
     from rhubarbhollow_replication.entry import Entry
 
+_log = structlog.get_logger()
+
 STORE_ID_BITS: Final = 64
 _IDENTITY_NAME: Final = "store"
 _VOTE_NAME: Final = "vote"
@@ -166,6 +169,7 @@
     target = folder.with_name(f"{folder.name}.corrupt-{number + 1}")
     disk.rename(folder, target)
     disk.sync_folder(folder.parent)
+    _log.error("store_set_aside", folder=str(folder), target=str(target))
     return target
 
 
