--- a/packages/cli/src/rhubarbhollow_cli/approve.py
+++ b/packages/cli/src/rhubarbhollow_cli/approve.py
@@ -62,7 +62,7 @@
     approval = approve_manifest(manifest, key)
     summary = {**manifest.summarize(), "key_id": approval.key_id}
     if out is None:
-        print_progress(format_fields(summary))
+        print_progress(summary, format_fields(summary), output)
         click.echo(encode_approval(approval))
         return
     require(create_file(out, encode_approval(approval) + b"\n"), output)
--- a/packages/cli/src/rhubarbhollow_cli/output.py
+++ b/packages/cli/src/rhubarbhollow_cli/output.py
@@ -33,6 +33,11 @@
     click.echo((view or View()).format(document))
 
 
-def print_progress(text: str) -> None:
-    """Print a line for people to the standard error."""
-    click.echo(text, err=True)
+def print_progress(
+    document: Mapping[str, object],
+    text: str,
+    output: OutputFormat,
+) -> None:
+    """Print a line to the standard error: a JSON object or a text."""
+    is_json = output is OutputFormat.JSON
+    click.echo(json.dumps(document) if is_json else text, err=True)
--- a/packages/cli/src/rhubarbhollow_cli/submit.py
+++ b/packages/cli/src/rhubarbhollow_cli/submit.py
@@ -86,14 +86,19 @@
 ) -> None:
     """Submit a release, maybe wait for it, and print the result."""
     client, deadline = session.client, session.deadline
+
+    def show(status: FleetStatus) -> None:
+        _show_progress(status, session.output)
+
     reply = session.require(
         submit_release(client, manifest.document, approval, deadline),
     )
     document = asdict(reply)
     if is_waiting:
-        print_progress(f"{reply.outcome} at position {reply.position}")
+        text = f"{reply.outcome} at position {reply.position}"
+        print_progress(document, text, session.output)
         status = session.require(
-            wait_in_force(client, reply.position, deadline, _show_progress),
+            wait_in_force(client, reply.position, deadline, show),
         )
         document["nodes_in_force"] = status.nodes_in_force
         document["nodes_known"] = status.nodes_known
@@ -120,8 +125,9 @@
     return terms if isinstance(terms, Err) else Ok(approval.ok_value)
 
 
-def _show_progress(status: FleetStatus) -> None:
-    print_progress(
+def _show_progress(status: FleetStatus, output: OutputFormat) -> None:
+    text = (
         f"position {status.active_position} is active, "
-        f"on {status.nodes_in_force} of {status.nodes_known} nodes",
+        f"on {status.nodes_in_force} of {status.nodes_known} nodes"
     )
+    print_progress(asdict(status), text, output)
--- a/packages/cli/src/rhubarbhollow_cli/withdraw.py
+++ b/packages/cli/src/rhubarbhollow_cli/withdraw.py
@@ -120,7 +120,8 @@
         return
     key = session.require(read_key(key_file))
     approval = approve_manifest(manifest, key)
-    print_progress(format_fields(manifest.summarize()))
+    summary = manifest.summarize()
+    print_progress(summary, format_fields(summary), output)
     submit_and_show(session, manifest, approval, is_waiting=is_waiting)
 
 
--- a/packages/cli/tests/test_submit.py
+++ b/packages/cli/tests/test_submit.py
@@ -160,7 +160,10 @@
         status(True, 10, 3, 3),
     ]
     server = serve({POST: [ACCEPTED], STATUS: steps})
-    result = submit(run, files, [server])
+    as_json = submit(run, files, [serve(server.script)])
+    lines = [json.loads(line) for line in as_json.stderr.splitlines()]
+    assert [line.get("nodes_in_force") for line in lines] == [None, 3, 1, 0]
+    result = submit(run, files, [server], "--output", "table")
     assert result.exit_code == ExitCode.DONE
     assert result.stderr.splitlines() == [
         "accepted at position 9",
