--- a/packages/distribution/src/rhubarbhollow_distribution/release_opening.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/release_opening.py
@@ -7,6 +7,10 @@
 from result import Err, Ok, Result
 
 from rhubarbhollow_distribution.held_release import HeldRelease
+from rhubarbhollow_distribution.stage_encoding import (
+    read_approval,
+    read_difference,
+)
 from rhubarbhollow_distribution.stage_fault import (
     ApprovalRefused,
     DifferenceRefused,
@@ -15,9 +19,7 @@
     StageFault,
 )
 from rhubarbhollow_release.approval import verify_approval
-from rhubarbhollow_release.approval_codec import decode_approval
 from rhubarbhollow_release.difference import apply_difference
-from rhubarbhollow_release.difference_codec import decode_difference
 from rhubarbhollow_release.resource_set import ResourceSet, join_resources
 
 if TYPE_CHECKING:
@@ -55,7 +57,7 @@
     mesh: str,
     trusted: Mapping[str, Ed25519PublicKey],
 ) -> Result[None, StageFault]:
-    approval = decode_approval(message.approval_document)
+    approval = read_approval(message, mesh)
     if isinstance(approval, Err):
         return Err(ApprovalRefused(message.position, approval.err_value))
     verified = verify_approval(
@@ -74,7 +76,7 @@
     message: Stage,
     base: HeldRelease | None,
 ) -> Result[ResourceSet, StageFault]:
-    difference = decode_difference(message.difference)
+    difference = read_difference(message)
     if isinstance(difference, Err):
         return Err(DifferenceRefused(message.position, difference.err_value))
     resources = base.resources if base else None
--- a/packages/distribution/src/rhubarbhollow_distribution/stage.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/stage.py
@@ -12,6 +12,7 @@
     ``base_digest`` is empty or ``EMPTY_DIGEST`` when ``difference``
     holds the whole release.  ``digest`` names the content after the
     difference, and the approval signs it with mesh and ``version``.
+    See ``stage_encoding`` for the two fields of encoded bytes.
     """
 
     position: int
--- /dev/null
+++ b/packages/distribution/src/rhubarbhollow_distribution/stage_encoding.py
@@ -0,0 +1,80 @@
+"""The compact form of a release in a stage message.
+
+The message names the version and both digests already, and the node
+knows its mesh.  So the approval is carried as its key identifier and
+signature alone, and the difference without its leading digests.  The
+self-contained forms of both are understood, too.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from result import Ok, Result
+
+from rhubarbhollow_distribution.stage import Stage
+from rhubarbhollow_release.approval import SIGNATURE_BYTES, Approval
+from rhubarbhollow_release.approval_codec import decode_approval
+from rhubarbhollow_release.canonical import DIGEST_BYTES
+from rhubarbhollow_release.difference import EMPTY_DIGEST, diff_resources
+from rhubarbhollow_release.difference_codec import (
+    decode_difference,
+    encode_difference,
+)
+from rhubarbhollow_release.keys import KEY_ID_CHARACTERS
+
+if TYPE_CHECKING:
+    from rhubarbhollow_release.approval_fault import ApprovalFault
+    from rhubarbhollow_release.difference import Difference
+    from rhubarbhollow_release.difference_fault import DifferenceFault
+    from rhubarbhollow_release.release import Release
+    from rhubarbhollow_release.resource_set import ResourceSet
+
+KEY_ID_BYTES: Final = KEY_ID_CHARACTERS // 2
+COMPACT_APPROVAL_BYTES: Final = KEY_ID_BYTES + SIGNATURE_BYTES
+
+
+def build_stage(release: Release, base: ResourceSet | None) -> Stage:
+    """Return the message that leads from ``base`` to ``release``."""
+    resources = release.resources
+    difference = encode_difference(diff_resources(base, resources))
+    return Stage(
+        position=release.position,
+        version=release.approval.version,
+        base_digest=base.digest if base else b"",
+        digest=resources.digest,
+        approval_document=shorten_approval(release.approval),
+        difference=difference[2 * DIGEST_BYTES :],
+    )
+
+
+def shorten_approval(approval: Approval) -> bytes:
+    """Return the key identifier and the signature, both raw."""
+    return bytes.fromhex(approval.key_id) + approval.signature
+
+
+def read_approval(
+    message: Stage,
+    mesh: str,
+) -> Result[Approval, ApprovalFault]:
+    """Restore the approval; its signature is not verified here."""
+    document = message.approval_document
+    if len(document) != COMPACT_APPROVAL_BYTES:
+        return decode_approval(document)
+    return Ok(
+        Approval(
+            mesh=mesh,
+            version=message.version,
+            digest=message.digest,
+            key_id=document[:KEY_ID_BYTES].hex(),
+            signature=document[KEY_ID_BYTES:],
+        )
+    )
+
+
+def read_difference(message: Stage) -> Result[Difference, DifferenceFault]:
+    """Restore the difference between the digests of the message."""
+    digests = (message.base_digest or EMPTY_DIGEST) + message.digest
+    if message.difference.startswith(digests):
+        return decode_difference(message.difference)
+    return decode_difference(digests + message.difference)
