Test calls over real sockets, and give peers time to refuse

Answers in order and whole, cancellation, retries, slots, drain, quarantine and positions are driven through one and two hops.

A caller node that gives up at the deadline cannot know whether the node beside the upstream had started the call. It now waits 30 ms more on a remote attempt, so that a call which ran out of time in the queue is refused as not run, with that node's proof, rather than as unknown. Ruled out: a larger margin per hop, which takes the time from every call.

--- a/packages/calls/src/rhubarbhollow_calls/io_caller.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_calls import http_names as names
 from rhubarbhollow_calls.call_result import CallResult
@@ -31,7 +31,8 @@
     from rhubarbhollow_calls.io_node import CallNode
     from rhubarbhollow_calls.io_route_state import RouteState
 
-_ERROR_STATUS = 500
+PEER_GRACE_SECONDS: Final = 0.03
+_ERROR_STATUS: Final = 500
 
 
 class CallerExchange(Exchange):
@@ -119,6 +120,9 @@
         port = node.local_port
         if port is None or port.upstream.name != endpoint.name:
             pool = node.peer_pool(endpoint.peer_host, endpoint.peer_port)
+            # The node beside knows whether a call that ran out of time
+            # was run, and is given the time to say so.
+            self.expires_at = self._deadline.expires_at + PEER_GRACE_SECONDS
             return RemoteAttempt(self, self._head, self._body, endpoint, pool)
         route = self._state.route
         ticket = Ticket(
--- /dev/null
+++ b/packages/calls/tests/test_io_failures.py
@@ -0,0 +1,422 @@
+"""Failures: what is sent again, refused, and said of it."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+from tests.standin.http_client import encode_call
+from tests.standin.mesh import DEFAULT_ROUTE, Mesh, run, wait_until
+from tests.standin.scripted_upstream import (
+    ScriptedUpstream,
+    echo,
+    encode_answer,
+)
+
+from rhubarbhollow_calls.call_priority import CallPriority
+from rhubarbhollow_calls.http_limits import MAX_REPLAY_BYTES
+from rhubarbhollow_calls.io_position import PositionCheck
+from rhubarbhollow_calls.io_snapshot import Snapshot
+from rhubarbhollow_calls.quarantine_message import CrashReport
+from rhubarbhollow_calls.route_table import RouteTable
+
+IDEMPOTENT = DEFAULT_ROUTE
+ONCE = replace(DEFAULT_ROUTE, is_idempotent=False)
+
+
+async def shed(request, writer):
+    lines = ("rhubarbhollow-not-run: true",)
+    writer.write(encode_answer(b"full", *lines, status="503 Full"))
+
+
+async def fail(request, writer):
+    writer.write(encode_answer(b"broken", status="503 Broken"))
+
+
+async def hang_up(request, writer):
+    writer.close()
+
+
+async def crash(request, writer):
+    raise ConnectionError
+
+
+class Setup:
+    """Node a has no upstream; b's fails as scripted; c's is well."""
+
+    def __init__(self, *routes, script=echo, only_b=False, **options):
+        self.mesh = Mesh(*routes, **options)
+        self.bad = ScriptedUpstream(script)
+        self.good = None if only_b else ScriptedUpstream(echo)
+
+    async def __aenter__(self):
+        await self.bad.start()
+        await self.mesh.add_node("a")
+        await self.mesh.add_node("b", self.bad)
+        if self.good is not None:
+            await self.good.start()
+            await self.mesh.add_node("c", self.good)
+        for made in self.mesh.nodes.values():
+            self._prefer_b(made.node.book)
+        return self
+
+    async def __aexit__(self, kind, *_):
+        if kind is not None:
+            await self.mesh.close()
+            return
+        nodes = [made.node for made in self.mesh.nodes.values()]
+        await wait_until(lambda: not any(node.in_flight for node in nodes))
+        for node in nodes:
+            port = node.local_port
+            assert port is None or port.gate.is_idle
+            assert not any(e.in_flight for e in node.book._by_name.values())
+        await self.mesh.close()
+
+    def _prefer_b(self, book):
+        choose = book.choose
+
+        def choose_b_first(service, excluded):
+            if "desk-b" not in excluded:
+                return self.mesh.endpoints["desk-b"]
+            return choose(service, excluded)
+
+        book.choose = choose_b_first
+
+
+FAILURES = [
+    # script, route, status seen by the caller, executed, runs on c
+    (echo, ONCE, 200, None, 0),
+    (shed, IDEMPOTENT, 200, None, 1),
+    (shed, ONCE, 200, None, 1),
+    (fail, IDEMPOTENT, 503, None, 0),
+    (fail, ONCE, 503, None, 0),
+    (hang_up, IDEMPOTENT, 200, None, 1),
+    (hang_up, ONCE, 502, "unknown", 0),
+]
+
+
+@pytest.mark.parametrize("entry", ["a", "b", "c"])
+@pytest.mark.parametrize("case", range(len(FAILURES)))
+def test_only_what_is_safe_is_sent_again(entry, case):
+    script, route, status, executed, runs = FAILURES[case]
+
+    async def main():
+        async with Setup(route, script=script) as setup:
+            client = await setup.mesh.client(entry)
+            answer = await client.ask("POST", "/", b"hello")
+            assert answer.status == status
+            assert answer.headers.get("rhubarbhollow-executed") == executed
+            assert len(setup.bad.requests) == 1
+            assert len(setup.good.requests) == runs
+            if runs:
+                assert setup.good.requests[0].body == b"hello"
+                upstream = answer.headers["rhubarbhollow-upstream"]
+                assert upstream == "desk-c"
+
+    run(main())
+
+
+@pytest.mark.parametrize("entry", ["a", "b"])
+@pytest.mark.parametrize(
+    ("script", "route", "kind", "executed"),
+    [
+        (shed, IDEMPOTENT, "shed", "no"),
+        (shed, ONCE, "shed", "no"),
+        (hang_up, IDEMPOTENT, "outcome_unknown", "unknown"),
+    ],
+)
+def test_a_failure_without_another_upstream_is_typed(
+    entry, script, route, kind, executed
+):
+    async def main():
+        async with Setup(route, script=script, only_b=True) as setup:
+            client = await setup.mesh.client(entry)
+            answer = await client.get("/")
+            assert answer.headers["rhubarbhollow-refusal"] == kind
+            assert answer.headers["rhubarbhollow-executed"] == executed
+            assert len(setup.bad.requests) == 1
+
+    run(main())
+
+
+def test_not_run_is_never_said_after_an_attempt_that_may_have_run():
+    async def main():
+        async with Setup(IDEMPOTENT, script=hang_up) as setup:
+            setup.good._script = shed
+            client = await setup.mesh.client("a")
+            answer = await client.get("/")
+            assert answer.headers["rhubarbhollow-refusal"] == "shed"
+            assert answer.headers["rhubarbhollow-executed"] == "unknown"
+
+    run(main())
+
+
+@pytest.mark.parametrize("entry", ["a", "b"])
+def test_an_upstream_that_is_gone_was_never_written_to(entry):
+    async def main():
+        async with Setup(ONCE) as setup:
+            await setup.bad.crash()
+            client = await setup.mesh.client(entry)
+            answer = await client.ask("POST", "/", b"hello")
+            assert answer.body == b"POST / hello"
+
+    run(main())
+
+
+def test_a_body_too_long_to_keep_is_not_sent_again():
+    async def main():
+        async with Setup(IDEMPOTENT, script=hang_up) as setup:
+            client = await setup.mesh.client("a")
+            body = b"x" * MAX_REPLAY_BYTES
+            assert (await client.ask("POST", "/", body)).status == 200
+            answer = await client.ask("POST", "/", body + b"x" * 1_000_000)
+            assert answer.headers["rhubarbhollow-executed"] == "unknown"
+            assert len(setup.good.requests) == 1
+
+    run(main())
+
+
+async def start_calls(setup, *targets, entry="a"):
+    clients = [await setup.mesh.client(entry) for _ in targets]
+    for client, target in zip(clients, targets, strict=True):
+        client.send(encode_call("GET", target, b""))
+    return clients
+
+
+LOOKUP = replace(DEFAULT_ROUTE, attempts=1)
+BULK = replace(LOOKUP, name="bulk", prefix="/bulk", priority=CallPriority.BULK)
+
+
+@pytest.mark.parametrize("entry", ["a", "b"])
+def test_slots_bound_what_runs_and_lookups_go_first(entry):
+    running = []
+    most = 0
+
+    async def script(request, writer):
+        nonlocal most
+        running.append(request.target)
+        most = max(most, len(running))
+        await steps.acquire()
+        running.remove(request.target)
+        order.append(request.target)
+        await echo(request, writer)
+
+    async def main():
+        async with Setup(LOOKUP, BULK, script=script, only_b=True) as setup:
+            gate = setup.mesh.nodes["b"].node.local_port.gate
+            gate.resize(1)
+            clients = await start_calls(setup, "/first", entry=entry)
+            await wait_until(lambda: running)
+            for waiting, target in enumerate(("/bulk/1", "/2", "/3"), 1):
+                clients += await start_calls(setup, target, entry=entry)
+                await wait_until(lambda n=waiting: gate.waiting == n)
+            for _ in clients:
+                steps.release()
+            for client in clients:
+                assert (await client.read_answer()).status == 200
+            assert order == ["/first", "/2", "/3", "/bulk/1"]
+            assert most == 1
+
+    order = []
+    steps = asyncio.Semaphore(0)
+    run(main())
+
+
+@pytest.mark.parametrize("entry", ["a", "b"])
+def test_waiting_calls_time_out_as_not_run_and_leave_the_queue(entry):
+    async def script(request, writer):
+        await release.wait()
+        await echo(request, writer)
+
+    async def main():
+        async with Setup(ONCE, script=script, only_b=True) as setup:
+            gate = setup.mesh.nodes["b"].node.local_port.gate
+            gate.resize(1)
+            first, *others = await start_calls(
+                setup, "/1", "/2", "/3", entry=entry
+            )
+            await wait_until(lambda: gate.waiting == 2)
+            others[1].close()
+            await wait_until(lambda: gate.waiting == 1)
+            setup.mesh.clock.advance(5.001)
+            answer = await others[0].read_answer()
+            assert answer.status == 504
+            assert answer.headers["rhubarbhollow-executed"] == "no"
+            setup.mesh.clock.advance(1)
+            answer = await first.read_answer()
+            assert answer.headers["rhubarbhollow-executed"] == "unknown"
+            release.set()
+
+    release = asyncio.Event()
+    run(main())
+
+
+def test_a_drain_finishes_calls_and_refuses_new_ones_as_not_run():
+    async def script(request, writer):
+        await release.wait()
+        await echo(request, writer)
+
+    async def main():
+        async with Setup(ONCE, script=script) as setup:
+            node = setup.mesh.nodes["b"].node
+            idle = await setup.mesh.client("b")
+            [remote] = await start_calls(setup, "/1", entry="a")
+            [local] = await start_calls(setup, "/2", entry="b")
+            await wait_until(lambda: len(setup.bad.requests) == 2)
+            node.begin_drain()
+            answer = await idle.get("/3")
+            assert answer.headers["rhubarbhollow-refusal"] == "draining"
+            assert answer.headers["rhubarbhollow-executed"] == "no"
+            assert answer.headers["connection"] == "close"
+            # another node sends a call on to the next upstream
+            client = await setup.mesh.client("a")
+            answer = await client.get("/4")
+            assert answer.headers["rhubarbhollow-upstream"] == "desk-c"
+            release.set()
+            assert (await remote.read_answer()).body == b"GET /1 "
+            answer = await local.read_answer()
+            assert answer.body == b"GET /2 "
+            assert answer.headers["connection"] == "close"
+            assert await local.read_to_end() == b""
+
+    release = asyncio.Event()
+    run(main())
+
+
+def test_a_request_that_crashes_two_upstreams_is_quarantined():
+    async def main():
+        async with Setup(ONCE) as setup:
+            mesh = setup.mesh
+            client = await mesh.client("a")
+            for name, upstream in (("b", setup.bad), ("c", setup.good)):
+                upstream._script = killer(upstream)
+                client = await mesh.client(name)
+                mesh.nodes[name].node.book.choose = (
+                    lambda service, excluded, name=name: (
+                        None if excluded else mesh.endpoints[f"desk-{name}"]
+                    )
+                )
+                reports = len(mesh.published)
+                answer = await client.ask("POST", "/", b"CRASH")
+                assert answer.headers["rhubarbhollow-executed"] == "unknown"
+                await wait_until(lambda n=reports: len(mesh.published) > n)
+                for made in mesh.nodes.values():
+                    for message in mesh.published:
+                        made.node._quarantine.merge(message)
+            assert {type(m) for m in mesh.published} == {CrashReport}
+            runs = len(setup.good.requests)
+            port = setup.good.port_before
+            setup.good._script = echo
+            await setup.good.start(port)
+            answer = await client.ask("POST", "/", b"CRASH")
+            assert answer.status == 403
+            assert answer.headers["rhubarbhollow-executed"] == "no"
+            assert (await client.ask("POST", "/", b"fine")).status == 200
+            assert len(setup.good.requests) == runs + 1
+
+    def killer(upstream):
+        async def script(request, writer):
+            upstream.port_before = upstream.port
+            await upstream.crash()
+
+        return script
+
+    run(main())
+
+
+def test_one_broken_connection_is_no_crash():
+    async def main():
+        async with Setup(ONCE, script=crash, only_b=True) as setup:
+            client = await setup.mesh.client("b")
+            quarantine = setup.mesh.nodes["b"].node._quarantine
+            for _ in range(4):
+                assert (await client.ask("POST", "/", b"x")).status == 502
+                await wait_until(lambda: not quarantine._in_flight)
+            assert len(setup.bad.requests) == 4
+            assert not setup.mesh.published
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    ("check", "status", "positions"),
+    [
+        (PositionCheck.BEHIND, 503, [7]),
+        (PositionCheck.ACTIVATED, 200, [7]),
+        (PositionCheck.CURRENT, 200, [7]),
+    ],
+)
+def test_a_node_that_is_behind_says_so_instead_of_running(
+    check, status, positions
+):
+    async def main():
+        async with Setup(ONCE, only_b=True) as setup:
+            made = setup.mesh.nodes["b"]
+            made.node.install(Snapshot(6, RouteTable(6, (ONCE,))))
+            made.check = check
+            client = await setup.mesh.client("a")
+            answer = await client.get("/")
+            assert answer.status == status
+            assert made.positions == positions
+            assert len(setup.bad.requests) == (status == 200)
+            if status == 503:
+                kind = answer.headers["rhubarbhollow-refusal"]
+                assert kind == "stale_position"
+
+    run(main())
+
+
+def test_positions_are_heard_from_callers_and_from_answers():
+    async def main():
+        async with Setup(ONCE, only_b=True) as setup:
+            table = RouteTable(9, (ONCE,))
+            setup.mesh.nodes["b"].node.install(Snapshot(9, table))
+            client = await setup.mesh.client("a")
+            answer = await client.get("/", "rhubarbhollow-position: 8")
+            # a hint from a caller that is not staged changes nothing
+            assert answer.status == 200
+            assert answer.headers["rhubarbhollow-position"] == "7"
+            assert setup.mesh.nodes["a"].positions == [8, 9]
+
+    run(main())
+
+
+def test_a_call_ends_on_the_release_on_which_it_began():
+    async def script(request, writer):
+        await release.wait()
+        await echo(request, writer)
+
+    async def main():
+        async with Setup(ONCE, script=script, only_b=True) as setup:
+            [client] = await start_calls(setup, "/")
+            await wait_until(lambda: setup.bad.requests)
+            node = setup.mesh.nodes["a"].node
+            node.install(Snapshot(8, RouteTable(8, ())))
+            release.set()
+            answer = await client.read_answer()
+            assert answer.headers["rhubarbhollow-position"] == "7"
+            assert (await client.get("/")).status == 404
+
+    release = asyncio.Event()
+    run(main())
+
+
+def test_a_fallback_route_is_tried_when_no_upstream_is_known():
+    other = replace(
+        ONCE, name="other", prefix="/x", service="none", fallback="lookup"
+    )
+
+    async def main():
+        async with Setup(ONCE, other, only_b=True) as setup:
+            node = setup.mesh.nodes["a"].node
+            choose = node.book.choose
+            node.book.choose = lambda service, excluded: (
+                None if service == "none" else choose(service, excluded)
+            )
+            client = await setup.mesh.client("a")
+            assert (await client.get("/x")).body == b"GET /x "
+            node.book.choose = lambda service, excluded: None
+            answer = await client.get("/x")
+            assert answer.headers["rhubarbhollow-refusal"] == "no_upstream"
+            assert answer.headers["rhubarbhollow-executed"] == "no"
+
+    run(main())
--- a/tests/standin/mesh.py
+++ b/tests/standin/mesh.py
@@ -52,8 +52,9 @@
 
 async def wait_until(is_reached: Callable[[], bool]) -> None:
     """Give other callbacks their turn until something has happened."""
-    for _ in itertools.takewhile(lambda _: not is_reached(), _FOREVER):
-        await asyncio.sleep(0)
+    async with asyncio.timeout(FAIL_SAFE_SECONDS / 2):
+        for _ in itertools.takewhile(lambda _: not is_reached(), _FOREVER):
+            await asyncio.sleep(0)
 
 
 @dataclass
