Test the hard cases of the log one by one

The long seeded run meets most faults but names none. These tests make each hard case happen on its own: every torn length and every flipped bit of the store, a store compared with a list over crashes at any operation, repairs and requests by table, elections over lost disks, older-term entries, the lease from its sending, claims of freshness message by message, and a hypothesis machine that chooses the faults of the seeded run.

--- a/packages/replication/src/rhubarbhollow_replication/membership_view.py
+++ b/packages/replication/src/rhubarbhollow_replication/membership_view.py
@@ -63,6 +63,14 @@
         return peer.store_id != member.store_id
 
     def is_quorum_alive(self, proposed: Configuration) -> bool:
-        """Whether the living voters can decide under ``proposed``."""
-        alive = {v.name for v in proposed.voters if self.is_alive(v)}
-        return proposed.is_quorum(alive)
+        """Whether the living voters can decide now and afterwards.
+
+        The quorum before the change counts as well: a leader that is
+        cut off with a minority must not shrink the group to it.
+        """
+        return all(
+            configuration.is_quorum(
+                {v.name for v in configuration.voters if self.is_alive(v)}
+            )
+            for configuration in (self.configuration, proposed)
+        )
--- /dev/null
+++ b/packages/replication/tests/test_core.py
@@ -0,0 +1,388 @@
+"""The hard cases of voting, leases, lost disks and membership."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from result import Err
+
+from rhubarbhollow_replication.append import AppendReply, AppendRequest
+from rhubarbhollow_replication.change import AddLearner, RemoveMember
+from rhubarbhollow_replication.configuration import Configuration
+from rhubarbhollow_replication.core import Core
+from rhubarbhollow_replication.entry import Entry, EntryKind
+from rhubarbhollow_replication.fault import ChangeInFlight, NotLeader
+from rhubarbhollow_replication.invariants import InvariantViolation
+from rhubarbhollow_replication.member import Member, MemberRole
+from rhubarbhollow_replication.recovered import Recovered
+from rhubarbhollow_replication.role import Role
+from rhubarbhollow_replication.settings import ReplicaSettings
+from rhubarbhollow_replication.snapshot import Snapshot
+from rhubarbhollow_replication.vote import VoteReply, VoteRequest
+from rhubarbhollow_replication.vote_state import VoteState
+from rhubarbhollow_replication.write import SaveEntries, SaveVote
+
+NAMES = ("a", "b", "c")
+STEP_SECONDS = 0.01
+TIMEOUT_SECONDS = 0.3
+BOUND = Configuration(
+    tuple(Member(n, f"{n}1", MemberRole.VOTER) for n in NAMES)
+)
+
+
+def settings_of(name, **options):
+    return ReplicaSettings(name, NAMES, 300, 60, **options)
+
+
+def core_with(
+    name,
+    *,
+    term=0,
+    entries=(),
+    snapshot=None,
+    store_id=None,
+    now=0.0,
+    **options,
+):
+    recovered = Recovered(
+        store_id or f"{name}1", VoteState(term), snapshot, tuple(entries)
+    )
+    return Core(settings_of(name, **options), recovered, Random(name), now)
+
+
+def log_of(*terms):
+    """Return the binding entry and commands of the given terms."""
+    first = Entry(1, terms[0], EntryKind.CONFIG, BOUND.encode())
+    return (
+        first,
+        *(
+            Entry(index, term, EntryKind.COMMAND, b"%d" % index)
+            for index, term in enumerate(terms[1:], start=2)
+        ),
+    )
+
+
+def vote_request(term=9, candidate="c", last=(0, 0), is_probe=False):
+    last_term, last_index = last
+    return VoteRequest(
+        term, candidate, last_index, last_term, is_probe, f"{candidate}1"
+    )
+
+
+def append_request(term=1, leader="b", entries=(), commit=0, previous=(0, 0)):
+    previous_term, previous_index = previous
+    return AppendRequest(
+        *(term, leader, previous_index, previous_term, tuple(entries)),
+        *(commit, 1, 0, 0, f"{leader}1"),
+    )
+
+
+def answers(core, now):
+    effects = core.take_effects(now)
+    core.handle_synced()
+    return [send.message for send in (*effects.early, *effects.late)]
+
+
+class Group:
+    """Cores whose writes take no time, joined by direct calls."""
+
+    def __init__(self, names=NAMES, **options):
+        self.options = options
+        self.now = 0.0
+        self.cut = set()
+        self.down = set()
+        self.durable = {}
+        self.cores = {}
+        for name in names:
+            self.lose_disk(name, 1)
+
+    def lose_disk(self, name, generation):
+        recovered = Recovered(f"{name}{generation}", VoteState(), None, ())
+        self.durable[name] = recovered
+        self.restart(name)
+
+    def restart(self, name):
+        self.down.discard(name)
+        core = Core(
+            settings_of(name, **self.options),
+            self.durable[name],
+            Random(name),
+            self.now,
+        )
+        self.cores[name] = core
+
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.now += STEP_SECONDS
+            for name, core in self.cores.items():
+                if name not in self.down:
+                    core.tick(self.now)
+                    self.carry_out(name, core)
+
+    def carry_out(self, name, core):
+        effects = core.take_effects(self.now)
+        for write in effects.writes:
+            self.keep(name, write)
+        core.handle_synced()
+        core.take_committed()
+        for send in (*effects.early, *effects.late):
+            is_cut = {(name, send.to), (send.to, name)} & self.cut
+            if not is_cut and send.to in self.cores.keys() - self.down:
+                peer = self.cores[send.to]
+                peer.handle(send.message, self.now)
+                self.carry_out(send.to, peer)
+
+    def keep(self, name, write):
+        state = self.durable[name]
+        vote, entries = state.vote, state.entries
+        match write:
+            case SaveVote(vote):
+                pass
+            case SaveEntries(added):
+                entries = (*entries[: added[0].index - 1], *added)
+        self.durable[name] = Recovered(state.store_id, vote, None, entries)
+
+    def leaders(self):
+        return [
+            name
+            for name, core in self.cores.items()
+            if name not in self.down and core.role is Role.LEADER
+        ]
+
+    def isolate(self, *names):
+        others = set(self.cores) - set(names)
+        self.cut |= {(name, other) for name in names for other in others}
+
+
+def test_only_all_initial_members_together_start_a_history():
+    group = Group()
+    group.down = {"c"}
+    group.run(10)
+    assert group.leaders() == []
+    group.restart("c")
+    group.run(3)
+    leader = group.cores[group.leaders()[0]]
+    assert leader.configuration == BOUND
+    assert {core.commit_index for core in group.cores.values()} == {1}
+
+
+def test_a_formed_group_is_not_formed_again_once_that_is_switched_off():
+    group = Group(may_form_cluster=False)
+    group.run(10)
+    assert group.leaders() == []
+    voter = core_with("a", may_form_cluster=False)
+    voter.handle(vote_request(), 5.0)
+    assert [reply.is_granted for reply in answers(voter, 5.0)] == [False]
+    voter.handle(vote_request(last=(1, 1)), 5.0)
+    assert [reply.is_granted for reply in answers(voter, 5.0)] == [True]
+
+
+def test_an_empty_store_does_not_help_to_elect_over_its_own_past():
+    group = Group()
+    group.run(3)
+    name = group.leaders()[0]
+    lost, behind = (n for n in NAMES if n != name)
+    group.isolate(behind)
+    group.cores[name].propose(b"kept", group.now)
+    group.run(1)
+    assert group.cores[lost].commit_index == 2
+    group.down = {name}
+    group.lose_disk(lost, 2)
+    group.cut.clear()
+    group.run(10)
+    assert group.leaders() == []
+    group.restart(name)
+    group.run(5)
+    assert group.leaders() == [name]
+    rejoined = group.cores[name].configuration.find(lost)
+    assert rejoined == Member(lost, f"{lost}2", MemberRole.VOTER)
+    assert {core.commit_index for core in group.cores.values()} == {
+        group.cores[name].commit_index
+    }
+
+
+def test_a_store_that_learned_of_another_binding_does_not_vote():
+    taken = Snapshot(1, 1, BOUND, b"")
+    for store_id, expected in (("a1", True), ("a2", False)):
+        voter = core_with("a", snapshot=taken, store_id=store_id)
+        voter.handle(vote_request(last=(1, 1)), 5.0)
+        assert [r.is_granted for r in answers(voter, 5.0)] == [expected]
+
+
+def test_votes_of_unbound_stores_are_not_counted():
+    candidate = core_with("a", term=1, entries=log_of(1))
+    candidate.tick(5.0)
+    answers(candidate, 5.0)
+    for store_id, role in (("b2", Role.CANDIDATE), ("b1", Role.LEADER)):
+        for is_probe in (True, False):
+            reply = VoteReply(2, "b", True, is_probe, store_id)
+            candidate.handle(reply, 5.0)
+        assert candidate.role is role
+
+
+@pytest.mark.parametrize(
+    ("last", "is_granted"),
+    [
+        ((2, 2), True),
+        ((2, 3), True),
+        ((3, 1), True),
+        ((2, 1), False),
+        ((1, 9), False),
+    ],
+)
+@pytest.mark.parametrize("is_probe", [True, False])
+def test_only_a_log_as_recent_gets_the_vote(last, is_granted, is_probe):
+    voter = core_with("a", term=2, entries=log_of(1, 2))
+    voter.handle(vote_request(3, last=last, is_probe=is_probe), 5.0)
+    assert [r.is_granted for r in answers(voter, 5.0)] == [is_granted]
+    assert voter.term == (2 if is_probe else 3)
+
+
+def test_one_vote_in_a_term_counts_the_store_of_the_candidate():
+    voter = core_with("a", term=2, entries=log_of(1, 2))
+    requests = [vote_request(3, name, (2, 2)) for name in "ccb"]
+    requests.append(VoteRequest(3, "c", 2, 2, False, "c2"))
+    for request in requests:
+        voter.handle(request, 5.0)
+    granted = [reply.is_granted for reply in answers(voter, 5.0)]
+    assert granted == [True, True, False, False]
+
+
+@pytest.mark.parametrize("is_probe", [True, False])
+def test_a_voter_waits_out_a_lease_also_after_a_restart(is_probe):
+    request = vote_request(9, last=(9, 9), is_probe=is_probe)
+    voter = core_with("a", term=1, entries=log_of(1), now=5.0)
+    voter.handle(request, 5.0 + TIMEOUT_SECONDS * 0.99)
+    assert [r.is_granted for r in answers(voter, 5.0)] == [False]
+    assert voter.term == 1
+    heard = append_request(previous=(1, 1))
+    voter.handle(heard, 6.0)
+    answers(voter, 6.0)
+    voter.handle(request, 6.0 + TIMEOUT_SECONDS * 0.99)
+    assert [r.is_granted for r in answers(voter, 6.0)] == [False]
+    voter.handle(request, 6.0 + TIMEOUT_SECONDS)
+    assert [r.is_granted for r in answers(voter, 6.0)] == [True]
+
+
+def leader_of_term_4():
+    leader = core_with("a", term=3, entries=log_of(1, 1))
+    leader.tick(5.0)
+    for is_probe in (True, False):
+        leader.handle(VoteReply(4, "b", True, is_probe, "b1"), 5.0)
+    answers(leader, 5.0)
+    assert leader.role is Role.LEADER
+    return leader
+
+
+def test_an_entry_of_an_older_term_is_not_committed_by_counting():
+    leader = leader_of_term_4()
+    for match_index, committed in ((2, 0), (3, 3)):
+        reply = AppendReply(4, "b", True, match_index, 1, "b1")
+        leader.handle(reply, 5.0)
+        assert leader.commit_index == committed
+
+
+def test_acknowledgements_of_another_store_count_for_nothing():
+    leader = leader_of_term_4()
+    leader.handle(AppendReply(4, "b", True, 3, 1, "b2"), 5.0)
+    assert leader.commit_index == 0
+    assert not leader.has_lease(5.0)
+
+
+def test_the_lease_counts_from_the_sending_of_a_confirmed_round():
+    leader = leader_of_term_4()
+    lease = settings_of("a").lease_seconds
+    assert lease < TIMEOUT_SECONDS
+    assert not leader.has_lease(5.0)
+    leader.handle(AppendReply(4, "b", True, 3, 1, "b1"), 5.2)
+    assert leader.has_lease(5.0 + lease * 0.99)
+    assert not leader.has_lease(5.0 + lease)
+    leader.tick(5.0 + 2 * TIMEOUT_SECONDS)
+    assert leader.role is Role.FOLLOWER
+    refused = leader.propose(b"x", 6.0)
+    assert refused == Err(NotLeader(None))
+
+
+def test_a_read_needs_a_round_begun_after_it():
+    leader = leader_of_term_4()
+    assert leader.begin_read(5.0) == Err(NotLeader(None))
+    leader.handle(AppendReply(4, "b", True, 3, 1, "b1"), 5.1)
+    ticket = leader.begin_read(5.1).unwrap()
+    assert leader.is_read_confirmed(ticket) is False
+    leader.handle(AppendReply(4, "c", True, 3, 1, "c1"), 5.1)
+    assert leader.is_read_confirmed(ticket) is False
+    leader.handle(AppendReply(4, "c", True, 3, ticket.round, "c1"), 5.1)
+    assert leader.is_read_confirmed(ticket) is True
+
+
+def test_a_member_that_was_cut_off_disturbs_nobody():
+    group = Group()
+    group.run(3)
+    name, term = group.leaders()[0], group.cores[group.leaders()[0]].term
+    cut = next(n for n in NAMES if n != name)
+    group.isolate(cut)
+    group.run(10)
+    assert not group.cores[cut].is_fresh(group.now)
+    assert group.cores[cut].term == term
+    group.cut.clear()
+    group.run(1)
+    assert group.leaders() == [name]
+    assert group.cores[name].term == group.cores[cut].term == term
+    assert all(core.is_fresh(group.now) for core in group.cores.values())
+
+
+def test_a_partition_removes_members_on_one_side_at_most():
+    group = Group((*NAMES, "d", "e"), repair_after_seconds=1.0)
+    group.run(3)
+    old = group.leaders()[0]
+    for spare in ("d", "e"):
+        change = group.cores[old].change_membership
+        assert change(AddLearner(spare), group.now).is_ok()
+        group.run(1)
+    before = group.cores[old].configuration
+    group.isolate(old, "d")
+    group.run(10)
+    assert group.cores[old].configuration == before
+    assert not group.cores[old].has_lease(group.now)
+    new = next(n for n in group.leaders() if n != old)
+    voters = {v.name for v in group.cores[new].configuration.voters}
+    assert voters == {*NAMES, "e"} - {old}
+    group.cut.clear()
+    group.run(3)
+    assert group.leaders() == [new]
+    configurations = {core.configuration for core in group.cores.values()}
+    assert configurations == {group.cores[new].configuration}
+
+
+def test_changes_wait_for_the_term_and_for_each_other():
+    leader = leader_of_term_4()
+    change = leader.change_membership
+    assert change(AddLearner("d"), 5.0) == Err(ChangeInFlight())
+    leader.handle(AppendReply(4, "b", True, 3, 1, "b1"), 5.0)
+    assert change(AddLearner("d"), 5.0).is_ok()
+    assert change(RemoveMember("c"), 5.0) == Err(ChangeInFlight())
+    follower = core_with("a")
+    assert follower.change_membership(AddLearner("d"), 0.0) == Err(
+        NotLeader(None)
+    )
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        # Another leader in the term that this replica follows.
+        append_request(2, "c"),
+        # A committed entry with another term.
+        append_request(
+            3, "c", (Entry(2, 3, EntryKind.COMMAND, b""),), 2, (1, 1)
+        ),
+    ],
+)
+def test_broken_guarantees_stop_the_process(message):
+    follower = core_with("a", term=1)
+    heard = append_request(2, "b", log_of(1, 1), 2)
+    follower.handle(heard, 0.0)
+    assert follower.commit_index == 2
+    with pytest.raises(InvariantViolation):
+        follower.handle(message, 0.0)
--- /dev/null
+++ b/packages/replication/tests/test_plan.py
@@ -0,0 +1,151 @@
+"""Decisions on the membership by table."""
+
+from __future__ import annotations
+
+import pytest
+from result import Err
+
+from rhubarbhollow_replication.change import (
+    AddLearner,
+    PromoteLearner,
+    RemoveMember,
+)
+from rhubarbhollow_replication.configuration import (
+    Configuration,
+    decode_configuration,
+)
+from rhubarbhollow_replication.fault import (
+    AlreadyMember,
+    IsLeader,
+    NotCaughtUp,
+    QuorumAtRisk,
+    UnknownMember,
+)
+from rhubarbhollow_replication.member import Member, MemberRole
+from rhubarbhollow_replication.membership_view import MembershipView
+from rhubarbhollow_replication.plan import plan_repair, plan_request
+from rhubarbhollow_replication.progress import Progress
+
+NOW = 100.0
+
+
+def members(text):
+    """Read ``a1`` as a voter with that store, ``(d1)`` as a learner."""
+    found = []
+    for word in text.split():
+        role = MemberRole.LEARNER if "(" in word else MemberRole.VOTER
+        store_id = word.strip("()")
+        found.append(Member(store_id[0], store_id, role))
+    return Configuration(tuple(sorted(found, key=lambda m: m.name)))
+
+
+def view(configuration, peers):
+    """Read ``b1`` as heard now, ``b1-9`` as heard 9 s ago.
+
+    A trailing ``<`` marks a peer that lacks committed entries.
+    """
+    progress = {}
+    for word in peers.split():
+        lag = word.endswith("<")
+        store_id, _, age = word.strip("<").partition("-")
+        progress[store_id[0]] = Progress(
+            next_index=10,
+            heard_at=NOW - float(age or 0),
+            match_index=4 if lag else 5,
+            store_id=store_id,
+        )
+    return MembershipView(
+        configuration=members(configuration),
+        leader="a",
+        peers=progress,
+        commit_index=5,
+        wanted_voters=3,
+        now=NOW,
+        alive_seconds=1.0,
+        silent_seconds=60.0,
+    )
+
+
+@pytest.mark.parametrize(
+    ("before", "peers", "after"),
+    [
+        # Nothing to repair.
+        ("a1 b1 c1", "b1 c1", None),
+        ("a1 b1 c1 (d1)", "b1 c1 d1", None),
+        # A lost disk is demoted, then promoted once it is caught up.
+        ("a1 b1 c1", "b2 c1", "a1 (b2) c1"),
+        ("a1 (b2) c1", "b2< c1", None),
+        ("a1 (b2) c1", "b2 c1", "a1 b2 c1"),
+        ("a1 (b2) c1", "b2-5 c1", None),
+        ("a1 (b2) c1", "b3 c1", "a1 (b3) c1"),
+        # The remaining voters could not decide.
+        ("a1 b1 c1", "b2 c1-5", None),
+        ("a1 b1 c1", "b2 c2", None),
+        # A silent voter is replaced only by a caught-up learner.
+        ("a1 b1 c1", "b1-70 c1", None),
+        ("a1 b1 c1 (d1)", "b1-70 c1 d1<", None),
+        ("a1 b1 c1 (d1)", "b1-70 c1 d1-5", None),
+        ("a1 b1 c1 (d1)", "b1-70 c1 d1", "a1 b1 c1 d1"),
+        ("a1 b1 c1 d1", "b1-70 c1 d1", "a1 (b1) c1 d1"),
+        ("a1 b1 c1 d1", "b1 c1-2 d1", "a1 b1 (c1) d1"),
+        ("a1 b1 c1 d1", "b1-70 c1-70 d1", None),
+        ("a1 b1 c1 (d1)", "b1-50 c1 d1", None),
+        # A cut-off leader sees nobody and changes nothing.
+        ("a1 b1 c1 (d1)", "b1-70 c1-70 d1-70", None),
+        ("a1 b1 c1 (d1)", "b1-70 c1-70 d1", None),
+    ],
+)
+def test_repair(before, peers, after):
+    planned = plan_repair(view(before, peers))
+    assert planned == (members(after) if after else None)
+
+
+@pytest.mark.parametrize(
+    ("before", "peers", "change", "after"),
+    [
+        ("a1 b1 c1", "b1 c1", AddLearner("b"), AlreadyMember("b")),
+        ("a1 b1 c1", "b1 c1", PromoteLearner("d"), UnknownMember("d")),
+        ("a1 b1 c1", "b1 c1", PromoteLearner("b"), AlreadyMember("b")),
+        ("a1 b1 (c1)", "b1 c1<", PromoteLearner("c"), NotCaughtUp("c")),
+        ("a1 b1 (c1)", "b1-5 c1", PromoteLearner("c"), QuorumAtRisk()),
+        ("a1 b1 (c1)", "b1 c1", PromoteLearner("c"), "a1 b1 c1"),
+        ("a1 b1 c1 (d1)", "b1-5 c1-5 d1", PromoteLearner("d"), QuorumAtRisk()),
+        ("a1 b1 c1", "b1 c1", RemoveMember("d"), UnknownMember("d")),
+        ("a1 b1 c1", "b1 c1", RemoveMember("a"), IsLeader("a")),
+        ("a1 b1 c1", "b1 c1-5", RemoveMember("b"), QuorumAtRisk()),
+        ("a1 b1 c1", "b1 c1-5", RemoveMember("c"), "a1 b1"),
+        ("a1 b1 (c1)", "b1 c1-5", RemoveMember("c"), "a1 b1"),
+    ],
+)
+def test_requests(before, peers, change, after):
+    planned = plan_request(view(before, peers), change)
+    if isinstance(after, str):
+        assert planned.unwrap() == members(after)
+    else:
+        assert planned == Err(after)
+
+
+def test_an_added_learner_is_bound_by_its_first_answer():
+    added = plan_request(view("a1 b1", "b1"), AddLearner("c")).unwrap()
+    assert added.find("c") == Member("c", "", MemberRole.LEARNER)
+    assert decode_configuration(added.encode()) == added
+
+
+@pytest.mark.parametrize(
+    ("text", "names", "expected"),
+    [
+        ("a1 b1 c1", "ab", True),
+        ("a1 b1 c1", "a", False),
+        ("a1 b1 c1 d1", "ab", False),
+        ("a1 b1 c1 d1", "abd", True),
+        ("a1 b1 (c1)", "ac", False),
+        ("a1", "a", True),
+        ("(a1)", "a", False),
+    ],
+)
+def test_quorum(text, names, expected):
+    configuration = members(text)
+    assert configuration.is_quorum(set(names)) == expected
+    values = {name: 7 if name in names else 3 for name in "abcd"}
+    reached = 7 if expected else 3 if configuration.voters else 0
+    assert configuration.quorum_value(values) == reached
--- a/packages/replication/tests/test_seeded_run.py
+++ b/packages/replication/tests/test_seeded_run.py
@@ -5,7 +5,12 @@
 from collections import Counter
 
 import pytest
-from seeded_run import FAULTS, run_seed
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+from seeded_run import FAULTS, INITIAL, SPARES, Run, run_seed
+
+from rhubarbhollow_replication.role import Role
 
 STEPS = 12_000
 
@@ -26,3 +31,42 @@
     expected = {fault.__name__ for fault in FAULTS}
     expected |= {"disk lost", "corrupt", "store failed", "crash in write"}
     assert expected <= set(events)
+
+
+class RunMachine(RuleBasedStateMachine):
+    """Let hypothesis choose the faults, and shrink what it finds."""
+
+    def __init__(self):
+        super().__init__()
+        self.run = Run(seed=1, steps=0)
+        self.advance(seconds=3)
+
+    @rule(seconds=st.sampled_from((0.05, 0.3, 1.0)))
+    def advance(self, seconds):
+        end = self.run.time + seconds
+        while self.run.time < end:
+            self.run.step()
+
+    @rule(count=st.integers(1, 5))
+    def propose(self, count):
+        for member in self.run.members.values():
+            if member.is_awake and member.core.role is Role.LEADER:
+                for _ in range(count):
+                    member.propose(b"%d" % next(self.run.ids))
+
+    @rule(
+        fault=st.sampled_from(FAULTS),
+        name=st.sampled_from(INITIAL + SPARES),
+    )
+    def fail(self, fault, name):
+        fault(self.run, self.run.members[name])
+
+    def teardown(self):
+        self.run.settle()
+        assert self.run.report.is_settled
+
+
+RunMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=20, stateful_step_count=20, deadline=None
+)
+TestRunMachine = RunMachine.TestCase
--- /dev/null
+++ b/packages/replication/tests/test_store.py
@@ -0,0 +1,286 @@
+"""The store over a disk that loses, tears, flips, fills and fails."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from random import Random
+
+import pytest
+from fake_disk import CrashError, FakeDisk
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from result import Ok
+
+from rhubarbhollow_replication.configuration import initial_configuration
+from rhubarbhollow_replication.entry import Entry, EntryKind
+from rhubarbhollow_replication.snapshot import Snapshot
+from rhubarbhollow_replication.store import LogStore, set_aside
+from rhubarbhollow_replication.store_fault import (
+    CorruptRecord,
+    DiskFull,
+    SyncFailed,
+)
+from rhubarbhollow_replication.vote_state import VoteState
+from rhubarbhollow_replication.write import (
+    InstallSnapshot,
+    SaveEntries,
+    SaveSnapshot,
+    SaveVote,
+)
+
+FOLDER = Path("/data/a")
+MEMBERS = initial_configuration(("a", "b", "c"))
+
+
+def entry(index, term=1, payload=b"payload"):
+    return Entry(index, term, EntryKind.COMMAND, payload)
+
+
+def entries(first, last, term=1):
+    return SaveEntries(tuple(entry(i, term) for i in range(first, last + 1)))
+
+
+def snapshot(index, term=1):
+    return Snapshot(index, term, MEMBERS, b"state")
+
+
+def open_store(disk, segment_bytes=120):
+    return LogStore.open(
+        FOLDER, disk=disk, random_source=Random(1), segment_bytes=segment_bytes
+    )
+
+
+def filled_disk(*batches, segment_bytes=120):
+    disk = FakeDisk(Random(1))
+    store = open_store(disk, segment_bytes).unwrap()
+    for batch in batches:
+        assert store.write(batch) == Ok(None)
+    return disk
+
+
+def recovered_indexes(disk):
+    state = open_store(disk).unwrap().recovered
+    base = state.snapshot.last_index if state.snapshot else 0
+    return base, [(e.index, e.term) for e in state.entries]
+
+
+@pytest.mark.parametrize(
+    ("batches", "expected"),
+    [
+        ([], (0, [])),
+        ([[entries(1, 3)]], (0, [(1, 1), (2, 1), (3, 1)])),
+        ([[entries(1, 3)], [entries(2, 2, 2)]], (0, [(1, 1), (2, 2)])),
+        ([[entries(1, 2), entries(2, 3, 2)]], (0, [(1, 1), (2, 2), (3, 2)])),
+        ([[entries(1, 4)], [SaveSnapshot(snapshot(3))]], (3, [(4, 1)])),
+        ([[entries(1, 9)], [SaveSnapshot(snapshot(9))]], (9, [])),
+        ([[entries(1, 4)], [InstallSnapshot(snapshot(9, 2))]], (9, [])),
+        (
+            [[entries(1, 9)], [InstallSnapshot(snapshot(4, 2))]],
+            (4, []),
+        ),
+        (
+            [[InstallSnapshot(snapshot(9)), entries(10, 11)]],
+            (9, [(10, 1), (11, 1)]),
+        ),
+        (
+            [[SaveSnapshot(snapshot(0))], [entries(1, 2)]],
+            (0, [(1, 1), (2, 1)]),
+        ),
+    ],
+)
+def test_what_was_written_is_read_back(batches, expected):
+    disk = filled_disk(*batches)
+    assert recovered_indexes(disk) == expected
+    disk.crash()
+    assert recovered_indexes(disk) == expected
+
+
+def test_votes_and_the_store_id_last():
+    vote = VoteState(7, "b", "store-b")
+    disk = filled_disk([SaveVote(VoteState(6))], [SaveVote(vote)])
+    disk.crash()
+    first, second = open_store(disk).unwrap(), open_store(disk).unwrap()
+    assert first.recovered.vote == vote
+    assert first.store_id == second.store_id != ""
+
+
+def test_files_on_the_operating_system(tmp_path):
+    store = LogStore.open(tmp_path / "a").unwrap()
+    assert store.write([entries(1, 3), SaveVote(VoteState(2))]) == Ok(None)
+    store.close()
+    again = LogStore.open(tmp_path / "a").unwrap()
+    assert again.store_id == store.store_id
+    assert again.recovered.entries == entries(1, 3).entries
+    assert again.recovered.vote == VoteState(2)
+    log = next((tmp_path / "a").glob("*.log"))
+    log.write_bytes(log.read_bytes()[:-1])
+    assert isinstance(LogStore.open(tmp_path / "a").err(), CorruptRecord)
+    kept = set_aside(tmp_path / "a")
+    assert kept.name == "a.corrupt-1"
+    fresh = LogStore.open(tmp_path / "a").unwrap()
+    assert fresh.store_id != store.store_id
+    assert fresh.recovered.entries == ()
+
+
+def test_every_length_of_a_torn_tail_is_cut():
+    disk = filled_disk([entries(1, 2)], segment_bytes=10_000)
+    path = next(p for p in disk.names_now if p.suffix == ".log")
+    durable = disk.read(path)
+    longer = filled_disk([entries(1, 2)], [entries(3, 4)], segment_bytes=9999)
+    tail = longer.read(path)[len(durable) :]
+    for length in range(len(tail)):
+        disk.names_now[path].content = durable + tail[:length]
+        kept = recovered_indexes(disk)[1]
+        assert kept in ([(1, 1), (2, 1)], [(1, 1), (2, 1), (3, 1)])
+        assert (len(kept) == 3) == (length >= len(tail) // 2)
+
+
+@pytest.mark.parametrize("segment_bytes", [120, 10_000])
+def test_every_flipped_bit_is_found(segment_bytes):
+    batches = ([SaveVote(VoteState(3))], [entries(1, 5)], [entries(6, 7)])
+    snapshots = ([SaveSnapshot(snapshot(2))], [entries(8, 9)])
+    disk = filled_disk(*batches, *snapshots, segment_bytes=segment_bytes)
+    good = recovered_indexes(disk)
+    for path in sorted(disk.names_now):
+        node = disk.names_now[path]
+        content = node.content
+        for offset in range(len(content)):
+            disk.flip(path, offset)
+            opened = open_store(disk)
+            if path.name == "synced":
+                assert recovered_indexes(disk) == good
+            else:
+                assert isinstance(opened.err(), CorruptRecord), (path, offset)
+            node.content = content
+
+
+@pytest.mark.parametrize("name", ["store", "vote"])
+def test_a_missing_file_is_not_taken_for_a_new_folder(name):
+    disk = filled_disk([entries(1, 5)])
+    disk.remove(FOLDER / name)
+    assert isinstance(open_store(disk).err(), CorruptRecord)
+
+
+def test_a_lost_last_segment_is_found_by_the_synced_note():
+    disk = filled_disk([entries(1, 5)], [entries(6, 9)])
+    last = max(p for p in disk.names_now if p.suffix == ".log")
+    disk.remove(last)
+    assert isinstance(open_store(disk).err(), CorruptRecord)
+
+
+def test_damage_before_a_later_batch_is_found_without_the_note():
+    disk = filled_disk([entries(1, 2)], [entries(3, 4)], segment_bytes=9999)
+    disk.remove(FOLDER / "synced")
+    path = next(p for p in disk.names_now if p.suffix == ".log")
+    size = len(disk.read(path))
+    disk.flip(path, size // 3)
+    assert isinstance(open_store(disk).err(), CorruptRecord)
+
+
+@pytest.mark.parametrize(
+    ("attribute", "fault"), [("fails_sync", SyncFailed), ("is_full", DiskFull)]
+)
+@pytest.mark.parametrize(
+    "write",
+    [entries(4, 5), SaveVote(VoteState(9)), InstallSnapshot(snapshot(8))],
+)
+def test_failed_writes_are_typed_and_lose_nothing_older(
+    attribute, fault, write
+):
+    disk = filled_disk([entries(1, 3)])
+    store = open_store(disk).unwrap()
+    setattr(disk, attribute, True)
+    assert isinstance(store.write([write]).err(), fault)
+    disk.crash()
+    base, kept = recovered_indexes(disk)
+    assert base == 8 or kept[:3] == [(1, 1), (2, 1), (3, 1)]
+
+
+class StoreMachine(RuleBasedStateMachine):
+    """Compare the store with a list, over crashes at any operation."""
+
+    def __init__(self):
+        super().__init__()
+        self.disk = FakeDisk(Random(5))
+        self.store = open_store(self.disk).unwrap()
+        self.log = []
+        self.base = 0
+        self.vote = VoteState()
+        self.term = 1
+
+    def write(self, write, log, base, vote, crash_after):
+        """Write; a crash may leave the old state or the new."""
+        self.disk.crash_after = crash_after
+        old, new = (self.log, self.base, self.vote), (log, base, vote)
+        is_done = False
+        try:
+            assert self.store.write([write]) == Ok(None)
+            is_done = True
+        except CrashError:
+            pass
+        self.log, self.base, self.vote = new
+        if crash_after is None:
+            return
+        self.disk.crash()
+        self.store = open_store(self.disk).unwrap()
+        state = self.store.recovered
+        found_base = state.snapshot.last_index if state.snapshot else 0
+        found = (list(state.entries), found_base, state.vote)
+        assert found == new or not is_done
+        assert found in (old, new) or self.is_between(found, old, new)
+        self.log, self.base, self.vote = found
+
+    def is_between(self, found, old, new):
+        """Whether ``found`` has the first few of the new entries."""
+        if not found[1:] == old[1:] == new[1:]:
+            return False
+        shared = sum(a == b for a, b in zip(old[0], new[0], strict=False))
+        count = len(found[0])
+        return count > shared and found[0] == new[0][:count]
+
+    @rule(
+        back=st.integers(0, 3),
+        count=st.integers(1, 4),
+        crash=st.none() | st.integers(0, 6),
+    )
+    def append(self, back, count, crash):
+        self.term += 1
+        kept = self.log[: max(0, len(self.log) - back)]
+        first = self.base + len(kept) + 1
+        added = [entry(first + n, self.term) for n in range(count)]
+        write = SaveEntries(tuple(added))
+        self.write(write, kept + added, self.base, self.vote, crash)
+
+    @rule(crash=st.none() | st.integers(0, 8))
+    def vote_in_next_term(self, crash):
+        vote = VoteState(self.vote.term + 1, "b", "x")
+        self.write(SaveVote(vote), self.log, self.base, vote, crash)
+
+    @rule(back=st.integers(0, 3), crash=st.none() | st.integers(0, 16))
+    def compact(self, back, crash):
+        cut = max(0, len(self.log) - back)
+        if cut == 0:
+            return
+        last = self.log[cut - 1]
+        saved = SaveSnapshot(snapshot(last.index, last.term))
+        rest = self.log[cut:]
+        self.write(saved, rest, last.index, self.vote, crash)
+
+    @rule(ahead=st.integers(1, 3), crash=st.none() | st.integers(0, 16))
+    def install(self, ahead, crash):
+        self.term += 1
+        index = self.base + len(self.log) + ahead
+        saved = InstallSnapshot(snapshot(index, self.term))
+        self.write(saved, [], index, self.vote, crash)
+
+    @invariant()
+    def indexes_are_contiguous(self):
+        expected = list(range(self.base + 1, self.base + len(self.log) + 1))
+        assert [e.index for e in self.log] == expected
+
+
+StoreMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=60, stateful_step_count=25, deadline=None
+)
+TestStoreMachine = StoreMachine.TestCase
