Count a node only where it is connected

Cause: when a node changed its control instance, the old one counted it as a live node without the new release until its lease ended. Releases then waited for the staging deadline (2 s), and the status showed 13 nodes where there were 12; a submission that waits for all nodes did not end after a control instance was killed, since the dead instance's last summary was counted as well.

Ruled out by the log's times: admission and the start rule (all nodes had joined 1.5 s before).

Now a node that leaves is no longer waited for, while its endpoints stay until the lease ends; summaries older than the summary lease are left out.

--- a/packages/daemon/src/rhubarbhollow_daemon/control_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_building.py
@@ -106,6 +106,7 @@
                 QuarantineRelay(clock),
                 links,
                 clock,
+                settings.distribution.lease.total_seconds(),
             ),
             exchange=exchange,
             leader_desk=LeaderDesk(
--- a/packages/daemon/src/rhubarbhollow_daemon/leader_desk.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/leader_desk.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import structlog
 from result import Err
 
-from rhubarbhollow_distribution.activation import ActivationPlanner
+from rhubarbhollow_distribution.activation import (
+    SUMMARY_LEASE_SECONDS,
+    ActivationPlanner,
+)
 from rhubarbhollow_release.command import ActivateRelease, encode_command
 from rhubarbhollow_replication.role import Role
 
@@ -22,6 +26,12 @@
 _log = structlog.get_logger()
 
 
+@dataclass(frozen=True, slots=True)
+class _HeardSummary:
+    summary: RegisterSummary
+    heard_at: float
+
+
 class LeaderDesk:
     """Follow all nodes' progress and propose activations.
 
@@ -44,7 +54,8 @@
             clock,
             staging_deadline_seconds,
         )
-        self._summaries: dict[str, RegisterSummary] = {}
+        self._clock = clock
+        self._summaries: dict[str, _HeardSummary] = {}
 
     @property
     def is_leader(self) -> bool:
@@ -53,12 +64,22 @@
 
     @property
     def summaries(self) -> tuple[RegisterSummary, ...]:
-        """Return the latest summary of every control instance."""
-        return tuple(self._summaries.values())
+        """Return the latest summary of each instance heard lately.
+
+        The nodes of an instance that went silent are counted where they
+        reconnect, so its last summary must not count them twice.
+        """
+        oldest = self._clock.monotonic() - SUMMARY_LEASE_SECONDS
+        return tuple(
+            heard.summary
+            for heard in self._summaries.values()
+            if heard.heard_at >= oldest
+        )
 
     def note_summary(self, summary: RegisterSummary) -> None:
         """Take over a control instance's counts."""
-        self._summaries[summary.control] = summary
+        now = self._clock.monotonic()
+        self._summaries[summary.control] = _HeardSummary(summary, now)
         self._planner.note_summary(summary)
 
     def note_log(self) -> None:
--- a/packages/daemon/src/rhubarbhollow_daemon/node_desk.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_desk.py
@@ -50,6 +50,7 @@
         relay: QuarantineRelay,
         peers: PeerLinks,
         clock: Clock,
+        lease_seconds: float,
     ) -> None:
         self._welcome = welcome
         self._register = register
@@ -59,9 +60,10 @@
         self._relay = relay
         self._peers = peers
         self._clock = clock
+        self._lease_seconds = lease_seconds
         self._links: dict[str, NodeLink] = {}
         self._waiting: dict[str, NodeLink] = {}
-        self._incarnations: dict[str, int] = {}
+        self._left_at: dict[str, float] = {}
 
     @property
     def next_due(self) -> float:
@@ -130,15 +132,20 @@
     def leave(self, link: NodeLink) -> None:
         """Forget a node whose connection ended.
 
-        Its endpoints stay until its lease ends: a node that reconnects
-        in time must not disappear from the fleet's tables.
+        Releases wait for it no longer, since it may be at another
+        control instance by now. Its endpoints stay until its lease
+        ends: a node that reconnects in time must not disappear from
+        the fleet's tables.
         """
         name = link.hello.node
         if self._waiting.get(name) is link:
             del self._waiting[name]
             self._admission.withdraw(name)
-        if self._links.get(name) is link:
-            del self._links[name]
+        if self._links.get(name) is not link:
+            return
+        del self._links[name]
+        self._register.remove(name, link.hello.incarnation)
+        self._left_at[name] = self._clock.monotonic()
 
     def tick(self, view: LedgerView) -> None:
         """Admit whose turn has come; end the leases of the silent."""
@@ -147,7 +154,15 @@
             if link is not None:
                 self._admit(link, view)
         for name in self._register.expired():
+            link = self._links.pop(name, None)
+            if link is not None:
+                self._register.remove(name, link.hello.incarnation)
+                link.end()
             self._end_lease(name)
+        oldest = self._clock.monotonic() - self._lease_seconds
+        for name, left_at in tuple(self._left_at.items()):
+            if left_at <= oldest:
+                self._end_lease(name)
         self._store.expire()
 
     def feed_due(self, view: LedgerView) -> None:
@@ -179,7 +194,7 @@
             return
         self._end_replaced(self._links.pop(link.hello.node, None))
         self._links[link.hello.node] = link
-        self._incarnations[link.hello.node] = link.hello.incarnation
+        self._left_at.pop(link.hello.node, None)
         link.outbox.put(self._welcome)
         for message in self._relay.recent():
             link.outbox.put(message)
@@ -206,8 +221,7 @@
 
     def _end_lease(self, name: str) -> None:
         _log.warning("node_lease_ended", node=name)
-        self._register.remove(name, self._incarnations.pop(name, 0))
-        self._end_replaced(self._links.pop(name, None))
+        self._left_at.pop(name, None)
         self._exchange.publish(self._store.end_lease(name))
 
     def _end_replaced(self, link: NodeLink | None) -> None:
--- a/packages/daemon/src/rhubarbhollow_daemon/node_link.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_link.py
@@ -38,6 +38,11 @@
         """Return the queue of messages to the node."""
         return self._outbox
 
+    @property
+    def is_ended(self) -> bool:
+        """Return whether this connection was asked to end."""
+        return self._ended.is_set()
+
     def end(self) -> None:
         """Ask the connection's tasks to stop."""
         self._ended.set()
