--- a/packages/release/src/rhubarbhollow_release/ledger.py
+++ b/packages/release/src/rhubarbhollow_release/ledger.py
@@ -11,10 +11,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 from result import Err, Ok, Result
 
+from rhubarbhollow_release.answer_book import AnswerBook
 from rhubarbhollow_release.approval import (
     Approval,
     check_terms,
@@ -39,6 +40,7 @@
     DifferenceFaultKind,
 )
 from rhubarbhollow_release.invariant_violation import InvariantViolation
+from rhubarbhollow_release.kept_release import KeptRelease
 from rhubarbhollow_release.ledger_state import LedgerState
 from rhubarbhollow_release.outcome import (
     Accepted,
@@ -57,6 +59,7 @@
     VersionConflict,
 )
 from rhubarbhollow_release.release import Release
+from rhubarbhollow_release.release_history import ReleaseHistory
 from rhubarbhollow_release.release_record import ReleaseRecord
 from rhubarbhollow_release.resource_set import (
     ResourceSet,
@@ -80,9 +83,6 @@
     from rhubarbhollow_release.approval_fault import ApprovalFault
     from rhubarbhollow_release.manifest import Manifest
 
-MAX_RECORDS: Final = 20_000
-MAX_PAST_RELEASES: Final = 64
-
 
 class ReleaseLedger:
     """Decide which releases exist and which one is in force."""
@@ -97,12 +97,8 @@
         self._mesh = mesh
         self._trusted = dict(trusted)
         self._active_position = state.active_position
-        self._forgotten_version = state.forgotten_version
-        # both rise by position, since dictionaries keep their order
-        self._records = {record.version: record for record in state.records}
-        self._releases = {
-            release.position: release for release in state.releases
-        }
+        self._answers = AnswerBook(state.records, state.forgotten_version)
+        self._history = ReleaseHistory(state.releases)
 
     @property
     def mesh(self) -> str:
@@ -112,17 +108,17 @@
     @property
     def latest(self) -> Release | None:
         """Return the release accepted last."""
-        return self._releases.get(self.latest_position)
+        return self._history.find(self.latest_position)
 
     @property
     def active(self) -> Release | None:
         """Return the release in force."""
-        return self._releases.get(self._active_position)
+        return self._history.find(self._active_position)
 
     @property
     def latest_position(self) -> int:
         """Return the latest release's position, 0 before the first."""
-        return next(reversed(self._releases), 0)
+        return self._history.latest_position
 
     @property
     def active_position(self) -> int:
@@ -132,12 +128,12 @@
     @property
     def highest_version(self) -> int:
         """Return the highest accepted version, 0 before the first."""
-        return next(reversed(self._records), 0)
+        return self._answers.highest_version
 
     @property
     def records(self) -> tuple[ReleaseRecord, ...]:
         """Return the kept records, the oldest first."""
-        return tuple(self._records.values())
+        return self._answers.records
 
     @classmethod
     def restore(
@@ -162,19 +158,19 @@
             LedgerState(
                 mesh=self._mesh,
                 active_position=self._active_position,
-                forgotten_version=self._forgotten_version,
-                records=tuple(self._records.values()),
-                releases=tuple(self._releases.values()),
+                forgotten_version=self._answers.forgotten_version,
+                records=self._answers.records,
+                releases=self._history.kept,
             ),
         )
 
     def release_at(self, position: int) -> Release | None:
         """Return a release that is still kept."""
-        return self._releases.get(position)
+        return self._history.find(position)
 
     def resources_at(self, position: int) -> ResourceSet | None:
         """Return the content of a release that is still kept."""
-        release = self._releases.get(position)
+        release = self._history.find(position)
         return release.resources if release else None
 
     def find_answer(
@@ -183,7 +179,7 @@
         digest: bytes,
     ) -> AlreadyAccepted | None:
         """Return the first answer to a submission that was accepted."""
-        record = self._records.get(version)
+        record = self._answers.find(version)
         if record is None or record.digest != digest:
             return None
         return AlreadyAccepted(record.position, version, digest)
@@ -274,13 +270,13 @@
         resources = self._build(command)
         if isinstance(resources, Err):
             return Refused(resources.err_value)
-        return self._accept(resources.ok_value, approval)
+        return self._accept(resources.ok_value, command)
 
     def _reject_version(self, version: int) -> SubmissionOutcome | None:
-        winner = self._records.get(version)
+        winner = self._answers.find(version)
         if winner is not None:
             return VersionConflict(version, winner.digest, winner.position)
-        if version <= self._forgotten_version:
+        if version <= self._answers.forgotten_version:
             return Superseded(version, self.highest_version)
         if version <= self.highest_version:
             return StaleVersion(version, self.highest_version)
@@ -318,20 +314,27 @@
         joined = join_resources(resources)
         return joined if isinstance(joined, Err) else Ok(resources)
 
-    def _accept(self, resources: ResourceSet, approval: Approval) -> Accepted:
+    def _accept(
+        self,
+        resources: ResourceSet,
+        command: SubmitRelease,
+    ) -> Accepted:
+        approval = command.approval
         position = self.latest_position + 1
         version = approval.version
         if version <= self.highest_version:
             raise InvariantViolation("accepted version does not rise")
-        self._releases[position] = Release(position, resources, approval)
-        self._records[version] = ReleaseRecord(
-            position,
-            version,
-            approval.digest,
-            approval.key_id,
+        release = Release(position, resources, approval)
+        self._history.add(KeptRelease(release, command.difference))
+        self._history.forget(self._active_position)
+        self._answers.add(
+            ReleaseRecord(
+                position,
+                version,
+                approval.digest,
+                approval.key_id,
+            ),
         )
-        self._forget_records()
-        self._forget_releases()
         self._check()
         return Accepted(position, version, approval.digest)
 
@@ -341,34 +344,17 @@
         if position <= self._active_position:
             return AlreadyActivated(position, self._active_position)
         self._active_position = position
-        self._forget_releases()
+        self._history.forget(position)
         self._check()
         return Activated(position)
 
-    def _forget_records(self) -> None:
-        while len(self._records) > MAX_RECORDS:
-            version = next(iter(self._records))
-            del self._records[version]
-            self._forgotten_version = version
-
-    def _forget_releases(self) -> None:
-        """Keep what waits for its activation, and some of the past."""
-        oldest = min(
-            self._active_position,
-            self.latest_position - MAX_PAST_RELEASES,
-        )
-        for position in tuple(self._releases):
-            if position >= oldest:
-                return
-            del self._releases[position]
-
     def _check(self) -> None:
         if self._active_position > self.latest_position:
             raise InvariantViolation("active release is not accepted")
         if self._active_position and self.active is None:
             raise InvariantViolation("active release is not kept")
-        record = self._records[self.highest_version]
-        if record.position != self.latest_position:
+        record = self._answers.find(self.highest_version)
+        if record is None or record.position != self.latest_position:
             raise InvariantViolation("position and version part")
-        if self._forgotten_version >= next(iter(self._records)):
+        if self._answers.forgotten_version >= self._answers.lowest_version:
             raise InvariantViolation("forgotten version is recorded")
--- a/packages/release/src/rhubarbhollow_release/ledger_state.py
+++ b/packages/release/src/rhubarbhollow_release/ledger_state.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from rhubarbhollow_release.release import Release
+    from rhubarbhollow_release.kept_release import KeptRelease
     from rhubarbhollow_release.release_record import ReleaseRecord
 
 
@@ -23,4 +23,4 @@
     active_position: int = 0
     forgotten_version: int = 0
     records: tuple[ReleaseRecord, ...] = ()
-    releases: tuple[Release, ...] = ()
+    releases: tuple[KeptRelease, ...] = ()
--- a/packages/release/src/rhubarbhollow_release/snapshot.py
+++ b/packages/release/src/rhubarbhollow_release/snapshot.py
@@ -1,8 +1,7 @@
 """The bytes of a ledger's snapshot.
 
 A SHA-256 comes first, then a deflate stream: a JSON preamble line, the
-records of fixed size, and the releases.  The first release is a
-difference from nothing, each other one from the release before it.
+records of fixed size, and the releases.
 """
 
 from __future__ import annotations
@@ -14,33 +13,25 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from itertools import pairwise
-from typing import TYPE_CHECKING, Any, Final
+from typing import Any, Final
 
 from result import Err, Ok, Result
 
-from rhubarbhollow_release.approval_codec import (
-    decode_approval,
-    encode_approval,
-)
 from rhubarbhollow_release.canonical import DIGEST_BYTES
 from rhubarbhollow_release.codec import encode_json
-from rhubarbhollow_release.difference import apply_difference, diff_resources
-from rhubarbhollow_release.difference_codec import (
-    decode_difference,
-    encode_difference,
-)
 from rhubarbhollow_release.ledger_state import LedgerState
-from rhubarbhollow_release.release import Release
+from rhubarbhollow_release.release_codec import (
+    decode_releases,
+    encode_releases,
+)
 from rhubarbhollow_release.release_record import ReleaseRecord
 
-if TYPE_CHECKING:
-    from rhubarbhollow_release.resource_set import ResourceSet
-
 SNAPSHOT_FORMAT: Final = 1
 MAX_SNAPSHOT_BYTES: Final = 256 << 20
 
+# most of it is digests and compressed already
+_COMPRESSION_LEVEL: Final = 1
 _RECORD: Final = struct.Struct(">QQ32s16s")
-_PART: Final = struct.Struct(">QHI")
 
 
 class SnapshotFaultKind(StrEnum):
@@ -70,9 +61,9 @@
         "records": len(state.records),
     }
     records = b"".join(map(_encode_record, state.records))
-    releases = b"".join(_encode_releases(state.releases))
+    releases = encode_releases(state.releases)
     plain = encode_json(preamble) + b"\n" + records + releases
-    packed = zlib.compress(plain)
+    packed = zlib.compress(plain, _COMPRESSION_LEVEL)
     return hashlib.sha256(packed).digest() + packed
 
 
@@ -104,9 +95,9 @@
             rest[:size],
         )
     )
-    releases = _decode_releases(rest[size:])
+    releases = decode_releases(rest[size:])
     if isinstance(releases, Err):
-        return releases
+        return _malformed(repr(releases.err_value))
     return _check_order(
         LedgerState(
             mesh=preamble["mesh"],
@@ -159,54 +150,6 @@
     )
 
 
-def _encode_releases(releases: tuple[Release, ...]) -> list[bytes]:
-    parts: list[bytes] = []
-    base: ResourceSet | None = None
-    for release in releases:
-        approval = encode_approval(release.approval)
-        change = encode_difference(diff_resources(base, release.resources))
-        sizes = _PART.pack(release.position, len(approval), len(change))
-        parts.extend((sizes, approval, change))
-        base = release.resources
-    return parts
-
-
-def _decode_releases(
-    data: bytes,
-) -> Result[tuple[Release, ...], SnapshotFault]:
-    releases: list[Release] = []
-    base: ResourceSet | None = None
-    offset = 0
-    while offset < len(data):
-        release, offset = _decode_release(data, offset, base)
-        if release is None:
-            return _malformed(f"release before byte {offset}")
-        releases.append(release)
-        base = release.resources
-    return Ok(tuple(releases))
-
-
-def _decode_release(
-    data: bytes,
-    offset: int,
-    base: ResourceSet | None,
-) -> tuple[Release | None, int]:
-    start = offset + _PART.size
-    if start > len(data):
-        return None, start
-    position, approval_size, change_size = _PART.unpack(data[offset:start])
-    middle = start + approval_size
-    end = middle + change_size
-    approval = decode_approval(data[start:middle])
-    change = decode_difference(data[middle:end])
-    if isinstance(approval, Err) or isinstance(change, Err):
-        return None, end
-    resources = apply_difference(base, change.ok_value)
-    if isinstance(resources, Err):
-        return None, end
-    return Release(position, resources.ok_value, approval.ok_value), end
-
-
 def _check_order(state: LedgerState) -> Result[LedgerState, SnapshotFault]:
     records, releases = state.records, state.releases
     if not all(
@@ -215,15 +158,15 @@
     ):
         return _malformed("records out of order")
     if not all(
-        right.position == left.position + 1
+        right.release.position == left.release.position + 1
         for left, right in pairwise(releases)
     ):
         return _malformed("releases out of order")
     last_record = records[-1].position if records else 0
-    last_release = releases[-1].position if releases else 0
+    last_release = releases[-1].release.position if releases else 0
     if last_record != last_release:
         return _malformed("records and releases end apart")
-    kept = {release.position for release in releases}
+    kept = {each.release.position for each in releases}
     if state.active_position and state.active_position not in kept:
         return _malformed("active release is not kept")
     if records and records[0].version <= state.forgotten_version:
--- a/packages/release/tests/test_ledger.py
+++ b/packages/release/tests/test_ledger.py
@@ -1,3 +1,4 @@
+import contextlib
 from dataclasses import dataclass, replace
 from unittest import mock
 
@@ -15,7 +16,7 @@
 )
 from result import Err, Ok
 
-from rhubarbhollow_release import ledger as ledger_module
+from rhubarbhollow_release import answer_book, release_history
 from rhubarbhollow_release import outcome as outcomes
 from rhubarbhollow_release.approval import sign_approval
 from rhubarbhollow_release.approval_fault import ApprovalFaultKind
@@ -106,19 +107,20 @@
 
     def __init__(self):
         super().__init__()
-        self._patch = mock.patch.multiple(
-            ledger_module,
-            MAX_RECORDS=KEPT_RECORDS,
-            MAX_PAST_RELEASES=KEPT_RELEASES,
-        )
-        self._patch.start()
+        self._patches = contextlib.ExitStack()
+        for module, name, value in (
+            (answer_book, "MAX_RECORDS", KEPT_RECORDS),
+            (release_history, "MAX_PAST_RELEASES", KEPT_RELEASES),
+        ):
+            patch = mock.patch.object(module, name, value)
+            self._patches.enter_context(patch)
         self.ledger = new_ledger()
         # trusts nobody: settings must not change what is decided
         self.replica = ReleaseLedger("lab", {})
         self.naive = NaiveLedger([])
 
     def teardown(self):
-        self._patch.stop()
+        self._patches.close()
 
     @rule(
         target=commands,
@@ -234,7 +236,7 @@
 
 
 def test_forgets_the_oldest_answers(monkeypatch):
-    monkeypatch.setattr(ledger_module, "MAX_RECORDS", 2)
+    monkeypatch.setattr(answer_book, "MAX_RECORDS", 2)
     ledger = new_ledger()
     commands = {version: plan(ledger, version, 1) for version in (2, 4, 6)}
     for version, content in ((2, 1), (4, 2), (6, 3), (8, 4)):
@@ -348,7 +350,7 @@
 def test_stops_on_a_broken_invariant():
     ledger = new_ledger()
     ledger.apply(plan(ledger, 1, 1))
-    ledger._forgotten_version = 1
+    ledger._answers._forgotten_version = 1
     with pytest.raises(InvariantViolation):
         ledger.apply(ActivateRelease(1))
 
