Refuse manifests whose canonical form exceeds the bounds

Cause: fields that a document leaves out lengthen the canonical form, so a large accepted manifest could be too large to be read back when it is withdrawn to. A document over 256 KiB is now loaded in its canonical form as well; below that, no document can come near a bound.

--- a/packages/release/src/rhubarbhollow_release/parsing.py
+++ b/packages/release/src/rhubarbhollow_release/parsing.py
@@ -4,12 +4,12 @@
 
 from collections import Counter
 from itertools import chain
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final
 
 from result import Err, Ok, Result
 
 from rhubarbhollow_release.assembly import assemble_manifest
-from rhubarbhollow_release.canonical import SECTIONS
+from rhubarbhollow_release.canonical import SECTIONS, canonical_bytes
 from rhubarbhollow_release.closure import Closure, PlacedItem
 from rhubarbhollow_release.codec import read_item
 from rhubarbhollow_release.document import load_document
@@ -28,6 +28,10 @@
     from rhubarbhollow_release.manifest import Manifest
     from rhubarbhollow_release.resource_kind import ResourceKind
 
+# fields that were left out make the canonical form of a document at
+# most eight times as long: below this, it keeps to every bound
+SMALL_DOCUMENT_BYTES: Final = 256 << 10
+
 
 def parse_manifest(document: bytes) -> Result[Manifest, ManifestFaults]:
     """Read a YAML or JSON manifest; refuse it whole, with every fault.
@@ -51,7 +55,12 @@
         return Err(ManifestFaults(faults))
     header = ManifestHeader(value["format"], value["mesh"], value["version"])
     items = (placed.item for placed in closure.placed)
-    return Ok(assemble_manifest(header, items))
+    manifest = assemble_manifest(header, items)
+    if len(document) <= SMALL_DOCUMENT_BYTES:
+        return Ok(manifest)
+    # operators fetch the canonical form and submit it again
+    canonical = load_document(canonical_bytes(manifest))
+    return canonical if isinstance(canonical, Err) else Ok(manifest)
 
 
 def _has_sections(value: Mapping[str, Any]) -> bool:
--- a/packages/release/tests/test_parsing.py
+++ b/packages/release/tests/test_parsing.py
@@ -4,6 +4,8 @@
 import yaml
 from result import Err
 
+from rhubarbhollow_release import document as loading
+from rhubarbhollow_release import parsing
 from rhubarbhollow_release.canonical import canonical_bytes
 from rhubarbhollow_release.manifest_fault import FaultKind as Kind
 from rhubarbhollow_release.parsing import parse_manifest
@@ -240,6 +242,17 @@
     assert faults[-1] == ("", Kind.TRUNCATED)
 
 
+def test_refuses_what_it_could_not_read_back(document, monkeypatch):
+    data = yaml.safe_dump(document).encode()
+    monkeypatch.setattr(parsing, "SMALL_DOCUMENT_BYTES", 0)
+    canonical = canonical_bytes(parse_manifest(data).unwrap())
+    assert len(canonical) > len(data)
+    monkeypatch.setattr(loading, "MAX_DOCUMENT_BYTES", len(canonical) - 1)
+    assert faults_of(data) == [("", Kind.TOO_LARGE)]
+    monkeypatch.setattr(loading, "MAX_DOCUMENT_BYTES", len(canonical))
+    assert canonical_bytes(parse_manifest(data).unwrap()) == canonical
+
+
 @pytest.mark.parametrize("text", ["no", "0x10", "1:30", "2020-01-01", ".nan"])
 def test_reads_yaml_scalars_by_the_core_schema(document, text):
     document["version"] = "VERSION"
