--- a/tests/standin/http_client.py
+++ b/tests/standin/http_client.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-FAIL_SAFE_SECONDS = 20.0
+FAIL_SAFE_SECONDS = 10.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/standin/mesh.py
+++ b/tests/standin/mesh.py
@@ -9,7 +9,6 @@
 from typing import TYPE_CHECKING
 
 import uvloop
-from tests.standin.http_client import FAIL_SAFE_SECONDS, HttpClient
 
 from rhubarbhollow_calls.call_priority import CallPriority
 from rhubarbhollow_calls.call_route import CallRoute
@@ -24,13 +23,13 @@
 from rhubarbhollow_calls.route_table import RouteTable
 from rhubarbhollow_calls.upstream_book import UpstreamBook
 from rhubarbhollow_wire.clock import ManualClock
+from tests.standin.http_client import FAIL_SAFE_SECONDS, HttpClient
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
-    from tests.standin.scripted_upstream import ScriptedUpstream
-
     from rhubarbhollow_calls.quarantine_message import QuarantineMessage
+    from tests.standin.scripted_upstream import ScriptedUpstream
 
 _FOREVER = itertools.repeat(None)
 DEFAULT_ROUTE = CallRoute(
