--- a/packages/distribution/src/rhubarbhollow_distribution/stage_encoding.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/stage_encoding.py
@@ -27,23 +27,26 @@
     from rhubarbhollow_release.approval_fault import ApprovalFault
     from rhubarbhollow_release.difference import Difference
     from rhubarbhollow_release.difference_fault import DifferenceFault
-    from rhubarbhollow_release.release import Release
     from rhubarbhollow_release.resource_set import ResourceSet
 
 KEY_ID_BYTES: Final = KEY_ID_CHARACTERS // 2
 COMPACT_APPROVAL_BYTES: Final = KEY_ID_BYTES + SIGNATURE_BYTES
 
 
-def build_stage(release: Release, base: ResourceSet | None) -> Stage:
-    """Return the message that leads from ``base`` to ``release``."""
-    resources = release.resources
-    difference = encode_difference(diff_resources(base, resources))
+def build_stage(
+    position: int,
+    approval: Approval,
+    target: ResourceSet,
+    base: ResourceSet | None,
+) -> Stage:
+    """Return the message that leads from ``base`` to ``target``."""
+    difference = encode_difference(diff_resources(base, target))
     return Stage(
-        position=release.position,
-        version=release.approval.version,
+        position=position,
+        version=approval.version,
         base_digest=base.digest if base else b"",
-        digest=resources.digest,
-        approval_document=shorten_approval(release.approval),
+        digest=target.digest,
+        approval_document=shorten_approval(approval),
         difference=difference[2 * DIGEST_BYTES :],
     )
 
--- a/packages/distribution/tests/small_mesh.py
+++ b/packages/distribution/tests/small_mesh.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 
 from result import Err
 from small_releases import (
@@ -39,49 +38,34 @@
 from rhubarbhollow_distribution.start_floor import StartFloor
 from rhubarbhollow_wire.clock import ManualClock
 
-FRESH_SECONDS = 1.0
-LEASE_SECONDS = 4.0
-DEADLINE_SECONDS = 2.0
+FRESH_SECONDS, LEASE_SECONDS, DEADLINE_SECONDS = 1.0, 4.0, 2.0
 
 
 class Link:
     """An ordered connection; what is in flight is lost with it."""
 
     def __init__(self, node, control, feed):
-        self.node = node
-        self.control = control
-        self.feed = feed
-        self.to_node = deque()
-        self.to_control = deque()
+        self.node, self.control, self.feed = node, control, feed
+        self.to_node, self.to_control = deque(), deque()
 
 
 class Control:
     def __init__(self, name, data_centre, mesh):
-        self.name = name
-        self.data_centre = data_centre
-        self.mesh = mesh
+        self.name, self.data_centre, self.mesh = name, data_centre, mesh
         self.releases = Releases()
-        self.active = 0
-        self.confirmed_at = None
-        self.recorded = 0
-        self.incarnation = 0
+        self.active = self.recorded = self.incarnation = 0
         self.restart()
 
     def restart(self):
         """Start anew with the log and the recorded floor."""
         self.incarnation += 1
-        clock = self.mesh.clock
+        self.confirmed_at = None
         self.floor = StartFloor(self.recorded)
+        clock, name = self.mesh.clock, self.name
         self.register = NodeRegister(
-            self.name, self.data_centre, clock, LEASE_SECONDS
+            name, self.data_centre, clock, LEASE_SECONDS
         )
-        self.store = EndpointStore(self.name, self.incarnation, clock)
-        self.confirmed_at = None
-
-    def sync(self):
-        self.releases.latest = self.mesh.latest
-        self.active = self.mesh.active
-        self.confirmed_at = self.mesh.clock.monotonic()
+        self.store = EndpointStore(name, self.incarnation, clock)
 
     def view(self):
         latest = self.releases.latest
@@ -89,28 +73,17 @@
         if self.floor.pending is not None:
             self.recorded = self.floor.pending
             self.floor.confirm(self.recorded)
-        now = self.mesh.clock.monotonic()
-        confirmed = self.confirmed_at
-        return LedgerView(
-            latest_position=latest,
-            active_position=self.active,
-            is_fresh=confirmed is not None and now < confirmed + FRESH_SECONDS,
-            confirmed_at=confirmed,
-            recorded_floor=self.floor.recorded,
-        )
+        at, now = self.confirmed_at, self.mesh.clock.monotonic()
+        is_fresh = at is not None and now < at + FRESH_SECONDS
+        return LedgerView(latest, self.active, is_fresh, at, self.recorded)
 
 
-@dataclass
 class Node:
-    name: str
-    data_centre: str
-    mesh: Mesh
-    incarnation: int = 0
-    # What outlives the process in the test's memory only.
-    applied: int = 0
-    offered_by: dict[str, int] = field(default_factory=dict)
-
-    def __post_init__(self):
+    def __init__(self, name, data_centre, mesh):
+        self.name, self.data_centre, self.mesh = name, data_centre, mesh
+        # What outlives the process in the test's memory only.
+        self.incarnation = self.applied = 0
+        self.offered_by = {}
         self.restart()
 
     def restart(self):
@@ -126,17 +99,7 @@
             incarnation=self.incarnation,
             clock=clock,
         )
-        self.promised = set()
-        self.received = []
-
-    def hello(self):
-        return hello_of(
-            self.holder,
-            table=self.table,
-            node=self.name,
-            data_centre=self.data_centre,
-            incarnation=self.incarnation,
-        )
+        self.promised, self.received = set(), []
 
     def handle(self, message, control):
         """Take over a message; return the answers."""
@@ -158,17 +121,15 @@
                 return [StageRequest(fault.held_position, fault.held_digest)]
             return []
         self.promised.add(message.position)
-        self.offered_by[control.name] = max(
-            message.position, self.offered_by.get(control.name, 0)
-        )
+        most = max(message.position, self.offered_by.get(control.name, 0))
+        self.offered_by[control.name] = most
         return [outcome.ok_value]
 
     def _activate(self, position, digest, control):
         was_without_memory = self.holder.active is None
-        outcome = self.holder.activate(position, digest)
-        if isinstance(outcome, Err):
-            held = self.holder.held_digest
-            return [StageRequest(self.holder.staged_position, held)]
+        if isinstance(self.holder.activate(position, digest), Err):
+            holder = self.holder
+            return [StageRequest(holder.staged_position, holder.held_digest)]
         self.check(control if was_without_memory else None)
         return [ActiveReport(self.holder.active_position)]
 
@@ -192,40 +153,30 @@
         The instance is of the node's own data centre and cut off, and
         another one has offered the node more than this one recorded.
         """
-        if control.data_centre != self.data_centre:
-            return False
-        most = max(
-            (
-                position
-                for name, position in self.offered_by.items()
-                if name != control.name
-            ),
-            default=0,
-        )
         self.mesh.excused += 1
-        return not control.view().is_fresh and most > control.recorded
+        offers = {**self.offered_by, control.name: 0}
+        return (
+            control.data_centre == self.data_centre
+            and not control.view().is_fresh
+            and max(offers.values()) > control.recorded
+        )
 
 
 class Mesh:
     def __init__(self, controls, nodes, settings=QUICK):
         self.clock = ManualClock()
         self.settings = settings
-        self.latest = 0
-        self.active = 0
-        self.excused = 0
-        self.cut = set()
+        self.latest = self.active = self.excused = 0
+        self.cut, self.links = set(), {}
         self.controls = [Control(*each, self) for each in controls]
         self.nodes = [Node(*each, self) for each in nodes]
-        self.links = {}
         self.planner = ActivationPlanner(
-            [control.name for control in self.controls],
-            self.clock,
-            DEADLINE_SECONDS,
+            (name for name, _ in controls), self.clock, DEADLINE_SECONDS
         )
 
     def reaches(self, one, other):
-        apart = one.data_centre != other.data_centre
-        return not (apart and {one.data_centre, other.data_centre} & self.cut)
+        places = {one.data_centre, other.data_centre}
+        return len(places) == 1 or not places & self.cut
 
     def accept_release(self):
         self.latest += 1
@@ -233,7 +184,9 @@
 
     def sync(self, control):
         if control.data_centre not in self.cut:
-            control.sync()
+            control.releases.latest = self.latest
+            control.active = self.active
+            control.confirmed_at = self.clock.monotonic()
 
     def plan(self):
         """Sum up the registers that can be reached, and plan."""
@@ -247,16 +200,21 @@
 
     def set_cut(self, data_centres):
         self.cut = set(data_centres)
-        for node in self.nodes:
-            link = self.links.get(node.name)
-            if link and not self.reaches(node, link.control):
-                self.disconnect(node)
+        for link in list(self.links.values()):
+            if not self.reaches(link.node, link.control):
+                self.disconnect(link.node)
 
     def connect(self, node, control):
+        hello = hello_of(
+            node.holder,
+            table=node.table,
+            node=node.name,
+            data_centre=node.data_centre,
+            incarnation=node.incarnation,
+        )
         if not self.reaches(node, control):
             return
         self.disconnect(node)
-        hello = node.hello()
         if not control.register.admit(hello):
             return
         buried = control.store.admit_node(node.name, node.incarnation)
@@ -301,8 +259,7 @@
 
     def deliver_to_control(self, link):
         control, node = link.control, link.node
-        changed = node.book.take_changes()
-        if changed:
+        if changed := node.book.take_changes():
             link.to_control.append(EndpointReport(changed))
         if not link.to_control:
             return
@@ -334,25 +291,23 @@
         """Route a call at the caller's position."""
         position = caller.holder.active_position
         if not self.reaches(caller, callee):
-            return None
+            return
         check = callee.holder.observe_position(position)
         callee.check()
-        if check is PositionCheck.ACTIVATED:
-            link = self.links.get(callee.name)
-            if link:
-                link.to_control.append(ActiveReport(position))
-        return check
+        link = self.links.get(callee.name)
+        if check is PositionCheck.ACTIVATED and link:
+            link.to_control.append(ActiveReport(position))
+
+    def check(self):
+        for node in self.nodes:
+            node.check()
 
     def pass_time(self, seconds):
         self.clock.advance(seconds)
         for control in self.controls:
             for name in control.register.expired():
-                incarnation = next(
-                    entry.incarnation
-                    for entry in control.register._entries.values()
-                    if entry.node == name
-                )
-                control.register.remove(name, incarnation)
+                entry = control.register._entries[name]
+                control.register.remove(name, entry.incarnation)
                 self.publish(control, control.store.end_lease(name))
                 link = self.links.get(name)
                 if link and link.control is control:
@@ -362,15 +317,11 @@
     def settle(self, steps=60):
         """Heal everything and go on until nothing moves any more."""
         self.set_cut(())
+        homes = {each.data_centre: each for each in self.controls}
         for _ in range(steps):
             for node in self.nodes:
                 if node.name not in self.links:
-                    home = next(
-                        control
-                        for control in self.controls
-                        if control.data_centre == node.data_centre
-                    )
-                    self.connect(node, home)
+                    self.connect(node, homes[node.data_centre])
             self.plan()
             for control in self.controls:
                 self.sync(control)
--- a/packages/distribution/tests/small_releases.py
+++ b/packages/distribution/tests/small_releases.py
@@ -17,7 +17,6 @@
 from rhubarbhollow_release.difference import EMPTY_DIGEST
 from rhubarbhollow_release.keys import key_id_of
 from rhubarbhollow_release.manifest import Manifest
-from rhubarbhollow_release.release import Release
 from rhubarbhollow_release.resource_set import split_manifest
 from rhubarbhollow_release.route import Route
 from rhubarbhollow_release.service import Service
@@ -61,9 +60,12 @@
 @cache
 def stage_at(position, base=0, service="service-0"):
     """Stage the release whose version equals its position."""
-    target = resources_at(position, service)
-    release = Release(position, target, approval_at(position, service))
-    return build_stage(release, resources_at(base) if base else None)
+    return build_stage(
+        position,
+        approval_at(position, service),
+        resources_at(position, service),
+        resources_at(base) if base else None,
+    )
 
 
 class Releases:
--- a/packages/distribution/tests/test_holder.py
+++ b/packages/distribution/tests/test_holder.py
@@ -49,7 +49,6 @@
 from rhubarbhollow_release.difference import EMPTY_DIGEST, diff_resources
 from rhubarbhollow_release.difference_codec import encode_difference
 from rhubarbhollow_release.manifest import Manifest
-from rhubarbhollow_release.release import Release
 from rhubarbhollow_release.resource_set import split_manifest
 from rhubarbhollow_wire.clock import ManualClock
 
@@ -65,7 +64,7 @@
     """Stage signed content that no control instance would accept."""
     target = split_manifest(manifest)
     approval = sign_approval(KEY, MESH, manifest.version, target.digest)
-    return build_stage(Release(position, target, approval), None)
+    return build_stage(position, approval, target, None)
 
 
 def with_approval(approval, *, is_compact=False):
--- a/packages/distribution/tests/test_mesh_machine.py
+++ b/packages/distribution/tests/test_mesh_machine.py
@@ -8,11 +8,7 @@
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    invariant,
-    rule,
-)
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from small_mesh import Mesh
 from small_releases import resources_at
 from test_announcement import DESK
@@ -20,164 +16,125 @@
 CONTROLS = (("i1", "ilala"), ("i2", "ilala"), ("t1", "temeke"))
 NODES = (("a", "ilala"), ("b", "ilala"), ("c", "temeke"))
 CUTS = ((), ("ilala",), ("temeke",), ("ilala", "temeke"))
-CHOICES = st.integers(min_value=0, max_value=59)
-
-
-class Steps:
-    """What can happen; a number picks the one it happens to."""
-
-    def __init__(self):
-        self.mesh = Mesh(CONTROLS, NODES)
-
-    def node(self, pick):
-        return self.mesh.nodes[pick % len(NODES)]
-
-    def control(self, pick):
-        return self.mesh.controls[pick // len(NODES) % len(CONTROLS)]
-
-    def link(self, pick):
-        return self.mesh.links.get(self.node(pick).name)
-
-    def accept(self, _pick):
-        self.mesh.accept_release()
-
-    def plan(self, _pick):
-        self.mesh.plan()
-
-    def sync(self, pick):
-        self.mesh.sync(self.control(pick))
-
-    def connect(self, pick):
-        self.mesh.connect(self.node(pick), self.control(pick))
-
-    def disconnect(self, pick):
-        self.mesh.disconnect(self.node(pick))
-
-    def exchange(self, pick):
-        """Move a few messages over one connection."""
-        link = self.link(pick)
-        for _ in range(pick % 5 + 1 if link else 0):
-            self.mesh.send(link)
-            self.mesh.deliver_to_node(link)
-            self.mesh.deliver_to_control(link)
-
-    def pump(self, pick):
-        link = self.link(pick)
-        if link:
-            self.mesh.pump(link)
-
-    def deliver(self, pick):
-        link = self.link(pick)
-        if link:
-            self.mesh.deliver_to_node(link)
-
-    def replay(self, pick):
-        """Hand a node any earlier message of this process again."""
-        node = self.node(pick)
-        if node.received and node.holder.active is not None:
-            message = node.received[pick % len(node.received)]
-            node.handle(message, self.control(pick))
-
-    def call(self, pick):
-        self.mesh.call(self.node(pick), self.node(pick // len(NODES)))
-
-    def announce(self, pick):
-        name = f"desk-{pick % 2}"
-        book = self.node(pick // 2).book
-        book.announce(replace(DESK, name=name, slots=pick + 1)).unwrap()
-
-    def withdraw(self, pick):
-        self.node(pick // 2).book.withdraw(f"desk-{pick % 2}")
-
-    def restart_node(self, pick):
-        self.mesh.restart_node(self.node(pick))
-
-    def bounce(self, pick):
-        """Restart a node, which connects again at once."""
-        self.restart_node(pick)
-        self.connect(pick)
-        self.pump(pick)
-
-    def restart_control(self, pick):
-        self.mesh.restart_control(self.control(pick))
-
-    def cut(self, pick):
-        self.mesh.set_cut(CUTS[pick % len(CUTS)])
-
-    def trade_endpoints(self, _pick):
-        self.mesh.exchange_all()
-
-    def wait(self, pick):
-        self.mesh.pass_time(pick / 100)
-
-    def wait_long(self, _pick):
-        """Outwait leases and the isolated start, with heartbeats."""
-        for _ in range(12):
-            self.mesh.pass_time(0.5)
-            self.mesh.pump_all()
-
-    def check(self):
-        for node in self.mesh.nodes:
-            node.check()
-
-    def finish(self):
-        """Heal the mesh; every node must agree on everything."""
-        mesh = self.mesh
-        mesh.settle()
-        announced = {
-            record
-            for node in mesh.nodes
-            for record in node.book.records
-            if not record.is_gone
-        }
-        for node in mesh.nodes:
-            assert node.holder.active_position == mesh.latest == mesh.active
-            if mesh.latest:
-                expected = resources_at(mesh.latest).digest
-                assert node.holder.active_digest == expected
-            assert set(node.table.records) == announced
+PICKS = 60
+
+
+def exchange(mesh, link, pick):
+    """Move a few messages over one connection."""
+    for _ in range(pick % 5 + 1):
+        mesh.send(link)
+        mesh.deliver_to_node(link)
+        mesh.deliver_to_control(link)
+
+
+def replay(mesh, node, control, pick):
+    """Hand a node any earlier message of this process again."""
+    if node.received and node.holder.active is not None:
+        node.handle(node.received[pick % len(node.received)], control)
+
+
+def bounce(mesh, node, control):
+    """Restart a node, which connects again at once."""
+    mesh.restart_node(node)
+    mesh.connect(node, control)
+    mesh.pump_all()
+
+
+def announce(node, pick):
+    desk = replace(DESK, name=f"desk-{pick % 2}", slots=pick + 1)
+    node.book.announce(desk).unwrap()
+
+
+def wait_long(mesh):
+    """Outwait leases and the isolated start, with heartbeats."""
+    for _ in range(12):
+        mesh.pass_time(0.5)
+        mesh.pump_all()
+
+
+# By weight; a step gets the mesh, a node, an instance, the node's link,
+# another node and the number that picked them.
+STEPS = {
+    "accept": (1, lambda m, n, c, k, o, p: m.accept_release()),
+    "plan": (3, lambda m, n, c, k, o, p: m.plan()),
+    "sync": (6, lambda m, n, c, k, o, p: m.sync(c)),
+    "connect": (1, lambda m, n, c, k, o, p: m.connect(n, c)),
+    "disconnect": (1, lambda m, n, c, k, o, p: m.disconnect(n)),
+    "exchange": (9, lambda m, n, c, k, o, p: k and exchange(m, k, p)),
+    "pump": (6, lambda m, n, c, k, o, p: k and m.pump(k)),
+    "deliver": (1, lambda m, n, c, k, o, p: k and m.deliver_to_node(k)),
+    "replay": (1, lambda m, n, c, k, o, p: replay(m, n, c, p)),
+    "call": (4, lambda m, n, c, k, o, p: m.call(n, o)),
+    "announce": (1, lambda m, n, c, k, o, p: announce(n, p)),
+    "withdraw": (1, lambda m, n, c, k, o, p: n.book.withdraw(f"desk-{p % 2}")),
+    "restart_node": (1, lambda m, n, c, k, o, p: m.restart_node(n)),
+    "bounce": (1, lambda m, n, c, k, o, p: bounce(m, n, c)),
+    "restart_control": (1, lambda m, n, c, k, o, p: m.restart_control(c)),
+    "cut": (1, lambda m, n, c, k, o, p: m.set_cut(CUTS[p % len(CUTS)])),
+    "trade": (1, lambda m, n, c, k, o, p: m.exchange_all()),
+    "wait": (1, lambda m, n, c, k, o, p: m.pass_time(p / 100)),
+    "wait_long": (1, lambda m, n, c, k, o, p: wait_long(m)),
+}
+
+
+def take_step(mesh, name, pick):
+    node = mesh.nodes[pick % 3]
+    control = other = pick // 3 % 3
+    _, step = STEPS[name]
+    step(
+        mesh,
+        node,
+        mesh.controls[control],
+        mesh.links.get(node.name),
+        mesh.nodes[other],
+        pick,
+    )
+
+
+def check_settled(mesh):
+    """Heal the mesh; every node must agree on everything."""
+    mesh.settle()
+    records = [each for node in mesh.nodes for each in node.book.records]
+    announced = {record for record in records if not record.is_gone}
+    for node in mesh.nodes:
+        assert node.holder.active_position == mesh.latest == mesh.active
+        if mesh.latest:
+            expected = resources_at(mesh.latest).digest
+            assert node.holder.active_digest == expected
+        assert set(node.table.records) == announced
 
 
 class MeshMachine(RuleBasedStateMachine):
     def __init__(self):
         super().__init__()
-        self.steps = Steps()
+        self.mesh = Mesh(CONTROLS, NODES)
+
+    @rule(
+        name=st.sampled_from(sorted(STEPS)),
+        pick=st.integers(0, PICKS - 1),
+    )
+    def step(self, name, pick):
+        take_step(self.mesh, name, pick)
 
     @invariant()
     def holds(self):
-        self.steps.check()
+        self.mesh.check()
 
     def teardown(self):
-        self.steps.finish()
-
+        check_settled(self.mesh)
 
-NAMES = (
-    *("accept", "plan", "sync", "connect", "disconnect", "exchange"),
-    *("pump", "deliver", "replay", "call", "announce", "withdraw"),
-    *("restart_node", "bounce", "restart_control", "cut"),
-    *("trade_endpoints", "wait", "wait_long"),
-)
-for each in NAMES:
-
-    def step(self, pick, each=each):
-        getattr(self.steps, each)(pick)
-
-    step.__name__ = each
-    setattr(MeshMachine, each, rule(pick=CHOICES)(step))
 
 TestMesh = MeshMachine.TestCase
-TestMesh.settings = settings(max_examples=60, stateful_step_count=60)
-
-WEIGHTS = {"exchange": 9, "pump": 6, "sync": 6, "plan": 3, "call": 4}
+TestMesh.settings = settings(max_examples=100, stateful_step_count=60)
 
 
 @pytest.mark.parametrize("seed", range(20))
 def test_long_run(seed):
     rng = random.Random(seed)
-    steps = Steps()
-    weights = [WEIGHTS.get(name, 1) for name in NAMES]
-    for name in rng.choices(NAMES, weights, k=5000):
-        getattr(steps, name)(rng.randrange(60))
-        steps.check()
-    steps.finish()
-    assert steps.mesh.latest > 50
+    mesh = Mesh(CONTROLS, NODES)
+    weights = [weight for weight, _ in STEPS.values()]
+    for name in rng.choices(list(STEPS), weights, k=5000):
+        take_step(mesh, name, rng.randrange(PICKS))
+        mesh.check()
+    check_settled(mesh)
+    assert mesh.latest > 50
