Run one long seeded history of raced operators

Purpose: the state machine's runs are short; this one passes the bound of kept releases with the limits that are in use, with races, resends of old commands, restarts and a replica that trusts no key.

--- a/packages/release/tests/test_ledger.py
+++ b/packages/release/tests/test_ledger.py
@@ -1,5 +1,6 @@
 import contextlib
 from dataclasses import dataclass, replace
+from random import Random
 from unittest import mock
 
 import pytest
@@ -70,10 +71,11 @@
 
     accepted: list
     active: int = 0
+    kept_records: int = KEPT_RECORDS
 
     def submit(self, version, digest, base):
-        kept = self.accepted[-KEPT_RECORDS:]
-        lost = self.accepted[:-KEPT_RECORDS]
+        kept = self.accepted[-self.kept_records :]
+        lost = self.accepted[: -self.kept_records]
         top = self.accepted[-1][0] if self.accepted else 0
         for index, (other, held) in enumerate(self.accepted):
             if other != version or (other, held) not in kept:
@@ -198,6 +200,45 @@
 )
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_one_long_history_of_raced_operators(seed):
+    random = Random(seed)
+    ledger, replica = new_ledger(), ReleaseLedger("lab", {})
+    naive = NaiveLedger([], kept_records=answer_book.MAX_RECORDS)
+    sent = []
+    for _ in range(1000):
+        match random.choice(("race", "send", "resend", "activate", "restart")):
+            case "race" | "send":
+                step = random.choice((1, 1, 1, 0, 2, -3))
+                version = max(1, ledger.highest_version + step)
+                sent.append(plan(ledger, version, random.randrange(4)))
+                continue
+            case "resend" if sent:
+                # most are recent, some are very old
+                far = random.choice((2, 2, len(sent)))
+                command = random.choice(sent[-far:])
+                approval = command.approval
+                expected = naive.submit(
+                    approval.version,
+                    approval.digest,
+                    command.base_digest,
+                )
+            case "activate":
+                position = max(0, len(naive.accepted) - random.randrange(3))
+                command = ActivateRelease(position)
+                expected = naive.activate(position)
+            case _:
+                snapshot = ledger.snapshot()
+                assert replica.snapshot() == snapshot
+                ledger = ReleaseLedger.restore(snapshot, "lab", TRUSTED).ok()
+                continue
+        assert ledger.apply(command) == expected
+        assert replica.apply(command) == expected
+    # long enough to have forgotten some content
+    assert len(naive.accepted) > release_history.MAX_PAST_RELEASES
+    assert ledger.release_at(1) is None
+
+
 def test_replays_the_log_whatever_the_trusted_keys_are():
     ledger, later = new_ledger(), ReleaseLedger("lab", {})
     commands = [plan(ledger, 1, 1), ActivateRelease(1)]
