Name the nodes that lag behind a submitted release

Purpose: an operator whose release is accepted but not in force everywhere has to know where to look. The last part of the limit is kept for one look at the list of nodes.

--- a/packages/cli/src/rhubarbhollow_cli/failure.py
+++ b/packages/cli/src/rhubarbhollow_cli/failure.py
@@ -129,10 +129,12 @@
             return {"kind": "bad_reply"}
         case NotConfirmed(position=position, last_status=status):
             last = asdict(status) if status else None
+            lagging = [asdict(node) for node in fault.lagging]
             return {
                 "kind": "not_confirmed",
                 "position": position,
                 "last_status": last,
+                "lagging": lagging,
             }
         case ManifestFaults(faults=faults):
             rows = [asdict(each) for each in faults]
--- a/packages/cli/src/rhubarbhollow_cli/replies.py
+++ b/packages/cli/src/rhubarbhollow_cli/replies.py
@@ -52,6 +52,15 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class NodeProgress:
+    """Hold the release that one node has applied."""
+
+    name: str
+    control: str
+    active_position: int
+
+
 def read_submission_reply(
     document: Mapping[str, object],
 ) -> Result[SubmissionReply, ReplyFault]:
@@ -94,6 +103,32 @@
     )
 
 
+def read_nodes(
+    document: Mapping[str, object],
+) -> Result[tuple[NodeProgress, ...], ReplyFault]:
+    """Read a list of nodes."""
+    rows = document.get("nodes")
+    if not isinstance(rows, list):
+        return Err(ReplyFault("nodes"))
+    nodes: list[NodeProgress] = []
+    for row in rows:
+        if not isinstance(row, dict):
+            return Err(ReplyFault("nodes"))
+        name = _read(row, "name", str)
+        control = _read(row, "control", str)
+        active = _read(row, "active_position", int)
+        for each in (name, control, active):
+            if isinstance(each, Err):
+                return each
+        progress = NodeProgress(
+            name.unwrap(),
+            control.unwrap(),
+            active.unwrap(),
+        )
+        nodes.append(progress)
+    return Ok(tuple(nodes))
+
+
 def read_highest_version(
     document: Mapping[str, object],
 ) -> Result[int, ReplyFault]:
--- a/packages/cli/src/rhubarbhollow_cli/submission.py
+++ b/packages/cli/src/rhubarbhollow_cli/submission.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+from itertools import islice
 from typing import TYPE_CHECKING, Final
 
 from result import Err, Ok, Result
@@ -13,8 +14,10 @@
 from rhubarbhollow_cli.not_confirmed import NotConfirmed
 from rhubarbhollow_cli.replies import (
     FleetStatus,
+    NodeProgress,
     SubmissionReply,
     read_fleet_status,
+    read_nodes,
     read_submission_reply,
 )
 from rhubarbhollow_release.approval_codec import encode_approval
@@ -26,6 +29,8 @@
     from rhubarbhollow_release.approval import Approval
 
 POLL_SECONDS: Final = 0.25
+LAST_LOOK_SECONDS: Final = 1.0
+MAX_LAGGING: Final = 20
 
 
 def submit_release(
@@ -60,8 +65,11 @@
 ) -> Result[FleetStatus, NotConfirmed]:
     """Wait until every known node has a position or a later one."""
     last: FleetStatus | None = None
-    while client.clock.monotonic() < deadline:
-        status = _read_status(client, deadline)
+    remaining = deadline - client.clock.monotonic()
+    # a short limit is still spent on waiting for the most part
+    last_poll = deadline - min(LAST_LOOK_SECONDS, remaining / 4)
+    while client.clock.monotonic() < last_poll:
+        status = _read_status(client, last_poll)
         if status is None or not status.is_fresh:
             # a server that is cut off would show no progress
             client.prefer_next()
@@ -70,9 +78,23 @@
         if status is not None and status != last:
             show(status)
             last = status
-        remaining = deadline - client.clock.monotonic()
+        remaining = last_poll - client.clock.monotonic()
         client.sleep(max(0.0, min(POLL_SECONDS, remaining)))
-    return Err(NotConfirmed(position, last))
+    lagging = _find_lagging(client, position, deadline)
+    return Err(NotConfirmed(position, last, lagging))
+
+
+def _find_lagging(
+    client: OperatorClient,
+    position: int,
+    deadline: float,
+) -> tuple[NodeProgress, ...]:
+    document = client.get_json("/v1/nodes", deadline)
+    if isinstance(document, Err):
+        return ()
+    nodes = read_nodes(document.ok_value).unwrap_or(())
+    lagging = (node for node in nodes if node.active_position < position)
+    return tuple(islice(lagging, MAX_LAGGING))
 
 
 def _read_status(
--- a/packages/cli/tests/test_submit.py
+++ b/packages/cli/tests/test_submit.py
@@ -183,14 +183,45 @@
     assert alone.exit_code == ExitCode.UNKNOWN
 
 
-def test_says_when_it_was_accepted_but_not_seen_in_force(run, files, serve):
-    server = serve({POST: [ACCEPTED], STATUS: [status(True, 9, 3, 2)]})
-    result = submit(run, files, [server], "--timeout", "5")
+LATE = {"name": "n", "control": "c", "active_position": 8}
+
+
+@pytest.mark.parametrize(
+    ("nodes", "expected"),
+    [
+        ([LATE, {**LATE, "active_position": 9}], [LATE]),
+        ([LATE] * 30, [LATE] * 20),
+        ([1], []),
+        ([{"name": "n"}], []),
+        (None, []),
+    ],
+)
+def test_says_when_it_was_accepted_but_not_seen_in_force(
+    run,
+    files,
+    serve,
+    nodes,
+    expected,
+):
+    script = {
+        POST: [ACCEPTED],
+        STATUS: [status(True, 9, 3, 2)],
+        ("GET", "/v1/nodes"): [(200, {"nodes": nodes})],
+    }
+    result = submit(run, files, [serve(script)], "--timeout", "5")
     assert result.exit_code == ExitCode.UNKNOWN
     error = json.loads(result.stderr.splitlines()[-1])
     assert error["kind"] == "not_confirmed"
     assert error["position"] == 9
     assert error["last_status"]["nodes_in_force"] == 2
+    assert error["lagging"] == expected
+
+
+def test_waits_within_a_short_limit_too(run, files, serve):
+    steps = [status(True, 9, 3, 2), IN_FORCE]
+    server = serve({POST: [ACCEPTED], STATUS: steps})
+    result = submit(run, files, [server], "--timeout", "0.5")
+    assert result.exit_code == ExitCode.DONE
 
 
 def test_does_not_wait_when_told_so(run, files, serve):
