--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
@@ -0,0 +1,219 @@
+"""A call that this node routes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_calls import http_names as names
+from rhubarbhollow_calls.call_result import CallResult
+from rhubarbhollow_calls.deadline import Deadline, format_deadline
+from rhubarbhollow_calls.io_exchange import Exchange
+from rhubarbhollow_calls.io_local_attempt import LocalAttempt
+from rhubarbhollow_calls.io_remote_attempt import RemoteAttempt
+from rhubarbhollow_calls.not_run_proof import UnwrittenStage
+from rhubarbhollow_calls.refusal import Executed, Refusal, RefusalKind
+from rhubarbhollow_calls.retry_decision import (
+    AttemptView,
+    Retry,
+    decide_retry,
+)
+from rhubarbhollow_calls.slot_ticket import Ticket
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.endpoint import Endpoint
+    from rhubarbhollow_calls.http_answer_head import AnswerHead
+    from rhubarbhollow_calls.http_request_head import RequestHead
+    from rhubarbhollow_calls.io_attempt import Attempt, AttemptFailure
+    from rhubarbhollow_calls.io_listener import ListenerConnection
+    from rhubarbhollow_calls.io_node import CallNode
+    from rhubarbhollow_calls.io_route_state import RouteState
+
+PEER_GRACE_SECONDS: Final = 0.03
+_ERROR_STATUS: Final = 500
+
+
+class CallerExchange(Exchange):
+    """Choose an upstream for a call, and another if that is safe.
+
+    The call ends on the route of the release on which it began, however
+    many attempts it takes.
+    """
+
+    __slots__ = (
+        "_attempt_started_at",
+        "_attempts_made",
+        "_began_at",
+        "_endpoint",
+        "_failure",
+        "_state",
+        "_tried",
+    )
+
+    def __init__(
+        self,
+        node: CallNode,
+        downstream: ListenerConnection,
+        head: RequestHead,
+        request_id: bytes,
+        deadline: Deadline,
+        state: RouteState,
+        now: float,
+    ) -> None:
+        super().__init__(node, downstream, head, request_id, deadline)
+        self._state = state
+        self._began_at = now
+        self._attempt_started_at = now
+        self._attempts_made = 0
+        self._endpoint: Endpoint | None = None
+        self._tried: frozenset[str] = frozenset()
+        self._failure: AttemptFailure | None = None
+
+    def start(self) -> None:
+        """Make the first attempt."""
+        self._state.budget.record_call()
+        self._try()
+
+    def node_lines(self) -> bytes:
+        """Return the fields for the node beside the upstream."""
+        left = format_deadline(self._deadline, self._node.clock.monotonic())
+        endpoint = self._endpoint
+        return b"%b%b: %b\r\n%b: %d\r\n%b: %b\r\n%b: %b\r\n" % (
+            self._state.request_lines,
+            names.TIMEOUT_MS,
+            left,
+            names.DEPTH,
+            self._head.mesh.depth + 1,
+            names.REQUEST_ID,
+            self._request_id,
+            names.UPSTREAM,
+            b"" if endpoint is None else endpoint.name.encode(),
+        )
+
+    def _try(self) -> None:
+        endpoint = self._choose()
+        if endpoint is None:
+            self._give_up()
+            return
+        self._endpoint = endpoint
+        self._attempts_made += 1
+        self._attempt_started_at = self._node.clock.monotonic()
+        self._node.book.started(endpoint.name)
+        self._begin(self._make_attempt(endpoint))
+
+    def _choose(self) -> Endpoint | None:
+        book = self._node.book
+        route = self._state.route
+        endpoint = book.choose(route.service, self._tried)
+        if endpoint is not None or self._tried or route.fallback is None:
+            return endpoint
+        fallback = self._node.state_of_route(route.fallback)
+        if fallback is None:
+            return None
+        self._state = fallback
+        return book.choose(fallback.route.service, self._tried)
+
+    def _make_attempt(self, endpoint: Endpoint) -> Attempt:
+        node = self._node
+        port = node.local_port
+        if port is None or port.upstream.name != endpoint.name:
+            pool = node.peer_pool(endpoint.peer_host, endpoint.peer_port)
+            # The node beside knows whether a call that ran out of time
+            # was run, and is given the time to say so.
+            self.expires_at = self._deadline.expires_at + PEER_GRACE_SECONDS
+            return RemoteAttempt(self, self._head, self._body, endpoint, pool)
+        route = self._state.route
+        ticket = Ticket(
+            route.priority, self._deadline.expires_at, node.next_call_id()
+        )
+        name = route.name.encode()
+        return LocalAttempt(self, self._head, self._body, port, ticket, name)
+
+    def _follow_up(self, failure: AttemptFailure) -> None:
+        self._failure = failure
+        if failure.refusal.kind is RefusalKind.QUARANTINED:
+            self._refuse(failure.refusal)
+            return
+        match decide_retry(self._view(failure)):
+            case Retry(excluded):
+                self._tried = excluded
+                self._state.counters.retries += 1
+                self._try()
+            case _:
+                self._refuse(failure.refusal)
+
+    def _view(self, failure: AttemptFailure) -> AttemptView:
+        route = self._state.route
+        endpoint = self._endpoint
+        tried = self._tried
+        if endpoint is not None:
+            tried = tried | {endpoint.name}
+        now = self._node.clock.monotonic()
+        return AttemptView(
+            executed=failure.refusal.executed,
+            is_idempotent=route.is_idempotent,
+            is_answer=False,
+            is_answer_started=False,
+            is_from_deeper=False,
+            is_body_kept=self._body.is_kept,
+            is_cancelled=False,
+            tried=tried,
+            attempts_made=self._attempts_made,
+            attempts_allowed=route.attempts,
+            remaining_ms=self._deadline.remaining_ms(now),
+            budget=self._state.budget,
+        )
+
+    def _give_up(self) -> None:
+        if self._failure is not None:
+            self._refuse(self._failure.refusal)
+            return
+        self._refuse_unwritten(
+            RefusalKind.NO_UPSTREAM,
+            UnwrittenStage.ROUTING,
+            f"no upstream of {self._state.route.service}",
+        )
+
+    def _answer_lines(self, head: AnswerHead) -> bytes:
+        self._node.hear_position(head.position)
+        endpoint = self._endpoint
+        return b"%b%b: %b\r\n%b: %b\r\n" % (
+            self._state.answer_lines,
+            names.UPSTREAM,
+            b"" if endpoint is None else endpoint.name.encode(),
+            names.REQUEST_ID,
+            self._request_id,
+        )
+
+    def _refusal_lines(self) -> bytes:
+        return self._state.answer_lines
+
+    def _settle_answer(self) -> None:
+        now = self._node.clock.monotonic()
+        is_error = self._status >= _ERROR_STATUS
+        result = CallResult.UPSTREAM_ERROR if is_error else CallResult.ANSWERED
+        self._settle(result, now)
+        self._state.counters.count_answer(is_error, now - self._began_at)
+
+    def _settle_failure(self, failure: AttemptFailure) -> None:
+        self._settle(failure.result, self._node.clock.monotonic())
+
+    def _settle_cancelled(self) -> None:
+        self._settle(CallResult.CANCELLED, self._node.clock.monotonic())
+
+    def _settle(self, result: CallResult, now: float) -> None:
+        if self._endpoint is not None:
+            self._node.book.finished(
+                self._endpoint.name, result, now - self._attempt_started_at
+            )
+
+    def _count_refusal(self, refusal: Refusal) -> None:
+        if refusal.executed is Executed.NO:
+            self._state.counters.refused_not_run += 1
+        else:
+            self._state.counters.refused_unknown += 1
+
+    def _count_cancelled(self) -> None:
+        self._state.counters.cancelled += 1
+
+    def _count_aborted(self) -> None:
+        self._state.counters.aborted += 1
--- a/packages/calls/src/rhubarbhollow_calls/io_client.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_client.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Protocol, cast
 
 from rhubarbhollow_calls.http_answer_reader import AnswerReader
+from rhubarbhollow_calls.invariant import InvariantViolation
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.http_answer_head import AnswerHead
@@ -49,6 +50,10 @@
         ...
 
 
+class ConnectionInUse(InvariantViolation):
+    """A connection was given out while in use or closing."""
+
+
 class ClientConnection(asyncio.Protocol):
     """Write one request at a time and read its answer.
 
@@ -86,6 +91,8 @@
         self, user: ConnectionUser, is_for_head: bool, data: bytes
     ) -> None:
         """Write the first bytes of a request for ``user``."""
+        if self._user is not None or self._is_closing:
+            raise ConnectionInUse
         self._user = user
         self._is_request_whole = False
         self._is_answer_whole = False
--- a/packages/calls/src/rhubarbhollow_calls/io_counters.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_counters.py
@@ -37,6 +37,7 @@
         "latency_seconds",
         "refused_not_run",
         "refused_unknown",
+        "replayed",
         "retries",
         "upstream_errors",
     )
@@ -46,6 +47,7 @@
         self.upstream_errors = 0
         self.refused_not_run = 0
         self.refused_unknown = 0
+        self.replayed = 0
         self.aborted = 0
         self.cancelled = 0
         self.retries = 0
--- a/packages/calls/src/rhubarbhollow_calls/io_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_exchange.py
@@ -11,6 +11,7 @@
     encode_answer,
     encode_data,
 )
+from rhubarbhollow_calls.invariant import InvariantViolation
 from rhubarbhollow_calls.io_refusal_answer import encode_refusal, refuse_fault
 from rhubarbhollow_calls.io_request_body import RequestBody
 from rhubarbhollow_calls.not_run_proof import NeverWritten, UnwrittenStage
@@ -27,6 +28,10 @@
     from rhubarbhollow_calls.io_node import CallNode
 
 
+class EndedTwice(InvariantViolation):
+    """A call got a second answer, refusal or cancellation."""
+
+
 class Exchange:
     """Relay one request and its answer, with back pressure both ways.
 
@@ -264,6 +269,8 @@
         attempt, self._attempt = self._attempt, None
         if attempt is None:
             return
+        if attempt.is_written:
+            self._may_have_run = True
         attempt.cancel()
         self._settle_cancelled()
 
@@ -273,5 +280,7 @@
         self._downstream.abort()
 
     def _finish(self) -> None:
+        if self._is_over:
+            raise EndedTwice(self._request_id)
         self._is_over = True
         self._node.call_ended(self)
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/io_keyed.py
@@ -0,0 +1,214 @@
+"""A non-idempotent call that carries an idempotency key."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_calls import http_names as names
+from rhubarbhollow_calls.call_fingerprint import (
+    FINGERPRINT_BYTES,
+    fingerprint_call,
+)
+from rhubarbhollow_calls.claim import AnswerHeader
+from rhubarbhollow_calls.claim_decision import (
+    AnswerEnd,
+    NotRunEnd,
+    RefuseClaim,
+    ReplayAnswer,
+    RunClaimed,
+    UnknownEnd,
+    decide_claim,
+    settle_claim,
+)
+from rhubarbhollow_calls.claim_ledger import MAX_ANSWER_BYTES
+from rhubarbhollow_calls.http_encoding import CLOSE_LINE, encode_status
+from rhubarbhollow_calls.io_caller_exchange import CallerExchange
+from rhubarbhollow_calls.not_run_proof import NeverWritten, UnwrittenStage
+from rhubarbhollow_calls.refusal import RefusalKind
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.claim_decision import ClaimEnd
+    from rhubarbhollow_calls.claim_outcome import StoredAnswer
+    from rhubarbhollow_calls.deadline import Deadline
+    from rhubarbhollow_calls.http_answer_head import AnswerHead
+    from rhubarbhollow_calls.http_request_head import RequestHead
+    from rhubarbhollow_calls.io_claim_port import ClaimPort
+    from rhubarbhollow_calls.io_listener import ListenerConnection
+    from rhubarbhollow_calls.io_node import CallNode
+    from rhubarbhollow_calls.io_route_state import RouteState
+
+MAX_KEY_BYTES: Final = 255
+
+
+class KeyedExchange(CallerExchange):
+    """Claim the key before the first attempt, and settle it at the end.
+
+    The whole body is read first, because it is part of what the key
+    stands for; so it may be no longer than can be kept.
+    """
+
+    __slots__ = (
+        "_answer_head",
+        "_claim_id",
+        "_claims",
+        "_is_answer_whole",
+        "_kept",
+        "_kept_bytes",
+        "_key",
+    )
+
+    def __init__(
+        self,
+        node: CallNode,
+        downstream: ListenerConnection,
+        head: RequestHead,
+        request_id: bytes,
+        deadline: Deadline,
+        state: RouteState,
+        now: float,
+        claims: ClaimPort,
+        key: bytes,
+    ) -> None:
+        super().__init__(
+            node, downstream, head, request_id, deadline, state, now
+        )
+        self._claims = claims
+        # A caller's keys need to be unique only among its own requests.
+        self._key = b"%b/%b" % (state.route.name.encode(), key)
+        self._claim_id: int | None = None
+        self._answer_head: AnswerHead | None = None
+        self._is_answer_whole = False
+        self._kept: list[bytes] = []
+        self._kept_bytes = 0
+
+    def start(self) -> None:
+        """Wait for the whole body."""
+        self._state.budget.record_call()
+        if len(self._key) > MAX_KEY_BYTES:
+            self._refuse_unclaimed(RefusalKind.BAD_REQUEST, "the key is long")
+
+    def request_data(self, data: bytes) -> None:
+        """Keep a part of the body."""
+        if self._is_over:
+            return
+        self._body.add(data)
+        if self._body.is_full:
+            self._refuse_unclaimed(
+                RefusalKind.BODY_TOO_LARGE, "a body with a key is kept whole"
+            )
+
+    def request_ended(self) -> None:
+        """Claim the key, now that the request is whole."""
+        if self._is_over:
+            return
+        self._body.is_whole = True
+        self._node.spawn(self._claim())
+
+    def answer_started(self, head: AnswerHead) -> None:
+        """Pass the head on and remember it."""
+        self._answer_head = head
+        super().answer_started(head)
+
+    def answer_data(self, data: bytes) -> None:
+        """Pass a part on, and keep it while the answer is short."""
+        self._kept_bytes += len(data)
+        if self._kept_bytes <= MAX_ANSWER_BYTES:
+            self._kept.append(data)
+        else:
+            self._kept.clear()
+        super().answer_data(data)
+
+    def answer_ended(self) -> None:
+        """Pass the end on."""
+        self._is_answer_whole = True
+        super().answer_ended()
+
+    async def _claim(self) -> None:
+        outcome = await self._claims.claim(
+            self._key, self._find_fingerprint(), self._node.next_call_id()
+        )
+        match decide_claim(outcome):
+            case RunClaimed(claim_id):
+                self._claim_id = claim_id
+                self._run_claimed()
+            case _ if self._is_over:
+                return
+            case ReplayAnswer(answer):
+                self._replay(answer)
+            case RefuseClaim(refusal):
+                self._refuse(refusal)
+
+    def _run_claimed(self) -> None:
+        if self._is_over:
+            self._settle_claim()
+        else:
+            self._try()
+
+    def _find_fingerprint(self) -> bytes:
+        body = b"".join(self._body.parts)
+        head = self._head
+        return fingerprint_call(
+            self._state.route.name.encode(),
+            head.method,
+            head.target,
+            blake2b(body, digest_size=FINGERPRINT_BYTES).digest(),
+        )
+
+    def _replay(self, answer: StoredAnswer) -> None:
+        body = answer.body or b""
+        lines = b"".join(
+            b"%b: %b\r\n" % (header.name, header.value)
+            for header in answer.headers
+        )
+        self._downstream.write(
+            b"%b%b%bcontent-length: %d\r\n%b: %b\r\n%b\r\n%b"
+            % (
+                encode_status(answer.status),
+                lines,
+                self._state.answer_lines,
+                len(body),
+                names.REQUEST_ID,
+                self._request_id,
+                CLOSE_LINE if self._downstream.is_last_answer() else b"",
+                body,
+            )
+        )
+        self._state.counters.replayed += 1
+        self._finish()
+        self._downstream.end_call()
+
+    def _refuse_unclaimed(self, kind: RefusalKind, detail: str) -> None:
+        self._refuse_unwritten(kind, UnwrittenStage.CLAIMING, detail)
+
+    def _finish(self) -> None:
+        super()._finish()
+        if self._claim_id is not None:
+            self._settle_claim()
+
+    def _settle_claim(self) -> None:
+        claim_id = self._claim_id
+        if claim_id is None:
+            return
+        command = settle_claim(self._key, claim_id, self._find_end())
+        self._node.spawn(self._claims.settle(command))
+
+    def _find_end(self) -> ClaimEnd:
+        if self._is_answer_whole and self._answer_head is not None:
+            return self._keep_answer(self._answer_head)
+        if self._may_have_run:
+            return UnknownEnd()
+        failure = self._failure
+        if failure is not None and failure.refusal.proof is not None:
+            return NotRunEnd(failure.refusal.proof)
+        return NotRunEnd(NeverWritten(UnwrittenStage.CLAIMING))
+
+    def _keep_answer(self, head: AnswerHead) -> AnswerEnd:
+        headers = (
+            AnswerHeader(*line.split(b": ", 1))
+            for line in head.fields.split(b"\r\n")
+            if line
+        )
+        is_kept = self._kept_bytes <= MAX_ANSWER_BYTES
+        body = b"".join(self._kept) if is_kept else None
+        return AnswerEnd(head.status, tuple(headers), body)
--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -17,6 +17,9 @@
 from rhubarbhollow_calls.io_settings import CallSettings
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from rhubarbhollow_calls.io_claim_port import ClaimPort
     from rhubarbhollow_calls.io_exchange import Exchange
     from rhubarbhollow_calls.io_local_port import QuarantinePublisher
     from rhubarbhollow_calls.io_local_upstream import LocalUpstream
@@ -46,7 +49,7 @@
         settings: CallSettings | None = None,
         quarantine: Quarantine | None = None,
         publish: QuarantinePublisher | None = None,
-        request_id_prefix: bytes = b"",
+        claims: ClaimPort | None = None,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -60,7 +63,9 @@
         self._settings = settings or CallSettings()
         self._quarantine = quarantine
         self._publish = publish or _drop_message
-        self._request_id_prefix = request_id_prefix or name.encode()
+        self.claims = claims
+        self._request_id_prefix = name.encode()
+        self._background: set[asyncio.Task[None]] = set()
         self._snapshot: Snapshot | None = None
         self._position = 0
         self._states: dict[str, RouteState] = {}
@@ -79,8 +84,8 @@
 
     @property
     def in_flight(self) -> int:
-        """Return the calls in flight on both ports."""
-        return len(self._calls)
+        """Return the calls that are in flight or to be settled."""
+        return len(self._calls) + len(self._background)
 
     @property
     def route_states(self) -> tuple[RouteState, ...]:
@@ -220,6 +225,12 @@
         """Watch a call no more."""
         self._calls.discard(call)
 
+    def spawn(self, work: Coroutine[object, object, None]) -> None:
+        """Run what a call with a key has to wait for."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
     def connection_opened(self, connection: ListenerConnection) -> None:
         """Note a listener's connection."""
         self._connections.add(connection)
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/io_refused_exchange.py
@@ -0,0 +1,46 @@
+"""A call that cannot begin."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from rhubarbhollow_calls.deadline import Deadline
+from rhubarbhollow_calls.io_exchange import Exchange
+from rhubarbhollow_calls.not_run_proof import UnwrittenStage
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.http_request_head import RequestHead
+    from rhubarbhollow_calls.io_listener import ListenerConnection
+    from rhubarbhollow_calls.io_node import CallNode
+    from rhubarbhollow_calls.refusal import Refusal, RefusalKind
+
+
+class RefusedExchange(Exchange):
+    """Refuse a call that has no route to begin on."""
+
+    __slots__ = ("_detail", "_kind")
+
+    def __init__(
+        self,
+        node: CallNode,
+        downstream: ListenerConnection,
+        head: RequestHead,
+        request_id: bytes,
+        kind: RefusalKind,
+        detail: str,
+    ) -> None:
+        super().__init__(node, downstream, head, request_id, Deadline(0.0))
+        self._kind = kind
+        self._detail = detail
+
+    def start(self) -> None:
+        """Refuse at once."""
+        self._refuse_unwritten(
+            self._kind, UnwrittenStage.ROUTING, self._detail
+        )
+
+    def _refusal_lines(self) -> bytes:
+        return self._node.position_line
+
+    def _count_refusal(self, refusal: Refusal) -> None:  # noqa: ARG002
+        self._node.counters.unrouted += 1
--- /dev/null
+++ b/tests/standin/claims.py
@@ -0,0 +1,38 @@
+"""An owner of claims that answers in the same process."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from rhubarbhollow_calls.claim import ClaimKey
+from rhubarbhollow_calls.claim_ledger import ClaimLedger
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.claim import ClaimCommand
+    from rhubarbhollow_calls.claim_outcome import ClaimOutcome
+
+
+class LedgerClaims:
+    """Apply commands to one ledger; ``hold`` delays the answers."""
+
+    def __init__(self) -> None:
+        self.ledger = ClaimLedger()
+        self.settled: list[ClaimCommand] = []
+        self.is_reachable = True
+        self.open = asyncio.Event()
+        self.open.set()
+
+    async def claim(
+        self, key: bytes, fingerprint: bytes, attempt_id: int
+    ) -> ClaimOutcome | None:
+        await self.open.wait()
+        if not self.is_reachable:
+            return None
+        return self.ledger.apply(
+            ClaimKey(key, fingerprint, "a", 1, attempt_id, 1_000)
+        )
+
+    async def settle(self, command: ClaimCommand) -> None:
+        self.settled.append(command)
+        self.ledger.apply(command)
--- a/tests/standin/mesh.py
+++ b/tests/standin/mesh.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
+    from rhubarbhollow_calls.io_claim_port import ClaimPort
     from rhubarbhollow_calls.quarantine_message import QuarantineMessage
     from tests.standin.scripted_upstream import ScriptedUpstream
 
@@ -80,11 +81,13 @@
         *routes: CallRoute,
         settings: CallSettings | None = None,
         position: int = 7,
+        claims: ClaimPort | None = None,
     ) -> None:
         self.clock = ManualClock()
         self.nodes: dict[str, MeshNode] = {}
         self.endpoints: dict[str, Endpoint] = {}
         self.published: list[QuarantineMessage] = []
+        self._claims = claims
         self._settings = settings or CallSettings()
         self._snapshot = Snapshot(
             position, RouteTable(position, routes or (DEFAULT_ROUTE,))
@@ -106,7 +109,7 @@
 
         node = CallNode(
             name, "here", book, self.clock, observe, self._settings,
-            quarantine, self.published.append,
+            quarantine, self.published.append, self._claims,
         )  # fmt: skip
         node.install(self._snapshot)
         loop = asyncio.get_running_loop()
