--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -12,6 +12,7 @@
 from rhubarbhollow_daemon.claim_client import ClaimClient
 from rhubarbhollow_daemon.endpoint_view import EndpointView
 from rhubarbhollow_daemon.local_upstreams import LocalUpstreams
+from rhubarbhollow_daemon.node_claims import NodeClaims
 from rhubarbhollow_daemon.node_parts import NodeParts
 from rhubarbhollow_daemon.node_session import NodeSession
 from rhubarbhollow_daemon.node_state import NodeState
@@ -51,7 +52,8 @@
     )
     chooser = SourceChooser(data_centre, settings.controls, clock, random)
     quarantine = Quarantine(clock)
-    claims = ClaimClient(name, incarnation, outbox)
+    client = ClaimClient(name, incarnation, outbox)
+    claims = NodeClaims(client)
     state = NodeState(
         settings.mesh,
         name,
@@ -64,7 +66,7 @@
         chooser,
         outbox,
         quarantine,
-        claims,
+        client,
     )
     call_node = CallNode(
         name,
@@ -75,7 +77,7 @@
         _call_settings(settings.calls),
         quarantine,
         outbox.put,
-        request_id_prefix=f"{name}-{incarnation:x}".encode(),
+        claims,
     )
     state.attach(call_node)
     traffic = Traffic()
@@ -95,6 +97,7 @@
         ),
         upstreams=LocalUpstreams(name, announcements, call_node, outbox),
         traffic=traffic,
+        claims=claims,
     )
 
 
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_claims.py
@@ -0,0 +1,93 @@
+"""Claims of keyed calls, through the node's control instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import anyio
+import structlog
+from result import Ok
+
+from rhubarbhollow_calls.claim import AbandonClaim, ClaimKey
+from rhubarbhollow_calls.claim_outcome import Claimed
+from rhubarbhollow_calls.not_run_proof import NeverWritten, UnwrittenStage
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.claim import ClaimCommand
+    from rhubarbhollow_calls.claim_outcome import ClaimOutcome
+    from rhubarbhollow_daemon.claim_client import ClaimClient
+
+CLAIM_TIMEOUT_SECONDS: Final = 3.0
+SETTLE_TIMEOUT_SECONDS: Final = 60.0
+MAX_ABANDONED: Final = 1_024
+
+_log = structlog.get_logger()
+
+
+class NodeClaims:
+    """Answer the call path's claims, and clear up those that were lost.
+
+    A claim whose answer did not come in time may stand in the ledger
+    although the request never runs. It is proposed again until it is
+    answered and then abandoned, so that the caller's next send is free
+    to run.
+    """
+
+    def __init__(self, client: ClaimClient) -> None:
+        self._client = client
+        self._lost, self._to_clear = anyio.create_memory_object_stream[
+            ClaimKey
+        ](MAX_ABANDONED)
+
+    async def claim(
+        self,
+        key: bytes,
+        fingerprint: bytes,
+        attempt_id: int,
+    ) -> ClaimOutcome | None:
+        """Ask to run a request; nothing means no answer in time."""
+        command = ClaimKey(
+            key,
+            fingerprint,
+            self._client.node,
+            self._client.incarnation,
+            attempt_id,
+            claimed_at_ms=0,
+        )
+        outcome = await self._client.commit(command, CLAIM_TIMEOUT_SECONDS)
+        if isinstance(outcome, Ok):
+            return outcome.ok_value
+        try:
+            self._lost.send_nowait(command)
+        except anyio.WouldBlock:
+            _log.warning("lost_claim_not_cleared", key=key.hex())
+        return None
+
+    async def settle(self, command: ClaimCommand) -> None:
+        """Record how a claimed request ended.
+
+        If no quorum answers in time the claim stays as it is, and later
+        sends of the request are told that its outcome is unknown.
+        """
+        outcome = await self._client.commit(command, SETTLE_TIMEOUT_SECONDS)
+        if outcome.is_err():
+            _log.warning("claim_not_settled", kind=type(command).__name__)
+
+    async def clear_lost(self) -> None:
+        """Abandon claims whose answer was lost, until cancelled."""
+        async for command in self._to_clear:
+            await self._clear(command)
+
+    async def _clear(self, command: ClaimKey) -> None:
+        outcome = await self._client.commit(command, SETTLE_TIMEOUT_SECONDS)
+        if not isinstance(outcome, Ok):
+            return
+        if not isinstance(outcome.ok_value, Claimed):
+            return
+        proof = NeverWritten(UnwrittenStage.CLAIMING)
+        abandon = AbandonClaim(
+            command.key,
+            outcome.ok_value.claim_id,
+            proof,
+        )
+        await self._client.commit(abandon, SETTLE_TIMEOUT_SECONDS)
--- a/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from rhubarbhollow_calls.io_node import CallNode
     from rhubarbhollow_daemon.local_upstreams import LocalUpstreams
+    from rhubarbhollow_daemon.node_claims import NodeClaims
     from rhubarbhollow_daemon.node_session import NodeSession
     from rhubarbhollow_daemon.node_state import NodeState
     from rhubarbhollow_daemon.settings import Settings
@@ -29,3 +30,4 @@
     session: NodeSession
     upstreams: LocalUpstreams
     traffic: Traffic
+    claims: NodeClaims
--- a/packages/daemon/src/rhubarbhollow_daemon/process.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/process.py
@@ -121,6 +121,7 @@
             self._register_handlers()
             group.start_soon(self._node.session.run)
             group.start_soon(self._keep_house)
+            group.start_soon(self._node.claims.clear_lost)
             group.start_soon(serve_admin, self._admin, admin_socket)
             _log.info("process_started", mesh=self._settings.mesh)
             await self._wait_for_end()
--- a/packages/replication/src/rhubarbhollow_replication/core.py
+++ b/packages/replication/src/rhubarbhollow_replication/core.py
@@ -103,8 +103,8 @@
             return Role.LEADER
         if self._tally is not None:
             return Role.CANDIDATE
-        own = self.configuration.find(self._settings.name)
-        if own is None or not own.is_voter:
+        name = self._settings.name
+        if not self.configuration.is_voting_store(name, self._store_id):
             return Role.LEARNER
         return Role.FOLLOWER
 
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that start, kill, freeze and cut real processes."""
