--- a/packages/calls/src/rhubarbhollow_calls/claim.py
+++ b/packages/calls/src/rhubarbhollow_calls/claim.py
@@ -25,7 +25,8 @@
     owner. A command that is proposed again after a lost answer has the
     same one and gets the same claim; another call of the same owner
     has another one and does not. ``claimed_at_ms`` is stamped by the
-    leader, in milliseconds of UTC since 1970.
+    leader, in milliseconds of UTC since 1970; it counts only for the
+    first claim of an empty ledger, which has no time of its own.
     """
 
     key: bytes
@@ -69,7 +70,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ExpireClaims:
-    """Drop the claims made before a time that the leader stamped."""
+    """Drop claims made before a time that the leader stamped.
+
+    The leader sends its own time less the retention; the ledger's time
+    follows that in bounded steps.
+    """
 
     before_ms: int
 
--- a/packages/calls/src/rhubarbhollow_calls/claim_ledger.py
+++ b/packages/calls/src/rhubarbhollow_calls/claim_ledger.py
@@ -5,9 +5,12 @@
 replicas. Times are stamped by the leader into the commands.
 
 A claim expires ``RETENTION_MS`` after it was made, whatever became of
-it: a caller must not send a key again after that. Time here is the
-largest stamp seen, so that a leader with a late clock cannot shorten
-the retention of claims made before.
+it: a caller must not send a key again after that. Time here is that of
+the ledger: it never goes back, and only the leader's expiry command
+moves it, by ``MAX_STEP_MS`` at most. So a leader whose clock is wrong
+by hours cannot expire at once what was claimed a minute ago: with a
+command each minute, claims are kept for half the retention at least.
+A ledger without claims takes any time.
 """
 
 from __future__ import annotations
@@ -42,6 +45,8 @@
 from rhubarbhollow_calls.invariant import InvariantViolation
 
 RETENTION_MS: Final = 24 * 60 * 60 * 1000
+# twice the interval at which a leader expires claims
+MAX_STEP_MS: Final = 2 * 60 * 1000
 MAX_CLAIMS: Final = 100_000
 MAX_ANSWER_BYTES: Final = 64 * 1024
 MAX_STORED_BYTES: Final = 32 * 1024 * 1024
@@ -84,7 +89,7 @@
 
     @property
     def high_ms(self) -> int:
-        """Return the latest time that any command carried."""
+        """Return the ledger's time, in milliseconds since 1970."""
         return self._high_ms
 
     def entry(self, key: bytes) -> ClaimEntry | None:
@@ -128,10 +133,11 @@
             raise StoredBytesDrift
 
     def _claim(self, command: ClaimKey) -> ClaimOutcome:
-        self._high_ms = max(self._high_ms, command.claimed_at_ms)
         entry = self._entries.get(command.key)
         if entry is not None:
             return _outcome_of_repeat(entry, command)
+        if not self._entries:
+            self._high_ms = command.claimed_at_ms
         if len(self._entries) >= MAX_CLAIMS:
             return LedgerFull()
         return Claimed(self._add(command))
@@ -192,6 +198,9 @@
         return Recorded()
 
     def _expire(self, command: ExpireClaims) -> ClaimOutcome:
+        now_ms = command.before_ms + RETENTION_MS
+        step_ms = min(MAX_STEP_MS, max(0, now_ms - self._high_ms))
+        self._high_ms += step_ms
         before_ms = min(command.before_ms, self._high_ms - RETENTION_MS)
         count = 0
         while self._entries:
--- a/packages/calls/src/rhubarbhollow_calls/deadline.py
+++ b/packages/calls/src/rhubarbhollow_calls/deadline.py
@@ -10,8 +10,9 @@
 
 # allows for the way between two nodes, whose clocks are not compared
 HOP_MARGIN_MS: Final = 1
-MAX_DEADLINE_MS: Final = 24 * 60 * 60 * 1000
-MAX_DEADLINE_DIGITS: Final = 8
+# far below the time for which a claim on an idempotency key is kept
+MAX_DEADLINE_MS: Final = 60 * 60 * 1000
+MAX_DEADLINE_DIGITS: Final = 7
 
 
 class DeadlineFault(Enum):
--- a/packages/calls/tests/test_claim_ledger.py
+++ b/packages/calls/tests/test_claim_ledger.py
@@ -33,6 +33,7 @@
 )
 from rhubarbhollow_calls.claim_ledger import (
     MAX_ANSWER_BYTES,
+    MAX_STEP_MS,
     RETENTION_MS,
     ClaimLedger,
 )
@@ -63,7 +64,8 @@
 SECOND = replace(FIRST, owner_node="n2", attempt_id=9)
 ANSWER = StoreAnswer(b"k", 1, 201, HEADERS, b"done")
 STORED = StoredAnswer(201, HEADERS, b"done")
-LATER = replace(FIRST, key=b"later", claimed_at_ms=1001 + RETENTION_MS)
+# a claim is still kept when the ledger's time is this much later
+STEPS = RETENTION_MS // MAX_STEP_MS
 
 
 @pytest.mark.parametrize(
@@ -123,16 +125,17 @@
             (replace(ANSWER, body=b"x" * (MAX_ANSWER_BYTES + 1)), Recorded()),
             (SECOND, Answered(replace(STORED, body=None))),
         ],
-        # expiry counts from the latest stamp and never comes early
+        # a leader with a clock far ahead expires nothing at once
         [
             (FIRST, Claimed(1)),
-            (ExpireClaims(10**15), Expired(0)),
-            (LATER, Claimed(2)),
-            (ExpireClaims(500), Expired(0)),
-            (ExpireClaims(10**15), Expired(1)),
+            (replace(FIRST, key=b"l", claimed_at_ms=10**15), Claimed(2)),
+            *[(ExpireClaims(10**15), Expired(0))] * STEPS,
+            (SECOND, AlreadyRunning("n1")),
+            (ExpireClaims(0), Expired(0)),
+            (ExpireClaims(10**15), Expired(2)),
             (ANSWER, NoSuchClaim()),
             (replace(SECOND, claimed_at_ms=5), Claimed(3)),
-            (ExpireClaims(10**15), Expired(0)),
+            (ExpireClaims(6), Expired(0)),
         ],
     ],
 )
@@ -178,7 +181,7 @@
     def begin(self) -> None:
         self.ledger = ClaimLedger()
         self.replica = ClaimLedger()
-        self.now_ms = 0
+        self.now_ms = self.high_ms = 0
         self.attempts = 0
         # key -> claim id, fingerprint, state, claimed at
         self.model: dict[bytes, tuple[int, bytes, str, int]] = {}
@@ -199,7 +202,9 @@
         if key not in self.model:
             assert outcome == Claimed(max(self.claim_ids) + 1)
             self.claim_ids.append(max(self.claim_ids) + 1)
-            at = self.ledger.high_ms
+            if not self.model:
+                self.high_ms = self.now_ms
+            at = self.high_ms
             self.model[key] = (self.claim_ids[-1], fingerprint, "runs", at)
             return
         _, known, state, _ = self.model[key]
@@ -235,14 +240,18 @@
     def move_time(self, step: int) -> None:
         self.now_ms = max(0, self.now_ms + step)
 
-    @rule(ahead=st.sampled_from([0, RETENTION_MS]))
-    def expire(self, ahead: int) -> None:
-        before = self.now_ms - RETENTION_MS + ahead
-        limit = min(before, self.ledger.high_ms - RETENTION_MS)
-        gone = [key for key, entry in self.model.items() if entry[3] < limit]
-        assert self.apply(ExpireClaims(before)) == Expired(len(gone))
-        for key in gone:
-            del self.model[key]
+    @rule(times=st.sampled_from([1, STEPS // 2]))
+    def expire(self, times: int) -> None:
+        before = self.now_ms - RETENTION_MS
+        for _ in range(times):
+            if self.now_ms > self.high_ms:
+                step = min(self.now_ms - self.high_ms, MAX_STEP_MS)
+                self.high_ms += step
+            limit = min(before, self.high_ms - RETENTION_MS)
+            gone = [k for k, entry in self.model.items() if entry[3] < limit]
+            assert self.apply(ExpireClaims(before)) == Expired(len(gone))
+            for key in gone:
+                del self.model[key]
 
     @rule()
     def restart_replica(self) -> None:
@@ -256,6 +265,7 @@
         self.replica.check()
         assert self.ledger.snapshot() == self.replica.snapshot()
         assert self.ledger.claims == len(self.model)
+        assert self.ledger.high_ms == self.high_ms
 
 
 TestLedgerMachine = LedgerMachine.TestCase
--- a/packages/calls/tests/test_deadline.py
+++ b/packages/calls/tests/test_deadline.py
@@ -37,8 +37,8 @@
         (b"1.5", DeadlineFault.NOT_A_NUMBER),
         (b" 1", DeadlineFault.NOT_A_NUMBER),
         (b"\xc2\xb2", DeadlineFault.NOT_A_NUMBER),
-        (b"86400001", DeadlineFault.TOO_LARGE),
-        (b"0" * 9, DeadlineFault.TOO_LARGE),
+        (b"3600001", DeadlineFault.TOO_LARGE),
+        (b"0" * 8, DeadlineFault.TOO_LARGE),
     ],
 )
 def test_parse_faults(value: bytes, fault: DeadlineFault) -> None:
