--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -8,8 +8,10 @@
 from rhubarbhollow_calls import http_names as names
 from rhubarbhollow_calls.io_caller import CallerPort
 from rhubarbhollow_calls.io_counters import NodeCounters
+from rhubarbhollow_calls.io_deadline_sweep import DeadlineSweep
 from rhubarbhollow_calls.io_listener import ListenerConnection
 from rhubarbhollow_calls.io_local_port import LocalPort
+from rhubarbhollow_calls.io_observer import SilentObserver
 from rhubarbhollow_calls.io_peer import PeerPort
 from rhubarbhollow_calls.io_pool import ConnectionPool
 from rhubarbhollow_calls.io_position import PositionCheck
@@ -23,6 +25,7 @@
     from rhubarbhollow_calls.io_exchange import Exchange
     from rhubarbhollow_calls.io_local_port import QuarantinePublisher
     from rhubarbhollow_calls.io_local_upstream import LocalUpstream
+    from rhubarbhollow_calls.io_observer import CallObserver
     from rhubarbhollow_calls.io_position import PositionObserver
     from rhubarbhollow_calls.io_snapshot import Snapshot
     from rhubarbhollow_calls.quarantine import Quarantine
@@ -35,8 +38,7 @@
     """Join the two ports, the pools and the decisions of one node.
 
     All methods run on the event loop's thread.  ``tick`` is called once
-    a second by the owner; deadlines are swept by a timer of this class
-    while calls are in flight.
+    a second by the owner.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         quarantine: Quarantine | None = None,
         publish: QuarantinePublisher | None = None,
         claims: ClaimPort | None = None,
+        observer: CallObserver | None = None,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -64,6 +67,7 @@
         self._quarantine = quarantine
         self._publish = publish or _drop_message
         self.claims = claims
+        self.observer = observer or SilentObserver()
         self._request_id_prefix = name.encode()
         self._background: set[asyncio.Task[None]] = set()
         self._snapshot: Snapshot | None = None
@@ -71,8 +75,7 @@
         self._states: dict[str, RouteState] = {}
         self._peer_pools: dict[tuple[str, int], ConnectionPool] = {}
         self._connections: set[ListenerConnection] = set()
-        self._calls: set[Exchange] = set()
-        self._sweep_timer: asyncio.TimerHandle | None = None
+        self.sweep = DeadlineSweep(clock)
         self._last_call_id = 0
         self._caller_port = CallerPort(self)
         self._peer_port = PeerPort(self)
@@ -85,7 +88,7 @@
     @property
     def in_flight(self) -> int:
         """Return the calls that are in flight or to be settled."""
-        return len(self._calls) + len(self._background)
+        return len(self.sweep) + len(self._background)
 
     @property
     def route_states(self) -> tuple[RouteState, ...]:
@@ -217,13 +220,11 @@
 
     def call_began(self, call: Exchange) -> None:
         """Watch a call's deadline."""
-        self._calls.add(call)
-        if self._sweep_timer is None:
-            self._arm_sweep()
+        self.sweep.add(call)
 
     def call_ended(self, call: Exchange) -> None:
         """Watch a call no more."""
-        self._calls.discard(call)
+        self.sweep.discard(call)
 
     def spawn(self, work: Coroutine[object, object, None]) -> None:
         """Run what a call with a key has to wait for."""
@@ -241,21 +242,6 @@
         """Forget a listener's connection."""
         self._connections.discard(connection)
 
-    def _arm_sweep(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._sweep_timer = loop.call_later(
-            self._settings.sweep_seconds, self._sweep
-        )
-
-    def _sweep(self) -> None:
-        self._sweep_timer = None
-        now = self.clock.monotonic()
-        expired = [call for call in self._calls if call.expires_at <= now]
-        for call in expired:
-            call.expire()
-        if self._calls:
-            self._arm_sweep()
-
 
 def _drop_message(message: QuarantineMessage) -> None:
     """Tell nobody."""
--- a/packages/calls/src/rhubarbhollow_calls/io_settings.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_settings.py
@@ -23,4 +23,3 @@
     caller_idle_seconds: int = 60
     head_timeout_seconds: int = 10
     linger_seconds: int = 2
-    sweep_seconds: float = 0.01
--- a/packages/calls/tests/test_io_answers.py
+++ b/packages/calls/tests/test_io_answers.py
@@ -136,7 +136,7 @@
     async def check(mesh, upstream, client):
         client.send(encode_call("GET", "/slow", b""))
         await wait_until(lambda: upstream.requests)
-        mesh.clock.advance(6)
+        mesh.advance(6)
         answer = await client.read_answer()
         assert answer.status == 504
         assert answer.headers["rhubarbhollow-executed"] == "unknown"
--- a/packages/calls/tests/test_io_failures.py
+++ b/packages/calls/tests/test_io_failures.py
@@ -231,17 +231,17 @@
         async with Setup(ONCE, script=script, only_b=True) as setup:
             gate = setup.mesh.nodes["b"].node.local_port.gate
             gate.resize(1)
-            first, *others = await start_calls(
-                setup, "/1", "/2", "/3", entry=entry
-            )
+            [first] = await start_calls(setup, "/1", entry=entry)
+            await wait_until(lambda: setup.bad.requests)
+            others = await start_calls(setup, "/2", "/3", entry=entry)
             await wait_until(lambda: gate.waiting == 2)
             others[1].close()
             await wait_until(lambda: gate.waiting == 1)
-            setup.mesh.clock.advance(5.001)
+            setup.mesh.advance(5.001)
             answer = await others[0].read_answer()
             assert answer.status == 504
             assert answer.headers["rhubarbhollow-executed"] == "no"
-            setup.mesh.clock.advance(1)
+            setup.mesh.advance(1)
             answer = await first.read_answer()
             assert answer.headers["rhubarbhollow-executed"] == "unknown"
             release.set()
--- a/packages/calls/tests/test_io_keyed.py
+++ b/packages/calls/tests/test_io_keyed.py
@@ -96,7 +96,7 @@
         if end == "leave":
             one.close()
         elif end == "late":
-            mesh.clock.advance(6)
+            mesh.advance(6)
         assert await settled(claims) is RecordUnknown
         answer = await two.ask("POST", "/", b"pay", KEY)
         assert answer.headers["rhubarbhollow-refusal"] == "outcome_unknown"
@@ -127,7 +127,7 @@
         claims.open.clear()
         one.send(encode_call("POST", "/", b"pay", KEY))
         await wait_until(lambda: mesh.nodes["a"].node._background)
-        mesh.clock.advance(6)
+        mesh.advance(6)
         answer = await one.read_answer()
         assert answer.headers["rhubarbhollow-executed"] == "no"
         claims.open.set()
--- a/tests/standin/mesh.py
+++ b/tests/standin/mesh.py
@@ -126,6 +126,12 @@
         self._spread()
         return made
 
+    def advance(self, seconds: float) -> None:
+        """Move the clock; the nodes' timers do not follow it."""
+        self.clock.advance(seconds)
+        for made in self.nodes.values():
+            made.node.sweep.run()
+
     async def client(self, name: str) -> HttpClient:
         return await HttpClient.connect(self.nodes[name].caller_port)
 
