--- a/packages/calls/src/rhubarbhollow_calls/burn_series.py
+++ b/packages/calls/src/rhubarbhollow_calls/burn_series.py
@@ -42,6 +42,11 @@
         self._fine.record(now, is_failed, is_late)
         self._coarse.record(now, is_failed, is_late)
 
+    def add(self, now: float, counts: BurnCounts) -> None:
+        """Count many calls that ended just before ``now``."""
+        self._fine.add(now, counts)
+        self._coarse.add(now, counts)
+
     def counts(self, now: float, window_seconds: int) -> BurnCounts:
         """Return the counts of the window that ends now."""
         is_fine = window_seconds <= FINE_WINDOW_SECONDS
@@ -72,6 +77,13 @@
         elif is_late:
             self._late[index] += 1
 
+    def add(self, now: float, counts: BurnCounts) -> None:
+        self._advance(int(now / self._seconds))
+        index = self._at % self._buckets
+        self._calls[index] += counts.calls
+        self._failed[index] += counts.failed
+        self._late[index] += counts.late
+
     def counts(self, now: float, window_seconds: int) -> BurnCounts:
         self._advance(int(now / self._seconds))
         length = min(self._buckets, max(1, window_seconds // self._seconds))
--- a/packages/calls/src/rhubarbhollow_calls/claim_entry.py
+++ b/packages/calls/src/rhubarbhollow_calls/claim_entry.py
@@ -31,8 +31,6 @@
         return self.answer is None and not self.is_unknown
 
     @property
-    def body_bytes(self) -> int:
-        """Return the size of the stored body."""
-        if self.answer is None or self.answer.body is None:
-            return 0
-        return len(self.answer.body)
+    def answer_bytes(self) -> int:
+        """Return the size of the stored answer."""
+        return 0 if self.answer is None else self.answer.stored_bytes
--- a/packages/calls/src/rhubarbhollow_calls/claim_ledger.py
+++ b/packages/calls/src/rhubarbhollow_calls/claim_ledger.py
@@ -49,7 +49,7 @@
 MAX_STEP_MS: Final = 2 * 60 * 1000
 MAX_CLAIMS: Final = 100_000
 MAX_ANSWER_BYTES: Final = 64 * 1024
-MAX_STORED_BYTES: Final = 32 * 1024 * 1024
+MAX_STORED_BYTES: Final = 16 * 1024 * 1024
 
 
 class ClaimedTwice(InvariantViolation):
@@ -84,7 +84,7 @@
 
     @property
     def stored_bytes(self) -> int:
-        """Return the bytes of all kept bodies."""
+        """Return the bytes of all kept answers."""
         return self._stored_bytes
 
     @property
@@ -123,12 +123,12 @@
         ledger._high_ms = snapshot.high_ms
         for claim in snapshot.claims:
             ledger._entries[claim.key] = claim.entry
-            ledger._stored_bytes += claim.entry.body_bytes
+            ledger._stored_bytes += claim.entry.answer_bytes
         return ledger
 
     def check(self) -> None:
         """Assert the counts; for long runs, since it reads all."""
-        total = sum(entry.body_bytes for entry in self._entries.values())
+        total = sum(entry.answer_bytes for entry in self._entries.values())
         if total != self._stored_bytes:
             raise StoredBytesDrift
 
@@ -166,20 +166,20 @@
         if entry.answer is not None:
             # proposed again after a lost answer; the first one stands
             return Recorded()
-        body = self._maybe_kept(command.body)
-        answer = StoredAnswer(command.status, command.headers, body)
+        answer = StoredAnswer(command.status, command.headers, command.body)
+        if not self._may_keep(answer):
+            answer = StoredAnswer(command.status, (), None)
         self._entries[command.key] = replace(
             entry, answer=answer, is_unknown=False
         )
-        self._stored_bytes += len(body or b"")
+        self._stored_bytes += answer.stored_bytes
         return Recorded()
 
-    def _maybe_kept(self, body: bytes | None) -> bytes | None:
-        if body is None or len(body) > MAX_ANSWER_BYTES:
-            return None
-        if self._stored_bytes + len(body) > MAX_STORED_BYTES:
-            return None
-        return body
+    def _may_keep(self, answer: StoredAnswer) -> bool:
+        size = answer.stored_bytes
+        if answer.body is None or size > MAX_ANSWER_BYTES:
+            return False
+        return self._stored_bytes + size <= MAX_STORED_BYTES
 
     def _record_unknown(self, command: RecordUnknown) -> ClaimOutcome:
         entry = self._held(command.key, command.claim_id)
@@ -219,7 +219,7 @@
 
     def _drop(self, key: bytes, entry: ClaimEntry) -> None:
         del self._entries[key]
-        self._stored_bytes -= entry.body_bytes
+        self._stored_bytes -= entry.answer_bytes
 
 
 def _outcome_of_repeat(entry: ClaimEntry, command: ClaimKey) -> ClaimOutcome:
--- a/packages/calls/src/rhubarbhollow_calls/claim_outcome.py
+++ b/packages/calls/src/rhubarbhollow_calls/claim_outcome.py
@@ -13,13 +13,20 @@
 class StoredAnswer:
     """Hold an answer for later sends of the same request.
 
-    ``body`` is nothing if it was too large to be kept.
+    ``body`` is nothing, and there are no headers, if the answer was
+    too large to be kept.
     """
 
     status: int
     headers: tuple[AnswerHeader, ...]
     body: bytes | None
 
+    @property
+    def stored_bytes(self) -> int:
+        """Return the size of headers and body."""
+        headers = sum(len(h.name) + len(h.value) for h in self.headers)
+        return headers + len(self.body or b"")
+
 
 @dataclass(frozen=True, slots=True)
 class Claimed:
--- a/packages/calls/tests/test_claim_ledger.py
+++ b/packages/calls/tests/test_claim_ledger.py
@@ -123,7 +123,7 @@
         [
             (FIRST, Claimed(1)),
             (replace(ANSWER, body=b"x" * (MAX_ANSWER_BYTES + 1)), Recorded()),
-            (SECOND, Answered(replace(STORED, body=None))),
+            (SECOND, Answered(StoredAnswer(201, (), None))),
         ],
         # a leader with a clock far ahead expires nothing at once
         [
