Report service-level burn over all nodes and explain refused calls

Each node counts the calls that it routes by service, route, upstream and release position. A call costs one look-up and a few additions; once a second the sums move to rings of 5 m, 1 h, 6 h and 3 d. GET /v1/burn asks all nodes through their control instances, adds up the counts and applies the objectives of the release in force.

Weighed: nodes that push their counts (ruled out: bytes at rest for a report that is read now and then) and recording each call in four rings at its end (ruled out: eight ring updates on the path of a call).

The last 2,048 refused requests of a node can be explained by their request id. SIGHUP is ignored.

--- a/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
@@ -68,6 +68,10 @@
         self._tried: frozenset[str] = frozenset()
         self._failure: AttemptFailure | None = None
 
+    @property
+    def _upstream(self) -> str:
+        return "" if self._endpoint is None else self._endpoint.name
+
     def start(self) -> None:
         """Make the first attempt."""
         self._state.budget.record_call()
@@ -192,7 +196,11 @@
         is_error = self._status >= _ERROR_STATUS
         result = CallResult.UPSTREAM_ERROR if is_error else CallResult.ANSWERED
         self._settle(result, now)
-        self._state.counters.count_answer(is_error, now - self._began_at)
+        seconds = now - self._began_at
+        self._state.counters.count_answer(is_error, seconds)
+        self._node.observer.call_answered(
+            self._state, self._upstream, seconds, is_error=is_error
+        )
 
     def _settle_failure(self, failure: AttemptFailure) -> None:
         self._settle(failure.result, self._node.clock.monotonic())
@@ -211,9 +219,17 @@
             self._state.counters.refused_not_run += 1
         else:
             self._state.counters.refused_unknown += 1
+        self._node.observer.call_refused(
+            self._state,
+            self._upstream,
+            self._request_id,
+            refusal,
+            self._attempts_made,
+        )
 
     def _count_cancelled(self) -> None:
         self._state.counters.cancelled += 1
 
     def _count_aborted(self) -> None:
         self._state.counters.aborted += 1
+        self._node.observer.call_aborted(self._state, self._upstream)
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/io_observer.py
@@ -0,0 +1,69 @@
+"""Hearing of the ends of calls that a node routes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.io_route_state import RouteState
+    from rhubarbhollow_calls.refusal import Refusal
+
+
+class CallObserver(Protocol):
+    """Count calls and remember refusals; called once a call at most.
+
+    Both methods run on the path of the call and must be short.
+    """
+
+    def call_answered(
+        self,
+        state: RouteState,
+        upstream: str,
+        seconds: float,
+        *,
+        is_error: bool,
+    ) -> None:
+        """Hear of a whole answer; an error if its status is 5xx."""
+        ...
+
+    def call_refused(
+        self,
+        state: RouteState,
+        upstream: str,
+        request_id: bytes,
+        refusal: Refusal,
+        attempts: int,
+    ) -> None:
+        """Hear of a refusal; ``upstream`` may be empty."""
+        ...
+
+    def call_aborted(self, state: RouteState, upstream: str) -> None:
+        """Hear of an answer that was cut short."""
+        ...
+
+
+class SilentObserver:
+    """Count nothing."""
+
+    def call_answered(
+        self,
+        state: RouteState,
+        upstream: str,
+        seconds: float,
+        *,
+        is_error: bool,
+    ) -> None:
+        """Do nothing."""
+
+    def call_refused(
+        self,
+        state: RouteState,
+        upstream: str,
+        request_id: bytes,
+        refusal: Refusal,
+        attempts: int,
+    ) -> None:
+        """Do nothing."""
+
+    def call_aborted(self, state: RouteState, upstream: str) -> None:
+        """Do nothing."""
--- a/packages/calls/src/rhubarbhollow_calls/io_route_state.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_route_state.py
@@ -25,6 +25,7 @@
         "answer_lines",
         "budget",
         "counters",
+        "position",
         "request_lines",
         "route",
     )
@@ -37,6 +38,7 @@
         previous: RouteState | None,
     ) -> None:
         self.route = route
+        self.position = position
         self.counters: RouteCounters = (
             RouteCounters() if previous is None else previous.counters
         )
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/call_observer.py
@@ -0,0 +1,83 @@
+"""What a node does at the end of each call that it routed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_calls.refusal import RefusalKind
+from rhubarbhollow_daemon.burn_ledger import BurnKey
+from rhubarbhollow_daemon.call_log import RefusedCall
+
+if TYPE_CHECKING:
+    from rhubarbhollow_calls.io_route_state import RouteState
+    from rhubarbhollow_calls.refusal import Refusal
+    from rhubarbhollow_daemon.burn_ledger import BurnLedger
+    from rhubarbhollow_daemon.call_log import CallLog
+    from rhubarbhollow_wire.clock import Clock
+
+CALLER_FAULTS: Final = frozenset(
+    {
+        RefusalKind.BAD_REQUEST,
+        RefusalKind.BODY_TOO_LARGE,
+        RefusalKind.HEADERS_TOO_LARGE,
+        RefusalKind.KEY_CONFLICT,
+    }
+)
+
+
+class NodeCallObserver:
+    """Count calls for the burn report and remember refusals."""
+
+    def __init__(self, burn: BurnLedger, log: CallLog, clock: Clock) -> None:
+        self._burn = burn
+        self._log = log
+        self._clock = clock
+
+    def call_answered(
+        self,
+        state: RouteState,
+        upstream: str,
+        seconds: float,
+        *,
+        is_error: bool,
+    ) -> None:
+        """Count a whole answer."""
+        key = _key(state, upstream)
+        self._burn.count_answer(key, seconds, is_error=is_error)
+
+    def call_refused(
+        self,
+        state: RouteState,
+        upstream: str,
+        request_id: bytes,
+        refusal: Refusal,
+        attempts: int,
+    ) -> None:
+        """Count a refusal and remember its reason.
+
+        A fault of the caller's own uses up no budget.
+        """
+        if refusal.kind not in CALLER_FAULTS:
+            self._burn.count_failure(_key(state, upstream))
+        self._log.add(
+            request_id,
+            RefusedCall(
+                at=self._clock.utc().isoformat(timespec="milliseconds"),
+                route=state.route.name,
+                position=state.position,
+                upstream=upstream,
+                attempts=attempts,
+                kind=refusal.kind.value,
+                executed=refusal.executed.value,
+                detail=refusal.detail,
+            ),
+        )
+
+    def call_aborted(self, state: RouteState, upstream: str) -> None:
+        """Count an answer that was cut short."""
+        self._burn.count_failure(_key(state, upstream))
+
+
+def _key(state: RouteState, upstream: str) -> BurnKey:
+    route = state.route
+    return BurnKey(route.service, route.name, upstream, state.position)
--- a/packages/daemon/src/rhubarbhollow_daemon/codec.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/codec.py
@@ -6,6 +6,8 @@
 
 from rhubarbhollow_calls.quarantine_message import CrashReport, Exoneration
 from rhubarbhollow_daemon.messages import (
+    BurnAnswer,
+    BurnRequest,
     ClaimAnswer,
     ClaimRequest,
     EndpointsRequest,
@@ -39,6 +41,8 @@
         ActiveReport,
         AppendReply,
         AppendRequest,
+        BurnAnswer,
+        BurnRequest,
         ClaimAnswer,
         ClaimRequest,
         ControlHeartbeat,
--- a/packages/daemon/src/rhubarbhollow_daemon/control_handlers.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_handlers.py
@@ -6,6 +6,9 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from result import Err
+
+from rhubarbhollow_daemon.burn_view import BurnDocument, build_burn
 from rhubarbhollow_daemon.http_response import (
     HttpResponse,
     answer_json,
@@ -18,16 +21,27 @@
     ReleaseView,
     StatusView,
 )
+from rhubarbhollow_release.resource_set import join_resources
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from rhubarbhollow_daemon.burn_collection import BurnCollection
     from rhubarbhollow_daemon.control_parts import ControlParts
     from rhubarbhollow_daemon.fleet import Fleet
     from rhubarbhollow_daemon.http_request import HttpRequest
     from rhubarbhollow_daemon.http_server import AdminApplication
     from rhubarbhollow_daemon.leader_relay import LeaderRelay
     from rhubarbhollow_daemon.settings import Settings
+    from rhubarbhollow_release.manifest_fault import ManifestFaults
+
+
+class UnjoinableReleaseError(Exception):
+    """A release that the ledger accepted is not closed."""
+
+    def __init__(self, faults: ManifestFaults) -> None:
+        super().__init__(faults)
+        self.faults = faults
 
 
 class ControlHandlers:
@@ -40,12 +54,14 @@
         parts: ControlParts,
         relay: LeaderRelay,
         fleet: Fleet,
+        burn: BurnCollection,
     ) -> None:
         self._settings = settings
         self._version = version
         self._parts = parts
         self._relay = relay
         self._fleet = fleet
+        self._burn = burn
 
     def register(self, application: AdminApplication) -> None:
         """Add these handlers to the admin port."""
@@ -55,6 +71,7 @@
         add("GET", "/v1/releases", self.list_releases)
         add("GET", f"/v1/releases/{position}/manifest", self.show_manifest)
         add("GET", "/v1/nodes", self.list_nodes)
+        add("GET", "/v1/burn", self.show_burn)
         add("GET", "/v1/status", self.show_status)
 
     async def submit(
@@ -110,6 +127,28 @@
         nodes = await self._fleet.collect()
         return answer_json(asdict(NodesView(nodes)))
 
+    async def show_burn(
+        self,
+        _: HttpRequest,
+        __: Mapping[str, str],
+    ) -> HttpResponse:
+        """Show how fast services use up their error budgets."""
+        counts = await self._burn.collect()
+        active = self._parts.machine.ledger.active
+        if active is None:
+            return answer_json(asdict(BurnDocument(0, 0, ())))
+        joined = join_resources(active.resources)
+        if isinstance(joined, Err):
+            raise UnjoinableReleaseError(joined.err_value)
+        nodes = self.status().nodes_known
+        document = build_burn(
+            joined.ok_value,
+            active.position,
+            nodes,
+            counts,
+        )
+        return answer_json(asdict(document))
+
     async def show_status(
         self,
         _: HttpRequest,
--- a/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
@@ -18,7 +18,11 @@
     NodeSaid,
     PeerSaid,
 )
-from rhubarbhollow_daemon.messages import ClaimRequest, EndpointsRequest
+from rhubarbhollow_daemon.messages import (
+    BurnAnswer,
+    ClaimRequest,
+    EndpointsRequest,
+)
 from rhubarbhollow_daemon.node_link import NodeLink
 from rhubarbhollow_daemon.summary_schedule import SummarySchedule
 from rhubarbhollow_distribution.endpoint_change import EndpointChange
@@ -29,6 +33,7 @@
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
+    from rhubarbhollow_daemon.burn_collection import BurnCollection
     from rhubarbhollow_daemon.control_parts import ControlParts
     from rhubarbhollow_distribution.hello import Hello
     from rhubarbhollow_wire.connection import FrameConnection
@@ -46,8 +51,9 @@
     its inbox; what it decides goes back through their outboxes.
     """
 
-    def __init__(self, parts: ControlParts) -> None:
+    def __init__(self, parts: ControlParts, burn: BurnCollection) -> None:
         self._parts = parts
+        self._burn = burn
         self._sender, self._receiver = anyio.create_memory_object_stream[
             ControlEvent
         ](INBOX_EVENTS)
@@ -245,4 +251,7 @@
                     link.outbox.put,
                 )
                 continue
+            if isinstance(message, BurnAnswer):
+                self._burn.take_from_node(message)
+                continue
             await self._sender.send(NodeSaid(link, message))
--- a/packages/daemon/src/rhubarbhollow_daemon/fleet.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/fleet.py
@@ -4,8 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-import anyio
-
+from rhubarbhollow_daemon.gathering import Gathering
 from rhubarbhollow_daemon.messages import (
     NodesAnswer,
     NodesRequest,
@@ -21,30 +20,21 @@
 class Fleet:
     """Ask every control instance for its nodes.
 
-    An instance that does not answer in time is left out: operators see
-    which control instance each listed node is connected to.
+    Operators see which control instance each listed node is connected
+    to, and so whose answer is missing.
     """
 
     def __init__(self, parts: ControlParts) -> None:
         self._parts = parts
-        self._last_id = 0
-        self._answers: dict[int, list[NodesAnswer]] = {}
-        self._changed = anyio.Event()
+        self._gathering = Gathering[NodesAnswer](ANSWER_TIMEOUT_SECONDS)
 
     async def collect(self) -> tuple[NodeStatus, ...]:
         """Return the nodes of every instance that answers in time."""
-        self._last_id += 1
-        request_id = self._last_id
-        answers = self._answers[request_id] = []
         links = self._parts.links
-        expected = sum(link.is_up for link in links.by_name.values())
-        links.broadcast(NodesRequest(request_id))
-        try:
-            with anyio.move_on_after(ANSWER_TIMEOUT_SECONDS):
-                while len(answers) < expected:
-                    await self._changed.wait()
-        finally:
-            del self._answers[request_id]
+        answers = await self._gathering.gather(
+            links.up_count,
+            lambda request_id: links.broadcast(NodesRequest(request_id)),
+        )
         remote = (node for answer in answers for node in answer.nodes)
         return (*self.own_nodes(), *remote)
 
@@ -65,9 +55,4 @@
 
     def take(self, answer: NodesAnswer) -> None:
         """Keep an answer for whoever asked for it."""
-        answers = self._answers.get(answer.request_id)
-        if answers is None:
-            return
-        answers.append(answer)
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._gathering.take(answer.request_id, answer)
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/gathering.py
@@ -0,0 +1,52 @@
+"""Answers of several processes to one question."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+import anyio
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+T = TypeVar("T")
+
+
+class Gathering(Generic[T]):
+    """Ask several processes and wait for their answers.
+
+    Who does not answer in time is left out.
+    """
+
+    def __init__(self, timeout_seconds: float) -> None:
+        self._timeout_seconds = timeout_seconds
+        self._last_id = 0
+        self._answers: dict[int, list[T]] = {}
+        self._changed = anyio.Event()
+
+    async def gather(
+        self,
+        expected: int,
+        ask: Callable[[int], None],
+    ) -> tuple[T, ...]:
+        """Call ``ask`` with a request id and collect the answers."""
+        self._last_id += 1
+        request_id = self._last_id
+        answers = self._answers[request_id] = []
+        ask(request_id)
+        try:
+            with anyio.move_on_after(self._timeout_seconds):
+                while len(answers) < expected:
+                    await self._changed.wait()
+        finally:
+            del self._answers[request_id]
+        return tuple(answers)
+
+    def take(self, request_id: int, answer: T) -> None:
+        """Keep an answer for whoever still waits for it."""
+        answers = self._answers.get(request_id)
+        if answers is None:
+            return
+        answers.append(answer)
+        self._changed.set()
+        self._changed = anyio.Event()
--- a/packages/daemon/src/rhubarbhollow_daemon/messages.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/messages.py
@@ -90,3 +90,35 @@
 
     request_id: int
     outcome: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class BurnRequest:
+    """Ask for the counts that burn rates are made of."""
+
+    request_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class BurnCount:
+    """Count the calls of one subject in the window that ends now.
+
+    ``scope`` is service, route, upstream or position; ``late`` answers
+    missed the latency objective.
+    """
+
+    scope: str
+    service: str
+    name: str
+    window_seconds: int
+    calls: int
+    failed: int
+    late: int
+
+
+@dataclass(frozen=True, slots=True)
+class BurnAnswer:
+    """Return the counts of one node, or of all nodes of an instance."""
+
+    request_id: int
+    counts: tuple[BurnCount, ...]
--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -9,6 +9,9 @@
 from rhubarbhollow_calls.io_settings import CallSettings
 from rhubarbhollow_calls.quarantine import Quarantine
 from rhubarbhollow_calls.upstream_book import UpstreamBook
+from rhubarbhollow_daemon.burn_ledger import BurnLedger
+from rhubarbhollow_daemon.call_log import CallLog
+from rhubarbhollow_daemon.call_observer import NodeCallObserver
 from rhubarbhollow_daemon.claim_client import ClaimClient
 from rhubarbhollow_daemon.endpoint_view import EndpointView
 from rhubarbhollow_daemon.local_upstreams import LocalUpstreams
@@ -52,6 +55,8 @@
     )
     chooser = SourceChooser(data_centre, settings.controls, clock, random)
     quarantine = Quarantine(clock)
+    burn = BurnLedger(clock)
+    call_log = CallLog()
     client = ClaimClient(name, incarnation, outbox)
     claims = NodeClaims(client)
     state = NodeState(
@@ -67,6 +72,7 @@
         outbox,
         quarantine,
         client,
+        burn,
     )
     call_node = CallNode(
         name,
@@ -78,6 +84,7 @@
         quarantine,
         outbox.put,
         claims,
+        NodeCallObserver(burn, call_log, clock),
     )
     state.attach(call_node)
     traffic = Traffic()
@@ -98,6 +105,8 @@
         upstreams=LocalUpstreams(name, announcements, call_node, outbox),
         traffic=traffic,
         claims=claims,
+        burn=burn,
+        call_log=call_log,
     )
 
 
--- a/packages/daemon/src/rhubarbhollow_daemon/node_desk.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_desk.py
@@ -65,6 +65,11 @@
         self._waiting: dict[str, NodeLink] = {}
         self._left_at: dict[str, float] = {}
 
+    @property
+    def link_count(self) -> int:
+        """Return how many nodes are connected."""
+        return len(self._links)
+
     @property
     def next_due(self) -> float:
         """Return the time at which some node is due for a message."""
@@ -124,11 +129,15 @@
         """Pass on what a node has learnt of a request that crashes."""
         if not self._relay.is_news(message):
             return
-        for link in self._links.values():
-            link.outbox.put(message)
+        self.broadcast(message)
         if not is_from_peer:
             self._peers.broadcast(message)
 
+    def broadcast(self, message: object) -> None:
+        """Queue a message for every connected node."""
+        for link in self._links.values():
+            link.outbox.put(message)
+
     def leave(self, link: NodeLink) -> None:
         """Forget a node whose connection ended.
 
--- a/packages/daemon/src/rhubarbhollow_daemon/node_handlers.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_handlers.py
@@ -15,6 +15,7 @@
     answer_problem,
 )
 from rhubarbhollow_daemon.views import (
+    CallExplanation,
     CandidateDocument,
     NodeExplanation,
     RouteExplanation,
@@ -63,6 +64,8 @@
         add("DELETE", f"/v1/announcements/{name}", self.withdraw)
         add("GET", "/v1/upstreams", self.list_upstreams)
         add("GET", "/v1/explain/route", self.explain_route)
+        request_id = "(?P<request_id>[^/]{1,256})"
+        add("GET", f"/v1/explain/call/{request_id}", self.explain_call)
         add("GET", "/v1/explain/node", self.explain_node)
         add("GET", "/metrics", self.show_metrics)
         add("GET", "/healthz", self.show_health)
@@ -135,6 +138,23 @@
         path = request.argument("path") or "/"
         return answer_json(asdict(self._explain_route(host, path)))
 
+    async def explain_call(
+        self,
+        _: HttpRequest,
+        arguments: Mapping[str, str],
+    ) -> HttpResponse:
+        """Say why this node refused a call."""
+        request_id = arguments["request_id"]
+        calls = self._parts.call_log.find(request_id.encode())
+        if not calls:
+            return answer_problem(
+                "unknown_call",
+                HTTPStatus.NOT_FOUND,
+                "this node refused no such call lately",
+            )
+        view = CallExplanation(request_id, calls)
+        return answer_json(asdict(view))
+
     async def explain_node(
         self,
         _: HttpRequest,
--- a/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
@@ -7,6 +7,8 @@
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.io_node import CallNode
+    from rhubarbhollow_daemon.burn_ledger import BurnLedger
+    from rhubarbhollow_daemon.call_log import CallLog
     from rhubarbhollow_daemon.local_upstreams import LocalUpstreams
     from rhubarbhollow_daemon.node_claims import NodeClaims
     from rhubarbhollow_daemon.node_session import NodeSession
@@ -31,3 +33,5 @@
     upstreams: LocalUpstreams
     traffic: Traffic
     claims: NodeClaims
+    burn: BurnLedger
+    call_log: CallLog
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -9,8 +9,15 @@
 
 from rhubarbhollow_calls.io_position import PositionCheck as CallPositionCheck
 from rhubarbhollow_calls.quarantine_message import CrashReport, Exoneration
-from rhubarbhollow_daemon.messages import ClaimAnswer
-from rhubarbhollow_daemon.route_building import build_snapshot
+from rhubarbhollow_daemon.messages import (
+    BurnAnswer,
+    BurnRequest,
+    ClaimAnswer,
+)
+from rhubarbhollow_daemon.route_building import (
+    build_snapshot,
+    find_latency_objectives,
+)
 from rhubarbhollow_distribution.activate import Activate
 from rhubarbhollow_distribution.activation_result import (
     Activated,
@@ -28,6 +35,7 @@
 if TYPE_CHECKING:
     from rhubarbhollow_calls.io_node import CallNode
     from rhubarbhollow_calls.quarantine import Quarantine
+    from rhubarbhollow_daemon.burn_ledger import BurnLedger
     from rhubarbhollow_daemon.claim_client import ClaimClient
     from rhubarbhollow_daemon.endpoint_view import EndpointView
     from rhubarbhollow_daemon.outbox import Outbox
@@ -61,6 +69,7 @@
         outbox: Outbox,
         quarantine: Quarantine,
         claims: ClaimClient,
+        burn: BurnLedger,
     ) -> None:
         self._mesh = mesh
         self._node = node
@@ -74,6 +83,7 @@
         self._outbox = outbox
         self._quarantine = quarantine
         self._claims = claims
+        self._burn = burn
         self._call_node: CallNode | None = None
 
     @property
@@ -118,6 +128,9 @@
                 self._activate(position, digest)
             case EndpointChange():
                 self._change_endpoints(message)
+            case BurnRequest(request_id):
+                answer = BurnAnswer(request_id, self._burn.counts())
+                self._outbox.put(answer)
             case ClaimAnswer():
                 self._claims.take(message)
             case CrashReport() | Exoneration():
@@ -180,6 +193,7 @@
         if active is None or self._call_node is None:
             return
         self._call_node.install(build_snapshot(active))
+        self._burn.set_objectives(find_latency_objectives(active))
         self._outbox.put(ActiveReport(active.position))
         _log.info(
             "release_in_force",
--- a/packages/daemon/src/rhubarbhollow_daemon/peer_dispatch.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/peer_dispatch.py
@@ -8,6 +8,8 @@
 
 from rhubarbhollow_daemon.log_group import LogGroup
 from rhubarbhollow_daemon.messages import (
+    BurnAnswer,
+    BurnRequest,
     NodesAnswer,
     NodesRequest,
     ProposeAnswer,
@@ -20,6 +22,7 @@
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
+    from rhubarbhollow_daemon.burn_collection import BurnCollection
     from rhubarbhollow_daemon.control_instance import ControlInstance
     from rhubarbhollow_daemon.control_parts import ControlParts
     from rhubarbhollow_daemon.fleet import Fleet
@@ -38,12 +41,14 @@
         instance: ControlInstance,
         relay: LeaderRelay,
         fleet: Fleet,
+        burn: BurnCollection,
         group: TaskGroup,
     ) -> None:
         self._parts = parts
         self._instance = instance
         self._relay = relay
         self._fleet = fleet
+        self._burn = burn
         self._group = group
 
     def take(self, hello: PeerHello, message: object) -> None:
@@ -99,6 +104,10 @@
                 nodes = self._fleet.own_nodes()
                 answer = NodesAnswer(request_id, nodes)
                 self._parts.links.send(control, answer)
+            case BurnRequest():
+                self._group.start_soon(self._burn.serve, control, message)
+            case BurnAnswer():
+                self._burn.take_from_peer(message)
             case NodesAnswer():
                 self._fleet.take(message)
             case _:
--- a/packages/daemon/src/rhubarbhollow_daemon/peer_links.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/peer_links.py
@@ -45,6 +45,11 @@
         """Return every link by the name of its control instance."""
         return self._links
 
+    @property
+    def up_count(self) -> int:
+        """Return how many links stand."""
+        return sum(link.is_up for link in self._links.values())
+
     def send(self, name: str, message: object) -> None:
         """Queue a message for one control instance, if it is known."""
         link = self._links.get(name)
--- a/packages/daemon/src/rhubarbhollow_daemon/process.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/process.py
@@ -13,6 +13,7 @@
 import structlog
 from result import Err, Ok, Result
 
+from rhubarbhollow_daemon.burn_collection import BurnCollection
 from rhubarbhollow_daemon.control_building import build_control
 from rhubarbhollow_daemon.control_handlers import ControlHandlers
 from rhubarbhollow_daemon.control_instance import ControlInstance
@@ -136,7 +137,8 @@
         parts = self._control
         if parts is None:
             return
-        instance = ControlInstance(parts)
+        burn = BurnCollection(parts)
+        instance = ControlInstance(parts, burn)
         desk = SubmissionDesk(parts.machine, parts.replica)
         relay = LeaderRelay(
             parts.name,
@@ -146,7 +148,14 @@
             parts.clock,
         )
         fleet = Fleet(parts)
-        dispatch = PeerDispatch(parts, instance, relay, fleet, group)
+        dispatch = PeerDispatch(
+            parts,
+            instance,
+            relay,
+            fleet,
+            burn,
+            group,
+        )
         listener = ControlListener(
             self._settings.mesh,
             self._served_traffic,
@@ -160,6 +169,7 @@
             parts,
             relay,
             fleet,
+            burn,
         ).register(self._application)
         group.start_soon(parts.replica.run)
         group.start_soon(parts.links.run)
@@ -209,10 +219,15 @@
             await anyio.sleep(HOUSEKEEPING_SECONDS)
             self._node.call_node.tick()
             self._node.upstreams.expire()
+            self._node.burn.flush()
             self._node.state.endpoints.purge()
 
     async def _wait_for_end(self) -> None:
-        """Drain on the first signal, stop on the second."""
+        """Drain on the first signal, stop on the second.
+
+        SIGHUP is ignored: settings are read at the start only.
+        """
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         with anyio.open_signal_receiver(
             signal.SIGTERM,
             signal.SIGINT,
--- a/packages/daemon/src/rhubarbhollow_daemon/route_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/route_building.py
@@ -18,6 +18,7 @@
     from rhubarbhollow_release.route import Route
     from rhubarbhollow_release.service import Service
 
+MS_PER_SECOND: Final = 1000
 NO_RETRIES: Final = RetryPolicy("", 1, 0.0)
 
 
@@ -32,6 +33,16 @@
     return Snapshot(release.position, RouteTable(release.position, routes))
 
 
+def find_latency_objectives(release: HeldRelease) -> Mapping[str, float]:
+    """Return the seconds after which an answer is late, by service."""
+    return {
+        service.name: service.objectives.latency_ms / MS_PER_SECOND
+        for service in release.manifest.services
+        if service.objectives is not None
+        and service.objectives.latency_ms is not None
+    }
+
+
 def _build_route(
     route: Route,
     policies: Mapping[str, RetryPolicy],
--- a/packages/daemon/src/rhubarbhollow_daemon/views.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/views.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from rhubarbhollow_daemon.call_log import RefusedCall
     from rhubarbhollow_daemon.messages import NodeStatus
 
 
@@ -110,6 +111,14 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class CallExplanation:
+    """Show why this node refused a call."""
+
+    request_id: str
+    events: tuple[RefusedCall, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class NodeExplanation:
     """Show why this node holds the release that it holds."""
--- a/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
+++ b/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
@@ -3538,6 +3538,303 @@
         return not (self == other)
 
 
+class BurnRequest(object):
+    """
+    Attributes:
+     - request_id
+
+    """
+
+    __slots__ = (
+        'request_id',
+    )
+
+
+    def __init__(self, request_id=None,):
+        self.request_id = request_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BurnRequest')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class BurnCount(object):
+    """
+    Attributes:
+     - scope
+     - service_
+     - name
+     - window_seconds
+     - calls
+     - failed
+     - late
+
+    """
+
+    __slots__ = (
+        'scope',
+        'service_',
+        'name',
+        'window_seconds',
+        'calls',
+        'failed',
+        'late',
+    )
+
+
+    def __init__(self, scope=None, service_=None, name=None, window_seconds=None, calls=None, failed=None, late=None,):
+        self.scope = scope
+        self.service_ = service_
+        self.name = name
+        self.window_seconds = window_seconds
+        self.calls = calls
+        self.failed = failed
+        self.late = late
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.scope = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_ = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.window_seconds = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.calls = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.failed = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.late = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BurnCount')
+        if self.scope is not None:
+            oprot.writeFieldBegin('scope', TType.STRING, 1)
+            oprot.writeString(self.scope.encode('utf-8') if sys.version_info[0] == 2 else self.scope)
+            oprot.writeFieldEnd()
+        if self.service_ is not None:
+            oprot.writeFieldBegin('service_', TType.STRING, 2)
+            oprot.writeString(self.service_.encode('utf-8') if sys.version_info[0] == 2 else self.service_)
+            oprot.writeFieldEnd()
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 3)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.window_seconds is not None:
+            oprot.writeFieldBegin('window_seconds', TType.I32, 4)
+            oprot.writeI32(self.window_seconds)
+            oprot.writeFieldEnd()
+        if self.calls is not None:
+            oprot.writeFieldBegin('calls', TType.I64, 5)
+            oprot.writeI64(self.calls)
+            oprot.writeFieldEnd()
+        if self.failed is not None:
+            oprot.writeFieldBegin('failed', TType.I64, 6)
+            oprot.writeI64(self.failed)
+            oprot.writeFieldEnd()
+        if self.late is not None:
+            oprot.writeFieldBegin('late', TType.I64, 7)
+            oprot.writeI64(self.late)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class BurnAnswer(object):
+    """
+    Attributes:
+     - request_id
+     - counts
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'counts',
+    )
+
+
+    def __init__(self, request_id=None, counts=None,):
+        self.request_id = request_id
+        self.counts = counts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.counts = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = BurnCount()
+                        _elem47.read(iprot)
+                        self.counts.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BurnAnswer')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.counts))
+            for iter48 in self.counts:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -3570,6 +3867,8 @@
      - claim_answer
      - crash_report
      - exoneration
+     - burn_request
+     - burn_answer
 
     """
 
@@ -3603,10 +3902,12 @@
         'claim_answer',
         'crash_report',
         'exoneration',
+        'burn_request',
+        'burn_answer',
     )
 
 
-    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_chunk=None, snapshot_reply=None, hello=None, staged_report=None, active_report=None, node_heartbeat=None, stage_request=None, endpoint_report=None, welcome=None, stage=None, activate=None, control_heartbeat=None, endpoint_change=None, redirect=None, peer_hello=None, register_summary=None, nodes_request=None, nodes_answer=None, propose_request=None, propose_answer=None, endpoints_request=None, claim_request=None, claim_answer=None, crash_report=None, exoneration=None,):
+    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_chunk=None, snapshot_reply=None, hello=None, staged_report=None, active_report=None, node_heartbeat=None, stage_request=None, endpoint_report=None, welcome=None, stage=None, activate=None, control_heartbeat=None, endpoint_change=None, redirect=None, peer_hello=None, register_summary=None, nodes_request=None, nodes_answer=None, propose_request=None, propose_answer=None, endpoints_request=None, claim_request=None, claim_answer=None, crash_report=None, exoneration=None, burn_request=None, burn_answer=None,):
         self.vote_request = vote_request
         self.vote_reply = vote_reply
         self.append_request = append_request
@@ -3636,6 +3937,8 @@
         self.claim_answer = claim_answer
         self.crash_report = crash_report
         self.exoneration = exoneration
+        self.burn_request = burn_request
+        self.burn_answer = burn_answer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3820,6 +4123,18 @@
                     self.exoneration.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.STRUCT:
+                    self.burn_request = BurnRequest()
+                    self.burn_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 31:
+                if ftype == TType.STRUCT:
+                    self.burn_answer = BurnAnswer()
+                    self.burn_answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3946,6 +4261,14 @@
             oprot.writeFieldBegin('exoneration', TType.STRUCT, 29)
             self.exoneration.write(oprot)
             oprot.writeFieldEnd()
+        if self.burn_request is not None:
+            oprot.writeFieldBegin('burn_request', TType.STRUCT, 30)
+            self.burn_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.burn_answer is not None:
+            oprot.writeFieldBegin('burn_answer', TType.STRUCT, 31)
+            self.burn_answer.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4236,6 +4559,28 @@
     (3, TType.I64, 'incarnation', None, None, ),  # 3
     (4, TType.DOUBLE, 'at', None, None, ),  # 4
 )
+all_structs.append(BurnRequest)
+BurnRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+)
+all_structs.append(BurnCount)
+BurnCount.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'scope', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'name', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'window_seconds', None, None, ),  # 4
+    (5, TType.I64, 'calls', None, None, ),  # 5
+    (6, TType.I64, 'failed', None, None, ),  # 6
+    (7, TType.I64, 'late', None, None, ),  # 7
+)
+all_structs.append(BurnAnswer)
+BurnAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.LIST, 'counts', (TType.STRUCT, [BurnCount, None], False), None, ),  # 2
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -4268,6 +4613,8 @@
     (27, TType.STRUCT, 'claim_answer', [ClaimAnswer, None], None, ),  # 27
     (28, TType.STRUCT, 'crash_report', [CrashReport, None], None, ),  # 28
     (29, TType.STRUCT, 'exoneration', [Exoneration, None], None, ),  # 29
+    (30, TType.STRUCT, 'burn_request', [BurnRequest, None], None, ),  # 30
+    (31, TType.STRUCT, 'burn_answer', [BurnAnswer, None], None, ),  # 31
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
+++ b/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
@@ -253,6 +253,28 @@
   4: double at
 }
 
+// --- service-level burn ----------------------------------------------
+
+struct BurnRequest {
+  1: i64 request_id
+}
+
+// Calls of one subject within the window that ends now.
+struct BurnCount {
+  1: string scope
+  2: string service_
+  3: string name
+  4: i32 window_seconds
+  5: i64 calls
+  6: i64 failed
+  7: i64 late
+}
+
+struct BurnAnswer {
+  1: i64 request_id
+  2: list<BurnCount> counts
+}
+
 // One frame carries exactly one message.
 struct Frame {
   1: optional VoteRequest vote_request
@@ -284,4 +306,6 @@
   27: optional ClaimAnswer claim_answer
   28: optional CrashReport crash_report
   29: optional Exoneration exoneration
+  30: optional BurnRequest burn_request
+  31: optional BurnAnswer burn_answer
 }
