--- a/packages/cli/src/rhubarbhollow_cli/output.py
+++ b/packages/cli/src/rhubarbhollow_cli/output.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from rhubarbhollow_cli.view import DocumentView
+
 
 class OutputFormat(StrEnum):
     """Name an output format."""
@@ -24,7 +26,7 @@
 def print_document(
     document: Mapping[str, object],
     output: OutputFormat,
-    view: View | None = None,
+    view: DocumentView | None = None,
 ) -> None:
     """Print a document to the standard output."""
     if output is OutputFormat.JSON:
--- a/packages/cli/src/rhubarbhollow_cli/query.py
+++ b/packages/cli/src/rhubarbhollow_cli/query.py
@@ -13,7 +13,6 @@
     timeout_option,
 )
 from rhubarbhollow_cli.session import Session, open_session
-from rhubarbhollow_cli.view import View
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,6 +20,7 @@
     from rhubarbhollow_cli.environment import Environment
     from rhubarbhollow_cli.output import OutputFormat
     from rhubarbhollow_cli.server_address import ServerAddress
+    from rhubarbhollow_cli.view import DocumentView
 
 
 def query_command(
@@ -55,11 +55,9 @@
     name: str,
     short_help: str,
     target: str,
-    list_field: str = "",
-    columns: tuple[str, ...] = (),
+    view: DocumentView | None = None,
 ) -> click.Command:
     """Build a command that shows the document at a fixed target."""
-    view = View(list_field, columns)
 
     def run(session: Session) -> None:
         session.show(target, view)
--- a/packages/cli/src/rhubarbhollow_cli/report.py
+++ b/packages/cli/src/rhubarbhollow_cli/report.py
@@ -4,6 +4,7 @@
 
 import click
 
+from rhubarbhollow_cli.burn_view import BurnView
 from rhubarbhollow_cli.query import show_command
 
 
@@ -17,6 +18,6 @@
         "burn",
         "Show how fast each service uses up its error budget.",
         "/v1/burn",
-        "services",
+        BurnView(),
     ),
 )
--- a/packages/cli/src/rhubarbhollow_cli/session.py
+++ b/packages/cli/src/rhubarbhollow_cli/session.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from rhubarbhollow_cli.environment import Environment
     from rhubarbhollow_cli.server_address import ServerAddress
-    from rhubarbhollow_cli.view import View
+    from rhubarbhollow_cli.view import DocumentView
 
 T = TypeVar("T")
 
@@ -31,7 +31,7 @@
         """Return the value, or end the command with the fault."""
         return require(result, self.output)
 
-    def show(self, target: str, view: View | None = None) -> None:
+    def show(self, target: str, view: DocumentView | None = None) -> None:
         """Print the document at a target."""
         document = self.client.get_json(target, self.deadline)
         print_document(self.require(document), self.output, view)
--- a/packages/cli/src/rhubarbhollow_cli/view.py
+++ b/packages/cli/src/rhubarbhollow_cli/view.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from rhubarbhollow_cli.table import format_fields, format_table
 
@@ -11,6 +11,14 @@
     from collections.abc import Mapping, Sequence
 
 
+class DocumentView(Protocol):
+    """Show a document to people."""
+
+    def format(self, document: Mapping[str, object]) -> str:
+        """Return the document as text."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class View:
     """Name the list in a document and the columns of its rows.
@@ -28,7 +36,7 @@
             for key, value in document.items()
             if key != self.list_field
         }
-        rows = _rows_of(document.get(self.list_field))
+        rows = rows_of(document.get(self.list_field))
         parts = [format_fields(fields)] if fields else []
         if self.list_field:
             columns = self.columns or tuple(
@@ -38,7 +46,8 @@
         return "\n\n".join(parts)
 
 
-def _rows_of(value: object) -> Sequence[Mapping[str, object]]:
+def rows_of(value: object) -> Sequence[Mapping[str, object]]:
+    """Return the objects of a list; a reply may hold anything."""
     if not isinstance(value, list):
         return ()
     return [row for row in value if isinstance(row, dict)]
