Answer the hard cases of calls and drop what nothing uses

Removed, with the tests of these parts alone: BurnCounters, its report and objectives, since the daemon counts per fleet in its own ledger over BurnSeries; WriteRecord, since the attempt itself knows whether it was written; and the parsing of deadlines, which the reader of mesh fields does. What they did stood twice.

--- a/packages/calls/tests/test_refusal.py
+++ b/packages/calls/tests/test_refusal.py
@@ -18,7 +18,6 @@
     parse_executed,
     problem_bytes,
 )
-from rhubarbhollow_calls.write_record import WriteRecord
 
 PROOFS = (
     NeverWritten(UnwrittenStage.QUEUED),
@@ -49,16 +48,6 @@
     assert maybe_refusal_kind(kind.value.encode()) is kind
 
 
-def test_proof_ends_with_the_first_byte() -> None:
-    record = WriteRecord()
-    assert record.maybe_proof(UnwrittenStage.CONNECTING) == NeverWritten(
-        UnwrittenStage.CONNECTING
-    )
-    record.mark_written()
-    assert record.is_written
-    assert all(record.maybe_proof(stage) is None for stage in UnwrittenStage)
-
-
 def test_all_but_a_plain_no_is_unknown() -> None:
     assert parse_executed(b"no") is Executed.NO
     for value in (None, b"", b"No", b"no ", b"unknown", b"no, no"):
