Catch four mutations of the log that no test had caught

Trials of mutated copies showed four that passed: an outcome told after the lease had run out, a lease counted from a later round, a membership change before the term's first entry, and an echo newer than its round. Each now has a test that fails on the mutated copy, as has the count of entries added during a write. The seeded run also asserts that a success is told only under a live lease.

--- a/packages/replication/tests/seeded_run.py
+++ b/packages/replication/tests/seeded_run.py
@@ -295,6 +295,7 @@
                 self.report.reads += value
                 assert not value or member.applied_index >= expected
             elif isinstance(value, Ok):
+                assert member.core.has_lease(member.now()), "late answer"
                 self.acknowledge(value.ok_value, expected)
             else:
                 self.report.unknown += 1
--- a/packages/replication/tests/test_core.py
+++ b/packages/replication/tests/test_core.py
@@ -5,22 +5,28 @@
 from random import Random
 
 import pytest
-from result import Err
+from result import Err, Ok
 
 from rhubarbhollow_replication.append import AppendReply, AppendRequest
 from rhubarbhollow_replication.change import AddLearner, RemoveMember
 from rhubarbhollow_replication.configuration import Configuration
-from rhubarbhollow_replication.core import Core
+from rhubarbhollow_replication.core import Core, Position
 from rhubarbhollow_replication.entry import Entry, EntryKind
-from rhubarbhollow_replication.fault import ChangeInFlight, NotLeader
+from rhubarbhollow_replication.fault import (
+    ChangeInFlight,
+    NotLeader,
+    OutcomeUnknown,
+)
 from rhubarbhollow_replication.invariants import InvariantViolation
 from rhubarbhollow_replication.member import Member, MemberRole
+from rhubarbhollow_replication.pending import PendingProposal
 from rhubarbhollow_replication.recovered import Recovered
 from rhubarbhollow_replication.role import Role
 from rhubarbhollow_replication.settings import ReplicaSettings
 from rhubarbhollow_replication.snapshot import Snapshot
 from rhubarbhollow_replication.vote import VoteReply, VoteRequest
 from rhubarbhollow_replication.vote_state import VoteState
+from rhubarbhollow_replication.waiting import Waiting
 from rhubarbhollow_replication.write import SaveEntries, SaveVote
 
 NAMES = ("a", "b", "c")
@@ -265,8 +271,9 @@
     assert [r.is_granted for r in answers(voter, 6.0)] == [True]
 
 
-def leader_of_term_4():
-    leader = core_with("a", term=3, entries=log_of(1, 1))
+def leader_of_term_4(snapshot=None):
+    entries = () if snapshot else log_of(1, 1)
+    leader = core_with("a", term=3, entries=entries, snapshot=snapshot)
     leader.tick(5.0)
     for is_probe in (True, False):
         leader.handle(VoteReply(4, "b", True, is_probe, "b1"), 5.0)
@@ -295,6 +302,8 @@
     lease = settings_of("a").lease_seconds
     assert lease < TIMEOUT_SECONDS
     assert not leader.has_lease(5.0)
+    leader.tick(5.1)
+    answers(leader, 5.1)
     leader.handle(AppendReply(4, "b", True, 3, 1, "b1"), 5.2)
     assert leader.has_lease(5.0 + lease * 0.99)
     assert not leader.has_lease(5.0 + lease)
@@ -304,6 +313,47 @@
     assert refused == Err(NotLeader(None))
 
 
+@pytest.mark.parametrize(
+    ("age", "term", "expected"),
+    [
+        (0.99, 4, Ok("done")),
+        (1, 4, Err(OutcomeUnknown())),
+        (0.99, 5, Err(OutcomeUnknown())),
+    ],
+)
+def test_an_outcome_is_told_only_under_the_lease_of_its_term(
+    age, term, expected
+):
+    leader = leader_of_term_4()
+    leader.handle(AppendReply(4, "b", True, 3, 1, "b1"), 5.0)
+    proposal = PendingProposal(b"x")
+    waiting = Waiting()
+    waiting.add(Position(3, 4), proposal)
+    now = 5.0 + age * settings_of("a").lease_seconds
+    waiting.resolve(Position(3, term), "done", leader, now)
+    assert proposal.answer._value == expected
+
+
+def test_what_is_added_during_a_write_is_not_durable_after_it():
+    leader = leader_of_term_4()
+    leader.propose(b"x", 5.0)
+    leader.take_effects(5.0)
+    leader.propose(b"y", 5.0)
+    leader.handle_synced()
+    assert (leader.match_index("a"), leader.last_index) == (4, 5)
+
+
+def test_a_request_echoes_what_was_answered_before_its_round():
+    leader = leader_of_term_4()
+    for number, echoed in ((1, 0), (2, 1)):
+        leader.handle(AppendReply(4, "b", False, 1, number, "b1"), 5.0)
+        effects = leader.take_effects(5.0)
+        request = effects.early[0].message
+        assert (request.round, request.acked_round) == (number, echoed)
+        leader.tick(5.1)
+        answers(leader, 5.1)
+
+
 def test_a_read_needs_a_round_begun_after_it():
     leader = leader_of_term_4()
     assert leader.begin_read(5.0) == Err(NotLeader(None))
@@ -356,7 +406,8 @@
 
 
 def test_changes_wait_for_the_term_and_for_each_other():
-    leader = leader_of_term_4()
+    leader = leader_of_term_4(Snapshot(2, 1, BOUND, b""))
+    assert leader.commit_index == 2
     change = leader.change_membership
     assert change(AddLearner("d"), 5.0) == Err(ChangeInFlight())
     leader.handle(AppendReply(4, "b", True, 3, 1, "b1"), 5.0)
