--- a/packages/cli/src/rhubarbhollow_cli/failure.py
+++ b/packages/cli/src/rhubarbhollow_cli/failure.py
@@ -90,8 +90,7 @@
 def _title_of(fault: CommandFault) -> str:
     match fault:
         case Declined(problem=problem):
-            detail = f": {problem.detail}" if problem.detail else ""
-            return f"{problem.title}{detail}"
+            return _title_of_problem(problem)
         case Unreachable():
             return "no server did it before the deadline; nothing was changed"
         case OutcomeUnknown():
@@ -116,6 +115,13 @@
             return f"key: {kind.value}: {detail}"
 
 
+def _title_of_problem(problem: Problem) -> str:
+    fault = problem.members.get("fault")
+    kind = fault if isinstance(fault, str) else ""
+    why = " ".join(part for part in (kind, problem.detail) if part)
+    return f"{problem.title}: {why}" if why else problem.title
+
+
 def _members_of(fault: CommandFault) -> Mapping[str, object]:
     match fault:
         case Declined(server=server, problem=problem):
--- a/packages/cli/src/rhubarbhollow_cli/files.py
+++ b/packages/cli/src/rhubarbhollow_cli/files.py
@@ -50,6 +50,15 @@
     return Ok(None)
 
 
+def write_file(path: Path, data: bytes) -> Result[None, InputFault]:
+    """Write a file, in place of one that may be there."""
+    try:
+        path.write_bytes(data)
+    except OSError as error:
+        return _fault(InputFaultKind.UNWRITABLE, path, error)
+    return Ok(None)
+
+
 def _fault(
     kind: InputFaultKind,
     path: Path,
--- a/packages/cli/tests/test_submit.py
+++ b/packages/cli/tests/test_submit.py
@@ -137,6 +137,14 @@
     assert "winner_digest: cd?[2J" in result.stderr
 
 
+def test_names_the_fault_of_a_refused_approval(run, files, serve):
+    refused = problem(403, "approval_refused", fault="unknown_key")
+    server = serve({POST: [refused]})
+    result = submit(run, files, [server], "--output", "table")
+    first = result.stderr.splitlines()[0]
+    assert first == "Error: approval_refused: unknown_key why"
+
+
 def test_refused_connections_change_nothing(run, files, closed_url, serve):
     class Closed:
         url = closed_url
