--- a/packages/replication/src/rhubarbhollow_replication/__init__.py
+++ b/packages/replication/src/rhubarbhollow_replication/__init__.py
@@ -11,6 +11,7 @@
     NotLeader,
     OutcomeUnknown,
     Overloaded,
+    PayloadTooLarge,
     ProposeFault,
     StoreFailed,
 )
@@ -33,6 +34,7 @@
     "NotLeader",
     "OutcomeUnknown",
     "Overloaded",
+    "PayloadTooLarge",
     "PeerMessage",
     "PromoteLearner",
     "ProposeFault",
--- a/packages/replication/src/rhubarbhollow_replication/fault.py
+++ b/packages/replication/src/rhubarbhollow_replication/fault.py
@@ -26,6 +26,14 @@
     """Nothing was proposed: too many proposals are pending."""
 
 
+@dataclass(frozen=True, slots=True)
+class PayloadTooLarge:
+    """Nothing was proposed: no entry may be this large."""
+
+    size_bytes: int
+    limit_bytes: int
+
+
 @dataclass(frozen=True, slots=True)
 class StoreFailed:
     """Nothing was proposed: the store of this replica failed."""
@@ -71,7 +79,9 @@
     """Too few of the voters that would remain were heard lately."""
 
 
-ProposeFault: TypeAlias = NotLeader | OutcomeUnknown | Overloaded | StoreFailed
+ProposeFault: TypeAlias = (
+    NotLeader | OutcomeUnknown | Overloaded | PayloadTooLarge | StoreFailed
+)
 ChangeFault: TypeAlias = (
     ProposeFault
     | ChangeInFlight
--- a/packages/replication/src/rhubarbhollow_replication/record.py
+++ b/packages/replication/src/rhubarbhollow_replication/record.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-MAX_PAYLOAD_BYTES: Final = 64 * 1024 * 1024
+MAX_PAYLOAD_BYTES: Final = 15 * 1024 * 1024
 _HEAD: Final = struct.Struct(">IIQQB")
 _SEAL: Final = struct.Struct(">4sHI")
 _SEAL_MAGIC: Final = b"RHSL"
--- a/packages/replication/src/rhubarbhollow_replication/replica.py
+++ b/packages/replication/src/rhubarbhollow_replication/replica.py
@@ -17,6 +17,7 @@
     ChangeFault,
     NotLeader,
     Overloaded,
+    PayloadTooLarge,
     ProposeFault,
     StoreFailed,
 )
@@ -116,12 +117,9 @@
         self._wake.set()
 
     async def propose(self, payload: bytes) -> Result[object, ProposeFault]:
-        """Commit a command and return the machine's outcome.
-
-        Raise ValueError for a payload that no store could read back.
-        """
+        """Commit a command and return the machine's outcome."""
         if len(payload) > MAX_PAYLOAD_BYTES:
-            raise ValueError("payload above MAX_PAYLOAD_BYTES")
+            return Err(PayloadTooLarge(len(payload), MAX_PAYLOAD_BYTES))
         fault = self._refusal()
         if fault is not None:
             return Err(fault)
--- a/packages/replication/tests/test_replica.py
+++ b/packages/replication/tests/test_replica.py
@@ -20,12 +20,14 @@
     NotLeader,
     OutcomeUnknown,
     Overloaded,
+    PayloadTooLarge,
     Replica,
     ReplicaSettings,
     Role,
     StoreFailed,
 )
 from rhubarbhollow_replication.disk import OsDisk
+from rhubarbhollow_replication.record import MAX_PAYLOAD_BYTES
 from rhubarbhollow_replication.store_fault import DiskFull, SyncFailed
 from rhubarbhollow_wire.clock import ManualClock
 
@@ -280,6 +282,9 @@
     async def run():
         async with running(tmp_path, max_pending_proposals=1) as (group, _):
             leader = await group.leader()
+            large = bytes(MAX_PAYLOAD_BYTES + 1)
+            refused = (await leader.propose(large)).err()
+            assert isinstance(refused, PayloadTooLarge)
             answers = []
 
             async def keep(payload):
