--- a/packages/replication/src/rhubarbhollow_replication/core.py
+++ b/packages/replication/src/rhubarbhollow_replication/core.py
@@ -288,8 +288,7 @@
 
     def handle_synced(self) -> None:
         """Count the writes of the last taken effects as durable."""
-        journal = self._journal
-        journal.synced_index = min(self._written_index, self.last_index)
+        self._journal.note_synced(self._written_index)
         self._advance_commit()
 
     def take_committed(self) -> tuple[Entry | Snapshot, ...]:
--- a/packages/replication/src/rhubarbhollow_replication/follower.py
+++ b/packages/replication/src/rhubarbhollow_replication/follower.py
@@ -38,12 +38,17 @@
         # A replica that restarts may have answered a leader just before
         # and so waits as if it had: the leader's lease may still run.
         self._heard_at = now
-        self.freshness = Freshness(settings.lease_seconds)
+        self._freshness = Freshness(settings.lease_seconds)
+
+    @property
+    def freshness(self) -> Freshness:
+        """How recent the state taken from the leader is."""
+        return self._freshness
 
     def note_leader(self, term: int, round_number: int, now: float) -> None:
         """Note that the leader of ``term`` was heard."""
         self._heard_at = now
-        self.freshness.note_reply(term, round_number, now)
+        self._freshness.note_reply(term, round_number, now)
 
     def may_owe_lease(self, now: float) -> bool:
         """Whether a leader's lease may rest on this replica."""
@@ -66,7 +71,7 @@
         last_index = request.previous_index + len(request.entries)
         self._journal.commit(min(request.commit_index, last_index))
         is_current = log.term_at(request.commit_index) == request.term
-        self.freshness.note_request(request, is_current=is_current)
+        self._freshness.note_request(request, is_current=is_current)
         self._agree(request, last_index)
 
     def refuse(self, request: AppendRequest, term: int, hint: int) -> None:
--- a/packages/replication/src/rhubarbhollow_replication/journal.py
+++ b/packages/replication/src/rhubarbhollow_replication/journal.py
@@ -25,28 +25,49 @@
 
 
 class Journal:
-    """Change the log and note what the store has to make durable.
-
-    ``synced_index`` is how far the log is durable here, and
-    ``commit_index`` how far it is known to be durable on a quorum.
-    """
+    """Change the log and note what the store has to make durable."""
 
     def __init__(self, recovered: Recovered, initial: Configuration) -> None:
         snapshot = recovered.snapshot
-        self.log = Log()
-        self.memberships = Memberships(0, initial)
-        self.commit_index = 0
-        self.snapshot = snapshot
+        self._log = Log()
+        self._memberships = Memberships(0, initial)
+        self._commit_index = 0
+        self._snapshot = snapshot
         if snapshot is not None:
             self._start_after(snapshot)
         self._extend(recovered.entries)
-        self.synced_index = self.log.last_index
+        self._synced_index = self._log.last_index
         self._writes: list[Write] = []
 
+    @property
+    def log(self) -> Log:
+        """The entries held in memory."""
+        return self._log
+
+    @property
+    def memberships(self) -> Memberships:
+        """The configurations that the log has gone through."""
+        return self._memberships
+
+    @property
+    def commit_index(self) -> int:
+        """The last index known to be durable on a quorum."""
+        return self._commit_index
+
+    @property
+    def synced_index(self) -> int:
+        """The last index known to be durable here."""
+        return self._synced_index
+
+    @property
+    def snapshot(self) -> Snapshot | None:
+        """The snapshot that stands for the entries before the log."""
+        return self._snapshot
+
     @property
     def configuration(self) -> Configuration:
         """The configuration in force."""
-        return self.memberships.current
+        return self._memberships.current
 
     def take_writes(self) -> tuple[Write, ...]:
         """Return the pending writes, oldest first, and forget them."""
@@ -61,57 +82,61 @@
     def append(self, entries: tuple[Entry, ...]) -> None:
         """Add entries, replacing the log from the first one on."""
         first = entries[0].index
-        require(first > self.commit_index, "committed entry replaced")
-        if first <= self.log.last_index:
-            self.log.truncate_from(first)
-            self.memberships.truncate_from(first)
-            self.synced_index = min(self.synced_index, first - 1)
+        require(first > self._commit_index, "committed entry replaced")
+        if first <= self._log.last_index:
+            self._log.truncate_from(first)
+            self._memberships.truncate_from(first)
+            self._synced_index = min(self._synced_index, first - 1)
         self._extend(entries)
         self._writes.append(SaveEntries(entries))
 
+    def note_synced(self, index: int) -> None:
+        """Count the log up to ``index`` as durable here."""
+        self._synced_index = min(index, self._log.last_index)
+
     def merge(self, entries: tuple[Entry, ...]) -> None:
         """Add the part of a leader's entries that is not yet held."""
         for position, entry in enumerate(entries):
-            if entry.index <= self.log.base_index:
+            if entry.index <= self._log.base_index:
                 continue
-            if self.log.term_at(entry.index) != entry.term:
+            if self._log.term_at(entry.index) != entry.term:
                 self.append(entries[position:])
                 return
 
     def commit(self, index: int) -> bool:
         """Raise the commit index; return whether it rose."""
-        if index <= self.commit_index:
+        if index <= self._commit_index:
             return False
-        require(index <= self.log.last_index, "commit beyond the log")
-        self.commit_index = index
+        require(index <= self._log.last_index, "commit beyond the log")
+        self._commit_index = index
         return True
 
     def compact(self, snapshot: Snapshot) -> None:
         """Let a snapshot taken here stand for the log's prefix."""
-        require(snapshot.last_index <= self.commit_index, "snapshot too new")
-        self.log.compact(snapshot.last_index)
-        self.memberships.compact(snapshot.last_index)
-        self.snapshot = snapshot
+        require(snapshot.last_index <= self._commit_index, "snapshot too new")
+        self._log.compact(snapshot.last_index)
+        self._memberships.compact(snapshot.last_index)
+        self._snapshot = snapshot
         self._writes.append(SaveSnapshot(snapshot))
 
     def install(self, snapshot: Snapshot) -> None:
         """Let the leader's snapshot replace the whole log."""
-        require(snapshot.last_index > self.commit_index, "snapshot too old")
+        require(snapshot.last_index > self._commit_index, "snapshot too old")
         self._start_after(snapshot)
-        self.synced_index = 0
+        self._synced_index = 0
         self._writes.append(InstallSnapshot(snapshot))
 
     def _start_after(self, snapshot: Snapshot) -> None:
         index = snapshot.last_index
-        self.log = Log(index, snapshot.last_term)
-        self.memberships = Memberships(index, snapshot.configuration)
-        self.commit_index = index
-        self.snapshot = snapshot
+        self._log = Log(index, snapshot.last_term)
+        self._memberships = Memberships(index, snapshot.configuration)
+        self._commit_index = index
+        self._snapshot = snapshot
 
     def _extend(self, entries: tuple[Entry, ...]) -> None:
-        self.log.append(entries)
+        self._log.append(entries)
         for entry in entries:
             if entry.kind is not EntryKind.CONFIG:
                 continue
             configuration = decode_configuration(entry.payload)
-            self.memberships.add(entry.index, configuration)
+            self._memberships.add(entry.index, configuration)
--- a/packages/replication/src/rhubarbhollow_replication/leadership.py
+++ b/packages/replication/src/rhubarbhollow_replication/leadership.py
@@ -41,9 +41,14 @@
         self._peers: dict[str, Progress] = {}
         self._has_news = True
         self._heartbeat_at = now
-        self.lease = Lease(settings.lease_seconds, now)
+        self._lease = Lease(settings.lease_seconds, now)
         self._follow_membership(now)
 
+    @property
+    def lease(self) -> Lease:
+        """The lease that confirmed rounds give."""
+        return self._lease
+
     @property
     def heartbeat_at(self) -> float:
         """When the next round is due."""
@@ -77,13 +82,13 @@
         All that ask before that flush share the round.
         """
         self._has_news = True
-        return self.lease.round + 1
+        return self._lease.round + 1
 
     def tick(self, now: float) -> None:
         """Start a round and repair the membership when it is time."""
         if now < self._heartbeat_at:
             return
-        if self.may_change_membership and self.lease.is_live(now):
+        if self.may_change_membership and self._lease.is_live(now):
             proposed = plan_repair(self.view(now))
             if proposed is not None:
                 self.append(EntryKind.CONFIG, proposed.encode(), now)
@@ -96,7 +101,7 @@
 
     def begin_round(self, now: float) -> int:
         """Send a round to every peer; return its number."""
-        number = self.lease.begin_round(now)
+        number = self._lease.begin_round(now)
         self._has_news = False
         self._heartbeat_at = now + self._settings.heartbeat_seconds
         for name, peer in self._peers.items():
@@ -185,7 +190,7 @@
         self, name: str, store_id: str, round_number: int, now: float
     ) -> Progress | None:
         peer = self._peers.get(name)
-        if peer is None or round_number > self.lease.round:
+        if peer is None or round_number > self._lease.round:
             return None
         peer.note_store(store_id, self._journal.log.last_index)
         peer.heard_at = now
@@ -210,9 +215,9 @@
     def _confirm_rounds(self) -> None:
         rounds = self._voting_values(
             {name: peer.acked_round for name, peer in self._peers.items()},
-            self.lease.round,
+            self._lease.round,
         )
-        self.lease.confirm(self._journal.configuration.quorum_value(rounds))
+        self._lease.confirm(self._journal.configuration.quorum_value(rounds))
 
     def _send_round(self, name: str, peer: Progress, now: float) -> None:
         if peer.next_index <= self._journal.log.base_index:
@@ -260,9 +265,9 @@
             previous_term=previous_term or 0,
             entries=entries,
             commit_index=self._journal.commit_index,
-            round=self.lease.round,
+            round=self._lease.round,
             acked_round=peer.echoed_round,
-            confirmed_round=self.lease.confirmed_round,
+            confirmed_round=self._lease.confirmed_round,
             store_id=self._store_id,
         )
         self._outbox.add(name, request, is_early=True)
@@ -293,7 +298,7 @@
             offset=transfer.offset,
             data=transfer.encoded[transfer.offset : end],
             is_last=end >= len(transfer.encoded),
-            round=self.lease.round,
+            round=self._lease.round,
             store_id=self._store_id,
         )
         transfer.sent_at = now
