--- a/packages/distribution/tests/test_mesh_machine.py
+++ b/packages/distribution/tests/test_mesh_machine.py
@@ -55,7 +55,7 @@
 # By weight; a step gets the mesh, a node, an instance, the node's link,
 # another node and the number that picked them.
 STEPS = {
-    "accept": (1, lambda m, n, c, k, o, p: m.accept_release()),
+    "accept": (3, lambda m, n, c, k, o, p: m.accept_release()),
     "plan": (3, lambda m, n, c, k, o, p: m.plan()),
     "sync": (6, lambda m, n, c, k, o, p: m.sync(c)),
     "connect": (1, lambda m, n, c, k, o, p: m.connect(n, c)),
@@ -65,15 +65,15 @@
     "deliver": (1, lambda m, n, c, k, o, p: k and m.deliver_to_node(k)),
     "replay": (1, lambda m, n, c, k, o, p: replay(m, n, c, p)),
     "call": (4, lambda m, n, c, k, o, p: m.call(n, o)),
-    "announce": (1, lambda m, n, c, k, o, p: announce(n, p)),
+    "announce": (2, lambda m, n, c, k, o, p: announce(n, p)),
     "withdraw": (1, lambda m, n, c, k, o, p: n.book.withdraw(f"desk-{p % 2}")),
     "restart_node": (1, lambda m, n, c, k, o, p: m.restart_node(n)),
-    "bounce": (1, lambda m, n, c, k, o, p: bounce(m, n, c)),
+    "bounce": (5, lambda m, n, c, k, o, p: bounce(m, n, c)),
     "restart_control": (1, lambda m, n, c, k, o, p: m.restart_control(c)),
-    "cut": (1, lambda m, n, c, k, o, p: m.set_cut(CUTS[p % len(CUTS)])),
+    "cut": (2, lambda m, n, c, k, o, p: m.set_cut(CUTS[p % len(CUTS)])),
     "trade": (1, lambda m, n, c, k, o, p: m.exchange_all()),
     "wait": (1, lambda m, n, c, k, o, p: m.pass_time(p / 100)),
-    "wait_long": (1, lambda m, n, c, k, o, p: wait_long(m)),
+    "wait_long": (2, lambda m, n, c, k, o, p: wait_long(m)),
 }
 
 
@@ -133,8 +133,9 @@
     rng = random.Random(seed)
     mesh = Mesh(CONTROLS, NODES)
     weights = [weight for weight, _ in STEPS.values()]
-    for name in rng.choices(list(STEPS), weights, k=5000):
-        take_step(mesh, name, rng.randrange(PICKS))
-        mesh.check()
-    check_settled(mesh)
+    for _ in range(10):
+        for name in rng.choices(list(STEPS), weights, k=500):
+            take_step(mesh, name, rng.randrange(PICKS))
+            mesh.check()
+        check_settled(mesh)
     assert mesh.latest > 50
