--- a/packages/replication/tests/seeded_run.py
+++ b/packages/replication/tests/seeded_run.py
@@ -469,6 +469,11 @@
     run.cut.add((member.name, other))
 
 
+def cut_both_ways(run, member):
+    other = run.random.choice(INITIAL + SPARES)
+    run.cut |= {(member.name, other), (other, member.name)}
+
+
 def isolate(run, member):
     for other in run.members:
         run.cut |= {(member.name, other), (other, member.name)}
@@ -480,7 +485,8 @@
 
 FAULTS = (
     *(crash, crash_in_write, crash_in_write, lose_disk, flip_bit),
-    *(fail_sync, fill_disk, freeze, freeze, cut_one_way, isolate),
+    *(fail_sync, fill_disk, freeze, freeze, cut_one_way, cut_both_ways),
+    *(cut_both_ways, isolate),
     *(heal, heal, heal, crash_all),
 )
 
