Repair the membership also under steady load

Repairs ran only with a heartbeat, and rounds that carry entries put the heartbeat off: under commands without a pause a member with a lost disk was never taken back. A test failed on this first.

--- a/packages/replication/src/rhubarbhollow_replication/leadership.py
+++ b/packages/replication/src/rhubarbhollow_replication/leadership.py
@@ -41,6 +41,7 @@
         self._peers: dict[str, Progress] = {}
         self._has_news = True
         self._heartbeat_at = now
+        self._repair_at = now
         self._lease = Lease(settings.lease_seconds, now)
         self._follow_membership(now)
 
@@ -85,14 +86,16 @@
         return self._lease.round + 1
 
     def tick(self, now: float) -> None:
-        """Start a round and repair the membership when it is time."""
-        if now < self._heartbeat_at:
-            return
-        if self.may_change_membership and self._lease.is_live(now):
-            proposed = plan_repair(self.view(now))
-            if proposed is not None:
-                self.append(EntryKind.CONFIG, proposed.encode(), now)
-        self.begin_round(now)
+        """Repair the membership and start a round when it is time.
+
+        Rounds that carry news put off the next heartbeat, but not the
+        next repair.
+        """
+        if now >= self._repair_at:
+            self._repair_at = now + self._settings.heartbeat_seconds
+            self._repair(now)
+        if now >= self._heartbeat_at:
+            self.begin_round(now)
 
     def flush(self, now: float) -> None:
         """Start a round if there is anything new to tell."""
@@ -176,6 +179,13 @@
             silent_seconds=settings.repair_after_seconds,
         )
 
+    def _repair(self, now: float) -> None:
+        if not self.may_change_membership or not self._lease.is_live(now):
+            return
+        proposed = plan_repair(self.view(now))
+        if proposed is not None:
+            self.append(EntryKind.CONFIG, proposed.encode(), now)
+
     def _follow_membership(self, now: float) -> None:
         """Track exactly the peers of the configuration in force."""
         names = {m.name for m in self._journal.configuration.members}
--- a/packages/replication/tests/test_core.py
+++ b/packages/replication/tests/test_core.py
@@ -407,6 +407,19 @@
     assert configurations == {group.cores[new].configuration}
 
 
+def test_a_lost_disk_is_repaired_while_commands_never_pause():
+    group = Group()
+    group.run(3)
+    leader = group.cores[group.leaders()[0]]
+    lost = next(n for n in NAMES if group.cores[n] is not leader)
+    group.lose_disk(lost, 2)
+    for _ in range(300):
+        leader.propose(b"x", group.now)
+        group.run(STEP_SECONDS)
+    rejoined = leader.configuration.find(lost)
+    assert rejoined == Member(lost, f"{lost}2", MemberRole.VOTER)
+
+
 def test_changes_wait_for_the_term_and_for_each_other():
     leader = leader_of_term_4(Snapshot(2, 1, BOUND, b""))
     assert leader.commit_index == 2
