Scale the silence limit with the heartbeat and mend gaps in endpoints

A node whose endpoint change did not fit only logged it and refused all later ones; it now asks to greet again, and the greeting names what it holds. A floor that cannot be synced is logged, retried and offered to no node, in place of ending the process; a damaged floor file is reported.

--- a/packages/daemon/src/rhubarbhollow_daemon/control_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_building.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
+import structlog
 from result import Err, Ok, Result
 
 from rhubarbhollow_daemon.claim_desk import ClaimDesk
@@ -43,6 +44,8 @@
 CLAIMS_FOLDER_NAME: Final = "claims"
 MAX_WAITING_NODES: Final = 1_024
 
+_log = structlog.get_logger()
+
 
 def build_control(
     settings: Settings,
@@ -87,6 +90,8 @@
     )
     exchange = EndpointExchange(name, store, links, clock)
     floor_file = FloorFile(control.data_folder)
+    if floor_file.is_damaged:
+        _log.error("floor_file_damaged", folder=str(control.data_folder))
     return Ok(
         ControlParts(
             name=name,
--- a/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
@@ -196,8 +196,7 @@
         parts.floor.require(max(ledger.latest_position, parts.register.floor))
         pending = parts.floor.pending
         if pending is not None:
-            await anyio.to_thread.run_sync(parts.floor_file.raise_to, pending)
-            parts.floor.confirm(pending)
+            await self._raise_floor(pending)
         return LedgerView(
             latest_position=ledger.latest_position,
             active_position=ledger.active_position,
@@ -206,6 +205,20 @@
             recorded_floor=parts.floor.recorded,
         )
 
+    async def _raise_floor(self, position: int) -> None:
+        """Sync a higher floor; until it is, no node is offered more."""
+        parts = self._parts
+        try:
+            await anyio.to_thread.run_sync(parts.floor_file.raise_to, position)
+        except OSError as error:
+            _log.error(
+                "floor_not_synced",
+                position=position,
+                cause=type(error).__name__,
+            )
+            return
+        parts.floor.confirm(position)
+
     async def _run_link(
         self,
         connection: FrameConnection,
--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from importlib.metadata import version
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_calls.io_node import CallNode
 from rhubarbhollow_calls.io_settings import CallSettings
@@ -23,7 +23,10 @@
 from rhubarbhollow_distribution.announcement_book import AnnouncementBook
 from rhubarbhollow_distribution.endpoint_table import EndpointTable
 from rhubarbhollow_distribution.holder import ReleaseHolder
-from rhubarbhollow_distribution.source_choice import SourceChooser
+from rhubarbhollow_distribution.source_choice import (
+    SILENCE_SECONDS,
+    SourceChooser,
+)
 from rhubarbhollow_wire.traffic import Traffic
 
 if TYPE_CHECKING:
@@ -33,6 +36,9 @@
     from rhubarbhollow_daemon.settings_calls import CallsSettings
     from rhubarbhollow_wire.clock import Clock
 
+# one lost heartbeat must not look like a silent source
+SILENT_HEARTBEATS: Final = 3
+
 
 def build_node(
     settings: Settings,
@@ -53,7 +59,14 @@
         incarnation=incarnation,
         clock=clock,
     )
-    chooser = SourceChooser(data_centre, settings.controls, clock, random)
+    heartbeat_seconds = settings.distribution.heartbeat.total_seconds()
+    chooser = SourceChooser(
+        data_centre,
+        settings.controls,
+        clock,
+        random,
+        max(SILENCE_SECONDS, SILENT_HEARTBEATS * heartbeat_seconds),
+    )
     quarantine = Quarantine(clock)
     burn = BurnLedger(clock)
     call_log = CallLog()
@@ -100,7 +113,7 @@
             chooser,
             outbox,
             traffic,
-            settings.distribution.heartbeat.total_seconds(),
+            heartbeat_seconds,
         ),
         upstreams=LocalUpstreams(name, announcements, call_node, outbox),
         traffic=traffic,
--- a/packages/daemon/src/rhubarbhollow_daemon/node_desk.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_desk.py
@@ -7,6 +7,7 @@
 import structlog
 
 from rhubarbhollow_calls.quarantine_message import CrashReport, Exoneration
+from rhubarbhollow_daemon.messages import EndpointsRequest
 from rhubarbhollow_distribution.active_report import ActiveReport
 from rhubarbhollow_distribution.admission import Admitted, Queued
 from rhubarbhollow_distribution.endpoint_report import EndpointReport
@@ -108,6 +109,9 @@
             ) | StagedReport():
                 self._register.accept(link.hello.node, message)
                 link.feed.accept(message)
+            case EndpointsRequest():
+                # the next greeting names what the node holds
+                link.end()
             case CrashReport() | Exoneration():
                 self.spread(message, is_from_peer=False)
             case _:
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -13,6 +13,7 @@
     BurnAnswer,
     BurnRequest,
     ClaimAnswer,
+    EndpointsRequest,
 )
 from rhubarbhollow_daemon.route_building import (
     build_snapshot,
@@ -208,3 +209,4 @@
                 self._view.update(changed)
             case Err(fault):
                 _log.warning("endpoints_refused", fault=repr(fault))
+                self._outbox.put(EndpointsRequest(self._node))
--- a/packages/daemon/tests/test_node_desk.py
+++ b/packages/daemon/tests/test_node_desk.py
@@ -3,7 +3,7 @@
 import pytest
 
 from rhubarbhollow_daemon.endpoint_exchange import EndpointExchange
-from rhubarbhollow_daemon.messages import PeerHello
+from rhubarbhollow_daemon.messages import EndpointsRequest, PeerHello
 from rhubarbhollow_daemon.node_desk import NodeDesk
 from rhubarbhollow_daemon.node_link import NodeLink
 from rhubarbhollow_daemon.peer_links import PeerLinks
@@ -116,3 +116,10 @@
     desk.desk.leave(old)
     assert desk.register.summary().live_nodes == 1
     assert not new.is_ended
+
+
+def test_a_node_that_missed_endpoints_is_sent_to_greet_again():
+    desk = Desk()
+    link = desk.join()
+    desk.desk.hear(link, EndpointsRequest("n1"), VIEW)
+    assert link.is_ended
