--- a/packages/distribution/src/rhubarbhollow_distribution/endpoint_store.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/endpoint_store.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_distribution.endpoint_change import EndpointChange
+from rhubarbhollow_distribution.endpoint_entry import EndpointEntry
 from rhubarbhollow_distribution.invariant import check_invariant
 
 if TYPE_CHECKING:
@@ -21,16 +22,6 @@
 VOUCHER_SECONDS: Final = 30.0
 
 
-@dataclass(slots=True)
-class _Entry:
-    """Hold what each control instance says of one endpoint."""
-
-    vouched: dict[str, EndpointRecord] = field(default_factory=dict)
-    visible: EndpointRecord | None = None
-    version: int = 0
-    gone_at: float = 0.0
-
-
 class EndpointStore:
     """Merge endpoint records; the latest of each endpoint is visible.
 
@@ -57,7 +48,7 @@
         self._clock = clock
         self._voucher_seconds = voucher_seconds
         # Ordered by version: the entry that changed last comes last.
-        self._entries: dict[EndpointKey, _Entry] = {}
+        self._entries: dict[EndpointKey, EndpointEntry] = {}
         self._version = 0
         self._urgent_version = 0
         self._purged_version = 0
@@ -209,7 +200,7 @@
     def _merge_one(self, record: EndpointRecord, via: str) -> bool:
         entry = self._entries.get(record.key)
         if entry is None:
-            entry = self._entries[record.key] = _Entry()
+            entry = self._entries[record.key] = EndpointEntry()
         known = entry.vouched.get(via)
         if known is not None and record.order < known.order:
             return False
@@ -245,7 +236,7 @@
     def _refresh(self, key: EndpointKey) -> None:
         entry = self._entries[key]
         before = entry.visible
-        after = self._pick_visible(entry)
+        after = entry.pick_visible(self._suspended)
         if after is None or after == before:
             return
         check_invariant(
@@ -255,29 +246,10 @@
         entry.visible = after
         self._touch(key, entry, is_urgent=not is_load_only(before, after))
 
-    def _pick_visible(self, entry: _Entry) -> EndpointRecord | None:
-        trusted = (
-            record
-            for control, record in entry.vouched.items()
-            if control not in self._suspended
-        )
-        best = max(
-            trusted,
-            key=lambda record: (record.order, not record.is_gone),
-            default=None,
-        )
-        known = entry.visible
-        if known is None:
-            return best
-        if best is None or best.order < known.order:
-            # Nobody vouches for the newest record any more.
-            return known.bury()
-        return best
-
     def _touch(
         self,
         key: EndpointKey,
-        entry: _Entry,
+        entry: EndpointEntry,
         *,
         is_urgent: bool,
     ) -> None:
@@ -296,10 +268,7 @@
             visible = entry.visible
             if visible is None or not visible.is_gone:
                 continue
-            has_live = any(
-                not record.is_gone for record in entry.vouched.values()
-            )
-            if entry.gone_at <= oldest and not has_live:
+            if entry.gone_at <= oldest and not entry.has_live_voucher:
                 self._purged_version = max(self._purged_version, entry.version)
                 del self._entries[key]
 
--- a/packages/distribution/src/rhubarbhollow_distribution/feed.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/feed.py
@@ -7,6 +7,7 @@
 from rhubarbhollow_distribution.activate import Activate
 from rhubarbhollow_distribution.active_report import ActiveReport
 from rhubarbhollow_distribution.control_heartbeat import ControlHeartbeat
+from rhubarbhollow_distribution.endpoint_feed import NEVER, EndpointFeed
 from rhubarbhollow_distribution.holder import MAX_STAGED_RELEASES
 from rhubarbhollow_distribution.node_heartbeat import NodeHeartbeat
 from rhubarbhollow_distribution.stage_request import StageRequest
@@ -16,7 +17,6 @@
 
 if TYPE_CHECKING:
     from rhubarbhollow_distribution.control_message import ControlMessage
-    from rhubarbhollow_distribution.endpoint_change import EndpointChange
     from rhubarbhollow_distribution.endpoint_store import EndpointStore
     from rhubarbhollow_distribution.feed_settings import FeedSettings
     from rhubarbhollow_distribution.hello import Hello
@@ -26,7 +26,6 @@
     from rhubarbhollow_distribution.stage import Stage
     from rhubarbhollow_wire.clock import Clock
 
-NEVER: Final = float("-inf")
 START_POLL_SECONDS: Final = 0.05
 
 
@@ -51,7 +50,7 @@
     ) -> None:
         self._settings = settings
         self._releases = releases
-        self._endpoints = endpoints
+        self._endpoints = EndpointFeed(hello, endpoints, settings, clock)
         self._clock = clock
         now = clock.monotonic()
         self._has_memory = hello.active_position > 0
@@ -67,9 +66,6 @@
         self._outstanding: int | None = None
         self._stage_sent_at = NEVER
         self._activate_sent = 0
-        self._endpoints_source = hello.endpoints_source
-        self._endpoints_version = hello.endpoints_version
-        self._endpoints_sent_at = NEVER
         self._sent_at = now
         # A node takes its source for fresh until it hears otherwise.
         self._told_fresh = True
@@ -108,7 +104,7 @@
         message = (
             self._maybe_activate(ledger)
             or self._maybe_stage(ledger)
-            or self._maybe_endpoints()
+            or self._endpoints.next_change()
             or self._maybe_heartbeat(ledger)
         )
         if message is not None:
@@ -123,8 +119,9 @@
             self._stage_sent_at + self._settings.stage_timeout_seconds,
             self._stage_ready_at(),
         ]
-        if self._has_endpoint_change():
-            times.append(self._endpoints_ready_at())
+        endpoints_at = self._endpoints.next_due()
+        if endpoints_at is not None:
+            times.append(endpoints_at)
         if self.is_waiting_to_start:
             times.append(now + START_POLL_SECONDS)
         return min([heartbeat_at, *(time for time in times if time > now)])
@@ -190,37 +187,6 @@
     def _stage_ready_at(self) -> float:
         return self._stage_sent_at + self._settings.coalescing_seconds
 
-    def _maybe_endpoints(self) -> EndpointChange | None:
-        if not self._has_endpoint_change():
-            return None
-        now = self._clock.monotonic()
-        if now < self._endpoints_ready_at():
-            return None
-        change = self._endpoints.changes_since(
-            self._endpoints_source,
-            self._endpoints_version,
-        )
-        self._endpoints_source = change.source
-        self._endpoints_version = change.version
-        self._endpoints_sent_at = now
-        return change
-
-    def _has_endpoint_change(self) -> bool:
-        return (
-            self._endpoints_source != self._endpoints.source
-            or self._endpoints_version != self._endpoints.version
-        )
-
-    def _endpoints_ready_at(self) -> float:
-        is_urgent = (
-            self._endpoints_source != self._endpoints.source
-            or self._endpoints_version < self._endpoints.urgent_version
-        )
-        window = self._settings.coalescing_seconds
-        if not is_urgent:
-            window = max(window, self._settings.load_seconds)
-        return self._endpoints_sent_at + window
-
     def _maybe_heartbeat(self, ledger: LedgerView) -> ControlHeartbeat | None:
         now = self._clock.monotonic()
         is_idle = now >= self._sent_at + self._settings.heartbeat_seconds
--- a/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from enum import Enum, auto
 from typing import TYPE_CHECKING, Final
 
+from rhubarbhollow_distribution.change_reason import ChangeReason
+from rhubarbhollow_distribution.source_attempt import Attempt
+from rhubarbhollow_distribution.source_candidate import (
+    MAX_DOUBLINGS,
+    SourceCandidate,
+)
+from rhubarbhollow_distribution.source_view import SourceView
+
 if TYPE_CHECKING:
     import random
+    from collections.abc import Iterable
 
     from rhubarbhollow_distribution.control_address import ControlAddress
     from rhubarbhollow_distribution.control_heartbeat import ControlHeartbeat
@@ -18,49 +25,7 @@
 SILENCE_SECONDS: Final = 3.0
 NOT_FRESH_SECONDS: Final = 2.0
 BEHIND_SECONDS: Final = 1.0
-SUSPECT_SECONDS: Final = 30.0
-SUSPECT_CAP_SECONDS: Final = 300.0
 RETURN_SECONDS: Final = 60.0
-TRIES_PER_TURN: Final = 2
-
-
-class ChangeReason(Enum):
-    """Say why the node tries another control instance."""
-
-    DISCONNECTED = auto()
-    SILENT = auto()
-    NOT_FRESH = auto()
-    BEHIND = auto()
-    PREFERS_LOCAL = auto()
-
-
-@dataclass(frozen=True, slots=True)
-class Attempt:
-    """Connect to ``address`` after ``delay_seconds``."""
-
-    address: ControlAddress
-    delay_seconds: float
-    reason: ChangeReason
-
-
-@dataclass(frozen=True, slots=True)
-class SourceView:
-    """Explain the choice of the source to an operator."""
-
-    current: str
-    dissatisfaction: str
-    failed_attempts: int
-    suspects: tuple[str, ...]
-
-
-@dataclass(slots=True)
-class _Candidate:
-    address: ControlAddress
-    rank: float
-    failures: int = 0
-    not_before: float = 0.0
-    suspicions: int = 0
-    suspect_until: float = 0.0
 
 
 class SourceChooser:
@@ -89,13 +54,13 @@
         self._silence_seconds = silence_seconds
         # Nodes of one data centre spread over its instances by chance.
         self._candidates = {
-            address.name: _Candidate(
+            address.name: SourceCandidate(
                 address,
                 random.random() + (address.data_centre != local_data_centre),
             )
             for address in controls
         }
-        self._current: _Candidate | None = None
+        self._current: SourceCandidate | None = None
         self._failures = 0
         self._heard_at = 0.0
         self._connected_at = 0.0
@@ -123,12 +88,8 @@
         (full jitter), so that herds spread out.
         """
         now = self._clock.monotonic()
-        chosen = min(self._candidates.values(), key=self._preference)
-        limit = min(
-            BACKOFF_CAP_SECONDS,
-            BACKOFF_BASE_SECONDS * 2.0 ** min(self._failures, 16),
-        )
-        delay = self._random.uniform(0.0, limit)
+        chosen = _prefer(self._candidates.values(), now)
+        delay = self._draw_delay(self._failures)
         delay = max(delay, chosen.not_before - now)
         return Attempt(chosen.address, delay, ChangeReason.DISCONNECTED)
 
@@ -151,8 +112,8 @@
         ]
         if not others:
             return None
-        chosen = min(others, key=self._preference)
-        self._alternative_at = now + self._backoff(chosen.failures)
+        chosen = _prefer(others, now)
+        self._alternative_at = now + self._draw_delay(chosen.failures)
         return Attempt(
             chosen.address,
             self._random.uniform(0.0, BACKOFF_BASE_SECONDS),
@@ -167,8 +128,7 @@
         if left is not None and left.address != address:
             self._suspect(left, reason)
         candidate = self._candidates[address.name]
-        candidate.failures = 0
-        candidate.not_before = 0.0
+        candidate.note_welcome()
         self._current = candidate
         self._failures = 0
         self._heard_at = now
@@ -185,10 +145,9 @@
     ) -> None:
         """Note a failed attempt, or a redirect with its delay."""
         candidate = self._candidates[address.name]
-        delay = self._backoff(candidate.failures)
+        delay = self._draw_delay(candidate.failures)
         now = self._clock.monotonic()
-        candidate.not_before = now + max(delay, retry_after_seconds)
-        candidate.failures += 1
+        candidate.note_failure(now + max(delay, retry_after_seconds))
         if self._current is None:
             self._failures += 1
 
@@ -252,13 +211,13 @@
         if _has_lasted(self._behind_since, BEHIND_SECONDS, now):
             return ChangeReason.BEHIND
         is_settled = now >= self._connected_at + RETURN_SECONDS
-        if self._current.rank >= 1.0 and is_settled:
+        if not self._current.is_local and is_settled:
             return ChangeReason.PREFERS_LOCAL
         return None
 
     def _may_replace(
         self,
-        candidate: _Candidate,
+        candidate: SourceCandidate,
         reason: ChangeReason,
     ) -> bool:
         now = self._clock.monotonic()
@@ -267,38 +226,19 @@
         # A silent source is worse than any suspect.
         if reason is ChangeReason.SILENT:
             return True
-        if reason is ChangeReason.PREFERS_LOCAL and candidate.rank >= 1.0:
+        if reason is ChangeReason.PREFERS_LOCAL and not candidate.is_local:
             return False
         return candidate.suspect_until <= now
 
-    def _preference(
-        self,
-        candidate: _Candidate,
-    ) -> tuple[bool, bool, int, float]:
-        now = self._clock.monotonic()
-        is_early = candidate.not_before > now
-        return (
-            is_early,
-            candidate.suspect_until > now,
-            # A dead instance must not keep the others from their turn.
-            0 if is_early else candidate.failures // TRIES_PER_TURN,
-            candidate.not_before if is_early else candidate.rank,
-        )
-
     def _suspect(
         self,
-        left: _Candidate,
+        left: SourceCandidate,
         reason: ChangeReason | None,
     ) -> None:
         if reason in (None, ChangeReason.PREFERS_LOCAL):
             return
-        seconds = min(
-            SUSPECT_CAP_SECONDS,
-            SUSPECT_SECONDS * 2.0 ** min(left.suspicions, 16),
-        )
-        left.suspicions += 1
         jitter = self._random.uniform(1.0, 1.5)
-        left.suspect_until = self._clock.monotonic() + seconds * jitter
+        left.suspect(self._clock.monotonic(), jitter)
 
     def _forgive(self) -> None:
         current = self._current
@@ -313,9 +253,16 @@
         elif self._behind_since is None:
             self._behind_since = self._clock.monotonic()
 
-    def _backoff(self, failures: int) -> float:
-        limit = BACKOFF_BASE_SECONDS * 2.0 ** min(failures, 16)
-        return self._random.uniform(0.0, min(BACKOFF_CAP_SECONDS, limit))
+    def _draw_delay(self, failures: int) -> float:
+        doubled = BACKOFF_BASE_SECONDS * 2.0 ** min(failures, MAX_DOUBLINGS)
+        return self._random.uniform(0.0, min(BACKOFF_CAP_SECONDS, doubled))
+
+
+def _prefer(
+    candidates: Iterable[SourceCandidate],
+    now: float,
+) -> SourceCandidate:
+    return min(candidates, key=lambda candidate: candidate.preference(now))
 
 
 def _has_lasted(since: float | None, seconds: float, now: float) -> bool:
--- a/packages/distribution/tests/test_source_choice.py
+++ b/packages/distribution/tests/test_source_choice.py
@@ -5,16 +5,16 @@
 
 import pytest
 
+from rhubarbhollow_distribution.change_reason import ChangeReason
 from rhubarbhollow_distribution.control_address import ControlAddress
 from rhubarbhollow_distribution.control_heartbeat import ControlHeartbeat
+from rhubarbhollow_distribution.source_candidate import SUSPECT_CAP_SECONDS
 from rhubarbhollow_distribution.source_choice import (
     BACKOFF_CAP_SECONDS,
     BEHIND_SECONDS,
     NOT_FRESH_SECONDS,
     RETURN_SECONDS,
     SILENCE_SECONDS,
-    SUSPECT_CAP_SECONDS,
-    ChangeReason,
     SourceChooser,
 )
 from rhubarbhollow_wire.clock import ManualClock
