Add control instances beyond the voters as learners

The leader now adds each of them as a learner, in both logs, one at a time, and adds a voter again that was replaced while it was away.

A test over processes starts three voters and a learner, kills one voter for longer than repair_after_seconds, sees the learner get its vote, kills a second voter, submits through the learner, and brings the first voter back as a learner. It fails without the keeper: the learner stays at position 0.

--- a/packages/daemon/src/rhubarbhollow_daemon/process.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/process.py
@@ -26,6 +26,8 @@
     serve_admin,
 )
 from rhubarbhollow_daemon.leader_relay import LeaderRelay
+from rhubarbhollow_daemon.log_group import LogGroup
+from rhubarbhollow_daemon.membership_keeper import MembershipKeeper
 from rhubarbhollow_daemon.metrics import Metrics
 from rhubarbhollow_daemon.node_building import build_node
 from rhubarbhollow_daemon.node_handlers import NodeHandlers
@@ -174,6 +176,13 @@
         group.start_soon(parts.replica.run)
         group.start_soon(parts.links.run)
         group.start_soon(parts.claims.replica.run)
+        for log_group, replica in (
+            (LogGroup.RELEASES, parts.replica),
+            (LogGroup.CLAIMS, parts.claims.replica),
+        ):
+            names = (control.name for control in self._settings.controls)
+            keeper = MembershipKeeper(log_group, names, replica)
+            group.start_soon(keeper.run)
         group.start_soon(parts.claims.links.run)
         group.start_soon(parts.claims.desk.expire)
         group.start_soon(instance.run)
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -22,7 +22,7 @@
 class Fleet:
     """Three control instances and a node in each data centre."""
 
-    def __init__(self, folder, *, nodes=1, has_relays=False):
+    def __init__(self, folder, *, nodes=1, has_relays=False, learners=0):
         self.operator = Operator()
         self.mesh = RelayedMesh(
             MESH,
@@ -38,6 +38,7 @@
                 "election_timeout_ms": 500,
                 "heartbeat_ms": 80,
                 "staging_deadline_ms": 1000,
+                "repair_after_seconds": 2,
             },
         )
         for data_centre in DATA_CENTRES:
@@ -45,6 +46,13 @@
         for data_centre in DATA_CENTRES:
             for number in range(nodes):
                 self.mesh.add(f"{data_centre}-{number}", data_centre)
+        for number in range(learners):
+            self.mesh.add(
+                f"learner-{number}",
+                DATA_CENTRES[number % len(DATA_CENTRES)],
+                is_control=True,
+                is_voter=False,
+            )
         if has_relays:
             self.mesh.add_relays()
 
--- a/tests/processes/test_releases.py
+++ b/tests/processes/test_releases.py
@@ -141,3 +141,33 @@
         fleet.mesh.heal()
         fleet.wait_position(2)
         fleet.assert_no_node_went_back()
+
+
+def test_a_learner_takes_the_place_of_a_voter_that_stays_away(tmp_path):
+    with Fleet(tmp_path, learners=1) as fleet:
+        fleet.submit(1)
+        learner = fleet["learner-0"]
+        fleet.wait_position(1, [learner])
+        first, second = (
+            one
+            for one in fleet.controls
+            if one.is_voter and one is not fleet.leader
+        )
+        fleet.mesh.kill(first)
+
+        def is_replaced():
+            members = (fleet.status(fleet.leader) or {}).get("members", [])
+            roles = {member["name"]: member["role"] for member in members}
+            return roles.get(learner.name) == "voter"
+
+        fleet.wait("the learner's vote", is_replaced)
+        fleet.wait(
+            "the learner to know it",
+            lambda: fleet.status(learner)["role"] == "follower",
+        )
+        fleet.mesh.kill(second)
+        assert fleet.submit(2, via=learner) == 2
+        # the one that was replaced comes back as a learner
+        fleet.mesh.start(first)
+        fleet.wait_position(2, [first])
+        fleet.assert_no_node_went_back()
--- a/tools/local_mesh.py
+++ b/tools/local_mesh.py
@@ -50,6 +50,7 @@
     ports: Ports
     is_control: bool
     folder: Path
+    is_voter: bool = True
     process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -82,12 +83,20 @@
         data_centre: str,
         *,
         is_control: bool = False,
+        is_voter: bool = True,
     ) -> Instance:
         """Plan an instance; its settings are written at its start."""
         ports = Ports(*free_ports(4))
         folder = self.folder / name
         folder.mkdir(parents=True, exist_ok=True)
-        instance = Instance(name, data_centre, ports, is_control, folder)
+        instance = Instance(
+            name,
+            data_centre,
+            ports,
+            is_control,
+            folder,
+            is_voter,
+        )
         self.instances[name] = instance
         return instance
 
@@ -194,7 +203,11 @@
             document["listen"]["control_port"] = instance.ports.control
             document["control"] = {
                 "data_folder": str(instance.folder / "data"),
-                "members": [control.name for control in self.controls],
+                "members": [
+                    control.name
+                    for control in self.controls
+                    if control.is_voter
+                ],
                 **self.control,
             }
         return document
