Keep a pause of the process out of every count of nodes

After a freeze the summary showed no live nodes until the next check of the leases, and the leader could take every release for staged.

--- a/packages/distribution/src/rhubarbhollow_distribution/node_register.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/node_register.py
@@ -110,11 +110,8 @@
     def expired(self) -> tuple[str, ...]:
         """Return the nodes whose lease has ended, for removal.
 
-        This is to be called many times within a lease.  After a pause
-        of this process the messages that arrived meanwhile are still
-        unread, so the pause does not count against any lease.
+        This is to be called many times within a lease.
         """
-        self._forgive_pause()
         live = {entry.node for entry in self._live()}
         return tuple(node for node in self._entries if node not in live)
 
@@ -143,6 +140,8 @@
         )
 
     def _forgive_pause(self) -> None:
+        # Messages that arrived while this process did not run are still
+        # unread, so the pause does not count against any lease.
         now = self._clock.monotonic()
         pause_seconds = now - self._checked_at
         self._checked_at = now
@@ -154,6 +153,7 @@
         }
 
     def _live(self) -> Iterable[NodeEntry]:
+        self._forgive_pause()
         oldest = self._clock.monotonic() - self._lease_seconds
         return (
             entry
--- a/packages/distribution/tests/test_node_register.py
+++ b/packages/distribution/tests/test_node_register.py
@@ -81,6 +81,9 @@
     register = register_of(clock)
     register.admit(hello_at("a", 3))
     clock.advance(60)
+    # A summary without nodes would let the leader activate too early.
+    assert register.summary().live_nodes == 1
+    clock.advance(60)
     assert register.expired() == ()
     advance(clock, register, LEASE + 0.5)
     assert register.expired() == ("a",)
