--- a/packages/distribution/tests/endpoint_fakes.py
+++ b/packages/distribution/tests/endpoint_fakes.py
@@ -1,14 +1,26 @@
-"""Short ways to write endpoint records."""
+"""Short ways to write endpoint records and announcements."""
 
 from __future__ import annotations
 
 from dataclasses import replace
 
+from rhubarbhollow_distribution.announcement import read_announcement
 from rhubarbhollow_distribution.endpoint_record import (
     EndpointRecord,
     EndpointState,
 )
 
+DOCUMENT = {
+    "name": "desk-1",
+    "service": "counter-desk",
+    "host": "127.0.0.1",
+    "port": 9000,
+    "slots": 9,
+    "connections": 120,
+    "lease_seconds": 3,
+}
+DESK = read_announcement(DOCUMENT).unwrap()
+
 
 def record(name="a", *, node="node", incarnation=1, sequence=1):
     return EndpointRecord(
--- a/packages/distribution/tests/test_announcement.py
+++ b/packages/distribution/tests/test_announcement.py
@@ -5,7 +5,7 @@
 from itertools import pairwise
 
 import pytest
-from endpoint_fakes import states
+from endpoint_fakes import DESK, DOCUMENT, states
 
 from rhubarbhollow_distribution.announcement import (
     Announcement,
@@ -22,17 +22,6 @@
 from rhubarbhollow_distribution.endpoint_store import TOMBSTONE_SECONDS
 from rhubarbhollow_wire.clock import ManualClock
 
-DOCUMENT = {
-    "name": "desk-1",
-    "service": "counter-desk",
-    "host": "127.0.0.1",
-    "port": 9000,
-    "slots": 9,
-    "connections": 120,
-    "lease_seconds": 3,
-}
-DESK = read_announcement(DOCUMENT).unwrap()
-
 
 def test_announcement_is_read_with_defaults():
     assert (
--- a/packages/distribution/tests/test_differential.py
+++ b/packages/distribution/tests/test_differential.py
@@ -7,10 +7,10 @@
 from dataclasses import replace
 
 import pytest
+from endpoint_fakes import DESK
 from naive_distribution import NaiveSource, bytes_of
 from small_mesh import Mesh
 from small_releases import hello_of, resources_at, stage_at
-from test_announcement import DESK
 
 from rhubarbhollow_distribution.feed_settings import FeedSettings
 from rhubarbhollow_distribution.welcome import Welcome
--- a/packages/distribution/tests/test_feed.py
+++ b/packages/distribution/tests/test_feed.py
@@ -2,7 +2,7 @@
 
 import pytest
 from endpoint_fakes import load, record
-from scripts import cases, play
+from script_cases import cases, play
 from small_releases import (
     QUICK,
     Releases,
--- a/packages/distribution/tests/test_mesh_machine.py
+++ b/packages/distribution/tests/test_mesh_machine.py
@@ -6,12 +6,12 @@
 from dataclasses import replace
 
 import pytest
+from endpoint_fakes import DESK
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from small_mesh import Mesh
 from small_releases import resources_at
-from test_announcement import DESK
 
 CONTROLS = (("i1", "ilala"), ("i2", "ilala"), ("t1", "temeke"))
 NODES = (("a", "ilala"), ("b", "ilala"), ("c", "temeke"))
--- a/packages/distribution/tests/test_restart.py
+++ b/packages/distribution/tests/test_restart.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from scripts import cases, play
+from script_cases import cases, play
 from small_mesh import Mesh
 
 
