Tell the runs of a follower apart in its answers

A follower that restarts forgets which rounds it has answered. A request from before the restart, delivered late, then seemed to echo an answer of now, and the follower claimed to be fresh. Answers now carry a number drawn at the start above the round, which the leader returns. Weighed: a field of its own, which needs a change of the wire format; waiting after a restart, which needs a bound on delays.

--- a/packages/replication/src/rhubarbhollow_replication/append.py
+++ b/packages/replication/src/rhubarbhollow_replication/append.py
@@ -37,6 +37,7 @@
 
     On success ``match_index`` is the last index known to equal the
     leader's; on refusal it is the index after which to retry.
+    ``round`` carries the follower's tag, see ``round_tag``.
     """
 
     term: int
--- a/packages/replication/src/rhubarbhollow_replication/chunk.py
+++ b/packages/replication/src/rhubarbhollow_replication/chunk.py
@@ -22,7 +22,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotReply:
-    """Ask for the bytes from ``offset`` on."""
+    """Ask for the bytes from ``offset`` on.
+
+    ``round`` carries the follower's tag, see ``round_tag``.
+    """
 
     term: int
     follower: str
--- a/packages/replication/src/rhubarbhollow_replication/core.py
+++ b/packages/replication/src/rhubarbhollow_replication/core.py
@@ -28,6 +28,7 @@
 from rhubarbhollow_replication.outbox import Outbox
 from rhubarbhollow_replication.plan import plan_request
 from rhubarbhollow_replication.role import Role
+from rhubarbhollow_replication.round_tag import draw_tag
 from rhubarbhollow_replication.snapshot import Snapshot
 from rhubarbhollow_replication.snapshot_receiver import MAX_SNAPSHOT_BYTES
 from rhubarbhollow_replication.tally import Tally
@@ -86,7 +87,12 @@
             settings, self._store_id, recovered.vote, self._journal
         )
         self._follower = Follower(
-            settings, self._store_id, self._journal, self._outbox, now
+            settings,
+            self._store_id,
+            self._journal,
+            self._outbox,
+            draw_tag(random),
+            now,
         )
         self._leadership: Leadership | None = None
         self._tally: Tally | None = None
--- a/packages/replication/src/rhubarbhollow_replication/follower.py
+++ b/packages/replication/src/rhubarbhollow_replication/follower.py
@@ -7,6 +7,7 @@
 from rhubarbhollow_replication.append import AppendReply, AppendRequest
 from rhubarbhollow_replication.chunk import SnapshotChunk, SnapshotReply
 from rhubarbhollow_replication.freshness import Freshness
+from rhubarbhollow_replication.round_tag import tag_round
 from rhubarbhollow_replication.snapshot_receiver import SnapshotReceiver
 
 if TYPE_CHECKING:
@@ -28,12 +29,14 @@
         store_id: str,
         journal: Journal,
         outbox: Outbox,
+        tag: int,
         now: float,
     ) -> None:
         self._settings = settings
         self._store_id = store_id
         self._journal = journal
         self._outbox = outbox
+        self._tag = tag
         self._receiver = SnapshotReceiver()
         # A replica that restarts may have answered a leader just before
         # and so waits as if it had: the leader's lease may still run.
@@ -48,7 +51,8 @@
     def note_leader(self, term: int, round_number: int, now: float) -> None:
         """Note that the leader of ``term`` was heard."""
         self._heard_at = now
-        self._freshness.note_reply(term, round_number, now)
+        tagged = tag_round(round_number, self._tag)
+        self._freshness.note_reply(term, tagged, now)
 
     def may_owe_lease(self, now: float) -> bool:
         """Whether a leader's lease may rest on this replica."""
@@ -81,7 +85,7 @@
             follower=self._settings.name,
             is_success=False,
             match_index=hint,
-            round=request.round,
+            round=tag_round(request.round, self._tag),
             store_id=self._store_id,
         )
         self._outbox.add(request.leader, reply)
@@ -108,7 +112,7 @@
             follower=self._settings.name,
             is_success=True,
             match_index=match_index,
-            round=request.round,
+            round=tag_round(request.round, self._tag),
             store_id=self._store_id,
         )
         self._outbox.add(request.leader, reply)
@@ -119,7 +123,7 @@
             follower=self._settings.name,
             last_index=chunk.last_index,
             offset=self._receiver.offset,
-            round=chunk.round,
+            round=tag_round(chunk.round, self._tag),
             store_id=self._store_id,
         )
         self._outbox.add(chunk.leader, reply)
--- a/packages/replication/src/rhubarbhollow_replication/leadership.py
+++ b/packages/replication/src/rhubarbhollow_replication/leadership.py
@@ -12,6 +12,7 @@
 from rhubarbhollow_replication.membership_view import MembershipView
 from rhubarbhollow_replication.plan import plan_repair
 from rhubarbhollow_replication.progress import Progress, SnapshotTransfer
+from rhubarbhollow_replication.round_tag import untag_round
 
 if TYPE_CHECKING:
     from rhubarbhollow_replication.journal import Journal
@@ -108,7 +109,7 @@
         self._has_news = False
         self._heartbeat_at = now + self._settings.heartbeat_seconds
         for name, peer in self._peers.items():
-            peer.echoed_round = peer.acked_round
+            peer.echoed_round = peer.answered_round
             self._send_round(name, peer, now)
         self._confirm_rounds()
         return number
@@ -197,14 +198,14 @@
         }
 
     def _hear(
-        self, name: str, store_id: str, round_number: int, now: float
+        self, name: str, store_id: str, tagged_round: int, now: float
     ) -> Progress | None:
         peer = self._peers.get(name)
-        if peer is None or round_number > self._lease.round:
+        if peer is None or untag_round(tagged_round) > self._lease.round:
             return None
         peer.note_store(store_id, self._journal.log.last_index)
         peer.heard_at = now
-        peer.acked_round = max(peer.acked_round, round_number)
+        peer.note_answer(tagged_round)
         return peer
 
     def _voting_values(
--- a/packages/replication/src/rhubarbhollow_replication/progress.py
+++ b/packages/replication/src/rhubarbhollow_replication/progress.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from rhubarbhollow_replication.round_tag import untag_round
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -37,19 +39,25 @@
 
     ``match_index`` is durable at the peer, ``next_index`` the next to
     send and ``store_id`` the store that the peer last answered from.
-    ``echoed_round`` is what ``acked_round`` was when the current round
-    began, so that the peer can tell how late that was.
+    ``answered_round`` is the round of its latest answer with the
+    peer's tag, and ``echoed_round`` what that was when the current
+    round began, so that the peer can tell how late that was.
     """
 
     next_index: int
     heard_at: float
     match_index: int = 0
-    acked_round: int = 0
+    answered_round: int = 0
     echoed_round: int = 0
     store_id: str = ""
     transfer: SnapshotTransfer | None = None
     in_flight: deque[SentBatch] = field(default_factory=deque)
 
+    @property
+    def acked_round(self) -> int:
+        """The latest round that the peer has answered."""
+        return untag_round(self.answered_round)
+
     @property
     def in_flight_bytes(self) -> int:
         """The payload bytes sent and not yet known to be durable."""
@@ -61,12 +69,17 @@
             return
         self.store_id = store_id
         self.match_index = 0
-        self.acked_round = 0
+        self.answered_round = 0
         self.echoed_round = 0
         self.next_index = last_index + 1
         self.transfer = None
         self.in_flight.clear()
 
+    def note_answer(self, tagged_round: int) -> None:
+        """Keep the answer to the latest round."""
+        if untag_round(tagged_round) > self.acked_round:
+            self.answered_round = tagged_round
+
     def note_sent(self, entries: Iterable[Entry]) -> None:
         """Expect the peer to take a batch, and go on after it."""
         size = 0
--- a/packages/replication/tests/test_core.py
+++ b/packages/replication/tests/test_core.py
@@ -49,12 +49,14 @@
     snapshot=None,
     store_id=None,
     now=0.0,
+    random=None,
     **options,
 ):
     recovered = Recovered(
         store_id or f"{name}1", VoteState(term), snapshot, tuple(entries)
     )
-    return Core(settings_of(name, **options), recovered, Random(name), now)
+    random = random or Random(name)
+    return Core(settings_of(name, **options), recovered, random, now)
 
 
 def log_of(*terms):
@@ -87,6 +89,7 @@
 def answers(core, now):
     effects = core.take_effects(now)
     core.handle_synced()
+    core.take_committed()
     return [send.message for send in (*effects.early, *effects.late)]
 
 
@@ -354,6 +357,25 @@
         answers(leader, 5.1)
 
 
+def test_messages_from_before_a_restart_prove_nothing_after_it():
+    entries = log_of(1)
+    before = core_with("a", term=1, entries=entries)
+    requests = []
+    acked_round = 0
+    for number in (1, 2, 3):
+        rest = (1, number, acked_round, number - 1, "b1")
+        requests.append(AppendRequest(1, "b", 1, 1, (), *rest))
+        before.handle(requests[-1], number * 0.1)
+        acked_round = answers(before, 0.0)[0].round
+    assert before.confirmed_at == pytest.approx(0.1)
+    after = core_with("a", term=1, entries=entries, random=Random(9))
+    for request in requests:
+        after.handle(request, 9.0)
+        answers(after, 9.0)
+    assert after.commit_index == 1
+    assert after.confirmed_at is None
+
+
 def test_a_read_needs_a_round_begun_after_it():
     leader = leader_of_term_4()
     assert leader.begin_read() == Err(NotLeader(None))
