Give back a slot whose call was cancelled at another's grant

When slots were added, a call that got one could cancel the next in line, whose grant then failed with a KeyError and kept the slot. The grant of a call that waits no more is released now; the test failed before.

--- a/packages/calls/src/rhubarbhollow_calls/io_local_port.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_port.py
@@ -163,9 +163,14 @@
             self._publish(report)
 
     def _grant(self, ticket: Ticket) -> None:
+        user = self._waiting.pop(ticket.call_id, None)
+        if user is None:
+            # cancelled by a call that was granted a slot just before
+            self.release_slot()
+            return
         # A user that fails at once releases its slot from within, so
         # the next is granted by the loop and not by recursion.
-        self._granted.append(self._waiting.pop(ticket.call_id))
+        self._granted.append(user)
         if self._is_granting:
             return
         self._is_granting = True
--- a/tests/standin/scripted_upstream.py
+++ b/tests/standin/scripted_upstream.py
@@ -32,8 +32,9 @@
 class ScriptedUpstream:
     """Serve on a loopback port and keep every request that was read."""
 
-    def __init__(self, script: Script) -> None:
+    def __init__(self, script: Script, *, reads_body: bool = True) -> None:
         self._script = script
+        self._reads_body = reads_body
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self.requests: list[Request] = []
@@ -65,7 +66,7 @@
         await self._note(opened=1)
         try:
             while True:
-                request = await _read_request(reader)
+                request = await _read_request(reader, self._reads_body)
                 self.requests.append(request)
                 await self._note()
                 await self._script(request, writer)
@@ -84,7 +85,9 @@
             self.changed.notify_all()
 
 
-async def _read_request(reader: asyncio.StreamReader) -> Request:
+async def _read_request(
+    reader: asyncio.StreamReader, reads_body: bool
+) -> Request:
     raw = await reader.readuntil(b"\r\n\r\n")
     first, *lines = raw.decode("latin-1").rstrip().split("\r\n")
     method, target, _ = first.split()
@@ -93,6 +96,8 @@
         for name, _, value in (line.partition(":") for line in lines)
     }
     body = b""
+    if not reads_body:
+        return Request(method, target, headers, body, raw)
     if "content-length" in headers:
         body = await reader.readexactly(int(headers["content-length"]))
     elif "transfer-encoding" in headers:
