Cover the bounds of claims and the fading of failures

Removed: a second slow start when an endpoint of the same incarnation comes with another time of joining. Nothing tested or needed it; the time is when this node first heard of the incarnation.

--- a/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
@@ -86,8 +86,6 @@
     def replace(self, endpoint: Endpoint) -> None:
         """Take the endpoint's newer description."""
         is_new = endpoint.incarnation != self.endpoint.incarnation
-        if not is_new and endpoint.joined_at != self.endpoint.joined_at:
-            self.slow_start_at = max(self.slow_start_at, endpoint.joined_at)
         self.endpoint = endpoint
         if is_new:
             self.stale_in_flight = self.in_flight
--- a/packages/calls/tests/test_claim_ledger.py
+++ b/packages/calls/tests/test_claim_ledger.py
@@ -64,6 +64,8 @@
 SECOND = replace(FIRST, owner_node="n2", attempt_id=9)
 ANSWER = StoreAnswer(b"k", 1, 201, HEADERS, b"done")
 STORED = StoredAnswer(201, HEADERS, b"done")
+LARGEST = replace(ANSWER, headers=(), body=b"x" * MAX_ANSWER_BYTES)
+KEPT = Answered(StoredAnswer(201, (), LARGEST.body))
 # a claim is still kept when the ledger's time is this much later
 STEPS = RETENTION_MS // MAX_STEP_MS
 
@@ -125,6 +127,15 @@
             (replace(ANSWER, body=b"x" * (MAX_ANSWER_BYTES + 1)), Recorded()),
             (SECOND, Answered(StoredAnswer(201, (), None))),
         ],
+        [(FIRST, Claimed(1)), (LARGEST, Recorded()), (SECOND, KEPT)],
+        # an answer goes with its claim, and its bytes with it
+        [
+            (FIRST, Claimed(1)),
+            (ANSWER, Recorded()),
+            *[(ExpireClaims(10**15), Expired(0))] * STEPS,
+            (ExpireClaims(10**15), Expired(1)),
+            (SECOND, Claimed(2)),
+        ],
         # a leader with a clock far ahead expires nothing at once
         [
             (FIRST, Claimed(1)),
@@ -158,7 +169,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(claim_ledger, "MAX_CLAIMS", 2)
-    monkeypatch.setattr(claim_ledger, "MAX_STORED_BYTES", 10)
+    monkeypatch.setattr(claim_ledger, "MAX_STORED_BYTES", 8)
     ledger = ClaimLedger()
     keys = [replace(FIRST, key=b"%d" % index) for index in range(3)]
     outcomes = [ledger.apply(key) for key in keys]
--- a/packages/calls/tests/test_upstream_book.py
+++ b/packages/calls/tests/test_upstream_book.py
@@ -112,6 +112,8 @@
     for name in ("a1", "a2"):
         bench.end(name, ANSWERED)
     bench.book.report_load("a1", 0.9)
+    # one report alone breaks no tie
+    assert set(bench.picks()) == {"a1", "a2"}
     bench.book.report_load("a2", 0.1)
     bench.book.report_load("gone", 0.1)
     assert set(bench.picks()) == {"a2"}
@@ -171,6 +173,21 @@
     assert bench.picks(900)["a3"] < 150
 
 
+def test_failures_and_slow_cuts_count_and_fade() -> None:
+    bench = Bench(endpoint("a1"), endpoint("a2"))
+    for name in ("a1", "a2"):
+        bench.end(name, ANSWERED)
+    bench.end("a2", CallResult.UPSTREAM_ERROR, 2)
+    assert set(bench.picks()) == {"a1"}
+    bench.clock.advance(1000)
+    assert set(bench.picks()) == {"a1", "a2"}
+    for name in ("a1", "a2"):
+        bench.end(name, ANSWERED, 20)
+    bench.book.started("a2")
+    bench.book.finished("a2", CallResult.CANCELLED, 0.5)
+    assert set(bench.picks()) == {"a1"}
+
+
 def test_newcomer_ramps_up() -> None:
     bench = Bench(endpoint("a1"), endpoint("a2"))
     bench.use(endpoint("a1"), endpoint("a2"), endpoint("a3", joined_at=0.0))
