Measure convergence and control cost over the size of a fleet

Times are taken from the nodes' own log lines and not by asking, since asking 100 nodes in a loop would load the machine that is measured. What full state to all would cost is computed and named so.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Run benchmarks: ``python -m bench [call-path]``."""
+"""Run benchmarks: ``python -m bench [call-path|distribution]``."""
 
 from __future__ import annotations
 
@@ -8,6 +8,8 @@
 import uvloop
 
 from bench.call_path import compare_ways
+from bench.distribution import measure_size
+from bench.distribution_figures import print_size, print_slopes
 from bench.report import print_rows
 
 
@@ -41,5 +43,30 @@
     print_rows(rows)
 
 
+@main.command()
+@click.option("--nodes", default="10,30,100", help="Sizes, by commas.")
+@click.option("--coalescing-ms", default=5)
+@click.option("--heartbeat-ms", default=500)
+@click.option("--lease-ms", default=2000)
+def distribution(
+    nodes: str,
+    coalescing_ms: int,
+    heartbeat_ms: int,
+    lease_ms: int,
+) -> None:
+    """Measure convergence time and control cost over processes."""
+    settings = {
+        "coalescing_ms": coalescing_ms,
+        "heartbeat_ms": heartbeat_ms,
+        "lease_ms": lease_ms,
+    }
+    sizes = {}
+    for node_count in map(int, nodes.split(",")):
+        sizes[node_count] = measure_size(node_count, settings)
+        print_size(node_count, sizes[node_count])
+    if len(sizes) > 1:
+        print_slopes(sizes)
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/bench/distribution.py
@@ -0,0 +1,304 @@
+"""Convergence time and control cost over the size of a fleet."""
+
+from __future__ import annotations
+
+import tempfile
+import time
+from pathlib import Path
+from statistics import mean
+from typing import TYPE_CHECKING, Final
+
+from tools.local_mesh import MeshFailureError
+
+from bench.distribution_figures import Figure, percentile
+from bench.fleet import LIMIT_SECONDS, MeasuredFleet
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from tools.local_mesh import Instance
+
+    from bench.fleet_usage import FleetUsage, UsageWindow
+
+SETTLE_SECONDS: Final = 3.0
+REST_SECONDS: Final = 8.0
+CHANGES: Final = 40
+CHANGE_PERIOD_SECONDS: Final = 0.25
+CHURN_EVENTS: Final = 80
+CHURN_PERIOD_SECONDS: Final = 0.1
+CHURN_MARKERS: Final = 5
+HERD_SHARE: Final = 3
+OUTAGE_SECONDS: Final = 4.0
+RETRY_SECONDS: Final = 0.1
+UNANSWERED_SUBMISSIONS: Final = 300
+
+
+class DistributionRun:
+    """Measure one size of fleet, one phase after the other."""
+
+    def __init__(self, fleet: MeasuredFleet) -> None:
+        self._fleet = fleet
+        self._position = 0
+        self._node_rest = 0.0
+        self._leader: list[Instance] = []
+        self._followers: list[Instance] = []
+
+    def measure(self) -> Iterator[Figure]:
+        """Run every phase and return its figures."""
+        yield from self._begin()
+        yield from self._measure_rest()
+        yield from self._measure_changes()
+        yield from self._measure_churn()
+        yield from self._measure_herd()
+        yield from self._measure_outage()
+        self._fleet.check_never_back()
+
+    def _begin(self) -> Iterator[Figure]:
+        fleet = self._fleet
+        fleet.start()
+        empty = fleet.usage()
+        for role, instances in (
+            ("node", fleet.nodes),
+            ("control instance", fleet.controls),
+        ):
+            window = empty.until(empty, instances)
+            yield Figure(
+                f"no release: resident MB of a {role}",
+                window.resident_megabytes,
+            )
+        self._position, since, _ = fleet.submit_next()
+        fleet.wait_in_force(self._position, since)
+        fleet.wait_upstreams(len(fleet.nodes))
+        leader = fleet.leader
+        if leader is None:
+            raise MeshFailureError("the leader was lost at the start")
+        self._leader = [leader]
+        self._followers = [one for one in fleet.controls if one is not leader]
+        time.sleep(SETTLE_SECONDS)
+
+    def _measure_rest(self) -> Iterator[Figure]:
+        unread = self._fleet.resident_megabytes()
+        yield Figure("rest: node resident MB, no metrics read", unread)
+        before = self._fleet.usage()
+        yield Figure(
+            "rest: node processor ms, one reading of the metrics",
+            mean(
+                one.processor_seconds_after_request - one.processor_seconds
+                for one in (
+                    before.usages[node.name] for node in self._fleet.nodes
+                )
+            )
+            * 1e3,
+        )
+        time.sleep(REST_SECONDS)
+        after = self._fleet.usage()
+        nodes = before.until(after, self._fleet.nodes)
+        self._node_rest = nodes.control_bytes("node") / nodes.seconds
+        yield Figure("rest: node control bytes/s", self._node_rest)
+        yield from _show_process("rest: node", nodes)
+        for role, instances in self._roles():
+            window = before.until(after, instances)
+            yield from _show_process(f"rest: {role}", window)
+            yield from _show_control_bytes(f"rest: {role}", window)
+
+    def _measure_changes(self) -> Iterator[Figure]:
+        fleet = self._fleet
+        accepted: list[float] = []
+        in_force: list[float] = []
+        each_node: list[float] = []
+        before = fleet.usage()
+        for _ in range(CHANGES):
+            due = time.monotonic() + CHANGE_PERIOD_SECONDS
+            self._position, since, answered = fleet.submit_next()
+            times = fleet.wait_in_force(self._position, since)
+            accepted.append((answered - since) * 1e3)
+            in_force.append((max(times) - since) * 1e3)
+            each_node.extend((at - since) * 1e3 for at in times)
+            time.sleep(max(0.0, due - time.monotonic()))
+        after = fleet.usage()
+        full_state_bytes = fleet.legal.last_compressed_bytes
+        yield from _show_times("change: accepted, ms", accepted)
+        yield from _show_times("change: in force on a node, ms", each_node)
+        yield from _show_times("change: in force on all, ms", in_force)
+        yield from self._show_changes(before, after)
+        yield Figure(
+            "change: full state to all, bytes, computed",
+            float(full_state_bytes * len(fleet.nodes)),
+        )
+        yield Figure(
+            "change: bytes to all, measured",
+            (self._node_bytes_beyond_rest(before, after) / CHANGES)
+            * len(fleet.nodes),
+        )
+
+    def _show_changes(
+        self,
+        before: FleetUsage,
+        after: FleetUsage,
+    ) -> Iterator[Figure]:
+        spent = self._node_bytes_beyond_rest(before, after)
+        nodes = before.until(after, self._fleet.nodes)
+        yield Figure("change: node control bytes", spent / CHANGES)
+        yield Figure(
+            "change: node processor ms, rest included",
+            nodes.processor_seconds / CHANGES * 1e3,
+        )
+        yield from _show_process("changes: node", nodes)
+        for role, instances in self._roles():
+            window = before.until(after, instances)
+            yield from _show_process(f"changes: {role}", window)
+            yield from _show_control_bytes(f"changes: {role}", window)
+
+    def _measure_churn(self) -> Iterator[Figure]:
+        fleet = self._fleet
+        before = fleet.usage()
+        for number in range(CHURN_EVENTS // 2):
+            node = fleet.nodes[number % len(fleet.nodes)]
+            for change in (fleet.withdraw, fleet.announce):
+                due = time.monotonic() + CHURN_PERIOD_SECONDS
+                change(node)
+                time.sleep(max(0.0, due - time.monotonic()))
+        fleet.wait_upstreams(len(fleet.nodes))
+        after = fleet.usage()
+        spent = self._node_bytes_beyond_rest(before, after)
+        yield Figure(
+            "churn: node control bytes an event", spent / CHURN_EVENTS
+        )
+        window = before.until(after, fleet.nodes)
+        yield Figure(
+            "churn: processor share of a node, %",
+            window.processor_seconds / window.seconds * 100,
+        )
+        yield from _show_times("churn: known by all, ms", self._time_markers())
+
+    def _time_markers(self) -> list[float]:
+        fleet = self._fleet
+        times: list[float] = []
+        for number in range(CHURN_MARKERS):
+            node = fleet.nodes[number]
+            started = time.monotonic()
+            fleet.withdraw(node)
+            fleet.wait_upstreams(len(fleet.nodes) - 1)
+            times.append((time.monotonic() - started) * 1e3)
+            fleet.announce(node)
+            fleet.wait_upstreams(len(fleet.nodes))
+        return times
+
+    def _measure_herd(self) -> Iterator[Figure]:
+        fleet = self._fleet
+        herd = fleet.nodes[::HERD_SHARE]
+        others = [node for node in fleet.nodes if node not in herd]
+        before = fleet.usage()
+        for node in herd:
+            fleet.mesh.kill(node)
+        since = time.time()
+        for node in herd:
+            fleet.mesh.start(node)
+        begun = fleet.wait_event("process_started", herd, since)
+        times = fleet.wait_in_force(self._position, since, herd)
+        for node in herd:
+            fleet.announce(node)
+        fleet.wait_upstreams(len(fleet.nodes))
+        after = fleet.usage()
+        waits = [
+            in_force - start
+            for in_force, start in zip(times, begun, strict=True)
+        ]
+        yield Figure("herd: nodes restarted", float(len(herd)))
+        yield Figure("herd: all begun, s", max(begun) - since)
+        yield Figure("herd: begun to in force, mean, s", mean(waits))
+        yield Figure("herd: begun to in force, max, s", max(waits))
+        yield Figure("herd: all at the position, s", max(times) - since)
+        yield Figure(
+            "herd: control bytes of a restarted node",
+            mean(
+                float(after.usages[node.name].control_bytes["node"])
+                for node in herd
+            ),
+        )
+        window = before.until(after, others)
+        yield Figure(
+            "herd: control bytes of another node",
+            window.control_bytes("node") - self._node_rest * window.seconds,
+        )
+
+    def _measure_outage(self) -> Iterator[Figure]:
+        fleet = self._fleet
+        before = fleet.usage()
+        for control in fleet.controls:
+            fleet.mesh.kill(control)
+        time.sleep(OUTAGE_SECONDS)
+        since = time.time()
+        for control in fleet.controls:
+            fleet.mesh.start(control)
+        connected = fleet.wait_event("source_connected", fleet.nodes, since)
+        position = self._submit_after_outage()
+        times = fleet.wait_in_force(position, since)
+        fleet.wait_upstreams(len(fleet.nodes))
+        after = fleet.usage()
+        window = before.until(after, fleet.nodes)
+        yield Figure("outage: first node connected, s", min(connected) - since)
+        yield Figure("outage: all nodes connected, s", max(connected) - since)
+        yield Figure(
+            "outage: next release in force on all, s", max(times) - since
+        )
+        yield Figure(
+            "outage: control bytes of a node",
+            window.control_bytes("node") - self._node_rest * window.seconds,
+        )
+        yield Figure("end: resident MB of a node", window.resident_megabytes)
+        controls = [
+            after.usages[control.name].resident_bytes / 1e6
+            for control in fleet.controls
+        ]
+        yield Figure("end: resident MB of a control instance", mean(controls))
+
+    def _submit_after_outage(self) -> int:
+        # the same release is sent until it is accepted
+        for _ in range(UNANSWERED_SUBMISSIONS):
+            if self._fleet.leader is not None:
+                return self._fleet.submit_next()[0]
+            time.sleep(RETRY_SECONDS)
+        raise MeshFailureError(f"no leader within {LIMIT_SECONDS} s")
+
+    def _node_bytes_beyond_rest(
+        self,
+        before: FleetUsage,
+        after: FleetUsage,
+    ) -> float:
+        window = before.until(after, self._fleet.nodes)
+        spent = window.control_bytes("node")
+        return spent - self._node_rest * window.seconds
+
+    def _roles(self) -> tuple[tuple[str, list[Instance]], ...]:
+        return (("leader", self._leader), ("follower", self._followers))
+
+
+def measure_size(
+    node_count: int,
+    distribution: dict[str, int],
+) -> list[Figure]:
+    """Start a fleet of a size, measure it, and end it."""
+    with (
+        tempfile.TemporaryDirectory(prefix="rhubarbhollow-bench-") as folder,
+        MeasuredFleet(Path(folder), node_count, distribution) as fleet,
+    ):
+        return list(DistributionRun(fleet).measure())
+
+
+def _show_process(what: str, window: UsageWindow) -> Iterator[Figure]:
+    share = window.processor_seconds / window.seconds * 100
+    yield Figure(f"{what} processor, % of a core", share)
+    yield Figure(f"{what} resident MB", window.resident_megabytes)
+
+
+def _show_control_bytes(what: str, window: UsageWindow) -> Iterator[Figure]:
+    for kind in ("served", "peer"):
+        rate = window.control_bytes(kind) / window.seconds
+        yield Figure(f"{what} {kind} bytes/s", rate)
+
+
+def _show_times(what: str, times: list[float]) -> Iterator[Figure]:
+    yield Figure(f"{what} p50", percentile(times, 0.5))
+    yield Figure(f"{what} p99", percentile(times, 0.99))
+    yield Figure(f"{what} max", max(times))
--- /dev/null
+++ b/bench/distribution_figures.py
@@ -0,0 +1,48 @@
+"""Figures of a fleet, and how they grow with its size."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from statistics import linear_regression
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+
+@dataclass(frozen=True, slots=True)
+class Figure:
+    """Hold one measured value; its name ends with the unit."""
+
+    name: str
+    value: float
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """Return the nearest-rank percentile."""
+    rank = max(1, math.ceil(share * len(values)))
+    return sorted(values)[rank - 1]
+
+
+def print_size(node_count: int, figures: Sequence[Figure]) -> None:
+    """Print the table of one size."""
+    print(f"\n{node_count} nodes, 3 control instances", flush=True)
+    for figure in figures:
+        print(f"  {figure.name:48} {figure.value:12.2f}", flush=True)
+
+
+def print_slopes(sizes: Mapping[int, Sequence[Figure]]) -> None:
+    """Print all sizes side by side, with a line fitted through them."""
+    counts = list(sizes)
+    print("\nFitted: value = base + slope * nodes")
+    heads = "".join(f"{f'N={count}':>12}" for count in counts)
+    print(f"  {'':48}{heads}{'base':>12}{'slope':>12}")
+    for row in zip(*sizes.values(), strict=True):
+        values = [figure.value for figure in row]
+        line = linear_regression(counts, values)
+        cells = "".join(f"{value:12.2f}" for value in values)
+        print(
+            f"  {row[0].name:48}{cells}"
+            f"{line.intercept:12.2f}{line.slope:12.4f}",
+        )
