Bound the connections that listeners keep, and test idle ones

Above 2,048 connections a new one serves one call and is closed. Weighed: closing it at once, which leaves a caller that has written its request in doubt whether it ran; closing the longest idle one, which races with a request on its way.

--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -238,9 +238,10 @@
         task.add_done_callback(self._background.discard)
 
     def connection_opened(self, connection: ListenerConnection) -> None:
-        """Note a listener's connection."""
+        """Note a connection; above the limit it serves one call."""
         self._connections.add(connection)
-        if self.is_draining:
+        is_kept = len(self._connections) <= self._settings.kept_connections
+        if self.is_draining or not is_kept:
             connection.begin_drain()
 
     def connection_closed(self, connection: ListenerConnection) -> None:
--- a/packages/calls/src/rhubarbhollow_calls/io_settings.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_settings.py
@@ -11,7 +11,8 @@
 
     ``upstream_idle_seconds`` stays below the time after which common
     servers close an idle connection, so that a call is seldom written
-    to a connection that is just being closed.
+    to a connection that is just being closed.  ``kept_connections``
+    bounds the listeners' connections that are kept after an answer.
     """
 
     queue_limit: int = 64
@@ -21,5 +22,6 @@
     peer_connections: int = 32
     connection_waiters: int = 256
     caller_idle_seconds: int = 60
+    kept_connections: int = 2_048
     head_timeout_seconds: int = 10
     linger_seconds: int = 2
--- /dev/null
+++ b/packages/calls/tests/test_io_pool.py
@@ -0,0 +1,111 @@
+"""Connections are kept, shared and given up by rule."""
+
+import asyncio
+
+import pytest
+from tests.standin.http_client import encode_call
+from tests.standin.mesh import Mesh, run, wait_until
+from tests.standin.scripted_upstream import ScriptedUpstream, echo
+
+from rhubarbhollow_calls.io_settings import CallSettings
+
+SETTINGS = CallSettings(
+    peer_connections=1,
+    connection_waiters=1,
+    upstream_idle_seconds=2,
+    peer_idle_seconds=4,
+    caller_idle_seconds=6,
+    head_timeout_seconds=3,
+    kept_connections=2,
+)
+
+
+def pool_test(check, script=echo):
+    async def main():
+        upstream = ScriptedUpstream(script)
+        await upstream.start()
+        mesh = Mesh(settings=SETTINGS)
+        await mesh.add_node("a")
+        await mesh.add_node("b", upstream)
+        nodes = [mesh.nodes[name].node for name in "ab"]
+        await check(mesh, upstream, *nodes)
+        await mesh.close()
+
+    run(main())
+
+
+def test_idle_connections_close_each_after_its_time():
+    async def check(mesh, upstream, a, b):
+        client = await mesh.client("a")
+        assert (await client.get("/")).status == 200
+        [peers] = a._peer_pools.values()
+        upstreams = b.local_port.pool
+        for tick in range(1, 8):
+            a.tick()
+            b.tick()
+            await wait_until(lambda n=tick: upstream.closed == (n > 2))
+            assert upstreams.open_connections == (tick <= 2)
+            assert peers.open_connections == (tick <= 4)
+            assert len(a._peer_pools) == (tick <= 4)
+        assert await client.read_to_end() == b""
+
+    pool_test(check)
+
+
+@pytest.mark.parametrize(
+    ("sent", "ticks"), [(b"", 7), (b"GET / HTTP/1.1\r\nho", 4)]
+)
+def test_a_caller_may_not_take_forever(sent, ticks):
+    async def check(mesh, upstream, a, b):
+        client = await mesh.client("a")
+        client.send(sent)
+        await wait_until(lambda: a._connections)
+        [connection] = a._connections
+        reader = connection._reader
+        await wait_until(lambda: reader.is_mid_message == bool(sent))
+        for _ in range(ticks - 1):
+            a.tick()
+        await asyncio.sleep(0)
+        assert a._connections
+        a.tick()
+        assert await client.read_to_end() == b""
+
+    pool_test(check)
+
+
+def test_calls_wait_for_connections_up_to_a_limit():
+    async def script(request, writer):
+        await release.wait()
+        await echo(request, writer)
+
+    async def check(mesh, upstream, a, b):
+        clients = [await mesh.client("a") for _ in range(2)]
+        for number, client in enumerate(clients):
+            client.send(encode_call("GET", f"/{number}", b""))
+            await wait_until(lambda n=number: a.in_flight > n)
+            await wait_until(lambda: upstream.requests)
+        for _ in range(9):
+            a.tick()
+        late = await mesh.client("a")
+        answer = await late.get("/2")
+        assert answer.headers["rhubarbhollow-refusal"] == "queue_full"
+        assert answer.headers["rhubarbhollow-executed"] == "no"
+        assert len(upstream.requests) == 1
+        release.set()
+        for number, client in enumerate(clients):
+            answer = await client.read_answer()
+            assert answer.body == f"GET /{number} ".encode()
+
+    release = asyncio.Event()
+    pool_test(check, script)
+
+
+def test_connections_above_the_limit_serve_one_call():
+    async def check(mesh, upstream, a, b):
+        clients = [await mesh.client("b") for _ in range(4)]
+        for client, is_last in zip(clients, (0, 0, 1, 1), strict=True):
+            answer = await client.get("/")
+            assert answer.status == 200
+            assert ("connection" in answer.headers) == is_last
+
+    pool_test(check)
