--- a/packages/calls/tests/test_quarantine.py
+++ b/packages/calls/tests/test_quarantine.py
@@ -197,6 +197,8 @@
     assert len({m.fingerprint for m in node.messages()}) == 10
     assert isinstance(node.verdict(POISON), Quarantined)
     assert not node.merge(CrashReport(RARE, "u9", 1, now + 3600))
+    node.forget_old()
+    assert isinstance(node.verdict(POISON), Quarantined)
     clock.advance(CRASH_MEMORY_SECONDS + 1)
     node.forget_old()
     assert node.messages() == ()
--- a/packages/calls/tests/test_upstream_book.py
+++ b/packages/calls/tests/test_upstream_book.py
@@ -188,6 +188,31 @@
     assert set(bench.picks()) == {"a1"}
 
 
+@pytest.mark.parametrize("result", [BROKEN, CallResult.UPSTREAM_ERROR])
+def test_a_slow_failure_raises_the_latency(result: CallResult) -> None:
+    bench = Bench(endpoint("a1"))
+    bench.end("a1", ANSWERED)
+    bench.book.started("a1")
+    bench.book.finished("a1", result, 0.506)
+    (view,) = bench.book.explain("s")
+    assert view.latency_seconds == pytest.approx(0.106)
+
+
+def test_back_off_after_refusals_grows_to_a_limit() -> None:
+    bench = Bench(endpoint("a1"))
+    for longest in (0.015, 0.03, 0.06, 0.06):
+        bench.end("a1", REFUSED)
+        waits = 0
+        while bench.ranks()["a1"] is Eligibility.REFUSING:
+            bench.clock.advance(0.001)
+            waits += 1
+        assert longest / 3 <= waits / 1000 <= longest + 0.001
+    bench.end("a1", ANSWERED)
+    bench.end("a1", REFUSED)
+    bench.clock.advance(0.016)
+    assert bench.ranks()["a1"] is Eligibility.LOCAL
+
+
 def test_newcomer_ramps_up() -> None:
     bench = Bench(endpoint("a1"), endpoint("a2"))
     bench.use(endpoint("a1"), endpoint("a2"), endpoint("a3", joined_at=0.0))
@@ -239,6 +264,7 @@
     assert bench.picks()
     # a table that keeps only ejected ones readmits one of them
     bench.use(endpoint("a1"))
+    assert bench.ranks()["a1"] is Eligibility.LOCAL
     assert bench.picks()["a1"]
 
 
