--- a/packages/calls/tests/test_io_random.py
+++ b/packages/calls/tests/test_io_random.py
@@ -92,6 +92,10 @@
                 client.send(
                     encode_call("POST", f"{prefix}/{name}", body, *key)
                 )
+            if self.random.random() < 0.02:
+                # every call in flight runs out of time, wherever it is
+                await asyncio.sleep(0)
+                mesh.advance(700)
             if self.random.random() < 0.08:
                 client.close()
                 client = await mesh.client(node)
@@ -149,7 +153,8 @@
         }
         assert max(state.runs[name] for name in once) == 1
         assert state.answers[(200, None, True)] > 100
-        assert state.answers[(502, "unknown", True)] > 0
+        ends = {executed for _, executed, _ in state.answers}
+        assert ends >= {"no", "unknown"}
         await mesh.close()
 
     run(main())
