Send stages in their compact form and pace endpoints between peers

A stage named the version and both digests twice.

Control instances told each other of every change at once, loads among them; they now collect changes for the same windows as towards nodes. A node that restarts buries what its earlier process announced. A node may no longer propose the expiry of claims; only the leader's timer does. Quarantines forget old crashes.

Drivers now take ports below the range that the system gives to outgoing connections: one of 1,115 tests ended with an error in a fresh clone because a port was taken between its choice and its use.

--- a/packages/daemon/src/rhubarbhollow_daemon/claim_desk.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/claim_desk.py
@@ -119,6 +119,10 @@
             _log.warning("claim_unreadable", fault=repr(decoded.err_value))
             return b""
         command = decoded.ok_value
+        if isinstance(command, ExpireClaims):
+            # only the leader's own timer decides on time
+            _log.warning("expiry_refused")
+            return b""
         if isinstance(command, ClaimKey):
             # the leader's time, so that all replicas expire alike
             command = replace(command, claimed_at_ms=self._now_ms())
--- a/packages/daemon/src/rhubarbhollow_daemon/control_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_building.py
@@ -21,6 +21,7 @@
 from rhubarbhollow_daemon.release_machine import ReleaseMachine
 from rhubarbhollow_daemon.stage_builder import StageBuilder
 from rhubarbhollow_distribution.admission import AdmissionQueue
+from rhubarbhollow_distribution.endpoint_pacer import EndpointPacer
 from rhubarbhollow_distribution.endpoint_store import EndpointStore
 from rhubarbhollow_distribution.feed_settings import FeedSettings
 from rhubarbhollow_distribution.node_register import NodeRegister
@@ -88,7 +89,17 @@
         clock,
         settings.distribution.lease.total_seconds(),
     )
-    exchange = EndpointExchange(name, store, links, clock)
+    feed_settings = FeedSettings(
+        settings.distribution.coalescing.total_seconds(),
+        settings.distribution.heartbeat.total_seconds(),
+        settings.distribution.load.total_seconds(),
+    )
+    pacer = EndpointPacer(
+        clock,
+        feed_settings.coalescing_seconds,
+        feed_settings.load_seconds,
+    )
+    exchange = EndpointExchange(name, store, links, clock, pacer)
     floor_file = FloorFile(control.data_folder)
     if floor_file.is_damaged:
         _log.error("floor_file_damaged", folder=str(control.data_folder))
@@ -124,11 +135,7 @@
             links=links,
             floor=StartFloor(floor_file.position),
             floor_file=floor_file,
-            feed_settings=FeedSettings(
-                settings.distribution.coalescing.total_seconds(),
-                settings.distribution.heartbeat.total_seconds(),
-                settings.distribution.load.total_seconds(),
-            ),
+            feed_settings=feed_settings,
             claims=claims.ok_value,
         )
     )
--- a/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
@@ -108,6 +108,7 @@
                 if event is not None:
                     self._react(event, view)
                 self._tick(view)
+                parts.exchange.flush()
                 self._feed(event, view)
                 self._send_summary()
                 position = parts.leader_desk.maybe_plan()
@@ -120,6 +121,7 @@
             self._ticked_at + TICK_SECONDS,
             self._parts.desk.next_due,
             self._schedule.due,
+            self._parts.exchange.next_due,
         )
         with anyio.move_on_after(max(0.0, due - now)):
             return await self._receiver.receive()
--- a/packages/daemon/src/rhubarbhollow_daemon/endpoint_exchange.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/endpoint_exchange.py
@@ -11,12 +11,14 @@
     from collections.abc import Iterable
 
     from rhubarbhollow_daemon.peer_links import PeerLinks
+    from rhubarbhollow_distribution.endpoint_pacer import EndpointPacer
     from rhubarbhollow_distribution.endpoint_record import EndpointRecord
     from rhubarbhollow_distribution.endpoint_store import EndpointStore
     from rhubarbhollow_wire.clock import Clock
 
 BEAT_SECONDS: Final = 1.0
 SILENCE_SECONDS: Final = 3.0
+NEVER: Final = float("inf")
 
 
 class EndpointExchange:
@@ -33,20 +35,33 @@
         store: EndpointStore,
         links: PeerLinks,
         clock: Clock,
+        pacer: EndpointPacer,
     ) -> None:
         self._own_name = own_name
         self._store = store
         self._links = links
         self._clock = clock
+        self._pacer = pacer
         self._version = 0
         self._beat_at = clock.monotonic()
         self._generations: dict[str, int] = {}
         self._seen: dict[str, tuple[str, int]] = {}
         self._heard_at: dict[str, float] = {}
 
+    @property
+    def next_due(self) -> float:
+        """Return the time at which collected records may be sent."""
+        due = self._pacer.next_due()
+        return NEVER if due is None else due
+
     def publish(self, records: Iterable[EndpointRecord]) -> None:
-        """Send changed records of local nodes to the others."""
-        changed = tuple(records)
+        """Take changed records of local nodes, for the others."""
+        self._pacer.add(records)
+        self.flush()
+
+    def flush(self) -> None:
+        """Send the changed records whose time has come."""
+        changed = self._pacer.take()
         if not changed:
             return
         base = self._version
--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -118,6 +118,7 @@
         upstreams=LocalUpstreams(name, announcements, call_node, outbox),
         traffic=traffic,
         claims=claims,
+        quarantine=quarantine,
         burn=burn,
         call_log=call_log,
     )
--- a/packages/daemon/src/rhubarbhollow_daemon/node_desk.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_desk.py
@@ -211,6 +211,9 @@
                 Redirect(int(RedirectReason.BUSY), REJOIN_DELAY_MS),
             )
             return
+        hello = link.hello
+        buried = self._store.admit_node(hello.node, hello.incarnation)
+        self._exchange.publish(buried)
         self._end_replaced(self._links.pop(link.hello.node, None))
         self._links[link.hello.node] = link
         self._left_at.pop(link.hello.node, None)
--- a/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.io_node import CallNode
+    from rhubarbhollow_calls.quarantine import Quarantine
     from rhubarbhollow_daemon.burn_ledger import BurnLedger
     from rhubarbhollow_daemon.call_log import CallLog
     from rhubarbhollow_daemon.local_upstreams import LocalUpstreams
@@ -33,5 +34,6 @@
     upstreams: LocalUpstreams
     traffic: Traffic
     claims: NodeClaims
+    quarantine: Quarantine
     burn: BurnLedger
     call_log: CallLog
--- a/packages/daemon/src/rhubarbhollow_daemon/process.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/process.py
@@ -230,6 +230,7 @@
             self._node.upstreams.expire()
             self._node.burn.flush()
             self._node.state.endpoints.purge()
+            self._node.quarantine.forget_old()
 
     async def _wait_for_end(self) -> None:
         """Drain on the first signal, stop on the second.
--- a/packages/daemon/src/rhubarbhollow_daemon/stage_builder.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/stage_builder.py
@@ -5,14 +5,12 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING, Final
 
-from rhubarbhollow_distribution.stage import Stage
-from rhubarbhollow_release.approval_codec import encode_approval
-from rhubarbhollow_release.difference import EMPTY_DIGEST, diff_resources
-from rhubarbhollow_release.difference_codec import encode_difference
+from rhubarbhollow_distribution.stage_encoding import build_stage
+from rhubarbhollow_release.difference import EMPTY_DIGEST
 
 if TYPE_CHECKING:
     from rhubarbhollow_daemon.release_machine import ReleaseMachine
-    from rhubarbhollow_release.release import Release
+    from rhubarbhollow_distribution.stage import Stage
     from rhubarbhollow_release.resource_set import ResourceSet
 
 CACHED_STAGES: Final = 32
@@ -54,7 +52,12 @@
         if release is None:
             raise UnknownPositionError(position)
         base = self._find_base(base_digest)
-        return _stage_of(release, base)
+        return build_stage(
+            release.position,
+            release.approval,
+            release.resources,
+            base,
+        )
 
     def _find_base(self, digest: bytes) -> ResourceSet | None:
         if digest in (b"", EMPTY_DIGEST):
@@ -70,15 +73,3 @@
             if release.resources.digest == digest:
                 return release.resources
         return None
-
-
-def _stage_of(release: Release, base: ResourceSet | None) -> Stage:
-    difference = diff_resources(base, release.resources)
-    return Stage(
-        position=release.position,
-        version=release.approval.version,
-        base_digest=base.digest if base else b"",
-        digest=release.resources.digest,
-        approval_document=encode_approval(release.approval),
-        difference=encode_difference(difference),
-    )
--- a/tools/local_mesh.py
+++ b/tools/local_mesh.py
@@ -12,6 +12,7 @@
 import urllib.request
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import SystemRandom
 from typing import TYPE_CHECKING, Any, Final
 
 import yaml
@@ -24,8 +25,12 @@
 BIN: Final = Path(sys.executable).parent
 STOP_TIMEOUT_SECONDS: Final = 15.0
 POLL_SECONDS: Final = 0.02
+PORTS: Final = range(12_000, 32_000)
 REPOSITORY: Final = Path(__file__).resolve().parent.parent
 
+_random = SystemRandom()
+_given: set[int] = set()
+
 
 class MeshFailureError(Exception):
     """A step of a driver fell short of what it has to show."""
@@ -214,15 +219,28 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that nobody listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind((HOST, 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
+    """Return ports that nobody listens on now, each of them once.
+
+    They lie below the range from which the system gives ports to
+    outgoing connections, which could otherwise take one of them before
+    its process starts.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _random.choice(PORTS)
+        if port not in _given and _is_free(port):
+            _given.add(port)
+            ports.append(port)
+    return ports
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as one:
+        try:
+            one.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 def get_json(url: str, timeout_seconds: float = 2.0) -> Any:  # noqa: ANN401
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,121 @@
+"""Long seeded runs of the decisions, against naive versions.
+
+Every run starts from a seed, asserts the invariants of the program on
+the way and compares the end with a naive version of the same decision.
+A failing run prints its name, its seed and the command that repeats it.
+"""
+
+from __future__ import annotations
+
+import importlib
+import sys
+import time
+import traceback
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, Final
+
+import click
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+REPOSITORY: Final = Path(__file__).resolve().parent.parent
+TRACE_FRAMES: Final = 6
+REPLICATION_STEPS: Final = 3_000
+SECONDS_PER_MINUTE: Final = 60
+
+
+@dataclass(frozen=True, slots=True)
+class SeededRun:
+    """Name a run and the test function that does it."""
+
+    name: str
+    package: str
+    module: str
+    function: str
+    arguments: tuple[int, ...] = ()
+
+    def load(self) -> Callable[..., object]:
+        """Return the function from the package's tests."""
+        folder = REPOSITORY / "packages" / self.package / "tests"
+        sys.path.insert(0, str(folder))
+        try:
+            module = importlib.import_module(self.module)
+        finally:
+            sys.path.remove(str(folder))
+        function: Callable[..., object] = getattr(module, self.function)
+        return function
+
+
+RUNS: Final = (
+    SeededRun(
+        "replication",
+        "replication",
+        "seeded_run",
+        "run_seed",
+        (REPLICATION_STEPS,),
+    ),
+    SeededRun(
+        "ledger",
+        "release",
+        "test_ledger",
+        "test_one_long_history_of_raced_operators",
+    ),
+    SeededRun("mesh", "distribution", "test_mesh_machine", "test_long_run"),
+    SeededRun(
+        "calls",
+        "calls",
+        "test_io_random",
+        "test_answers_are_whole_and_runs_are_counted",
+    ),
+)
+
+
+@click.command()
+@click.option("--seed", default=1, help="The first seed; it rises by one.")
+@click.option("--minutes", default=1.0, help="When to begin no more runs.")
+@click.option(
+    "--only",
+    type=click.Choice([run.name for run in RUNS]),
+    help="Do just this run, once.",
+)
+def main(seed: int, minutes: float, only: str | None) -> None:
+    """Run seed after seed until the time is over or a run fails."""
+    sys.path.insert(0, str(REPOSITORY))
+    chosen = [run for run in RUNS if only in (None, run.name)]
+    functions = {run: run.load() for run in chosen}
+    counts = dict.fromkeys(chosen, 0)
+    deadline = time.monotonic() + minutes * SECONDS_PER_MINUTE
+    current = seed
+    while time.monotonic() < deadline:
+        for run, function in functions.items():
+            if not _succeeds(run, function, current):
+                sys.exit(1)
+            counts[run] += 1
+        if only is not None:
+            break
+        current += 1
+    for run, count in counts.items():
+        click.echo(f"{run.name}: {count} seeds from {seed}, none failed")
+
+
+def _succeeds(
+    run: SeededRun,
+    function: Callable[..., object],
+    seed: int,
+) -> bool:
+    try:
+        function(seed, *run.arguments)
+    except Exception:
+        click.echo(f"{run.name}: seed {seed} failed")
+        click.echo(traceback.format_exc(limit=-TRACE_FRAMES))
+        click.echo(
+            f"again: python tools/soak.py --only {run.name} --seed {seed}"
+        )
+        return False
+    return True
+
+
+if __name__ == "__main__":
+    main()
