Send an answer's head together with what follows it

uvicorn writes head and body apart, and half of the answers reached the node in two reads; each hop then passed on two writes and woke the next hop twice. The head is now held until the first part of the body or the end. While it is held, an attempt that breaks can still be refused with its reason, or made again, where the caller's connection was cut before.

A head whose body comes much later is held that long; its caller could do nothing with it alone.

--- a/packages/calls/src/rhubarbhollow_calls/io_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_exchange.py
@@ -48,6 +48,7 @@
         "_downstream",
         "_framing",
         "_head",
+        "_held_head",
         "_is_answering",
         "_is_over",
         "_is_request_paused",
@@ -74,6 +75,7 @@
         self._body = RequestBody()
         self._attempt: Attempt | None = None
         self._framing: Body = NO_BODY
+        self._held_head: AnswerHead | None = None
         self._status = 0
         self._may_have_run = False
         self._is_answering = False
@@ -151,24 +153,31 @@
         raise NotImplementedError
 
     def answer_started(self, head: AnswerHead) -> None:
-        """Pass the answer's head on."""
-        self._is_answering = True
+        """Hold the answer's head until something follows it.
+
+        Servers often write head and body apart, and each write wakes
+        the next hop.  Until the head is out, a failed attempt can still
+        be refused with its reason, or made again.
+        """
+        self._held_head = head
         self._status = head.status
         self._framing = head.body
-        lines = self._answer_lines(head)
-        if self._downstream.is_last_answer():
-            lines += CLOSE_LINE
-        self._downstream.write(encode_answer(head, lines))
 
     def answer_data(self, data: bytes) -> None:
         """Pass a part of the answer on."""
-        self._downstream.write(encode_data(self._framing, data))
+        data = encode_data(self._framing, data)
+        if self._held_head is not None:
+            data = self._take_head(self._held_head) + data
+        self._downstream.write(data)
 
     def answer_ended(self) -> None:
         """Pass the end of the answer on."""
         self._attempt = None
-        if self._framing is CHUNKED_BODY:
-            self._downstream.write(LAST_CHUNK)
+        data = LAST_CHUNK if self._framing is CHUNKED_BODY else b""
+        if self._held_head is not None:
+            data = self._take_head(self._held_head) + data
+        if data:
+            self._downstream.write(data)
         self._settle_answer()
         self._finish()
         self._downstream.end_call()
@@ -176,6 +185,7 @@
     def attempt_failed(self, failure: AttemptFailure) -> None:
         """Abort a short answer, or see what to do instead."""
         self._attempt = None
+        self._held_head = None
         if failure.refusal.proof is None:
             self._may_have_run = True
         self._settle_failure(failure)
@@ -224,6 +234,14 @@
     def _count_aborted(self) -> None:
         """Count an answer that was cut short."""
 
+    def _take_head(self, head: AnswerHead) -> bytes:
+        self._held_head = None
+        self._is_answering = True
+        lines = self._answer_lines(head)
+        if self._downstream.is_last_answer():
+            lines += CLOSE_LINE
+        return encode_answer(head, lines)
+
     def _begin(self, attempt: Attempt) -> None:
         self._attempt = attempt
         attempt.start()
--- a/packages/calls/tests/test_io_failures.py
+++ b/packages/calls/tests/test_io_failures.py
@@ -36,6 +36,12 @@
     writer.close()
 
 
+async def hang_up_after_head(request, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n")
+    await writer.drain()
+    writer.close()
+
+
 async def crash(request, writer):
     raise ConnectionError
 
@@ -91,6 +97,8 @@
     (fail, ONCE, 503, None, 0),
     (hang_up, IDEMPOTENT, 200, None, 1),
     (hang_up, ONCE, 502, "unknown", 0),
+    (hang_up_after_head, IDEMPOTENT, 200, None, 1),
+    (hang_up_after_head, ONCE, 502, "unknown", 0),
 ]
 
 
