--- a/bench/call_path.py
+++ b/bench/call_path.py
@@ -43,44 +43,53 @@
     p99: float
 
 
-async def start_alone() -> list[MeasuredProcess]:
+class Line:
+    """Processes from the upstream back to where callers come in."""
+
+    def __init__(self) -> None:
+        self.processes: list[MeasuredProcess] = []
+
+    async def add(self, name: str, *arguments: str) -> int:
+        """Start a process in front of the others; return its port."""
+        process = await MeasuredProcess.start(name, *arguments)
+        self.processes.insert(0, process)
+        return process.port
+
+    async def stop(self) -> None:
+        """Stop what was started, also if a later one did not start."""
+        for process in self.processes:
+            await process.stop()
+
+
+async def start_alone(line: Line) -> None:
     """Start the upstream."""
-    return [await MeasuredProcess.start("upstream", "bench.upstream")]
+    await line.add("upstream", "bench.upstream")
 
 
-async def start_library() -> list[MeasuredProcess]:
+async def start_library(line: Line) -> None:
     """Start uvicorn and httpcore before the upstream."""
-    return await _start_before("pass", "bench.pass_library")
+    port = await line.add("upstream", "bench.upstream")
+    await line.add("pass", "bench.pass_library", str(port))
 
 
-async def start_protocol() -> list[MeasuredProcess]:
+async def start_protocol(line: Line) -> None:
     """Start the least pass-through before the upstream."""
-    return await _start_before("pass", "bench.pass_protocol")
+    port = await line.add("upstream", "bench.upstream")
+    await line.add("pass", "bench.pass_protocol", str(port))
 
 
-async def start_beside() -> list[MeasuredProcess]:
+async def start_beside(line: Line) -> None:
     """Start the node beside the upstream, where callers come in."""
-    upstream = await MeasuredProcess.start("upstream", "bench.upstream")
-    node = await MeasuredProcess.start(
-        "beside", "bench.node", "--upstream-port", str(upstream.port)
-    )
-    return [node, upstream]
+    port = await line.add("upstream", "bench.upstream")
+    await line.add("beside", "bench.node", "--upstream-port", str(port))
 
 
-async def start_two() -> list[MeasuredProcess]:
+async def start_two(line: Line) -> None:
     """Start a caller's node, the node beside, and the upstream."""
-    upstream = await MeasuredProcess.start("upstream", "bench.upstream")
-    beside = await MeasuredProcess.start(
-        "beside",
-        "bench.node",
-        "--upstream-port",
-        str(upstream.port),
-        "--listen-peer",
-    )
-    caller = await MeasuredProcess.start(
-        "caller", "bench.node", "--peer-port", str(beside.port)
-    )
-    return [caller, beside, upstream]
+    port = await line.add("upstream", "bench.upstream")
+    arguments = ("--upstream-port", str(port), "--listen-peer")
+    port = await line.add("beside", "bench.node", *arguments)
+    await line.add("caller", "bench.node", "--peer-port", str(port))
 
 
 WAYS = {
@@ -107,12 +116,6 @@
     ]
 
 
-async def _start_before(name: str, module: str) -> list[MeasuredProcess]:
-    upstream = await MeasuredProcess.start("upstream", "bench.upstream")
-    before = await MeasuredProcess.start(name, module, str(upstream.port))
-    return [before, upstream]
-
-
 async def _measure(
     name: str,
     seconds: float,
@@ -120,8 +123,10 @@
     connections: int,
     saturation_seconds: float,
 ) -> WayResult:
-    processes = await WAYS[name]()
+    line = Line()
+    processes = line.processes
     try:
+        await WAYS[name](line)
         report, costs = await _load(processes, connections, rate, seconds)
         if saturation_seconds:
             full, full_costs = await _load(
@@ -131,8 +136,7 @@
         else:
             saturated, full_costs = 0.0, ()
     finally:
-        for process in processes:
-            await process.stop()
+        await line.stop()
     return WayResult(
         name,
         report.p50 * 1000,
--- a/bench/process.py
+++ b/bench/process.py
@@ -10,7 +10,10 @@
 
 CLOCK_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-START_SECONDS = 20.0
+
+
+class StartFailed(Exception):  # noqa: N818
+    """A process ended before it said where it listens."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +43,9 @@
         fields = dict(
             part.split("=", 1) for part in line.split() if "=" in part
         )
+        if "port" not in fields:
+            await process.wait()
+            raise StartFailed(name)
         return cls(name, process, int(fields["port"]))
 
     def usage(self) -> Usage:
