Measure load reports and the size of endpoint tables

Load reports go to every node and grow with the fleet, so they get a phase of their own. Sizes and times of 2,000 endpoints are measured inside one process, since that many nodes do not fit one machine.

Each release now differs from the one before in one route; it differed in two before. Ports lie below the range of outgoing connections: with ports of that range one of 103 processes did not start within 60 s.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,9 +9,16 @@
 
 from bench.call_path import compare_ways
 from bench.distribution import measure_size
-from bench.distribution_figures import print_size, print_slopes
+from bench.distribution_figures import (
+    print_size,
+    print_slopes,
+    print_state,
+)
+from bench.distribution_state import measure_state
 from bench.report import print_rows
 
+STATE_ENDPOINTS = 2_000
+
 
 @click.group(invoke_without_command=True)
 @click.pass_context
@@ -60,6 +67,7 @@
         "heartbeat_ms": heartbeat_ms,
         "lease_ms": lease_ms,
     }
+    print_state(STATE_ENDPOINTS, tuple(measure_state(STATE_ENDPOINTS)))
     sizes = {}
     for node_count in map(int, nodes.split(",")):
         sizes[node_count] = measure_size(node_count, settings)
--- a/bench/distribution.py
+++ b/bench/distribution.py
@@ -18,7 +18,7 @@
 
     from tools.local_mesh import Instance
 
-    from bench.fleet_usage import FleetUsage, UsageWindow
+    from bench.fleet_usage import FleetUsage
 
 SETTLE_SECONDS: Final = 3.0
 REST_SECONDS: Final = 8.0
@@ -27,10 +27,18 @@
 CHURN_EVENTS: Final = 80
 CHURN_PERIOD_SECONDS: Final = 0.1
 CHURN_MARKERS: Final = 5
+LOAD_ROUNDS: Final = 3
+LOAD_PERIOD_SECONDS: Final = 5.5
+LOADS: Final = (0.1, 0.9)
 HERD_SHARE: Final = 3
 OUTAGE_SECONDS: Final = 4.0
 RETRY_SECONDS: Final = 0.1
-UNANSWERED_SUBMISSIONS: Final = 300
+KINDS: Final = {
+    "node": (),
+    "leader": ("served", "peer"),
+    "follower": ("served", "peer"),
+}
+LEADER_TRIES: Final = 300
 
 
 class DistributionRun:
@@ -40,6 +48,8 @@
         self._fleet = fleet
         self._position = 0
         self._node_rest = 0.0
+        self._processor_rest: dict[str, float] = {}
+        self._bytes_rest: dict[tuple[str, str], float] = {}
         self._leader: list[Instance] = []
         self._followers: list[Instance] = []
 
@@ -49,6 +59,7 @@
         yield from self._measure_rest()
         yield from self._measure_changes()
         yield from self._measure_churn()
+        yield from self._measure_load()
         yield from self._measure_herd()
         yield from self._measure_outage()
         self._fleet.check_never_back()
@@ -95,11 +106,22 @@
         nodes = before.until(after, self._fleet.nodes)
         self._node_rest = nodes.control_bytes("node") / nodes.seconds
         yield Figure("rest: node control bytes/s", self._node_rest)
-        yield from _show_process("rest: node", nodes)
         for role, instances in self._roles():
             window = before.until(after, instances)
-            yield from _show_process(f"rest: {role}", window)
-            yield from _show_control_bytes(f"rest: {role}", window)
+            self._processor_rest[role] = (
+                window.processor_seconds / window.seconds
+            )
+            yield Figure(
+                f"rest: {role} processor, % of a core",
+                self._processor_rest[role] * 100,
+            )
+            yield Figure(
+                f"rest: {role} resident MB", window.resident_megabytes
+            )
+            for kind in KINDS[role]:
+                rate = window.control_bytes(kind) / window.seconds
+                self._bytes_rest[role, kind] = rate
+                yield Figure(f"rest: {role} {kind} bytes/s", rate)
 
     def _measure_changes(self) -> Iterator[Figure]:
         fleet = self._fleet
@@ -137,17 +159,23 @@
         after: FleetUsage,
     ) -> Iterator[Figure]:
         spent = self._node_bytes_beyond_rest(before, after)
-        nodes = before.until(after, self._fleet.nodes)
         yield Figure("change: node control bytes", spent / CHANGES)
-        yield Figure(
-            "change: node processor ms, rest included",
-            nodes.processor_seconds / CHANGES * 1e3,
-        )
-        yield from _show_process("changes: node", nodes)
         for role, instances in self._roles():
             window = before.until(after, instances)
-            yield from _show_process(f"changes: {role}", window)
-            yield from _show_control_bytes(f"changes: {role}", window)
+            rest = self._processor_rest[role] * window.seconds
+            yield Figure(
+                f"change: {role} processor ms beyond rest",
+                (window.processor_seconds - rest) / CHANGES * 1e3,
+            )
+            yield Figure(
+                f"changes: {role} resident MB", window.resident_megabytes
+            )
+            for kind in KINDS[role]:
+                rest = self._bytes_rest[role, kind] * window.seconds
+                yield Figure(
+                    f"change: {role} {kind} bytes beyond rest",
+                    (window.control_bytes(kind) - rest) / CHANGES,
+                )
 
     def _measure_churn(self) -> Iterator[Figure]:
         fleet = self._fleet
@@ -171,6 +199,27 @@
         )
         yield from _show_times("churn: known by all, ms", self._time_markers())
 
+    def _measure_load(self) -> Iterator[Figure]:
+        fleet = self._fleet
+        before = fleet.usage()
+        for number in range(LOAD_ROUNDS):
+            due = time.monotonic() + LOAD_PERIOD_SECONDS
+            for node in fleet.nodes:
+                fleet.announce(node, LOADS[number % len(LOADS)])
+            time.sleep(max(0.0, due - time.monotonic()))
+        after = fleet.usage()
+        window = before.until(after, fleet.nodes)
+        spent = self._node_bytes_beyond_rest(before, after)
+        yield Figure("load: node control bytes/s", spent / window.seconds)
+        yield Figure(
+            "load: node control bytes a report",
+            spent / (LOAD_ROUNDS * len(fleet.nodes)),
+        )
+        yield Figure(
+            "load: node processor, % of a core",
+            window.processor_seconds / window.seconds * 100,
+        )
+
     def _time_markers(self) -> list[float]:
         fleet = self._fleet
         times: list[float] = []
@@ -254,8 +303,7 @@
         yield Figure("end: resident MB of a control instance", mean(controls))
 
     def _submit_after_outage(self) -> int:
-        # the same release is sent until it is accepted
-        for _ in range(UNANSWERED_SUBMISSIONS):
+        for _ in range(LEADER_TRIES):
             if self._fleet.leader is not None:
                 return self._fleet.submit_next()[0]
             time.sleep(RETRY_SECONDS)
@@ -271,7 +319,11 @@
         return spent - self._node_rest * window.seconds
 
     def _roles(self) -> tuple[tuple[str, list[Instance]], ...]:
-        return (("leader", self._leader), ("follower", self._followers))
+        return (
+            ("node", self._fleet.nodes),
+            ("leader", self._leader),
+            ("follower", self._followers),
+        )
 
 
 def measure_size(
@@ -286,18 +338,6 @@
         return list(DistributionRun(fleet).measure())
 
 
-def _show_process(what: str, window: UsageWindow) -> Iterator[Figure]:
-    share = window.processor_seconds / window.seconds * 100
-    yield Figure(f"{what} processor, % of a core", share)
-    yield Figure(f"{what} resident MB", window.resident_megabytes)
-
-
-def _show_control_bytes(what: str, window: UsageWindow) -> Iterator[Figure]:
-    for kind in ("served", "peer"):
-        rate = window.control_bytes(kind) / window.seconds
-        yield Figure(f"{what} {kind} bytes/s", rate)
-
-
 def _show_times(what: str, times: list[float]) -> Iterator[Figure]:
     yield Figure(f"{what} p50", percentile(times, 0.5))
     yield Figure(f"{what} p99", percentile(times, 0.99))
--- a/bench/distribution_figures.py
+++ b/bench/distribution_figures.py
@@ -27,7 +27,17 @@
 
 def print_size(node_count: int, figures: Sequence[Figure]) -> None:
     """Print the table of one size."""
-    print(f"\n{node_count} nodes, 3 control instances", flush=True)
+    print(f"\n{node_count} nodes, 3 control instances")
+    _print_figures(figures)
+
+
+def print_state(endpoint_count: int, figures: Sequence[Figure]) -> None:
+    """Print the table of the sizes inside one process."""
+    print(f"{endpoint_count} endpoints inside one process")
+    _print_figures(figures)
+
+
+def _print_figures(figures: Sequence[Figure]) -> None:
     for figure in figures:
         print(f"  {figure.name:48} {figure.value:12.2f}", flush=True)
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import json
+import socket
 import time
 import urllib.request
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Any, Final, Self
 
 from tools.local_mesh import (
+    HOST,
     Instance,
     LocalMesh,
     MeshFailureError,
+    Ports,
     get_json,
     wait_for,
 )
@@ -21,11 +24,13 @@
 from bench.fleet_usage import FleetUsage, read_process, read_usage
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
     from pathlib import Path
 
 DATA_CENTRES: Final = ("ilala", "kinondoni", "temeke")
 START_GROUP: Final = 10
+FIRST_PORT: Final = 20_000
+LAST_PORT: Final = 30_000
 LIMIT_SECONDS: Final = 60.0
 UPSTREAM_LEASE_SECONDS: Final = 300
 SLOTS: Final = 9
@@ -55,8 +60,9 @@
             self.legal.public_key,
             distribution=distribution,
         )
+        self._ports = _free_ports()
         self.controls = [
-            self.mesh.add(f"{data_centre}-c", data_centre, is_control=True)
+            self._add(f"{data_centre}-c", data_centre, is_control=True)
             for data_centre in DATA_CENTRES
         ]
         self.nodes = [self._add_node(number) for number in range(node_count)]
@@ -142,13 +148,14 @@
         logs = [self._logs[one.name] for one in instances]
 
         def is_seen() -> bool:
+            self.mesh.check_alive()
             return all(log.first(name, since) < float("inf") for log in logs)
 
         self.wait(name, is_seen)
         return [log.first(name, since) for log in logs]
 
-    def announce(self, node: Instance) -> None:
-        """Announce the upstream beside a node."""
+    def announce(self, node: Instance, load: float | None = None) -> None:
+        """Announce the upstream beside a node, with its load."""
         document = {
             "name": "upstream",
             "service": service_name(self.nodes.index(node)),
@@ -158,6 +165,7 @@
             "connections": CONNECTIONS,
             "state": "up",
             "lease_seconds": UPSTREAM_LEASE_SECONDS,
+            "load": load,
         }
         body = json.dumps(document).encode()
         _request(node, "POST", "/v1/announcements", body)
@@ -207,7 +215,31 @@
 
     def _add_node(self, number: int) -> Instance:
         data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
-        return self.mesh.add(f"{data_centre}-{number}", data_centre)
+        return self._add(f"{data_centre}-{number}", data_centre)
+
+    def _add(
+        self,
+        name: str,
+        data_centre: str,
+        *,
+        is_control: bool = False,
+    ) -> Instance:
+        instance = self.mesh.add(name, data_centre, is_control=is_control)
+        instance.ports = Ports(*(next(self._ports) for _ in range(4)))
+        return instance
+
+
+def _free_ports() -> Iterator[int]:
+    # below the ports that the kernel gives to outgoing connections, so
+    # that none of hundreds is taken between planning and listening
+    for port in range(FIRST_PORT, LAST_PORT):
+        with socket.socket() as one:
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                one.bind((HOST, port))
+            except OSError:
+                continue
+        yield port
 
 
 def _count_upstreams(node: Instance) -> int:
--- a/bench/fleet_manifest.py
+++ b/bench/fleet_manifest.py
@@ -60,9 +60,10 @@
 
 
 def build_manifest(version: int) -> dict[str, Any]:
-    """Return a manifest; the versions differ in one route's timeout."""
+    """Return a manifest; each version changes one route's timeout."""
     routes = [_build_route(number) for number in range(ROUTES)]
-    routes[version % ROUTES]["timeout_ms"] += version
+    for earlier in range(1, version + 1):
+        routes[earlier % ROUTES]["timeout_ms"] = BASE_TIMEOUT_MS + earlier
     return {
         "format": 1,
         "mesh": MESH,
