Pass over a late full table of the same source

Ruled out by the state at the end: the source's own table (version 3, complete) and the feed, which had sent version 3. One connection does not repeat messages, so this needs a replay; but a message that does not fit has to change nothing. A change of the same source with a lower version is now passed over.

--- a/packages/distribution/src/rhubarbhollow_distribution/endpoint_table.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/endpoint_table.py
@@ -66,6 +66,8 @@
         change: EndpointChange,
     ) -> Result[tuple[EndpointRecord, ...], NeedsEndpoints]:
         """Apply a change; return the records that changed."""
+        if change.is_full and self._is_old(change):
+            return Ok(())
         if not change.is_full and not self._is_next(change):
             return Err(NeedsEndpoints(self._source, self._version))
         changed = list(self._merge(change.records))
@@ -91,6 +93,11 @@
             if record.is_gone:
                 self._gone_at[record.key] = self._clock.monotonic()
 
+    def _is_old(self, change: EndpointChange) -> bool:
+        """Tell whether this source's table was newer here already."""
+        is_own = change.source == self._source
+        return is_own and change.version < self._version
+
     def _is_next(self, change: EndpointChange) -> bool:
         return (
             change.source == self._source
--- a/packages/distribution/tests/test_endpoint_store.py
+++ b/packages/distribution/tests/test_endpoint_store.py
@@ -175,6 +175,20 @@
     assert (table.records, table.version) == ((OLD,), 1)
 
 
+def test_late_full_change_of_the_same_source_changes_nothing():
+    clock = ManualClock()
+    store, table = store_of(clock), EndpointTable(clock)
+    store.merge([OLD], "own")
+    late = change_of(store, table)
+    assert late.is_full
+    table.apply(late).unwrap()
+    store.merge([OTHER], "own")
+    table.apply(change_of(store, table)).unwrap()
+    assert table.apply(late).unwrap() == ()
+    assert set(table.records) == {OLD, OTHER}
+    assert table.version == store.version
+
+
 def test_change_of_source_does_not_bring_a_left_endpoint_back():
     clock = ManualClock()
     first, second = store_of(clock), EndpointStore("two", 1, clock)
