Tell that a release is too large, and survive a relayed one that fails

A release above the limit of a log entry was answered outcome_unknown: the fault had no case of its own, although nothing had been proposed. It is now 413 release_too_large.

A body above 16 MiB passed the admin port (24 MiB) and then no frame: the leader closed the link, which also carries the log, at each of several tries, and the answer was outcome_unknown. Every instance now refuses such a body alike, before any proposal. Raising the frame limit was ruled out: it bounds what one message may allocate.

An exception while the leader answered a relayed submission ended its process, since the answer ran in the group of all tasks; the relaying instance then asked the next leader. It is logged and answered 500, as on the admin port; 500 is not asked again.

--- a/packages/daemon/src/rhubarbhollow_daemon/leader_relay.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/leader_relay.py
@@ -15,7 +15,9 @@
     answer_problem,
 )
 from rhubarbhollow_daemon.messages import ProposeAnswer, ProposeRequest
+from rhubarbhollow_daemon.submission import answer_too_large
 from rhubarbhollow_replication.role import Role
+from rhubarbhollow_wire.codec import MAX_FRAME_BYTES
 
 if TYPE_CHECKING:
     from rhubarbhollow_daemon.peer_links import PeerLinks
@@ -29,8 +31,11 @@
 ANSWER_TIMEOUT_SECONDS: Final = 2.0
 RETRY_SECONDS: Final = 0.1
 MAX_RELAYED: Final = 64
+# the rest of a frame is left to the message around the body
+MAX_SUBMISSION_BYTES: Final = MAX_FRAME_BYTES - 1_024
 
 HTTP_OK: Final = 200
+HTTP_INTERNAL_ERROR: Final = 500
 HTTP_UNAVAILABLE: Final = 503
 HTTP_TIMEOUT: Final = 504
 
@@ -65,6 +70,9 @@
 
     async def submit(self, body: bytes) -> HttpResponse:
         """Return the leader's answer, or why there is none."""
+        if len(body) > MAX_SUBMISSION_BYTES:
+            # the leader would close the link on a frame of this size
+            return answer_too_large(len(body), MAX_SUBMISSION_BYTES)
         deadline = self._clock.monotonic() + SUBMIT_DEADLINE_SECONDS
         is_outcome_open = False
         response = _no_leader()
@@ -87,7 +95,7 @@
         """Answer a submission that another instance handed over."""
         async with self._relayed:
             http = HttpRequest("POST", "/v1/releases", "", request.payload)
-            response = await self._desk.submit(http)
+            response = await self._submit_safely(http)
         self._links.send(
             control,
             ProposeAnswer(
@@ -98,6 +106,18 @@
             ),
         )
 
+    async def _submit_safely(self, request: HttpRequest) -> HttpResponse:
+        try:
+            return await self._desk.submit(request)
+        except Exception:
+            # it would end this process, and that of the next leader
+            _log.exception("relayed_submission_failed")
+            return answer_problem(
+                "internal_error",
+                HTTP_INTERNAL_ERROR,
+                "the leader's log has the cause",
+            )
+
     async def _submit_once(self, body: bytes) -> HttpResponse:
         status = self._replica.status
         if status.role is Role.LEADER:
--- a/packages/daemon/src/rhubarbhollow_daemon/submission.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/submission.py
@@ -33,6 +33,7 @@
 from rhubarbhollow_replication.fault import (
     NotLeader,
     Overloaded,
+    PayloadTooLarge,
     ProposeFault,
     StoreFailed,
 )
@@ -90,6 +91,16 @@
         )
 
 
+def answer_too_large(size_bytes: int, limit_bytes: int) -> HttpResponse:
+    """Refuse a release that fits no entry of the log, or no frame."""
+    return answer_problem(
+        "release_too_large",
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        "the release is too large to be replicated; nothing was accepted",
+        {"size_bytes": size_bytes, "limit_bytes": limit_bytes},
+    )
+
+
 def read_submission(
     request: HttpRequest,
 ) -> Result[tuple[bytes, Approval], HttpResponse]:
@@ -213,6 +224,8 @@
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 "too many proposals are pending; nothing was accepted",
             )
+        case PayloadTooLarge(size_bytes, limit_bytes):
+            return answer_too_large(size_bytes, limit_bytes)
         case StoreFailed():
             return answer_problem(
                 "store_failed",
