Keep upstreams of a draining node leaving when they renew

Cause: an upstream that does not know of the drain goes on renewing its announcement, and a renewal built the record anew with state UP. The mesh then sent new work to a node that was draining. Announcements after the withdrawal are now taken over as leaving, also those of new upstreams. Refusing them was weighed and ruled out: the lease would end and take the local upstream from requests in flight. The test failed first: after the drain began an UP record went out.

--- a/packages/daemon/src/rhubarbhollow_daemon/local_upstreams.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/local_upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import structlog
@@ -41,6 +42,7 @@
         self._book = book
         self._call_node = call_node
         self._outbox = outbox
+        self._is_leaving = False
 
     @property
     def announcements(self) -> tuple[Announcement, ...]:
@@ -52,6 +54,9 @@
         announcement: Announcement,
     ) -> Result[EndpointRecord, TooManyUpstreams]:
         """List an upstream or renew its lease."""
+        if self._is_leaving:
+            # the upstream renews its lease without knowing of the drain
+            announcement = replace(announcement, is_leaving=True)
         outcome = self._book.announce(announcement)
         if isinstance(outcome, Ok):
             self._apply_changes()
@@ -66,6 +71,7 @@
 
     def leave_all(self) -> None:
         """Tell the mesh that no upstream here takes new work."""
+        self._is_leaving = True
         self._book.leave_all()
         self._apply_changes()
 
