Abandon a lost claim however long a quorum stays away

Cause: clearing a lost claim was given up after one commit of 60 s, and a lost abandonment was not repeated at all. After a longer loss of the quorum the claim stood, and the caller's next sends were told that the outcome is unknown although the request had provably not run. Both commands are now repeated until answered; the queue stays bounded and its order is kept, since all of it waits for the same quorum.

--- a/packages/daemon/src/rhubarbhollow_daemon/node_claims.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_claims.py
@@ -79,15 +79,23 @@
             await self._clear(command)
 
     async def _clear(self, command: ClaimKey) -> None:
-        outcome = await self._client.commit(command, SETTLE_TIMEOUT_SECONDS)
-        if not isinstance(outcome, Ok):
-            return
-        if not isinstance(outcome.ok_value, Claimed):
+        outcome = await self._commit_at_last(command)
+        if not isinstance(outcome, Claimed):
             return
         proof = NeverWritten(UnwrittenStage.CLAIMING)
         abandon = AbandonClaim(
             command.key,
-            outcome.ok_value.claim_id,
+            outcome.claim_id,
             proof,
         )
-        await self._client.commit(abandon, SETTLE_TIMEOUT_SECONDS)
+        await self._commit_at_last(abandon)
+
+    async def _commit_at_last(self, command: ClaimCommand) -> ClaimOutcome:
+        """Return the outcome, however long a quorum stays away."""
+        while True:
+            outcome = await self._client.commit(
+                command,
+                SETTLE_TIMEOUT_SECONDS,
+            )
+            if isinstance(outcome, Ok):
+                return outcome.ok_value
