Keep the naive decisions in the benchmark tree

The trial of the decisions against round robin without limits and with three attempts is a measurement with a test on top.

--- a/packages/calls/tests/test_policy_trial.py
+++ b/bench/policy_trial.py
@@ -1,18 +1,13 @@
-"""Compare the decisions with naive ones in a seeded event loop.
-
-Run this file with Python to print the figures of all scenarios.
-"""
+"""Compare the decisions with naive ones in a seeded event loop."""
 
 from __future__ import annotations
 
 import heapq
 import random
 import sys
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-import pytest
-
 from rhubarbhollow_calls.call_priority import CallPriority
 from rhubarbhollow_calls.call_result import CallResult
 from rhubarbhollow_calls.endpoint import Endpoint, EndpointState
@@ -88,6 +83,7 @@
 
     @property
     def fingerprint(self) -> bytes:
+        """Return what names the request to quarantines."""
         return b"poison" if self.is_poison else b"%d" % self.number
 
 
@@ -117,10 +113,12 @@
     crashes: int = 0
 
     def share(self, priority: CallPriority) -> float:
+        """Return the share of calls answered in time."""
         return self.in_time[priority] / self.sent[priority]
 
     @property
     def p99_ms(self) -> float:
+        """Return the latency that 99 of 100 answers kept."""
         ordered = sorted(self.latencies)
         return ordered[int(len(ordered) * 0.99)] * 1000
 
@@ -153,6 +151,7 @@
         self.books = [self._book(node) for node in range(NODES)]
 
     def run(self) -> Figures:
+        """Let calls arrive and faults happen; return the figures."""
         self._arrive(0)
         for every, event in (
             (self.scenario.crash_every, self._crash_one),
@@ -415,36 +414,7 @@
     return Endpoint(f"e{index}", "s", centre, "n", "h", 1, SLOTS, up, 1, -99.0)
 
 
-# at least so much more of the interactive calls are answered in time
-@pytest.mark.parametrize(
-    ("name", "gain", "bulk"),
-    [
-        ("load 0.7", -0.002, 0.999),
-        ("load 1.3", 0.5, 0.2),
-        ("one slow", 0.05, 0.99),
-        ("crashes", -0.002, 0.99),
-        ("poison", 0.3, 0.99),
-    ],
-)
-def test_decisions_against_naive_ones(
-    name: str, gain: float, bulk: float
-) -> None:
-    (scenario,) = (s for s in SCENARIOS if s.name == name)
-    scenario = replace(scenario, seconds=6.0)
-    naive = Trial(scenario, 5, is_naive=True).run()
-    ours = Trial(scenario, 5, is_naive=False).run()
-    assert (
-        ours.share(CallPriority.INTERACTIVE)
-        >= naive.share(CallPriority.INTERACTIVE) + gain
-    )
-    assert ours.share(CallPriority.BULK) >= bulk
-    assert ours.double_runs == 0
-    assert ours.attempts <= 1.25 * sum(ours.sent.values())
-    if scenario.poison_every:
-        assert ours.crashes == 2
-
-
-def main() -> None:
+def print_policy() -> None:
     """Print the figures of all scenarios."""
     for scenario in SCENARIOS:
         for is_naive in (True, False):
@@ -459,7 +429,3 @@
                 f" double runs {figures.double_runs}"
                 f" crashes {figures.crashes}\n",
             )
-
-
-if __name__ == "__main__":
-    main()
--- /dev/null
+++ b/packages/calls/tests/test_policy.py
@@ -0,0 +1,35 @@
+from dataclasses import replace
+
+import pytest
+from bench.policy_trial import SCENARIOS, Trial
+
+from rhubarbhollow_calls.call_priority import CallPriority
+
+
+# at least so much more of the interactive calls are answered in time
+@pytest.mark.parametrize(
+    ("name", "gain", "bulk"),
+    [
+        ("load 0.7", -0.002, 0.999),
+        ("load 1.3", 0.5, 0.2),
+        ("one slow", 0.05, 0.99),
+        ("crashes", -0.002, 0.99),
+        ("poison", 0.3, 0.99),
+    ],
+)
+def test_decisions_against_naive_ones(
+    name: str, gain: float, bulk: float
+) -> None:
+    (scenario,) = (s for s in SCENARIOS if s.name == name)
+    scenario = replace(scenario, seconds=6.0)
+    naive = Trial(scenario, 5, is_naive=True).run()
+    ours = Trial(scenario, 5, is_naive=False).run()
+    assert (
+        ours.share(CallPriority.INTERACTIVE)
+        >= naive.share(CallPriority.INTERACTIVE) + gain
+    )
+    assert ours.share(CallPriority.BULK) >= bulk
+    assert ours.double_runs == 0
+    assert ours.attempts <= 1.25 * sum(ours.sent.values())
+    if scenario.poison_every:
+        assert ours.crashes == 2
