Take a caller's position for a hint only

A caller that sent a high rhubarbhollow-position made its node doubt its control instance for as long as the process lived, since the position was taken like a node's word: the node went on looking for another source. The position of a caller can now activate a staged release and do nothing else; the positions of other nodes count as before. The test fails on the old rule.

--- a/packages/calls/src/rhubarbhollow_calls/io_caller.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller.py
@@ -39,7 +39,7 @@
         node = self._node
         mesh = head.mesh
         request_id = mesh.request_id or node.next_request_id()
-        node.hear_position(mesh.position)
+        node.hear_hint(mesh.position)
         state = node.route(head.host, head.target)
         if state is None or mesh.depth >= MAX_DEPTH or node.is_draining:
             return self._open_refused(head, downstream, request_id, state)
--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -195,6 +195,11 @@
         if position is not None and position > self._position:
             self._observe_position(position)
 
+    def hear_hint(self, position: int | None) -> None:
+        """Activate a staged release that a caller has seen."""
+        if position is not None and position > self._position:
+            self._observe_position(position, is_hint=True)
+
     def peer_pool(self, host: str, port: int) -> ConnectionPool:
         """Return the connections to another node's peer port."""
         pool = self._peer_pools.get((host, port))
--- a/packages/calls/src/rhubarbhollow_calls/io_position.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_position.py
@@ -20,9 +20,14 @@
 class PositionObserver(Protocol):
     """Hear of positions that calls carry."""
 
-    def __call__(self, position: int) -> PositionCheck:
+    def __call__(
+        self, position: int, *, is_hint: bool = False
+    ) -> PositionCheck:
         """Activate the release at ``position`` if it is staged.
 
+        A hint comes from a caller, who may make one up; everything else
+        is the word of a node.
+
         Installs the new snapshot before it returns ``ACTIVATED``.
         """
         ...
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -144,8 +144,17 @@
                     message=type(message).__name__,
                 )
 
-    def observe_position(self, position: int) -> CallPositionCheck:
-        """Follow a position that a call carries, if it is staged."""
+    def observe_position(
+        self,
+        position: int,
+        *,
+        is_hint: bool = False,
+    ) -> CallPositionCheck:
+        """Follow a position that a call carries, if it is staged.
+
+        Only a node's word that there is a later release makes this one
+        doubt its source; a caller may have made the position up.
+        """
         match self._holder.observe_position(position):
             case PositionCheck.CURRENT:
                 return CallPositionCheck.CURRENT
@@ -153,7 +162,8 @@
                 self._put_in_force()
                 return CallPositionCheck.ACTIVATED
             case PositionCheck.BEHIND:
-                self._chooser.note_observed(position)
+                if not is_hint:
+                    self._chooser.note_observed(position)
                 return CallPositionCheck.BEHIND
 
     def _stage(self, message: Stage) -> None:
--- a/packages/daemon/src/rhubarbhollow_daemon/process.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/process.py
@@ -13,6 +13,7 @@
 import structlog
 from result import Err, Ok, Result
 
+from rhubarbhollow_calls.io_garbage import freeze_startup_objects
 from rhubarbhollow_daemon.burn_collection import BurnCollection
 from rhubarbhollow_daemon.control_building import build_control
 from rhubarbhollow_daemon.control_handlers import ControlHandlers
@@ -126,6 +127,7 @@
             group.start_soon(self._keep_house)
             group.start_soon(self._node.claims.clear_lost)
             group.start_soon(serve_admin, self._admin, admin_socket)
+            freeze_startup_objects()
             _log.info("process_started", mesh=self._settings.mesh)
             await self._wait_for_end()
             for server in servers:
--- a/packages/daemon/tests/test_node_building.py
+++ b/packages/daemon/tests/test_node_building.py
@@ -3,8 +3,10 @@
 import pytest
 import yaml
 
+from rhubarbhollow_calls.io_position import PositionCheck
 from rhubarbhollow_daemon.node_building import build_node
 from rhubarbhollow_daemon.settings import load_settings
+from rhubarbhollow_distribution.source_choice import BEHIND_SECONDS
 from rhubarbhollow_wire.clock import ManualClock
 
 DOCUMENT = {
@@ -25,19 +27,36 @@
 }
 
 
-@pytest.mark.parametrize("heartbeat_ms", [500, 3000, 4000])
-def test_a_missed_heartbeat_is_not_a_silent_source(tmp_path, heartbeat_ms):
-    path = tmp_path / "settings.yaml"
+def connected_node(folder, clock, heartbeat_ms=1000):
+    path = folder / "settings.yaml"
     distribution = {
         "heartbeat_ms": heartbeat_ms,
         "lease_ms": 4 * heartbeat_ms,
     }
     path.write_text(yaml.safe_dump(DOCUMENT | {"distribution": distribution}))
     settings = load_settings(path).unwrap()
-    clock = ManualClock()
     node = build_node(settings, 1, clock, Random(1))
     node.chooser.note_connected(settings.controls[0])
+    return node
+
+
+@pytest.mark.parametrize("heartbeat_ms", [500, 3000, 4000])
+def test_a_missed_heartbeat_is_not_a_silent_source(tmp_path, heartbeat_ms):
+    clock = ManualClock()
+    node = connected_node(tmp_path, clock, heartbeat_ms)
     clock.advance(2 * heartbeat_ms / 1000)
     assert not node.chooser.is_silent
     clock.advance(3 + heartbeat_ms / 1000)
     assert node.chooser.is_silent
+
+
+@pytest.mark.parametrize(("is_hint", "doubt"), [(True, ""), (False, "behind")])
+def test_only_a_nodes_word_makes_the_source_look_late(
+    tmp_path, is_hint, doubt
+):
+    clock = ManualClock()
+    node = connected_node(tmp_path, clock)
+    check = node.state.observe_position(10**9, is_hint=is_hint)
+    assert check is PositionCheck.BEHIND
+    clock.advance(BEHIND_SECONDS)
+    assert node.chooser.explain().dissatisfaction == doubt
--- a/tests/standin/mesh.py
+++ b/tests/standin/mesh.py
@@ -104,7 +104,7 @@
         book = UpstreamBook("here", self.clock, random.Random(5))
         quarantine = Quarantine(self.clock)
 
-        def observe(position: int) -> PositionCheck:
+        def observe(position: int, *, is_hint: bool = False) -> PositionCheck:
             return self.nodes[name].observe(position)
 
         node = CallNode(
