Follow the fallbacks of services

A manifest names a fallback service and the call path looked for a route of that name, so that no fallback was ever taken. A route now carries the chain of its service's fallbacks, which a release keeps free of cycles, and their upstreams are tried in turn when none of its own can be chosen. The call keeps its route: its time, retries and counters are those of the route that the caller asked for.

Found by reading the joints between the packages; each side had tests and none went across.

--- a/bench/node.py
+++ b/bench/node.py
@@ -39,7 +39,7 @@
         budget_ratio=0.1,
         priority=CallPriority.INTERACTIVE,
         is_idempotent=True,
-        fallback=None,
+        fallbacks=(),
     )
     for number, prefix in enumerate(("/", "/meters", "/refunds", "/bench"))
 )
--- a/packages/calls/src/rhubarbhollow_calls/call_route.py
+++ b/packages/calls/src/rhubarbhollow_calls/call_route.py
@@ -14,8 +14,9 @@
     """Say where calls under a host and path prefix go, and how.
 
     ``host`` is ``*`` for any host. ``budget_ratio`` is the share of
-    recent calls that may be sent again. ``fallback`` names the route
-    that is tried when no upstream of ``service`` can be chosen.
+    recent calls that may be sent again. ``fallbacks`` are the services
+    whose upstreams are tried in turn when none of ``service`` can be
+    chosen.
     """
 
     name: str
@@ -27,4 +28,4 @@
     budget_ratio: float
     priority: CallPriority
     is_idempotent: bool
-    fallback: str | None
+    fallbacks: tuple[str, ...]
--- a/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
@@ -113,13 +113,12 @@
         book = self._node.book
         route = self._state.route
         endpoint = book.choose(route.service, self._tried)
-        if endpoint is not None or self._tried or route.fallback is None:
+        if endpoint is not None or self._tried:
             return endpoint
-        fallback = self._node.state_of_route(route.fallback)
-        if fallback is None:
-            return None
-        self._state = fallback
-        return book.choose(fallback.route.service, self._tried)
+        chosen = (
+            book.choose(service, self._tried) for service in route.fallbacks
+        )
+        return next((one for one in chosen if one is not None), None)
 
     def _make_attempt(self, endpoint: Endpoint) -> Attempt:
         node = self._node
--- a/packages/calls/tests/test_io_failures.py
+++ b/packages/calls/tests/test_io_failures.py
@@ -408,9 +408,13 @@
     run(main())
 
 
-def test_a_fallback_route_is_tried_when_no_upstream_is_known():
+def test_fallback_services_are_tried_when_no_upstream_is_known():
     other = replace(
-        ONCE, name="other", prefix="/x", service="none", fallback="lookup"
+        ONCE,
+        name="other",
+        prefix="/x",
+        service="none",
+        fallbacks=("none", ONCE.service),
     )
 
     async def main():
--- a/packages/calls/tests/test_route_table.py
+++ b/packages/calls/tests/test_route_table.py
@@ -10,7 +10,7 @@
 
 def route(name: str, host: str, prefix: str) -> CallRoute:
     return CallRoute(
-        name, host, prefix, "s", 100, 2, 0.1, CallPriority.BULK, True, None
+        name, host, prefix, "s", 100, 2, 0.1, CallPriority.BULK, True, ()
     )
 
 
--- a/packages/daemon/src/rhubarbhollow_daemon/route_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/route_building.py
@@ -12,7 +12,7 @@
 from rhubarbhollow_release.retry_policy import RetryPolicy
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterator, Mapping
 
     from rhubarbhollow_distribution.held_release import HeldRelease
     from rhubarbhollow_release.route import Route
@@ -59,10 +59,21 @@
         budget_ratio=policy.budget_ratio,
         priority=_priority(route.priority),
         is_idempotent=route.is_idempotent,
-        fallback=services[route.service].fallback,
+        fallbacks=tuple(_follow_fallbacks(route.service, services)),
     )
 
 
+def _follow_fallbacks(
+    service: str,
+    services: Mapping[str, Service],
+) -> Iterator[str]:
+    """Return the services to use instead; a release has no cycles."""
+    fallback = services[service].fallback
+    while fallback is not None:
+        yield fallback
+        fallback = services[fallback].fallback
+
+
 def _priority(priority: Priority) -> CallPriority:
     match priority:
         case Priority.INTERACTIVE:
--- a/tests/standin/mesh.py
+++ b/tests/standin/mesh.py
@@ -35,7 +35,7 @@
 _FOREVER = itertools.repeat(None)
 DEFAULT_ROUTE = CallRoute(
     "lookup", "*", "/", "desk", 5_000, 2, 1.0, CallPriority.INTERACTIVE,
-    is_idempotent=True, fallback=None,
+    is_idempotent=True, fallbacks=(),
 )  # fmt: skip
 
 
