Count each crash of one upstream and find it at another port

Two faults at the joint between announcements and the call path, found by asking what a single upstream that is restarted after each crash does: 1. All runs of one upstream had one identity, so that its second crash under a request was taken for the first told again, and the request was never quarantined. The number of crashes that the node has seen is now part of the identity; late news of a known crash is passed over. 2. An upstream that came back under its name at another port was not reached: its endpoint record had not changed, so the node kept the old address until the lease ended.

--- a/packages/calls/src/rhubarbhollow_calls/io_local_port.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_port.py
@@ -158,8 +158,13 @@
             for call in calls:
                 self.quarantine.abandoned(call.fingerprint, call.epoch)
             return
-        name, incarnation = self.upstream.name, self.upstream.incarnation
-        for report in self.quarantine.crashed(name, incarnation):
+        epoch = self.quarantine.epoch
+        if all(call.epoch != epoch for call in calls):
+            # late news of a crash that is known
+            return
+        # each crash is one of another run of the upstream
+        incarnation = self.upstream.incarnation + epoch
+        for report in self.quarantine.crashed(self.upstream.name, incarnation):
             self._publish(report)
 
     def _grant(self, ticket: Ticket) -> None:
--- a/packages/calls/src/rhubarbhollow_calls/quarantine.py
+++ b/packages/calls/src/rhubarbhollow_calls/quarantine.py
@@ -85,6 +85,11 @@
         self._in_flight: dict[bytes, int] = {}
         self._may_run = MayRun(0)
 
+    @property
+    def epoch(self) -> int:
+        """Return how many crashes this node has seen itself."""
+        return self._may_run.epoch
+
     def verdict(self, fingerprint: bytes) -> QuarantineVerdict:
         """Judge a request without starting it, on any node."""
         suspect = self._suspects.get(fingerprint)
--- a/packages/daemon/src/rhubarbhollow_daemon/control_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_building.py
@@ -75,7 +75,7 @@
     links = PeerLinks(hello, settings.controls, traffic, random)
     machine = ReleaseMachine(settings.mesh, settings.trusted)
     replica = Replica(
-        settings=_replica_settings(name, control),
+        settings=_replica_settings(name, control, LogGroup.RELEASES),
         store=opened.ok_value,
         machine=machine,
         clock=clock,
@@ -157,7 +157,7 @@
     links = PeerLinks(hello, settings.controls, traffic, random)
     machine = ClaimMachine()
     replica = Replica(
-        settings=_replica_settings(name, control),
+        settings=_replica_settings(name, control, LogGroup.CLAIMS),
         store=opened.ok_value,
         machine=machine,
         clock=clock,
@@ -178,7 +178,11 @@
     return opened
 
 
-def _replica_settings(name: str, control: ControlSettings) -> ReplicaSettings:
+def _replica_settings(
+    name: str,
+    control: ControlSettings,
+    group: LogGroup,
+) -> ReplicaSettings:
     return ReplicaSettings(
         name=name,
         initial_members=control.members,
@@ -188,6 +192,7 @@
         heartbeat_ms=round(control.heartbeat.total_seconds() * 1000),
         snapshot_after_entries=control.snapshot_after_entries,
         repair_after_seconds=control.repair_after.total_seconds(),
+        log_name=group.name.lower(),
     )
 
 
--- a/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import TYPE_CHECKING, Final
 
 import anyio
@@ -61,6 +62,7 @@
         self._schedule = SummarySchedule(parts.clock)
         self._store_version = 0
         self._was_fresh = False
+        self._positions = (0, 0)
         parts.replica.on_applied(lambda _: self.post(LogAdvanced()))
 
     def post(self, event: ControlEvent) -> None:
@@ -69,6 +71,9 @@
             self._sender.send_nowait(event)
         except anyio.WouldBlock:
             _log.warning("control_inbox_full", event_type=type(event).__name__)
+        except anyio.BrokenResourceError:
+            # the process stops, and nobody reacts any more
+            pass
 
     async def serve_node(
         self,
@@ -86,19 +91,28 @@
             clock=parts.clock,
         )
         link = NodeLink(hello, feed)
-        await self._sender.send(NodeJoined(link))
-        try:
-            await self._run_link(connection, link)
-        finally:
-            with anyio.CancelScope(shield=True):
-                await self._sender.send(NodeLeft(link))
+        with suppress(anyio.BrokenResourceError):
+            await self._sender.send(NodeJoined(link))
+            try:
+                await self._run_link(connection, link)
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await self._sender.send(NodeLeft(link))
 
     def serve_peer(self, control: str, message: object) -> None:
         """Queue what another control instance said."""
         self.post(PeerSaid(control, message))
 
     async def run(self) -> None:
-        """React to events until cancelled."""
+        """React to events until cancelled.
+
+        A closed inbox then frees the connections that still wait to
+        tell of their end.
+        """
+        with self._receiver:
+            await self._react_for_ever()
+
+    async def _react_for_ever(self) -> None:
         parts = self._parts
         parts.leader_desk.note_log()
         async with anyio.create_task_group() as group:
@@ -109,7 +123,7 @@
                     self._react(event, view)
                 self._tick(view)
                 parts.exchange.flush()
-                self._feed(event, view)
+                self._feed(view)
                 self._send_summary()
                 position = parts.leader_desk.maybe_plan()
                 if position is not None:
@@ -139,7 +153,8 @@
             case PeerSaid(control, message):
                 self._hear_peer(control, message)
             case LogAdvanced():
-                self._parts.leader_desk.note_log()
+                # it only wakes this task: a full inbox may drop it
+                pass
 
     def _hear_peer(self, control: str, message: object) -> None:
         parts = self._parts
@@ -167,11 +182,16 @@
         self._parts.desk.tick(view)
         self._parts.exchange.tick()
 
-    def _feed(self, event: ControlEvent | None, view: LedgerView) -> None:
+    def _feed(self, view: LedgerView) -> None:
         """Feed all nodes on news for all, else those that are due."""
         parts = self._parts
+        positions = (view.latest_position, view.active_position)
+        is_log_news = positions != self._positions
+        self._positions = positions
+        if is_log_news:
+            parts.leader_desk.note_log()
         is_news = (
-            isinstance(event, LogAdvanced)
+            is_log_news
             or parts.store.version != self._store_version
             or view.is_fresh != self._was_fresh
         )
--- a/packages/daemon/src/rhubarbhollow_daemon/control_listener.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_listener.py
@@ -17,13 +17,14 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from anyio.abc import ByteStream, SocketStream
+    from anyio.abc import ByteStream, SocketStream, TaskGroup
     from anyio.streams.stapled import MultiListener
 
     from rhubarbhollow_wire.traffic import Traffic
 
 HELLO_TIMEOUT_SECONDS: Final = 5.0
 MAX_CONNECTIONS: Final = 2_048
+ACCEPT_RETRY_SECONDS: Final = 0.1
 
 _log = structlog.get_logger()
 
@@ -49,10 +50,25 @@
         self._serve_node = serve_node
         self._serve_peer = serve_peer
         self._connections = 0
+        self._peer_scopes: dict[tuple[str, int], anyio.CancelScope] = {}
 
     async def run(self, listener: MultiListener[SocketStream]) -> None:
         """Accept connections until cancelled."""
-        await listener.serve(self._accept)
+        async with anyio.create_task_group() as group:
+            while True:
+                await self._accept_all(listener, group)
+                await anyio.sleep(ACCEPT_RETRY_SECONDS)
+
+    async def _accept_all(
+        self,
+        listener: MultiListener[SocketStream],
+        group: TaskGroup,
+    ) -> None:
+        try:
+            await listener.serve(self._accept, group)
+        except* OSError as errors:
+            # too many open files, or a caller that went while it waited
+            _log.warning("accept_failed", cause=repr(errors.exceptions[0]))
 
     async def _accept(self, stream: ByteStream) -> None:
         if self._connections >= MAX_CONNECTIONS:
@@ -79,7 +95,7 @@
                 await self._serve_node(connection, hello)
             case Ok(PeerHello(mesh=mesh) as hello) if mesh == self._mesh:
                 connection.count_on(self._peer_traffic)
-                await self._receive_from_peer(connection, hello)
+                await self._serve_only(connection, hello)
             case Ok(message):
                 _log.warning(
                     "connection_refused",
@@ -89,6 +105,28 @@
             case Err(fault):
                 _log.warning("connection_refused", reason=repr(fault))
 
+    async def _serve_only(
+        self,
+        connection: FrameConnection,
+        hello: PeerHello,
+    ) -> None:
+        """Serve a peer's connection until it opens another one.
+
+        What a replaced connection still holds is older than what comes
+        on the new one, and its peer may never close it.
+        """
+        key = hello.control, hello.group
+        replaced = self._peer_scopes.get(key)
+        if replaced is not None:
+            replaced.cancel()
+        with anyio.CancelScope() as scope:
+            self._peer_scopes[key] = scope
+            try:
+                await self._receive_from_peer(connection, hello)
+            finally:
+                if self._peer_scopes.get(key) is scope:
+                    del self._peer_scopes[key]
+
     async def _receive_from_peer(
         self,
         connection: FrameConnection,
--- a/packages/daemon/src/rhubarbhollow_daemon/local_upstreams.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/local_upstreams.py
@@ -34,11 +34,14 @@
     def __init__(
         self,
         node: str,
+        incarnation: int,
         book: AnnouncementBook,
         call_node: CallNode,
         outbox: Outbox,
     ) -> None:
         self._node = node
+        self._incarnation = incarnation
+        self._local: LocalUpstream | None = None
         self._book = book
         self._call_node = call_node
         self._outbox = outbox
@@ -81,11 +84,15 @@
         self._apply_changes()
 
     def _apply_changes(self) -> None:
+        local = self._maybe_local()
+        if local != self._local:
+            # its address is the node's own business: no record has it
+            self._local = local
+            self._call_node.set_local_upstream(local)
         changed = self._book.take_changes()
         if not changed:
             return
         self._outbox.put(EndpointReport(changed))
-        self._call_node.set_local_upstream(self._maybe_local())
         for record in changed:
             _log.info(
                 "upstream_changed",
@@ -110,4 +117,5 @@
             port=announcement.port,
             slots=announcement.slots,
             connections=announcement.connections,
+            incarnation=self._incarnation,
         )
--- a/packages/daemon/tests/test_local_upstreams.py
+++ b/packages/daemon/tests/test_local_upstreams.py
@@ -21,13 +21,13 @@
         self.local.append(local)
 
 
-def announce(upstreams, name="bench"):
+def announce(upstreams, name="bench", port=1):
     upstreams.announce(
         Announcement(
             name=name,
             service="s",
             host="127.0.0.1",
-            port=1,
+            port=port,
             slots=9,
             connections=1,
             lease=timedelta(seconds=5),
@@ -37,18 +37,32 @@
     )
 
 
-@pytest.mark.parametrize("name", ["bench", "other"])
-def test_a_draining_node_lists_no_upstream_again(name):
-    sink, clock = Sink(), ManualClock()
+def upstreams_of(sink):
     book = AnnouncementBook(
         node="n1",
         data_centre="ilala",
         peer_host="127.0.0.1",
         peer_port=1,
         incarnation=1,
-        clock=clock,
+        clock=ManualClock(),
     )
-    upstreams = LocalUpstreams("n1", book, sink, sink)
+    return LocalUpstreams("n1", 1, book, sink, sink)
+
+
+def test_an_upstream_that_came_back_at_another_port_is_found():
+    sink = Sink()
+    upstreams = upstreams_of(sink)
+    for port in (1, 1, 2):
+        announce(upstreams, port=port)
+    assert [local.port for local in sink.local] == [1, 2]
+    # the mesh knows the node's address, which is the same
+    assert sink.sent == [EndpointState.UP]
+
+
+@pytest.mark.parametrize("name", ["bench", "other"])
+def test_a_draining_node_lists_no_upstream_again(name):
+    sink = Sink()
+    upstreams = upstreams_of(sink)
     announce(upstreams)
     upstreams.leave_all()
     # the upstream beside goes on renewing its lease
--- a/tests/processes/test_calls.py
+++ b/tests/processes/test_calls.py
@@ -110,6 +110,23 @@
     assert sum(one.poll() is None for one in upstreams.values()) == 1
 
 
+def test_one_upstream_that_comes_back_crashes_twice_at_most(fleet):
+    node = fleet.nodes[0]
+    for _ in range(2):
+        upstream = fleet.start_upstream(node)
+        fleet.wait(
+            "the upstream",
+            lambda: call(node, "/benches/8")[0] == 200,
+        )
+        call(node, "/benches/7", method="PUT", body=b"CRASH")
+        assert upstream.wait(10) == 1
+    upstream = fleet.start_upstream(node)
+    fleet.wait("the upstream", lambda: call(node, "/benches/8")[0] == 200)
+    status, headers, _ = call(node, "/benches/7", method="PUT", body=b"CRASH")
+    assert (status, headers[REFUSAL]) == (403, "quarantined")
+    assert upstream.poll() is None
+
+
 def test_a_leaving_upstream_cuts_no_call_and_gets_nothing_new(fleet):
     upstreams = fleet.start_upstreams(service_ms=40)
     leaving = upstreams[fleet.nodes[0].name]
