--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Run benchmarks: ``python -m bench [call-path|distribution]``."""
+"""Run benchmarks: ``python -m bench [COMMAND]``."""
 
 from __future__ import annotations
 
@@ -15,6 +15,7 @@
     print_state,
 )
 from bench.distribution_state import measure_state
+from bench.policy_trial import print_policy
 from bench.report import print_rows
 
 STATE_ENDPOINTS = 2_000
@@ -52,14 +53,20 @@
 
 @main.command()
 @click.option("--nodes", default="10,30,100", help="Sizes, by commas.")
+@click.option("--controls", default=3, help="Control instances, 3 to 9.")
 @click.option("--coalescing-ms", default=5)
 @click.option("--heartbeat-ms", default=500)
 @click.option("--lease-ms", default=2000)
+@click.option(
+    "--crowded", is_flag=True, help="Let one control instance feed all."
+)
 def distribution(
     nodes: str,
+    controls: int,
     coalescing_ms: int,
     heartbeat_ms: int,
     lease_ms: int,
+    crowded: bool,
 ) -> None:
     """Measure convergence time and control cost over processes."""
     settings = {
@@ -70,11 +77,22 @@
     print_state(STATE_ENDPOINTS, tuple(measure_state(STATE_ENDPOINTS)))
     sizes = {}
     for node_count in map(int, nodes.split(",")):
-        sizes[node_count] = measure_size(node_count, settings)
+        sizes[node_count] = measure_size(
+            node_count,
+            settings,
+            control_count=controls,
+            is_crowded=crowded,
+        )
         print_size(node_count, sizes[node_count])
     if len(sizes) > 1:
         print_slopes(sizes)
 
 
+@main.command()
+def policy() -> None:
+    """Compare the decisions on calls with naive ones."""
+    print_policy()
+
+
 if __name__ == "__main__":
     main()
--- a/bench/distribution.py
+++ b/bench/distribution.py
@@ -37,6 +37,7 @@
     "node": (),
     "leader": ("served", "peer"),
     "follower": ("served", "peer"),
+    "first control": ("served", "peer"),
 }
 LEADER_TRIES: Final = 300
 
@@ -323,17 +324,27 @@
             ("node", self._fleet.nodes),
             ("leader", self._leader),
             ("follower", self._followers),
+            ("first control", self._fleet.controls[:1]),
         )
 
 
 def measure_size(
     node_count: int,
     distribution: dict[str, int],
+    *,
+    control_count: int,
+    is_crowded: bool,
 ) -> list[Figure]:
     """Start a fleet of a size, measure it, and end it."""
     with (
         tempfile.TemporaryDirectory(prefix="rhubarbhollow-bench-") as folder,
-        MeasuredFleet(Path(folder), node_count, distribution) as fleet,
+        MeasuredFleet(
+            Path(folder),
+            node_count,
+            distribution,
+            control_count=control_count,
+            is_crowded=is_crowded,
+        ) as fleet,
     ):
         return list(DistributionRun(fleet).measure())
 
--- a/bench/distribution_figures.py
+++ b/bench/distribution_figures.py
@@ -27,7 +27,7 @@
 
 def print_size(node_count: int, figures: Sequence[Figure]) -> None:
     """Print the table of one size."""
-    print(f"\n{node_count} nodes, 3 control instances")
+    print(f"\n{node_count} nodes")
     _print_figures(figures)
 
 
--- a/bench/distribution_state.py
+++ b/bench/distribution_state.py
@@ -21,6 +21,8 @@
 )
 from rhubarbhollow_distribution.endpoint_store import EndpointStore
 from rhubarbhollow_distribution.endpoint_table import EndpointTable
+from rhubarbhollow_distribution.hello import Hello
+from rhubarbhollow_distribution.node_register import NodeRegister
 from rhubarbhollow_wire.clock import SystemClock
 
 if TYPE_CHECKING:
@@ -28,6 +30,7 @@
 
 CHANGES: Final = 50
 DATA_CENTRES: Final = 15
+LEASE_SECONDS: Final = 60.0
 
 
 def measure_state(endpoint_count: int) -> Iterator[Figure]:
@@ -47,6 +50,20 @@
         _time(lambda: CODEC.decode(encoded)),
     )
     yield from _measure_node(encoded, store)
+    yield from _measure_register(endpoint_count)
+
+
+def _measure_register(node_count: int) -> Iterator[Figure]:
+    # a control instance does this after each message from a node
+    register = NodeRegister("control", "dc-0", SystemClock(), LEASE_SECONDS)
+    for number in range(node_count):
+        register.admit(
+            Hello("mesh", f"node-{number}", "dc-0", 1, 1, b"", 1, "", 0)
+        )
+    yield Figure(
+        "state: control, count the nodes once, ms",
+        sum(_time(register.summary) for _ in range(CHANGES)) / CHANGES,
+    )
 
 
 def _measure_node(encoded: bytes, store: EndpointStore) -> Iterator[Figure]:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -42,9 +42,11 @@
 
 
 class MeasuredFleet:
-    """Three control instances, and nodes with an upstream each.
+    """Control instances, and nodes with an upstream each.
 
     The upstreams are announced with a long lease and never called.
+    A crowded fleet has all nodes in the first data centre, so that one
+    control instance feeds them all.
     """
 
     def __init__(
@@ -52,7 +54,13 @@
         folder: Path,
         node_count: int,
         distribution: dict[str, int],
+        *,
+        control_count: int = len(DATA_CENTRES),
+        is_crowded: bool = False,
     ) -> None:
+        self._node_data_centres = (
+            DATA_CENTRES[:1] if is_crowded else DATA_CENTRES
+        )
         self.legal = Legal()
         self.mesh = LocalMesh(
             MESH,
@@ -62,8 +70,7 @@
         )
         self._ports = _free_ports()
         self.controls = [
-            self._add(f"{data_centre}-c", data_centre, is_control=True)
-            for data_centre in DATA_CENTRES
+            self._add_control(number) for number in range(control_count)
         ]
         self.nodes = [self._add_node(number) for number in range(node_count)]
         self._logs = {
@@ -213,8 +220,15 @@
             if log.went_back():
                 raise MeshFailureError(f"{name} went back")
 
-    def _add_node(self, number: int) -> Instance:
+    def _add_control(self, number: int) -> Instance:
         data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        return self._add(
+            f"{data_centre}-c{number}", data_centre, is_control=True
+        )
+
+    def _add_node(self, number: int) -> Instance:
+        data_centres = self._node_data_centres
+        data_centre = data_centres[number % len(data_centres)]
         return self._add(f"{data_centre}-{number}", data_centre)
 
     def _add(
