Say in log events which quorum log changed its role or failed

role_changed, store_failed and snapshot_restored of the release log and the claim log looked alike, since a replica knew only its member's name. The test of a failed store checks the field; it failed first.

--- a/packages/replication/src/rhubarbhollow_replication/replica.py
+++ b/packages/replication/src/rhubarbhollow_replication/replica.py
@@ -261,6 +261,7 @@
         self._applied_index = snapshot.last_index
         _log.info(
             "snapshot_restored",
+            log=self._settings.log_name,
             replica=self._settings.name,
             index=snapshot.last_index,
         )
@@ -288,7 +289,10 @@
         self._fault = fault
         self._abandon()
         _log.error(
-            "store_failed", replica=self._settings.name, fault=repr(fault)
+            "store_failed",
+            log=self._settings.log_name,
+            replica=self._settings.name,
+            fault=repr(fault),
         )
 
     def _abandon(self) -> None:
@@ -326,6 +330,7 @@
         self._logged = current
         _log.info(
             "role_changed",
+            log=self._settings.log_name,
             replica=self._settings.name,
             role=current[0].value,
             term=current[1],
--- a/packages/replication/src/rhubarbhollow_replication/settings.py
+++ b/packages/replication/src/rhubarbhollow_replication/settings.py
@@ -18,7 +18,8 @@
     start a new history; switched off after the first start, not even
     the loss of all their disks at once can start a second one.
     ``max_clock_drift_ratio`` bounds how much faster one member's clock
-    runs than another's, as a share of elapsed time.
+    runs than another's, as a share of elapsed time. ``log_name`` tells
+    the logs of one process apart in its log events.
     """
 
     name: str
@@ -32,6 +33,7 @@
     max_pending_proposals: int = 1024
     repair_after_seconds: float = 60.0
     may_form_cluster: bool = True
+    log_name: str = "log"
 
     def __post_init__(self) -> None:
         if self.heartbeat_ms * 2 > self.election_timeout_ms:
--- a/packages/replication/tests/test_replica.py
+++ b/packages/replication/tests/test_replica.py
@@ -13,6 +13,7 @@
 import pytest
 from fake_disk import FakeDisk
 from result import Err, Ok
+from structlog.testing import capture_logs
 
 from rhubarbhollow_replication import (
     AddLearner,
@@ -237,7 +238,8 @@
 def test_a_failed_store_ends_voting_and_acknowledging(attribute, fault):
     async def run():
         disks = {name: FakeDisk(Random(name)) for name in NAMES}
-        async with running(Path("/data"), disks=disks) as (group, _):
+        settings = {"disks": disks, "log_name": "claims"}
+        async with running(Path("/data"), **settings) as (group, _):
             leader = await group.leader()
             name = leader.status.leader
             await group.call(leader.propose, b"one")
@@ -253,7 +255,10 @@
             assert other is not leader
             assert (await group.call(other.propose, b"four")).is_ok()
 
-    anyio.run(run)
+    with capture_logs() as events:
+        anyio.run(run)
+    assert {"role_changed", "store_failed"} <= {e["event"] for e in events}
+    assert {event["log"] for event in events} == {"claims"}
 
 
 def test_a_leader_that_was_frozen_acknowledges_nothing(tmp_path):
