--- a/tools/demo.py
+++ b/tools/demo.py
@@ -39,6 +39,8 @@
 CONNECTIONS: Final = 120
 REST_SECONDS: Final = 4.0
 IN_FORCE_LIMIT_SECONDS: Final = 5.0
+LEAVE_LIMIT_SECONDS: Final = 3.0
+STOP_LIMIT_SECONDS: Final = 20.0
 HTTP_OK: Final = 200
 EXIT_REFUSED: Final = 3
 EXIT_CONFLICT: Final = 4
@@ -50,6 +52,7 @@
     def __init__(self) -> None:
         self._mesh: LocalMesh | None = None
         self._step = 0
+        self._upstreams: dict[str, subprocess.Popen[bytes]] = {}
 
     def run(self) -> None:
         """Run every step; all processes end in any case."""
@@ -66,6 +69,7 @@
             self._withdraw()
             self._lose_the_leader()
             self._drain_a_node()
+            self._let_an_upstream_leave()
             self._count_control_bytes()
         finally:
             if self._mesh is not None:
@@ -168,7 +172,7 @@
 
     def _start_upstream(self, node: Instance, service: str) -> None:
         (port,) = free_ports(1)
-        self.mesh.start_other(
+        self._upstreams[node.name] = self.mesh.start_other(
             [
                 "-m",
                 "tests.standin.upstream",
@@ -339,6 +343,32 @@
             raise MeshFailureError(f"exit code {code}")
         del self.mesh.instances[leaving.name]
 
+    def _let_an_upstream_leave(self) -> None:
+        self._announce("An upstream leaves while calls run")
+        node = self.nodes[0]
+        upstream = self._upstreams[node.name]
+        with CallWatch(self.nodes, "/meters/17") as watch:
+            upstream.terminate()
+            seconds = wait_for(
+                "every node to know",
+                lambda: self._knows_no_work(node.name),
+                LEAVE_LIMIT_SECONDS,
+            )
+            upstream.wait(STOP_LIMIT_SECONDS)
+        print(f"   no node sent it new calls {seconds:.2f} s later")
+        self._watched(watch)
+
+    def _knows_no_work(self, node_name: str) -> bool:
+        lists = (get_json(f"{one.admin}/v1/upstreams") for one in self.nodes)
+        return all(
+            answer is not None
+            and not any(
+                one["node"] == node_name and one["state"] == "up"
+                for one in answer["upstreams"]
+            )
+            for answer in lists
+        )
+
     def _count_control_bytes(self) -> None:
         self._announce("Control bytes")
         before = self._node_bytes()
