--- a/tools/demo.py
+++ b/tools/demo.py
@@ -7,20 +7,17 @@
 from __future__ import annotations
 
 import shutil
-import subprocess
 import sys
 import time
 import urllib.request
 from pathlib import Path
-from typing import Final
-
-import yaml
+from typing import TYPE_CHECKING, Final
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from tools.call_watch import CallWatch
+from tools.demo_operator import MANIFEST, DemoOperator
 from tools.local_mesh import (
-    BIN,
     REPOSITORY,
     Instance,
     LocalMesh,
@@ -31,8 +28,10 @@
     wait_for,
 )
 
+if TYPE_CHECKING:
+    import subprocess
+
 FOLDER: Final = REPOSITORY / ".demo"
-MANIFEST: Final = REPOSITORY / "examples" / "authority-manifest.yaml"
 DATA_CENTRES: Final = ("ilala", "kinondoni", "temeke")
 NODES: Final = 6
 SLOTS: Final = 9
@@ -52,6 +51,7 @@
     def __init__(self) -> None:
         self._mesh: LocalMesh | None = None
         self._step = 0
+        self._operator = DemoOperator(FOLDER)
         self._upstreams: dict[str, subprocess.Popen[bytes]] = {}
 
     def run(self) -> None:
@@ -94,55 +94,15 @@
         self._step += 1
         print(f"\n{self._step}. {title}")
 
-    def _cli(self, *arguments: str, expect: int = 0) -> str:
-        servers: list[str] = []
-        if arguments[0] in ("submit", "withdraw", "status", "nodes"):
-            for control in self.mesh.controls:
-                servers += ["--server", control.admin]
-        done = subprocess.run(
-            [str(BIN / "rhubarbhollow"), *arguments, *servers],
-            capture_output=True,
-            text=True,
-            check=False,
-        )
-        print(f"   $ rhubarbhollow {' '.join(arguments)}")
-        if done.returncode != expect:
-            raise MeshFailureError(
-                f"exit code {done.returncode}, not {expect}: "
-                f"{done.stdout}{done.stderr}"
-            )
-        return done.stdout + done.stderr
-
     def _approve(self, version: int, name: str, key: str = "key") -> None:
-        document = yaml.safe_load(MANIFEST.read_text())
-        document["version"] = version
-        if version > 1:
-            document["routes"][0]["timeout_ms"] = 1000 + version
-        manifest = FOLDER / f"{name}.yaml"
-        manifest.write_text(yaml.safe_dump(document))
-        self._cli(
-            "approve",
-            str(manifest),
-            "--key",
-            str(FOLDER / key),
-            "--out",
-            str(FOLDER / f"{name}.approval"),
-        )
-
-    def _submit(self, name: str, expect: int = 0) -> str:
-        return self._cli(
-            "submit",
-            str(FOLDER / f"{name}.yaml"),
-            "--approval",
-            str(FOLDER / f"{name}.approval"),
-            expect=expect,
-        )
+        self._operator.write_manifest(version, name)
+        self._operator.approve(name, key)
 
     def _approve_first_release(self) -> None:
         self._announce("Legal makes a key and approves the first manifest")
-        self._cli("keygen", str(FOLDER / "key"))
-        self._cli("keygen", str(FOLDER / "stranger"))
-        self._cli("validate", str(MANIFEST))
+        self._operator.run("keygen", str(FOLDER / "key"))
+        self._operator.run("keygen", str(FOLDER / "stranger"))
+        self._operator.run("validate", str(MANIFEST))
         self._approve(1, "first")
 
     def _start(self) -> None:
@@ -162,6 +122,7 @@
             data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
             self.mesh.add(f"{data_centre}-{number}", data_centre)
         self.mesh.start_all()
+        self._operator.use(self.mesh.controls)
         for number, node in enumerate(self.nodes):
             service = "counter-desk" if number < NODES / 2 else "test-bench"
             self._start_upstream(node, service)
@@ -217,7 +178,7 @@
 
     def _submit_timed(self, name: str, position: int) -> None:
         started = time.monotonic()
-        self._submit(name)
+        self._operator.submit(name)
         self._check_in_force(position, started)
 
     def _check_in_force(self, position: int, started: float) -> None:
@@ -237,7 +198,7 @@
         self._announce("An operator submits the release")
         self._submit_timed("first", 1)
         started = time.monotonic()
-        again = self._submit("first")
+        again = self._operator.submit("first")
         print(f"   the same files again: {again.splitlines()[0].strip()}")
         self._check_in_force(1, started)
 
@@ -274,20 +235,14 @@
     def _refuse_what_is_not_approved(self) -> None:
         self._announce("What legal did not approve is refused")
         self._approve(3, "forged", key="stranger")
-        refusal = self._submit("forged", expect=EXIT_REFUSED)
+        refusal = self._operator.submit("forged", expect=EXIT_REFUSED)
         print(f"   a stranger's key: {_error_line(refusal)}")
-        document = yaml.safe_load(MANIFEST.read_text())
-        document["version"] = 2
-        (FOLDER / "raced.yaml").write_text(yaml.safe_dump(document))
-        self._cli(
-            "approve",
-            str(FOLDER / "raced.yaml"),
-            "--key",
-            str(FOLDER / "key"),
-            "--out",
-            str(FOLDER / "raced.approval"),
-        )
-        conflict = self._submit("raced", expect=EXIT_CONFLICT)
+        self._operator.write_manifest(4, "raced")
+        text = (FOLDER / "raced.yaml").read_text()
+        renamed = text.replace("version: 4", "version: 2")
+        (FOLDER / "raced.yaml").write_text(renamed)
+        self._operator.approve("raced")
+        conflict = self._operator.submit("raced", expect=EXIT_CONFLICT)
         print(f"   version 2, other content: {_error_line(conflict)}")
         if set(self._in_force()) != {2}:
             raise MeshFailureError(f"in force: {self._in_force()}")
@@ -296,7 +251,7 @@
         self._announce("The second release is withdrawn by a new approval")
         started = time.monotonic()
         with CallWatch(self.nodes, "/meters/17") as watch:
-            self._cli(
+            self._operator.run(
                 "withdraw",
                 "--to-position",
                 "1",
@@ -318,7 +273,7 @@
             self.mesh.kill(leader)
             self._approve(4, "fourth")
             started = time.monotonic()
-            self._submit("fourth")
+            self._operator.submit("fourth")
             seconds = time.monotonic() - started
             print(
                 f"   without {leader.name} a release was in force "
@@ -378,7 +333,7 @@
         self._approve(5, "fifth")
         before = self._node_bytes()
         started = time.monotonic()
-        self._submit("fifth")
+        self._operator.submit("fifth")
         self._check_in_force(5, started)
         seconds = time.monotonic() - started
         spent = (self._node_bytes() - before) / len(self.nodes)
