Stop node, upstream and leader gracefully in three orders

Calls through the other nodes run meanwhile; none may be refused, cut or routed by an older release, and every process has to end with code 0.

--- a/tests/processes/test_calls.py
+++ b/tests/processes/test_calls.py
@@ -223,3 +223,32 @@
 def _ignore_errors(function, *arguments):
     with contextlib.suppress(OSError):
         function(*arguments)
+
+
+@pytest.mark.parametrize(
+    "order",
+    [
+        ("node", "upstream", "control"),
+        ("upstream", "control", "node"),
+        ("control", "node", "upstream"),
+    ],
+)
+def test_graceful_stops_in_any_order_cut_no_call(fleet, order):
+    upstreams = fleet.start_upstreams(service_ms=30)
+    leaving, *others = fleet.nodes
+    stops = {
+        "node": lambda: fleet.mesh.terminate(leaving),
+        "upstream": lambda: _terminate(upstreams[leaving.name]),
+        "control": lambda: fleet.mesh.terminate(fleet.leader),
+    }
+    with CallWatch(others * 3, "/benches/1") as watch:
+        codes = [stops[name]() for name in order]
+    seen = watch.stop()
+    assert codes == [0, 0, 0]
+    assert seen.answered > 0
+    assert (seen.refused, seen.broken, seen.went_back) == (0, 0, 0), seen
+
+
+def _terminate(process):
+    process.terminate()
+    return process.wait(20)
