End connections between our processes that acknowledge no more

Cause: a link between control instances only sends, and a served one only receives, so neither noticed a peer that was cut off or frozen. TCP repeats lost data at growing intervals of up to two minutes, so after a partition a log could stay without its messages for that long; a served connection stood for ever. Both now use keepalive and a limit of 5 s on unacknowledged data.

Ruled out: a time limit on each send, which would cut a large stage again and again on a modest link that does make progress.

--- a/packages/daemon/src/rhubarbhollow_daemon/control_listener.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_listener.py
@@ -10,6 +10,7 @@
 
 from rhubarbhollow_daemon.codec import CODEC
 from rhubarbhollow_daemon.messages import PeerHello
+from rhubarbhollow_daemon.socket_options import detect_lost_peer
 from rhubarbhollow_distribution.hello import Hello
 from rhubarbhollow_wire.connection import FrameConnection
 from rhubarbhollow_wire.faults import UnexpectedFrame, WireFault
@@ -76,6 +77,7 @@
             await anyio.aclose_forcefully(stream)
             return
         self._connections += 1
+        detect_lost_peer(stream)
         connection = FrameConnection(stream, CODEC, self._node_traffic)
         try:
             await self._greet(connection)
--- a/packages/daemon/src/rhubarbhollow_daemon/peer_link.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/peer_link.py
@@ -10,6 +10,7 @@
 
 from rhubarbhollow_daemon.codec import CODEC
 from rhubarbhollow_daemon.outbox import Outbox
+from rhubarbhollow_daemon.socket_options import detect_lost_peer
 from rhubarbhollow_wire.connection import FrameConnection
 
 if TYPE_CHECKING:
@@ -87,6 +88,7 @@
                 stream = await anyio.connect_tcp(self._host, self._port)
         except (OSError, TimeoutError):
             return False
+        detect_lost_peer(stream)
         connection = FrameConnection(stream, CODEC, self._traffic)
         try:
             with anyio.move_on_after(CONNECT_TIMEOUT_SECONDS):
--- /dev/null
+++ b/packages/daemon/tests/test_outbox.py
@@ -0,0 +1,58 @@
+import anyio
+import pytest
+from result import Err, Ok
+
+from rhubarbhollow_daemon.outbox import BATCH_MESSAGES, Outbox
+from rhubarbhollow_wire.faults import ConnectionEnded
+
+
+class Connection:
+    """Take a number of batches, then fail."""
+
+    def __init__(self, batches):
+        self.sent = []
+        self._left = batches
+
+    async def send(self, *messages):
+        if self._left == 0:
+            return Err(ConnectionEnded(is_clean=True))
+        self._left -= 1
+        self.sent.append(messages)
+        return Ok(None)
+
+
+@pytest.mark.parametrize(
+    ("limit", "count", "dropped"), [(4, 3, 0), (4, 4, 0), (4, 9, 5)]
+)
+def test_a_full_queue_drops_the_newest(limit, count, dropped):
+    outbox = Outbox(limit)
+    for number in range(count):
+        outbox.put(number)
+    assert outbox.dropped == dropped
+    connection = Connection(1)
+
+    async def run():
+        with anyio.CancelScope() as scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(outbox.pump, connection)
+                await anyio.wait_all_tasks_blocked()
+                scope.cancel()
+
+    anyio.run(run)
+    assert connection.sent == [tuple(range(min(limit, count)))]
+
+
+def test_a_failed_connection_ends_the_sending():
+    outbox = Outbox()
+    for number in range(2 * BATCH_MESSAGES + 1):
+        outbox.put(number)
+    connection = Connection(1)
+    anyio.run(outbox.pump, connection)
+    assert connection.sent == [tuple(range(BATCH_MESSAGES))]
+    outbox.put("old")
+    outbox.clear()
+    for number in range(2):
+        outbox.put(number)
+    connection = Connection(0)
+    anyio.run(outbox.pump, connection)
+    assert (connection.sent, outbox.dropped) == ([], 0)
--- /dev/null
+++ b/packages/daemon/tests/test_socket_options.py
@@ -0,0 +1,30 @@
+import socket
+
+import anyio
+from anyio.abc import SocketAttribute
+from fake_stream import join_streams
+
+from rhubarbhollow_daemon.socket_options import (
+    UNACKNOWLEDGED_MS,
+    detect_lost_peer,
+)
+
+
+def test_a_socket_notices_a_peer_that_is_gone():
+    async def run():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(SocketAttribute.local_port)
+        async with listener, await anyio.connect_tcp("127.0.0.1", port) as end:
+            detect_lost_peer(end)
+            raw = end.extra(SocketAttribute.raw_socket)
+            return (
+                raw.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+                raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+            )
+
+    assert anyio.run(run) == (1, UNACKNOWLEDGED_MS)
+
+
+def test_a_stream_without_a_socket_is_left_alone():
+    for stream in join_streams():
+        detect_lost_peer(stream)
