Tell new connections what is known of requests that crash

Cause: crash reports were sent once, to the source of that moment. A report that was queued when the source changed, or while a control instance was cut off, reached nobody there, and its nodes could run the crashing request again. A node now repeats what it knows on each new connection, and a control instance on each new link; merging is idempotent, and a known message goes no further. Keeping the outbox over a change of source was ruled out, since what else it holds is stale.

--- a/packages/daemon/src/rhubarbhollow_daemon/node_desk.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_desk.py
@@ -65,6 +65,7 @@
         self._links: dict[str, NodeLink] = {}
         self._waiting: dict[str, NodeLink] = {}
         self._left_at: dict[str, float] = {}
+        self._greeted: dict[str, int] = {}
 
     @property
     def link_count(self) -> int:
@@ -183,6 +184,7 @@
             if left_at <= oldest:
                 self._end_lease(name)
         self._store.expire()
+        self._greet_peers()
 
     def feed_due(self, view: LedgerView) -> None:
         """Feed every node whose time has come."""
@@ -237,6 +239,16 @@
         )
         link.outbox.put(redirect)
 
+    def _greet_peers(self) -> None:
+        """Tell each new link what its peer may have missed."""
+        for name, link in self._peers.by_name.items():
+            is_known = self._greeted.get(name) == link.generation
+            if is_known or not link.is_up:
+                continue
+            self._greeted[name] = link.generation
+            for message in self._relay.recent():
+                link.send(message)
+
     def _merge(self, report: EndpointReport) -> None:
         changed = self._store.merge(report.records, self._welcome.control)
         self._exchange.publish(changed)
--- a/packages/daemon/src/rhubarbhollow_daemon/node_session.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_session.py
@@ -88,6 +88,9 @@
             )
             self._outbox.clear()
             self._outbox.put(EndpointReport(self._state.endpoint_records))
+            # the last source may have gone before it took these in
+            for message in self._state.crash_evidence:
+                self._outbox.put(message)
             self._is_connected = True
             try:
                 current = await self._serve(current)
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -36,6 +36,7 @@
 if TYPE_CHECKING:
     from rhubarbhollow_calls.io_node import CallNode
     from rhubarbhollow_calls.quarantine import Quarantine
+    from rhubarbhollow_calls.quarantine_message import QuarantineMessage
     from rhubarbhollow_daemon.burn_ledger import BurnLedger
     from rhubarbhollow_daemon.claim_client import ClaimClient
     from rhubarbhollow_daemon.endpoint_view import EndpointView
@@ -102,6 +103,11 @@
         """Return the mesh's endpoints as this node knows them."""
         return self._endpoints
 
+    @property
+    def crash_evidence(self) -> tuple[QuarantineMessage, ...]:
+        """Return what this node knows of requests that crash."""
+        return self._quarantine.messages()
+
     def attach(self, call_node: CallNode) -> None:
         """Route the calls of ``call_node`` by what is held here."""
         self._call_node = call_node
--- a/packages/daemon/tests/test_node_desk.py
+++ b/packages/daemon/tests/test_node_desk.py
@@ -1,8 +1,10 @@
 from dataclasses import replace
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 
+from rhubarbhollow_calls.quarantine_message import CrashReport
 from rhubarbhollow_daemon.endpoint_exchange import EndpointExchange
 from rhubarbhollow_daemon.messages import EndpointsRequest, PeerHello
 from rhubarbhollow_daemon.node_desk import NodeDesk
@@ -42,7 +44,7 @@
         self.store = EndpointStore("c1", 1, self.clock)
         self.register = NodeRegister("c1", "ilala", self.clock, LEASE_SECONDS)
         hello = PeerHello("mesh", "c1", 1, 0)
-        links = PeerLinks(hello, (), Traffic(), self.random)
+        self.peers = links = PeerLinks(hello, (), Traffic(), self.random)
         self.desk = NodeDesk(
             Welcome("c1", "ilala", 1),
             self.register,
@@ -143,3 +145,19 @@
     hello = Hello("mesh", "n1", "ilala", 8, 0, b"", 0, "", 0)
     desk.desk.join(desk.link(hello), VIEW)
     assert desk.store.records == ()
+
+
+def test_a_peer_that_comes_back_learns_of_crashes():
+    desk = Desk()
+    peers = desk.peers.by_name
+    sent = []
+    link = peers["c2"] = SimpleNamespace(
+        is_up=False, generation=0, send=sent.append
+    )
+    crash = CrashReport(b"f", "n1/bench", 1, desk.clock.utc().timestamp())
+    desk.desk.spread(crash, is_from_peer=True)
+    for generation in (1, 1, 2):
+        desk.desk.tick(VIEW)
+        link.is_up, link.generation = True, generation
+        desk.desk.tick(VIEW)
+    assert sent == [crash, crash]
