Bound the time for which a claim command holds a slot

Cause: a command waited without limit for a slot and for the log. With a stalled disk all slots stayed taken, and since nodes ask again every 0.55 s, the commands that waited grew for as long as the stall. Each command now has 2 s in all, as a relayed one had, and is then answered with nothing known; the ledger knows a repeat. The test failed first: none of three commands was answered within its 5 s.

--- a/packages/daemon/src/rhubarbhollow_daemon/claim_desk.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/claim_desk.py
@@ -51,7 +51,8 @@
 
     An empty outcome tells the node that nothing is known: it proposes
     the same command again, and the ledger answers a repeat like the
-    first.
+    first. It comes in time also when a quorum stalls, so that the
+    commands that wait here stay few.
     """
 
     def __init__(
@@ -76,18 +77,17 @@
     ) -> None:
         """Answer a node's command; nothing is left open."""
         outcome = b""
-        async with self._slots:
-            status = self._replica.status
-            if status.role is Role.LEADER:
-                outcome = await self._commit(request.command)
-            elif status.leader is not None:
-                outcome = await self._relay(status.leader, request.command)
+        with anyio.move_on_after(ANSWER_TIMEOUT_SECONDS):
+            async with self._slots:
+                outcome = await self._find_outcome(request.command)
         send(ClaimAnswer(request.request_id, outcome))
 
     async def serve_peer(self, control: str, request: ProposeRequest) -> None:
         """Answer a command that another control instance relays."""
-        async with self._slots:
-            outcome = await self._commit(request.payload)
+        outcome = b""
+        with anyio.move_on_after(ANSWER_TIMEOUT_SECONDS):
+            async with self._slots:
+                outcome = await self._commit(request.payload)
         answer = ProposeAnswer(
             request.request_id,
             HTTP_OK if outcome else HTTP_UNAVAILABLE,
@@ -113,6 +113,14 @@
             command = ExpireClaims(self._now_ms() - RETENTION_MS)
             await self._replica.propose(encode_command(command))
 
+    async def _find_outcome(self, command: bytes) -> bytes:
+        status = self._replica.status
+        if status.role is Role.LEADER:
+            return await self._commit(command)
+        if status.leader is not None:
+            return await self._relay(status.leader, command)
+        return b""
+
     async def _commit(self, encoded: bytes) -> bytes:
         decoded = decode_command(encoded)
         if isinstance(decoded, Err):
@@ -155,11 +163,10 @@
                     CLAIM_KIND,
                 ),
             )
-            with anyio.move_on_after(ANSWER_TIMEOUT_SECONDS):
-                await done.wait()
+            await done.wait()
         finally:
             del self._waiting[request_id]
-        return outcomes[0] if outcomes else b""
+        return outcomes[0]
 
     def _now_ms(self) -> int:
         return int(self._clock.utc().timestamp() * MS_PER_SECOND)
--- a/packages/daemon/tests/test_claim_desk.py
+++ b/packages/daemon/tests/test_claim_desk.py
@@ -7,9 +7,14 @@
 from rhubarbhollow_calls.claim import ClaimKey, ExpireClaims
 from rhubarbhollow_calls.claim_codec import decode_outcome, encode_command
 from rhubarbhollow_calls.claim_outcome import Claimed
+from rhubarbhollow_daemon import claim_desk
 from rhubarbhollow_daemon.claim_desk import ClaimDesk
 from rhubarbhollow_daemon.claim_machine import ClaimMachine
-from rhubarbhollow_daemon.messages import ClaimRequest, PeerHello
+from rhubarbhollow_daemon.messages import (
+    ClaimRequest,
+    PeerHello,
+    ProposeRequest,
+)
 from rhubarbhollow_daemon.peer_links import PeerLinks
 from rhubarbhollow_replication.role import Role
 from rhubarbhollow_wire.clock import ManualClock
@@ -58,3 +63,28 @@
     machine, outcome = ask(command)
     assert outcome == b""
     assert machine.ledger.high_ms == 0
+
+
+def test_a_quorum_that_stalls_holds_no_slot(monkeypatch):
+    monkeypatch.setattr(claim_desk, "ANSWER_TIMEOUT_SECONDS", 0)
+    monkeypatch.setattr(claim_desk, "MAX_CONCURRENT", 1)
+    machine = ClaimMachine()
+    leader = Leader(machine)
+    leader.propose = lambda _: anyio.sleep_forever()
+    links = PeerLinks(PeerHello("m", "c1", 1, 1), (), Traffic(), Random(1))
+    desk = ClaimDesk(machine, leader, links, ManualClock())
+    answers = []
+
+    async def run():
+        with anyio.move_on_after(5):
+            async with anyio.create_task_group() as group:
+                for number in range(3):
+                    request = ClaimRequest(number, CLAIM)
+                    group.start_soon(desk.serve_node, request, answers.append)
+                group.start_soon(
+                    desk.serve_peer, "c2", ProposeRequest(9, 1, CLAIM, 2)
+                )
+
+    anyio.run(run)
+    assert {answer.request_id for answer in answers} == {0, 1, 2}
+    assert all(answer.outcome == b"" for answer in answers)
