Handle no admin request whose connection ended before its body

Cause: a request cut off in its body was handed to its handler with the part that had come. Reading now ends with a typed fault, and a cut request is not handled. The test failed first; 404, 405, a body that is too large and a handler's exception are covered in one table, which passed at once.

--- a/packages/daemon/src/rhubarbhollow_daemon/http_server.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/http_server.py
@@ -6,10 +6,11 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any, Final, TypeAlias
 
 import structlog
 import uvicorn
+from result import Err, Ok, Result
 
 from rhubarbhollow_daemon.http_request import HttpRequest
 from rhubarbhollow_daemon.http_response import HttpResponse, answer_problem
@@ -27,6 +28,19 @@
 _log = structlog.get_logger()
 
 
+@dataclass(frozen=True, slots=True)
+class BodyTooLarge:
+    """The body has more than ``MAX_BODY_BYTES``."""
+
+
+@dataclass(frozen=True, slots=True)
+class RequestCut:
+    """The connection ended before the request was whole."""
+
+
+BodyFault: TypeAlias = BodyTooLarge | RequestCut
+
+
 @dataclass(frozen=True, slots=True)
 class Endpoint:
     """Bind a method and a path pattern to a handler.
@@ -55,6 +69,8 @@
         if scope["type"] != "http":
             return
         body = await _read_body(receive)
+        if isinstance(body, Err) and isinstance(body.err_value, RequestCut):
+            return
         response = await self._respond(scope, body)
         headers = [
             (b"content-type", response.content_type.encode()),
@@ -76,9 +92,9 @@
     async def _respond(
         self,
         scope: Mapping[str, Any],
-        body: bytes | None,
+        body: Result[bytes, BodyFault],
     ) -> HttpResponse:
-        if body is None:
+        if isinstance(body, Err):
             return answer_problem(
                 "body_too_large",
                 HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
@@ -88,7 +104,7 @@
             scope["method"],
             scope["path"],
             scope["query_string"].decode("latin-1"),
-            body,
+            body.ok_value,
         )
         try:
             return await self._dispatch(request)
@@ -158,14 +174,14 @@
 
 async def _read_body(
     receive: Callable[[], Awaitable[Mapping[str, Any]]],
-) -> bytes | None:
+) -> Result[bytes, BodyFault]:
     body = bytearray()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
-            return bytes(body)
+            return Err(RequestCut())
         body += message.get("body", b"")
         if len(body) > MAX_BODY_BYTES:
-            return None
+            return Err(BodyTooLarge())
         if not message.get("more_body", False):
-            return bytes(body)
+            return Ok(bytes(body))
--- /dev/null
+++ b/packages/daemon/tests/test_http_server.py
@@ -0,0 +1,93 @@
+import json
+
+import anyio
+import pytest
+
+from rhubarbhollow_daemon import http_server
+from rhubarbhollow_daemon.http_response import answer_json
+from rhubarbhollow_daemon.http_server import AdminApplication
+
+
+async def echo(request, arguments):
+    body = request.body.decode()
+    answer = {**arguments, "q": request.argument("q"), "body": body}
+    return answer_json(answer)
+
+
+async def fail(request, arguments):
+    raise RecursionError
+
+
+def call(method, path, query=b"", chunks=(b"",), *, is_cut=False):
+    application = AdminApplication()
+    application.add("GET", "/a/(?P<name>[^/]+)", echo)
+    application.add("POST", "/a/(?P<name>[^/]+)", echo)
+    application.add("GET", "/fail", fail)
+    messages = [
+        {"type": "http.request", "body": chunk, "more_body": True}
+        for chunk in chunks
+    ]
+    if is_cut:
+        messages.append({"type": "http.disconnect"})
+    else:
+        messages[-1]["more_body"] = False
+    incoming, sent = iter(messages), []
+
+    async def receive():
+        return next(incoming)
+
+    async def send(message):
+        sent.append(message)
+
+    scope = {
+        "type": "http",
+        "method": method,
+        "path": path,
+        "query_string": query,
+    }
+    anyio.run(application, scope, receive, send)
+    return sent
+
+
+@pytest.mark.parametrize(
+    ("request_line", "status", "expected"),
+    [
+        (("GET", "/a/x", b"q=1&q=2"), 200, {"name": "x", "q": "1"}),
+        (("GET", "/a/x", b"\xff=%ff"), 200, {"q": None}),
+        (("POST", "/a/x", b"", (b"ab", b"c")), 200, {"body": "abc"}),
+        (("GET", "/a/x/y"), 404, {"title": "not found"}),
+        (("GET", "/a/"), 404, {"title": "not found"}),
+        (("GET", ""), 404, {"title": "not found"}),
+        (("DELETE", "/a/x"), 405, {"title": "method not allowed"}),
+        (("POST", "/fail"), 405, {"title": "method not allowed"}),
+        (("GET", "/fail"), 500, {"title": "internal error"}),
+        (
+            ("POST", "/a/x", b"", (b"1234", b"5678")),
+            200,
+            {"body": "12345678"},
+        ),
+        (
+            ("POST", "/a/x", b"", (b"1234", b"56789")),
+            413,
+            {"title": "body too large"},
+        ),
+    ],
+)
+def test_answers(monkeypatch, request_line, status, expected):
+    monkeypatch.setattr(http_server, "MAX_BODY_BYTES", 8)
+    start, body = call(*request_line)
+    headers = dict(start["headers"])
+    assert start["status"] == status
+    assert expected.items() <= json.loads(body["body"]).items()
+    assert headers[b"content-length"] == str(len(body["body"])).encode()
+    kind = b"application/json" if status == 200 else b"application/problem"
+    assert headers[b"content-type"].startswith(kind)
+
+
+def test_a_request_that_was_cut_is_not_handled():
+    assert call("POST", "/a/x", chunks=(b"part",), is_cut=True) == []
+
+
+def test_other_protocols_are_left_alone():
+    application = AdminApplication()
+    anyio.run(application, {"type": "lifespan"}, None, None)
