--- /dev/null
+++ b/packages/daemon/tests/test_endpoint_exchange.py
@@ -0,0 +1,147 @@
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from rhubarbhollow_daemon.endpoint_exchange import (
+    BEAT_SECONDS,
+    EndpointExchange,
+)
+from rhubarbhollow_daemon.messages import EndpointsRequest
+from rhubarbhollow_distribution.endpoint_pacer import EndpointPacer
+from rhubarbhollow_distribution.endpoint_record import EndpointRecord
+from rhubarbhollow_distribution.endpoint_store import EndpointStore
+from rhubarbhollow_wire.clock import ManualClock
+
+NAMES = ("c1", "c2", "c3")
+NODES = ("n1", "n2", "n3", "n4")
+STEPS = 300
+# a beat shows what was missed, the next one brings it
+QUIET_STEPS = 40
+
+
+class Link:
+    """Carry messages one way; connections come and go."""
+
+    def __init__(self):
+        self.is_up = False
+        self.generation = 0
+        self.queue = []
+
+    def send(self, message):
+        if self.is_up:
+            self.queue.append(message)
+
+    def toggle(self):
+        self.is_up = not self.is_up
+        self.generation += self.is_up
+        self.queue.clear()
+
+
+class Instance:
+    def __init__(self, name, clock):
+        self.name = name
+        self.by_name = {other: Link() for other in NAMES if other != name}
+        self.store = EndpointStore(name, 1, clock)
+        pacer = EndpointPacer(clock, 0.02, 0.5)
+        self.exchange = EndpointExchange(name, self.store, self, clock, pacer)
+
+    def send(self, name, message):
+        self.by_name[name].send(message)
+
+
+class Mesh:
+    def __init__(self, seed):
+        self.random = Random(seed)
+        self.clock = ManualClock()
+        self.instances = {name: Instance(name, self.clock) for name in NAMES}
+        # every node's latest record, and who it told
+        self.latest = {}
+        self.sequence = 0
+
+    def report(self):
+        """Let a node change its record, at any instance."""
+        node = self.random.choice(NODES)
+        instance = self.instances[self.random.choice(NAMES)]
+        self.sequence += 1
+        record = EndpointRecord(
+            name="bench",
+            service="test-bench",
+            node=node,
+            data_centre="ilala",
+            peer_host="127.0.0.1",
+            peer_port=1,
+            slots=self.random.randint(1, 9),
+            state=1,
+            load_percent=self.random.randint(0, 100),
+            incarnation=1,
+            sequence=self.sequence,
+        )
+        if self.random.random() < 0.2:
+            record = replace(record, state=record.bury().state)
+        self.latest[node] = record
+        changed = instance.store.merge((record,), instance.name)
+        instance.exchange.publish(changed)
+
+    def deliver(self, loss):
+        for instance in self.instances.values():
+            for name, link in instance.by_name.items():
+                messages, link.queue = link.queue, []
+                for message in messages:
+                    if self.random.random() >= loss:
+                        self._hand_over(instance.name, name, message)
+
+    def _hand_over(self, sender, name, message):
+        exchange = self.instances[name].exchange
+        if isinstance(message, EndpointsRequest):
+            exchange.answer(sender)
+        else:
+            exchange.receive(sender, message)
+
+    def step(self, loss):
+        self.clock.advance(BEAT_SECONDS / 8)
+        for instance in self.instances.values():
+            instance.exchange.tick()
+            instance.exchange.flush()
+        self.deliver(loss)
+
+    def exchange_naively(self):
+        """Return what full lists over perfect links would give."""
+        return {
+            record for record in self.latest.values() if not record.is_gone
+        }
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_instances_agree_with_a_full_exchange_after_loss(seed):
+    mesh = Mesh(seed)
+    links = [
+        link
+        for instance in mesh.instances.values()
+        for link in instance.by_name.values()
+    ]
+    for _ in range(STEPS):
+        if mesh.random.random() < 0.3:
+            mesh.report()
+        if mesh.random.random() < 0.1:
+            mesh.random.choice(links).toggle()
+        mesh.step(loss=0.2)
+    for link in links:
+        if not link.is_up:
+            link.toggle()
+    for _ in range(QUIET_STEPS):
+        mesh.step(loss=0.0)
+    expected = mesh.exchange_naively()
+    for instance in mesh.instances.values():
+        assert set(instance.store.records) == expected
+
+
+def test_a_link_that_stands_still_carries_no_records_again():
+    mesh = Mesh(1)
+    link = mesh.instances["c1"].by_name["c2"]
+    link.toggle()
+    mesh.report()
+    for _ in range(8):
+        mesh.step(loss=0.0)
+    mesh.instances["c1"].exchange.tick()
+    assert all(not message.records for message in link.queue)
--- a/packages/daemon/tests/test_leader_relay.py
+++ b/packages/daemon/tests/test_leader_relay.py
@@ -98,7 +98,8 @@
     assert len({request.request_id for request in peers.sent}) == sent
 
 
-def test_a_late_answer_is_dropped():
+def test_a_late_answer_is_dropped(monkeypatch):
+    monkeypatch.setattr(leader_relay, "RETRY_SECONDS", 0)
     peers = Peers([])
     peers.relay.take_answer(ProposeAnswer(7, 200, b"", "c2"))
     assert anyio.run(peers.relay.submit, b"{}").status == 503
