Never take an answer to an earlier process for one's own

Cause: ids of relayed commands began at 1 with each start, and the answer comes on the leader's own connection. A control instance that died and came back while the leader still answered could take the outcome of another command for its own: an operator was told of another release, or a call was told that it may run although another one was claimed. Ids now begin at the start of the process, in milliseconds, times 2^20, which fits 64 bits. Binding answers to a connection was ruled out: requests and answers travel on different ones.

The release log and the claim log had one copy each of this matching; ProposeRelay replaces both.

--- a/packages/daemon/src/rhubarbhollow_daemon/claim_desk.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/claim_desk.py
@@ -22,14 +22,15 @@
     ClaimAnswer,
     ClaimRequest,
     ProposeAnswer,
-    ProposeRequest,
 )
+from rhubarbhollow_daemon.propose_relay import ProposeRelay
 from rhubarbhollow_replication.role import Role
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from rhubarbhollow_daemon.claim_machine import ClaimMachine
+    from rhubarbhollow_daemon.messages import ProposeRequest
     from rhubarbhollow_daemon.peer_links import PeerLinks
     from rhubarbhollow_replication.replica import Replica
     from rhubarbhollow_wire.clock import Clock
@@ -66,8 +67,7 @@
         self._replica = replica
         self._links = links
         self._clock = clock
-        self._last_id = 0
-        self._waiting: dict[int, Callable[[bytes], None]] = {}
+        self._relay = ProposeRelay(links, LogGroup.CLAIMS, CLAIM_KIND)
         self._slots = anyio.CapacityLimiter(MAX_CONCURRENT)
 
     async def serve_node(
@@ -98,9 +98,7 @@
 
     def take_answer(self, answer: ProposeAnswer) -> None:
         """Hand the leader's answer to the command that waits for it."""
-        resolve = self._waiting.get(answer.request_id)
-        if resolve is not None:
-            resolve(answer.outcome)
+        self._relay.take(answer)
 
     async def expire(self) -> None:
         """Drop old claims from time to time, on the leader only."""
@@ -118,7 +116,7 @@
         if status.role is Role.LEADER:
             return await self._commit(command)
         if status.leader is not None:
-            return await self._relay(status.leader, command)
+            return await self._ask_leader(status.leader, command)
         return b""
 
     async def _commit(self, encoded: bytes) -> bytes:
@@ -142,31 +140,13 @@
             return b""
         return encode_outcome(outcome)  # type: ignore[arg-type]
 
-    async def _relay(self, leader: str, command: bytes) -> bytes:
-        self._last_id += 1
-        request_id = self._last_id
-        done = anyio.Event()
-        outcomes: list[bytes] = []
-
-        def resolve(outcome: bytes) -> None:
-            outcomes.append(outcome)
-            done.set()
-
-        self._waiting[request_id] = resolve
-        try:
-            self._links.send(
-                leader,
-                ProposeRequest(
-                    request_id,
-                    LogGroup.CLAIMS,
-                    command,
-                    CLAIM_KIND,
-                ),
-            )
-            await done.wait()
-        finally:
-            del self._waiting[request_id]
-        return outcomes[0]
+    async def _ask_leader(self, leader: str, command: bytes) -> bytes:
+        answer = await self._relay.ask(
+            leader,
+            command,
+            ANSWER_TIMEOUT_SECONDS,
+        )
+        return b"" if answer is None else answer.outcome
 
     def _now_ms(self) -> int:
         return int(self._clock.utc().timestamp() * MS_PER_SECOND)
--- a/packages/daemon/src/rhubarbhollow_daemon/leader_relay.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/leader_relay.py
@@ -14,18 +14,20 @@
     HttpResponse,
     answer_problem,
 )
-from rhubarbhollow_daemon.messages import ProposeAnswer, ProposeRequest
+from rhubarbhollow_daemon.log_group import LogGroup
+from rhubarbhollow_daemon.messages import ProposeAnswer
+from rhubarbhollow_daemon.propose_relay import ProposeRelay
 from rhubarbhollow_daemon.submission import answer_too_large
 from rhubarbhollow_replication.role import Role
 from rhubarbhollow_wire.codec import MAX_FRAME_BYTES
 
 if TYPE_CHECKING:
+    from rhubarbhollow_daemon.messages import ProposeRequest
     from rhubarbhollow_daemon.peer_links import PeerLinks
     from rhubarbhollow_daemon.submission import SubmissionDesk
     from rhubarbhollow_replication.replica import Replica
     from rhubarbhollow_wire.clock import Clock
 
-RELEASE_GROUP: Final = 0
 SUBMIT_KIND: Final = 1
 SUBMIT_DEADLINE_SECONDS: Final = 8.0
 ANSWER_TIMEOUT_SECONDS: Final = 2.0
@@ -63,9 +65,7 @@
         self._desk = desk
         self._links = links
         self._clock = clock
-        self._last_id = 0
-        self._answers: dict[int, ProposeAnswer] = {}
-        self._waiting: dict[int, anyio.Event] = {}
+        self._relay = ProposeRelay(links, LogGroup.RELEASES, SUBMIT_KIND)
         self._relayed = anyio.CapacityLimiter(MAX_RELAYED)
 
     async def submit(self, body: bytes) -> HttpResponse:
@@ -86,10 +86,7 @@
 
     def take_answer(self, answer: ProposeAnswer) -> None:
         """Hand a leader's answer to whoever waits for it."""
-        event = self._waiting.get(answer.request_id)
-        if event is not None:
-            self._answers[answer.request_id] = answer
-            event.set()
+        self._relay.take(answer)
 
     async def serve(self, control: str, request: ProposeRequest) -> None:
         """Answer a submission that another instance handed over."""
@@ -123,21 +120,15 @@
         if status.role is Role.LEADER:
             request = HttpRequest("POST", "/v1/releases", "", body)
             return await self._desk.submit(request)
-        link = self._links.by_name.get(status.leader or "")
+        leader = status.leader or ""
+        link = self._links.by_name.get(leader)
         if link is None or not link.is_up:
             return _no_leader()
-        self._last_id += 1
-        request_id = self._last_id
-        event = self._waiting[request_id] = anyio.Event()
-        try:
-            link.send(
-                ProposeRequest(request_id, RELEASE_GROUP, body, SUBMIT_KIND),
-            )
-            with anyio.move_on_after(ANSWER_TIMEOUT_SECONDS):
-                await event.wait()
-        finally:
-            del self._waiting[request_id]
-        answer = self._answers.pop(request_id, None)
+        answer = await self._relay.ask(
+            leader,
+            body,
+            ANSWER_TIMEOUT_SECONDS,
+        )
         if answer is None:
             return _unknown()
         is_ok = answer.status == HTTP_OK
--- a/packages/daemon/src/rhubarbhollow_daemon/peer_links.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/peer_links.py
@@ -27,6 +27,7 @@
         traffic: Traffic,
         random: Random,
     ) -> None:
+        self._incarnation = hello.incarnation
         self._links = {
             address.name: PeerLink(
                 hello,
@@ -40,6 +41,11 @@
             if address.name != hello.control
         }
 
+    @property
+    def incarnation(self) -> int:
+        """Return the start of this process."""
+        return self._incarnation
+
     @property
     def by_name(self) -> Mapping[str, PeerLink]:
         """Return every link by the name of its control instance."""
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/propose_relay.py
@@ -0,0 +1,59 @@
+"""Commands that another control instance proposes for this one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import anyio
+
+from rhubarbhollow_daemon.messages import ProposeRequest
+
+if TYPE_CHECKING:
+    from rhubarbhollow_daemon.log_group import LogGroup
+    from rhubarbhollow_daemon.messages import ProposeAnswer
+    from rhubarbhollow_daemon.peer_links import PeerLinks
+
+REQUESTS_PER_INCARNATION: Final = 1 << 20
+
+
+class ProposeRelay:
+    """Send commands to the leader and match its answers to them.
+
+    An answer to this instance's earlier process may arrive after a
+    restart, so the ids of two incarnations never meet.
+    """
+
+    def __init__(self, links: PeerLinks, group: LogGroup, kind: int) -> None:
+        self._links = links
+        self._group = group
+        self._kind = kind
+        self._last_id = links.incarnation * REQUESTS_PER_INCARNATION
+        self._answers: dict[int, ProposeAnswer] = {}
+        self._waiting: dict[int, anyio.Event] = {}
+
+    async def ask(
+        self,
+        leader: str,
+        payload: bytes,
+        timeout_seconds: float,
+    ) -> ProposeAnswer | None:
+        """Return the leader's answer, or nothing if none is in time."""
+        self._last_id += 1
+        request_id = self._last_id
+        event = self._waiting[request_id] = anyio.Event()
+        request = ProposeRequest(request_id, self._group, payload, self._kind)
+        try:
+            self._links.send(leader, request)
+            with anyio.move_on_after(timeout_seconds):
+                await event.wait()
+        finally:
+            del self._waiting[request_id]
+            answer = self._answers.pop(request_id, None)
+        return answer
+
+    def take(self, answer: ProposeAnswer) -> None:
+        """Hand an answer to the command that waits for it."""
+        event = self._waiting.get(answer.request_id)
+        if event is not None:
+            self._answers[answer.request_id] = answer
+            event.set()
--- a/packages/daemon/tests/test_leader_relay.py
+++ b/packages/daemon/tests/test_leader_relay.py
@@ -24,6 +24,8 @@
     response comes from another leader; ``own`` leads here itself.
     """
 
+    incarnation = 1
+
     def __init__(self, script, own=OK):
         self.clock = ManualClock()
         self._script = iter(script)
@@ -42,11 +44,14 @@
 
     @property
     def by_name(self):
-        link = SimpleNamespace(is_up=self.step != "down", send=self._answer)
+        link = SimpleNamespace(is_up=self.step != "down")
         return {"c2": link}
 
     def send(self, control, message):
-        self.sent.append((control, message))
+        if isinstance(message, ProposeRequest):
+            self._answer(message)
+        else:
+            self.sent.append((control, message))
 
     async def submit(self, request):
         if isinstance(self._own, HttpResponse):
