Log a failing floor or link once in a while only

A floor that could not be synced was tried, in a thread and with a log line, at every event; now once a second. A link that was refused logged peer_link_down at each try although it was never up.

--- a/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
@@ -41,6 +41,7 @@
 
 INBOX_EVENTS: Final = 8_192
 TICK_SECONDS: Final = 0.1
+FLOOR_RETRY_SECONDS: Final = 1.0
 
 _log = structlog.get_logger()
 
@@ -63,6 +64,7 @@
         self._store_version = 0
         self._was_fresh = False
         self._positions = (0, 0)
+        self._floor_retry_at = 0.0
         parts.replica.on_applied(lambda _: self.post(LogAdvanced()))
 
     def post(self, event: ControlEvent) -> None:
@@ -217,7 +219,8 @@
         status = parts.replica.status
         parts.floor.require(max(ledger.latest_position, parts.register.floor))
         pending = parts.floor.pending
-        if pending is not None:
+        now = parts.clock.monotonic()
+        if pending is not None and now >= self._floor_retry_at:
             await self._raise_floor(pending)
         return LedgerView(
             latest_position=ledger.latest_position,
@@ -233,6 +236,8 @@
         try:
             await anyio.to_thread.run_sync(parts.floor_file.raise_to, position)
         except OSError as error:
+            now = parts.clock.monotonic()
+            self._floor_retry_at = now + FLOOR_RETRY_SECONDS
             _log.error(
                 "floor_not_synced",
                 position=position,
--- a/packages/daemon/src/rhubarbhollow_daemon/peer_link.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/peer_link.py
@@ -104,9 +104,10 @@
             await self._serve(connection)
             return True
         finally:
+            if self._is_up:
+                _log.info("peer_link_down", peer=self._name)
             self._is_up = False
             await connection.close()
-            _log.info("peer_link_down", peer=self._name)
 
     async def _serve(self, connection: FrameConnection) -> None:
         sent = await connection.send(self._hello)
--- a/packages/daemon/tests/test_control_instance.py
+++ b/packages/daemon/tests/test_control_instance.py
@@ -27,11 +27,11 @@
     active_position: int = 0
     fed: int = 0
     noted: int = 0
+    pending: int | None = None
 
     data_centre = "ilala"
     feed_settings = FeedSettings(0.0, 1.0)
     next_due = float("inf")
-    pending = None
     recorded = recorded_floor = 9
     version = 0
     register = SimpleNamespace(floor=0, summary=lambda: None)
@@ -115,3 +115,24 @@
         instance.post(LogAdvanced())
 
     anyio.run(main)
+
+
+def test_a_floor_that_cannot_be_synced_is_tried_again_now_and_then():
+    parts = Parts(ManualClock(), pending=3)
+    instance = ControlInstance(parts, None)
+    tries = []
+
+    def raise_to(position):
+        tries.append(position)
+        raise OSError
+
+    parts.raise_to = raise_to
+
+    async def run():
+        for _ in range(5):
+            await instance._view()
+        parts.clock.advance(control_instance.FLOOR_RETRY_SECONDS)
+        await instance._view()
+
+    anyio.run(run)
+    assert tries == [3, 3]
--- /dev/null
+++ b/packages/daemon/tests/test_peer_link.py
@@ -0,0 +1,80 @@
+from random import Random
+
+import anyio
+import pytest
+from fake_stream import join_streams
+from structlog.testing import capture_logs
+
+from rhubarbhollow_daemon import peer_link
+from rhubarbhollow_daemon.codec import CODEC
+from rhubarbhollow_daemon.messages import EndpointsRequest, PeerHello
+from rhubarbhollow_daemon.peer_link import PeerLink
+from rhubarbhollow_wire.connection import FrameConnection
+from rhubarbhollow_wire.traffic import Traffic
+
+HELLO = PeerHello("m", "c1", 1, 0)
+OLD, NEW = EndpointsRequest("old"), EndpointsRequest("new")
+
+
+class Peer:
+    """Accept what the link opens, and keep the other ends."""
+
+    def __init__(self, monkeypatch):
+        self.ends = []
+        self.link = PeerLink(HELLO, "c2", "h", 1, Traffic(), Random(1))
+        monkeypatch.setattr(peer_link, "RECONNECT_MAX_SECONDS", 0)
+        monkeypatch.setattr(peer_link.anyio, "connect_tcp", self._connect)
+
+    async def _connect(self, host, port):
+        here, there = join_streams()
+        self.ends.append(there)
+        if len(self.ends) > 2:
+            await anyio.sleep_forever()
+        return here
+
+    async def accept(self):
+        await anyio.wait_all_tasks_blocked()
+        connection = FrameConnection(self.ends[-1], CODEC, Traffic())
+        (await connection.open()).unwrap()
+        assert (await connection.receive()).unwrap() == HELLO
+        return connection
+
+
+def test_a_new_connection_carries_nothing_of_the_old_one(monkeypatch):
+    peer = Peer(monkeypatch)
+    link = peer.link
+
+    async def run():
+        async with anyio.create_task_group() as group:
+            link.send(OLD)
+            group.start_soon(link.run)
+            first = await peer.accept()
+            assert (link.is_up, link.generation) == (True, 1)
+            await first.close()
+            link.send(OLD)
+            second = await peer.accept()
+            link.send(NEW)
+            assert (await second.receive()).unwrap() == NEW
+            assert (link.is_up, link.generation) == (True, 2)
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert not link.is_up
+
+
+@pytest.mark.parametrize("preface", [b"", b"HTTP"])
+def test_a_link_that_was_never_up_does_not_go_down(monkeypatch, preface):
+    peer = Peer(monkeypatch)
+
+    async def run():
+        async with anyio.create_task_group() as group:
+            group.start_soon(peer.link._run_once)
+            await anyio.wait_all_tasks_blocked()
+            if preface:
+                await peer.ends[-1].send(preface)
+            await peer.ends[-1].aclose()
+
+    with capture_logs() as events:
+        anyio.run(run)
+    assert events == []
+    assert peer.link.generation == 0
