Connect to a source, and sort replication messages, in one place

A node's first attempt and its search for another source held the same connecting twice; an attempt that fails in the search is now logged like the others. The dispatch of peers' messages listed the six messages of replication twice; it asks for their union instead.

--- a/packages/daemon/src/rhubarbhollow_daemon/node_session.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_session.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from rhubarbhollow_daemon.node_state import NodeState
     from rhubarbhollow_daemon.outbox import Outbox
+    from rhubarbhollow_distribution.source_attempt import Attempt
     from rhubarbhollow_distribution.source_choice import SourceChooser
     from rhubarbhollow_wire.connection import FrameConnection
     from rhubarbhollow_wire.traffic import Traffic
@@ -56,26 +57,10 @@
         """Connect and reconnect until cancelled."""
         while True:
             attempt = self._chooser.next_attempt()
-            await anyio.sleep(attempt.delay_seconds)
-            connected = await connect_source(
-                attempt.address,
-                self._state.hello(),
-                self._traffic,
-            )
-            if isinstance(connected, Err):
-                fault = connected.err_value
-                self._chooser.note_failed(
-                    attempt.address,
-                    fault.retry_after_seconds,
-                )
-                _log.info(
-                    "source_unreachable",
-                    control=attempt.address.name,
-                    cause=fault.cause,
-                )
+            connection = await self._try_connect(attempt)
+            if connection is None:
                 continue
-            self._chooser.note_connected(attempt.address)
-            await self._serve_until_lost(connected.ok_value)
+            await self._serve_until_lost(connection)
             self._chooser.note_lost()
 
     async def _serve_until_lost(self, connection: FrameConnection) -> None:
@@ -143,25 +128,41 @@
                     _log.warning("source_silent")
                     return None
                 continue
-            await anyio.sleep(attempt.delay_seconds)
-            connected = await connect_source(
-                attempt.address,
-                self._state.hello(),
-                self._traffic,
-            )
-            if isinstance(connected, Err):
-                self._chooser.note_failed(
-                    attempt.address,
-                    connected.err_value.retry_after_seconds,
-                )
+            connection = await self._try_connect(attempt)
+            if connection is None:
                 continue
             _log.info(
                 "source_changed",
                 control=attempt.address.name,
                 reason=attempt.reason.name.lower(),
             )
-            self._chooser.note_connected(attempt.address)
-            return connected.ok_value
+            return connection
+
+    async def _try_connect(
+        self,
+        attempt: Attempt,
+    ) -> FrameConnection | None:
+        """Make one attempt when it is due, and note how it ended."""
+        await anyio.sleep(attempt.delay_seconds)
+        connected = await connect_source(
+            attempt.address,
+            self._state.hello(),
+            self._traffic,
+        )
+        if isinstance(connected, Err):
+            fault = connected.err_value
+            self._chooser.note_failed(
+                attempt.address,
+                fault.retry_after_seconds,
+            )
+            _log.info(
+                "source_unreachable",
+                control=attempt.address.name,
+                cause=fault.cause,
+            )
+            return None
+        self._chooser.note_connected(attempt.address)
+        return connected.ok_value
 
     async def _send_heartbeats(self) -> None:
         while True:
--- a/packages/daemon/src/rhubarbhollow_daemon/peer_dispatch.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/peer_dispatch.py
@@ -15,9 +15,7 @@
     ProposeAnswer,
     ProposeRequest,
 )
-from rhubarbhollow_replication.append import AppendReply, AppendRequest
-from rhubarbhollow_replication.chunk import SnapshotChunk, SnapshotReply
-from rhubarbhollow_replication.vote import VoteReply, VoteRequest
+from rhubarbhollow_replication.messages import PeerMessage
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -60,16 +58,10 @@
 
     def _take_claims(self, control: str, message: object) -> None:
         claims = self._parts.claims
+        if isinstance(message, PeerMessage):
+            claims.replica.receive(message)
+            return
         match message:
-            case (
-                AppendRequest()
-                | AppendReply()
-                | SnapshotChunk()
-                | SnapshotReply()
-                | VoteRequest()
-                | VoteReply()
-            ):
-                claims.replica.receive(message)
             case ProposeRequest():
                 self._group.start_soon(
                     claims.desk.serve_peer,
@@ -86,16 +78,10 @@
                 )
 
     def _take_releases(self, control: str, message: object) -> None:
+        if isinstance(message, PeerMessage):
+            self._parts.replica.receive(message)
+            return
         match message:
-            case (
-                AppendRequest()
-                | AppendReply()
-                | SnapshotChunk()
-                | SnapshotReply()
-                | VoteRequest()
-                | VoteReply()
-            ):
-                self._parts.replica.receive(message)
             case ProposeRequest():
                 self._group.start_soon(self._relay.serve, control, message)
             case ProposeAnswer():
