Answer a submission in time when the log of the leader stalls

Cause: the leader waited for its own log without limit, so that a stalled disk left an operator, or the instance that relayed, without the answer that is promised within 8 s, and each relayed one held one of 64 places for good. After 8 s the outcome is now called unknown. Bounding a relayed one by the 2 s after which its sender asks again was ruled out: a large manifest could then never be parsed in time. Both cases of the test failed first: no answer within 5 s.

--- a/packages/daemon/src/rhubarbhollow_daemon/leader_relay.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/leader_relay.py
@@ -91,8 +91,7 @@
     async def serve(self, control: str, request: ProposeRequest) -> None:
         """Answer a submission that another instance handed over."""
         async with self._relayed:
-            http = HttpRequest("POST", "/v1/releases", "", request.payload)
-            response = await self._submit_safely(http)
+            response = await self._submit_safely(request.payload)
         self._links.send(
             control,
             ProposeAnswer(
@@ -103,9 +102,9 @@
             ),
         )
 
-    async def _submit_safely(self, request: HttpRequest) -> HttpResponse:
+    async def _submit_safely(self, body: bytes) -> HttpResponse:
         try:
-            return await self._desk.submit(request)
+            return await self._submit_here(body)
         except Exception:
             # it would end this process, and that of the next leader
             _log.exception("relayed_submission_failed")
@@ -115,11 +114,16 @@
                 "the leader's log has the cause",
             )
 
+    async def _submit_here(self, body: bytes) -> HttpResponse:
+        request = HttpRequest("POST", "/v1/releases", "", body)
+        with anyio.move_on_after(SUBMIT_DEADLINE_SECONDS):
+            return await self._desk.submit(request)
+        return _unknown()
+
     async def _submit_once(self, body: bytes) -> HttpResponse:
         status = self._replica.status
         if status.role is Role.LEADER:
-            request = HttpRequest("POST", "/v1/releases", "", body)
-            return await self._desk.submit(request)
+            return await self._submit_here(body)
         leader = status.leader or ""
         link = self._links.by_name.get(leader)
         if link is None or not link.is_up:
--- a/packages/daemon/tests/test_leader_relay.py
+++ b/packages/daemon/tests/test_leader_relay.py
@@ -56,6 +56,8 @@
     async def submit(self, request):
         if isinstance(self._own, HttpResponse):
             return self._own
+        if self._own is None:
+            await anyio.sleep_forever()
         raise self._own
 
     def _answer(self, request):
@@ -132,3 +134,24 @@
     ((control, answer),) = peers.sent
     assert (control, answer.request_id, answer.status) == ("c2", 7, 500)
     assert b"internal_error" in answer.outcome
+
+
+@pytest.mark.parametrize("is_relayed", [False, True])
+def test_a_log_that_stalls_leaves_the_outcome_open(monkeypatch, is_relayed):
+    monkeypatch.setattr(leader_relay, "SUBMIT_DEADLINE_SECONDS", 0.001)
+    monkeypatch.setattr(leader_relay, "RETRY_SECONDS", 0)
+    peers = Peers(["own"], own=None)
+    request = ProposeRequest(7, 0, b"{}", 1)
+    answers = []
+
+    async def run():
+        # what was a hang before ends the test instead
+        with anyio.move_on_after(5):
+            if is_relayed:
+                await peers.relay.serve("c2", request)
+                answers.extend(answer.status for _, answer in peers.sent)
+            else:
+                answers.append((await peers.relay.submit(b"{}")).status)
+
+    anyio.run(run)
+    assert answers == [504]
