Give the control tasks and the explanations files of their own

process.py held the life of the process and the joining of a control instance's tasks; node_handlers.py held announcements, health and metrics and also the explanations. control_tasks.py and explain_handlers.py now hold the second job of each. The code moved as it was, but for one loop over the two logs.

--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_tasks.py
@@ -0,0 +1,93 @@
+"""The tasks of a control instance, and how they are joined."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import anyio
+
+from rhubarbhollow_daemon.burn_collection import BurnCollection
+from rhubarbhollow_daemon.control_handlers import ControlHandlers
+from rhubarbhollow_daemon.control_instance import ControlInstance
+from rhubarbhollow_daemon.control_listener import ControlListener
+from rhubarbhollow_daemon.fleet import Fleet
+from rhubarbhollow_daemon.leader_relay import LeaderRelay
+from rhubarbhollow_daemon.log_group import LogGroup
+from rhubarbhollow_daemon.membership_keeper import MembershipKeeper
+from rhubarbhollow_daemon.peer_dispatch import PeerDispatch
+from rhubarbhollow_daemon.submission import SubmissionDesk
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from rhubarbhollow_daemon.control_parts import ControlParts
+    from rhubarbhollow_daemon.http_server import AdminApplication
+    from rhubarbhollow_daemon.settings import Settings
+    from rhubarbhollow_daemon.settings_listen import ListenSettings
+    from rhubarbhollow_wire.traffic import Traffic
+
+LISTEN_BACKLOG: Final = 1_024
+
+
+def start_control(
+    settings: Settings,
+    version: str,
+    parts: ControlParts,
+    application: AdminApplication,
+    served_traffic: Traffic,
+    peer_traffic: Traffic,
+    group: TaskGroup,
+) -> None:
+    """Start every task of a control instance in ``group``."""
+    burn = BurnCollection(parts)
+    instance = ControlInstance(parts, burn)
+    desk = SubmissionDesk(parts.machine, parts.replica)
+    relay = LeaderRelay(
+        parts.name,
+        parts.replica,
+        desk,
+        parts.links,
+        parts.clock,
+    )
+    fleet = Fleet(parts)
+    dispatch = PeerDispatch(parts, instance, relay, fleet, burn, group)
+    listener = ControlListener(
+        settings.mesh,
+        served_traffic,
+        peer_traffic,
+        instance.serve_node,
+        dispatch.take,
+    )
+    handlers = ControlHandlers(settings, version, parts, relay, fleet, burn)
+    handlers.register(application)
+    _start_logs(settings, parts, group)
+    group.start_soon(instance.run)
+    group.start_soon(_listen, settings.listen, listener)
+
+
+def _start_logs(
+    settings: Settings,
+    parts: ControlParts,
+    group: TaskGroup,
+) -> None:
+    names = tuple(control.name for control in settings.controls)
+    for log_group, replica, links in (
+        (LogGroup.RELEASES, parts.replica, parts.links),
+        (LogGroup.CLAIMS, parts.claims.replica, parts.claims.links),
+    ):
+        group.start_soon(replica.run)
+        group.start_soon(links.run)
+        group.start_soon(MembershipKeeper(log_group, names, replica).run)
+    group.start_soon(parts.claims.desk.expire)
+
+
+async def _listen(
+    settings: ListenSettings,
+    listener: ControlListener,
+) -> None:
+    multi = await anyio.create_tcp_listener(
+        local_host=settings.host,
+        local_port=settings.control_port or 0,
+        backlog=LISTEN_BACKLOG,
+    )
+    await listener.run(multi)
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/explain_handlers.py
@@ -0,0 +1,150 @@
+"""Why a node does what it does, on its admin port."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_calls.candidate_view import CandidateView, Eligibility
+from rhubarbhollow_daemon.http_response import (
+    HttpResponse,
+    answer_json,
+    answer_problem,
+)
+from rhubarbhollow_daemon.views import (
+    CallExplanation,
+    CandidateDocument,
+    NodeExplanation,
+    RouteExplanation,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from rhubarbhollow_daemon.http_request import HttpRequest
+    from rhubarbhollow_daemon.http_server import AdminApplication
+    from rhubarbhollow_daemon.node_parts import NodeParts
+
+MS_PER_SECOND: Final = 1000
+
+
+class ExplainHandlers:
+    """Explain a route, a refused call and the release held here."""
+
+    def __init__(self, parts: NodeParts) -> None:
+        self._parts = parts
+
+    def register(self, application: AdminApplication) -> None:
+        """Add these handlers to the admin port."""
+        request_id = "(?P<request_id>[^/]{1,256})"
+        add = application.add
+        add("GET", "/v1/explain/route", self.explain_route)
+        add("GET", f"/v1/explain/call/{request_id}", self.explain_call)
+        add("GET", "/v1/explain/node", self.explain_node)
+
+    async def explain_route(
+        self,
+        request: HttpRequest,
+        _: Mapping[str, str],
+    ) -> HttpResponse:
+        """Say where a call would go from here, and why."""
+        host = request.argument("host") or "*"
+        path = request.argument("path") or "/"
+        return answer_json(asdict(self._explain_route(host, path)))
+
+    async def explain_call(
+        self,
+        _: HttpRequest,
+        arguments: Mapping[str, str],
+    ) -> HttpResponse:
+        """Say why this node refused a call."""
+        request_id = arguments["request_id"]
+        calls = self._parts.call_log.find(request_id.encode())
+        if not calls:
+            return answer_problem(
+                "unknown_call",
+                HTTPStatus.NOT_FOUND,
+                "this node refused no such call lately",
+            )
+        view = CallExplanation(request_id, calls)
+        return answer_json(asdict(view))
+
+    async def explain_node(
+        self,
+        _: HttpRequest,
+        __: Mapping[str, str],
+    ) -> HttpResponse:
+        """Say why this node holds the release that it holds."""
+        parts = self._parts
+        view = parts.state.holder.explain()
+        source = parts.chooser.explain()
+        return answer_json(
+            asdict(
+                NodeExplanation(
+                    active_position=view.active_position,
+                    staged_position=max(
+                        view.staged_positions,
+                        default=view.active_position,
+                    ),
+                    floor=parts.state.holder.floor,
+                    source=source.current or None,
+                    is_source_fresh=not source.dissatisfaction,
+                    reason=_node_reason(
+                        view.last_refusal,
+                        source.dissatisfaction,
+                        is_connected=parts.session.is_connected,
+                    ),
+                )
+            )
+        )
+
+    def _explain_route(self, host: str, path: str) -> RouteExplanation:
+        call_node = self._parts.call_node
+        snapshot = call_node.snapshot
+        if snapshot is None:
+            return RouteExplanation(None, None, 0, (), "no release in force")
+        route = snapshot.route_table.match(host.encode(), path.encode())
+        if route is None:
+            reason = "no route matches"
+            return RouteExplanation(None, None, snapshot.position, (), reason)
+        candidates = tuple(
+            self._candidate(view)
+            for view in call_node.book.explain(route.service)
+        )
+        return RouteExplanation(
+            route.name,
+            route.service,
+            snapshot.position,
+            candidates,
+            f"prefix {route.prefix} on host {route.host} is the longest",
+        )
+
+    def _candidate(self, view: CandidateView) -> CandidateDocument:
+        own = self._parts.settings.instance.data_centre
+        seconds = view.latency_seconds
+        return CandidateDocument(
+            upstream=view.endpoint.name,
+            data_centre=view.endpoint.data_centre,
+            is_local=view.endpoint.data_centre == own,
+            in_flight=view.in_flight,
+            latency_ms=None if seconds is None else seconds * MS_PER_SECOND,
+            state=view.endpoint.state.value,
+            is_eligible=view.eligibility <= Eligibility.REMOTE_FULL,
+            reason=view.eligibility.name.lower(),
+        )
+
+
+def _node_reason(
+    last_refusal: str,
+    dissatisfaction: str,
+    *,
+    is_connected: bool,
+) -> str:
+    if not is_connected:
+        return "no control instance is connected; the last release stays"
+    if dissatisfaction:
+        return f"the source is left as soon as possible: {dissatisfaction}"
+    if last_refusal:
+        return f"the last refused release: {last_refusal}"
+    return "the source offers nothing newer"
--- a/packages/daemon/src/rhubarbhollow_daemon/process.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/process.py
@@ -14,27 +14,19 @@
 from result import Err, Ok, Result
 
 from rhubarbhollow_calls.io_garbage import freeze_startup_objects
-from rhubarbhollow_daemon.burn_collection import BurnCollection
 from rhubarbhollow_daemon.control_building import build_control
-from rhubarbhollow_daemon.control_handlers import ControlHandlers
-from rhubarbhollow_daemon.control_instance import ControlInstance
-from rhubarbhollow_daemon.control_listener import ControlListener
-from rhubarbhollow_daemon.fleet import Fleet
+from rhubarbhollow_daemon.control_tasks import start_control
+from rhubarbhollow_daemon.explain_handlers import ExplainHandlers
 from rhubarbhollow_daemon.http_response import answer_json
 from rhubarbhollow_daemon.http_server import (
     AdminApplication,
     build_admin_server,
     serve_admin,
 )
-from rhubarbhollow_daemon.leader_relay import LeaderRelay
-from rhubarbhollow_daemon.log_group import LogGroup
-from rhubarbhollow_daemon.membership_keeper import MembershipKeeper
 from rhubarbhollow_daemon.metrics import Metrics
 from rhubarbhollow_daemon.node_building import build_node
 from rhubarbhollow_daemon.node_handlers import NodeHandlers
-from rhubarbhollow_daemon.peer_dispatch import PeerDispatch
 from rhubarbhollow_daemon.readings import read_control, read_node
-from rhubarbhollow_daemon.submission import SubmissionDesk
 from rhubarbhollow_wire.clock import SystemClock
 from rhubarbhollow_wire.traffic import Traffic
 
@@ -53,7 +45,6 @@
 
 HOUSEKEEPING_SECONDS: Final = 1.0
 DRAIN_POLL_SECONDS: Final = 0.02
-LISTEN_BACKLOG: Final = 1_024
 
 _log = structlog.get_logger()
 
@@ -121,7 +112,8 @@
         ]
         admin_socket = _bind(host, listen.admin_port)
         async with anyio.create_task_group() as group:
-            self._start_control(group)
+            if self._control is not None:
+                self._start_control(self._control, group)
             self._register_handlers()
             group.start_soon(self._node.session.run)
             group.start_soon(self._keep_house)
@@ -137,67 +129,16 @@
             group.cancel_scope.cancel()
         _log.info("process_stopped")
 
-    def _start_control(self, group: TaskGroup) -> None:
-        parts = self._control
-        if parts is None:
-            return
-        burn = BurnCollection(parts)
-        instance = ControlInstance(parts, burn)
-        desk = SubmissionDesk(parts.machine, parts.replica)
-        relay = LeaderRelay(
-            parts.name,
-            parts.replica,
-            desk,
-            parts.links,
-            parts.clock,
-        )
-        fleet = Fleet(parts)
-        dispatch = PeerDispatch(
-            parts,
-            instance,
-            relay,
-            fleet,
-            burn,
-            group,
-        )
-        listener = ControlListener(
-            self._settings.mesh,
-            self._served_traffic,
-            self._peer_traffic,
-            instance.serve_node,
-            dispatch.take,
-        )
-        ControlHandlers(
+    def _start_control(self, parts: ControlParts, group: TaskGroup) -> None:
+        start_control(
             self._settings,
             self._node.version,
             parts,
-            relay,
-            fleet,
-            burn,
-        ).register(self._application)
-        group.start_soon(parts.replica.run)
-        group.start_soon(parts.links.run)
-        group.start_soon(parts.claims.replica.run)
-        for log_group, replica in (
-            (LogGroup.RELEASES, parts.replica),
-            (LogGroup.CLAIMS, parts.claims.replica),
-        ):
-            names = (control.name for control in self._settings.controls)
-            keeper = MembershipKeeper(log_group, names, replica)
-            group.start_soon(keeper.run)
-        group.start_soon(parts.claims.links.run)
-        group.start_soon(parts.claims.desk.expire)
-        group.start_soon(instance.run)
-        group.start_soon(self._listen_control, listener)
-
-    async def _listen_control(self, listener: ControlListener) -> None:
-        port = self._settings.listen.control_port
-        multi = await anyio.create_tcp_listener(
-            local_host=self._settings.listen.host,
-            local_port=port or 0,
-            backlog=LISTEN_BACKLOG,
+            self._application,
+            self._served_traffic,
+            self._peer_traffic,
+            group,
         )
-        await listener.run(multi)
 
     def _register_handlers(self) -> None:
         metrics = Metrics(
@@ -206,6 +147,7 @@
         )
         handlers = NodeHandlers(self._node, metrics, self._read_all)
         handlers.register(self._application)
+        ExplainHandlers(self._node).register(self._application)
         if self._control is None:
 
             async def show_status(
--- a/packages/daemon/tests/test_admin_handlers.py
+++ b/packages/daemon/tests/test_admin_handlers.py
@@ -7,6 +7,7 @@
 import yaml
 from test_node_building import DOCUMENT
 
+from rhubarbhollow_daemon.explain_handlers import ExplainHandlers
 from rhubarbhollow_daemon.http_server import AdminApplication
 from rhubarbhollow_daemon.metrics import Metrics
 from rhubarbhollow_daemon.node_building import build_node
@@ -38,6 +39,7 @@
         metrics = Metrics("n1", "ilala")
         handlers = NodeHandlers(self.node, metrics, lambda: ())
         handlers.register(self._application)
+        ExplainHandlers(self.node).register(self._application)
 
     def call(self, method, path, document=None, query=""):
         body = b"" if document is None else json.dumps(document).encode()
