--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -24,9 +24,11 @@
 @click.group(invoke_without_command=True)
 @click.pass_context
 def main(context: click.Context) -> None:
-    """Measure against the upstream alone, in one run."""
+    """Run every benchmark, or the one that is named."""
     if context.invoked_subcommand is None:
         context.invoke(call_path)
+        context.invoke(policy)
+        context.invoke(distribution)
 
 
 @main.command("call-path")
