Let a repeat wait a little for the stored answer

A second send of a keyed request right after the first one's answer sometimes got already_running: the answer goes out before it is stored. A repeat now proposes its claim again up to ten times, 50 ms apart, while the first send runs; what it is told after that is as before. Weighed: storing before answering (ruled out: a quorum round on each answer) and easing the test (ruled out: callers should get the stored answer).

A feed whose floor lags far behind no longer asks for a release that is gone.

--- a/packages/daemon/src/rhubarbhollow_daemon/node_claims.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_claims.py
@@ -9,17 +9,26 @@
 from result import Ok
 
 from rhubarbhollow_calls.claim import AbandonClaim, ClaimKey
-from rhubarbhollow_calls.claim_outcome import Claimed
+from rhubarbhollow_calls.claim_outcome import AlreadyRunning, Claimed
 from rhubarbhollow_calls.not_run_proof import NeverWritten, UnwrittenStage
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from result import Result
+
     from rhubarbhollow_calls.claim import ClaimCommand
     from rhubarbhollow_calls.claim_outcome import ClaimOutcome
-    from rhubarbhollow_daemon.claim_client import ClaimClient
+    from rhubarbhollow_daemon.claim_client import (
+        ClaimClient,
+        ClaimUnavailable,
+    )
 
 CLAIM_TIMEOUT_SECONDS: Final = 3.0
 SETTLE_TIMEOUT_SECONDS: Final = 60.0
 MAX_ABANDONED: Final = 1_024
+MAX_REPEATS: Final = 10
+REPEAT_SECONDS: Final = 0.05
 
 _log = structlog.get_logger()
 
@@ -33,8 +42,13 @@
     to run.
     """
 
-    def __init__(self, client: ClaimClient) -> None:
+    def __init__(
+        self,
+        client: ClaimClient,
+        sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
+    ) -> None:
         self._client = client
+        self._sleep = sleep
         self._lost, self._to_clear = anyio.create_memory_object_stream[
             ClaimKey
         ](MAX_ABANDONED)
@@ -45,7 +59,11 @@
         fingerprint: bytes,
         attempt_id: int,
     ) -> ClaimOutcome | None:
-        """Ask to run a request; nothing means no answer in time."""
+        """Ask to run a request; nothing means no answer in time.
+
+        The first send's answer goes out before it is stored, so a
+        second one that follows at once waits a little for it.
+        """
         command = ClaimKey(
             key,
             fingerprint,
@@ -54,7 +72,7 @@
             attempt_id,
             claimed_at_ms=0,
         )
-        outcome = await self._client.commit(command, CLAIM_TIMEOUT_SECONDS)
+        outcome = await self._commit_unless_running(command)
         if isinstance(outcome, Ok):
             return outcome.ok_value
         try:
@@ -78,6 +96,19 @@
         async for command in self._to_clear:
             await self._clear(command)
 
+    async def _commit_unless_running(
+        self,
+        command: ClaimKey,
+    ) -> Result[ClaimOutcome, ClaimUnavailable]:
+        """Propose again while another send of the request runs."""
+        outcome = await self._client.commit(command, CLAIM_TIMEOUT_SECONDS)
+        for _ in range(MAX_REPEATS):
+            if not _is_running(outcome):
+                break
+            await self._sleep(REPEAT_SECONDS)
+            outcome = await self._client.commit(command, CLAIM_TIMEOUT_SECONDS)
+        return outcome
+
     async def _clear(self, command: ClaimKey) -> None:
         outcome = await self._commit_at_last(command)
         if not isinstance(outcome, Claimed):
@@ -99,3 +130,11 @@
             )
             if isinstance(outcome, Ok):
                 return outcome.ok_value
+
+
+def _is_running(outcome: Result[ClaimOutcome, ClaimUnavailable]) -> bool:
+    match outcome:
+        case Ok(AlreadyRunning()):
+            return True
+        case _:
+            return False
--- a/packages/daemon/src/rhubarbhollow_daemon/node_session.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_session.py
@@ -162,7 +162,9 @@
             )
             return None
         self._chooser.note_connected(attempt.address)
-        return connected.ok_value
+        source = connected.ok_value
+        self._state.expect_endpoints_of(source.endpoints_source)
+        return source.connection
 
     async def _send_heartbeats(self) -> None:
         while True:
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -112,6 +112,10 @@
         """Route the calls of ``call_node`` by what is held here."""
         self._call_node = call_node
 
+    def expect_endpoints_of(self, source: str) -> None:
+        """Take endpoint changes of the source that has welcomed us."""
+        self._endpoints.expect(source)
+
     def hello(self) -> Hello:
         """Return the first message of a new connection."""
         return Hello(
--- a/packages/daemon/src/rhubarbhollow_daemon/source_connection.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/source_connection.py
@@ -31,11 +31,19 @@
     retry_after_seconds: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class SourceConnection:
+    """A connection with the source of the endpoint changes on it."""
+
+    connection: FrameConnection
+    endpoints_source: str
+
+
 async def connect_source(
     address: ControlAddress,
     hello: Hello,
     traffic: Traffic,
-) -> Result[FrameConnection, NotConnected]:
+) -> Result[SourceConnection, NotConnected]:
     """Return a connection on which the welcome has arrived."""
     try:
         with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
@@ -43,7 +51,7 @@
     except (OSError, TimeoutError) as error:
         return Err(NotConnected(type(error).__name__))
     connection = FrameConnection(stream, CODEC, traffic)
-    outcome: Result[FrameConnection, NotConnected] = Err(
+    outcome: Result[SourceConnection, NotConnected] = Err(
         NotConnected("no_welcome")
     )
     try:
@@ -58,7 +66,7 @@
 async def _greet(
     connection: FrameConnection,
     hello: Hello,
-) -> Result[FrameConnection, NotConnected]:
+) -> Result[SourceConnection, NotConnected]:
     opened = await connection.open()
     if isinstance(opened, Err):
         return Err(NotConnected(type(opened.err_value).__name__))
@@ -66,8 +74,8 @@
     if isinstance(sent, Err):
         return Err(NotConnected(type(sent.err_value).__name__))
     match await connection.receive():
-        case Ok(Welcome()):
-            return Ok(connection)
+        case Ok(Welcome() as welcome):
+            return Ok(SourceConnection(connection, welcome.source))
         case Ok(Redirect(retry_after_ms=retry_after_ms)):
             delay_seconds = retry_after_ms / MS_PER_SECOND
             return Err(NotConnected("redirected", delay_seconds))
--- a/packages/daemon/tests/test_node_claims.py
+++ b/packages/daemon/tests/test_node_claims.py
@@ -3,9 +3,18 @@
 from result import Err, Ok
 
 from rhubarbhollow_calls.claim import AbandonClaim, ClaimKey
-from rhubarbhollow_calls.claim_outcome import AlreadyRunning, Claimed
+from rhubarbhollow_calls.claim_outcome import (
+    AlreadyRunning,
+    Answered,
+    Claimed,
+    StoredAnswer,
+)
 from rhubarbhollow_daemon.claim_client import ClaimUnavailable
-from rhubarbhollow_daemon.node_claims import NodeClaims
+from rhubarbhollow_daemon.node_claims import (
+    MAX_REPEATS,
+    REPEAT_SECONDS,
+    NodeClaims,
+)
 
 LOST = Err(ClaimUnavailable())
 
@@ -17,13 +26,17 @@
     def __init__(self, script):
         self._script = list(script)
         self.committed = []
+        self.slept = 0.0
 
     async def commit(self, command, timeout_seconds):
         self.committed.append(type(command))
         return self._script.pop(0)
 
+    async def sleep(self, seconds):
+        self.slept += seconds
+
     async def run(self):
-        claims = NodeClaims(self)
+        claims = NodeClaims(self, self.sleep)
         answer = await claims.claim(b"k", b"f", 1)
         async with anyio.create_task_group() as group:
             group.start_soon(claims.clear_lost)
@@ -49,3 +62,24 @@
     assert answer == (None if script[0] is LOST else Claimed(1))
     assert client.committed.count(AbandonClaim) == abandons
     assert client.committed.count(ClaimKey) == len(script) - abandons
+
+
+RUNNING = Ok(AlreadyRunning("n2"))
+STORED = Answered(StoredAnswer(200, (), b"done"))
+
+
+@pytest.mark.parametrize(
+    ("script", "answer", "pauses"),
+    [
+        ([RUNNING, RUNNING, Ok(STORED)], STORED, 2),
+        ([RUNNING, Ok(Claimed(2))], Claimed(2), 1),
+        ([RUNNING] * (MAX_REPEATS + 1), RUNNING.ok_value, MAX_REPEATS),
+        ([RUNNING, LOST, RUNNING], None, 1),
+    ],
+)
+def test_a_repeat_waits_a_little_for_the_answer_to_be_stored(
+    script, answer, pauses
+):
+    client = Client(script)
+    assert anyio.run(client.run) == answer
+    assert client.slept == pytest.approx(pauses * REPEAT_SECONDS)
--- a/packages/distribution/src/rhubarbhollow_distribution/endpoint_store.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/endpoint_store.py
@@ -8,6 +8,7 @@
 from rhubarbhollow_distribution.endpoint_change import EndpointChange
 from rhubarbhollow_distribution.endpoint_entry import EndpointEntry
 from rhubarbhollow_distribution.invariant import check_invariant
+from rhubarbhollow_distribution.welcome import name_source
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -44,7 +45,7 @@
         voucher_seconds: float = VOUCHER_SECONDS,
     ) -> None:
         self._owner = owner
-        self._source = f"{owner}/{incarnation}"
+        self._source = name_source(owner, incarnation)
         self._clock = clock
         self._voucher_seconds = voucher_seconds
         # Ordered by version: the entry that changed last comes last.
--- a/packages/distribution/src/rhubarbhollow_distribution/feed.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/feed.py
@@ -169,7 +169,8 @@
         held = max(self._staged, default=self._active_position)
         if latest <= held or len(self._staged) >= MAX_STAGED_RELEASES:
             return None
-        return latest
+        # a floor that lags far behind names a release that is gone
+        return latest if self._may_offer(ledger, latest) else None
 
     def _may_offer(self, ledger: LedgerView, position: int) -> bool:
         return (
--- a/packages/distribution/src/rhubarbhollow_distribution/welcome.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/welcome.py
@@ -12,3 +12,13 @@
     control: str
     data_centre: str
     incarnation: int
+
+    @property
+    def source(self) -> str:
+        """Return the source of the endpoint changes that follow."""
+        return name_source(self.control, self.incarnation)
+
+
+def name_source(control: str, incarnation: int) -> str:
+    """Return what the endpoint versions of one process belong to."""
+    return f"{control}/{incarnation}"
