--- a/packages/replication/src/rhubarbhollow_replication/store.py
+++ b/packages/replication/src/rhubarbhollow_replication/store.py
@@ -206,11 +206,30 @@
     entries = _replay(contents, snapshot)
     if entries is None:
         return CorruptRecord(str(folder), 0)
+    if snapshot is not None and not entries:
+        _cut_off(contents, snapshot, segments)
     return Recovered(
         identity.decode(), _decode_vote(vote), snapshot, tuple(entries)
     )
 
 
+def _cut_off(
+    contents: tuple[Entry | Reset, ...],
+    snapshot: Snapshot,
+    segments: Segments,
+) -> None:
+    """Record that what the segments hold ends before the snapshot.
+
+    A crash between an installed snapshot and its reset leaves entries
+    that the next ones do not follow: without the reset a later start
+    would take them for a gap, or take the old ones for the log.
+    """
+    if not contents or isinstance(contents[-1], Reset):
+        return
+    segments.append((Reset(snapshot.last_index, snapshot.last_term),))
+    segments.sync()
+
+
 def _replay(
     contents: Iterable[Entry | Reset], snapshot: Snapshot | None
 ) -> list[Entry] | None:
--- a/packages/replication/tests/test_store.py
+++ b/packages/replication/tests/test_store.py
@@ -90,6 +90,32 @@
     assert recovered_indexes(disk) == expected
 
 
+@pytest.mark.parametrize(
+    ("held", "installed"),
+    [
+        # the log ends before the snapshot of the leader
+        (entries(1, 4), snapshot(9, 2)),
+        # the log goes on, in another term than the snapshot
+        (entries(1, 12), snapshot(9, 2)),
+    ],
+)
+@pytest.mark.parametrize("segment_bytes", [120, 10_000])
+def test_what_follows_an_install_cut_short_is_kept(
+    held, installed, segment_bytes
+):
+    disk = filled_disk([held], segment_bytes=segment_bytes)
+    # a crash after the snapshot and before its reset leaves just this
+    store = open_store(disk, segment_bytes).unwrap()
+    assert store.write([SaveSnapshot(installed)]) == Ok(None)
+    for first in (10, 12):
+        store = open_store(disk, segment_bytes).unwrap()
+        written = store.write([entries(first, first + 1, 2)])
+        assert written == Ok(None)
+        disk.crash()
+    expected = [(index, 2) for index in range(10, 14)]
+    assert recovered_indexes(disk) == (9, expected)
+
+
 def test_votes_and_the_store_id_last():
     vote = VoteState(7, "b", "store-b")
     disk = filled_disk([SaveVote(VoteState(6))], [SaveVote(vote)])
