Undo the log settings of commands after each test

Cause: the command line sets the lowest logged level for the whole process, so that tests of other packages that run after its tests saw no events of level info: 5 failed in a run of everything in a fresh clone and passed alone. Ruled out: the code under test (the events are logged as before). The fixture restores the defaults; the failing ones pass after the command line's tests in one run.

--- a/packages/cli/tests/conftest.py
+++ b/packages/cli/tests/conftest.py
@@ -5,6 +5,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 import pytest
+import structlog
 from click.testing import CliRunner
 from cryptography.hazmat.primitives.asymmetric.ed25519 import (
     Ed25519PrivateKey,
@@ -143,3 +144,10 @@
 def fakes():
     """Hand what is above to tests, which cannot import this file."""
     return {"document": DOCUMENT, "key": KEY}
+
+
+@pytest.fixture(autouse=True)
+def _restored_logs():
+    """Undo what a command sets for all loggers of the process."""
+    yield
+    structlog.reset_defaults()
