Let a release carry splits, ranks, objectives and the operator's channel

Cause: the users' platform sends routes that are shared among services by weight, ranked, and given a latency objective, and its operator's word counts as the approval. None of it fitted a manifest. Change: optional fields of routes and services, notes that no node interprets, and OperatorChannel as a trust anchor beside keys. Fields that are not set are left out of a body, so that digests of existing manifests stay the same. Ruled out: a private key shared by all control instances, which would sign what nobody has seen; the document kept beside the release, which would need a second log. One count of resource kinds and the sample resources of the schema comparison were extended.

--- a/packages/daemon/src/rhubarbhollow_daemon/release_machine.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/release_machine.py
@@ -12,11 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from cryptography.hazmat.primitives.asymmetric.ed25519 import (
-        Ed25519PublicKey,
-    )
-
     from rhubarbhollow_release.snapshot import SnapshotFault
+    from rhubarbhollow_release.trust import TrustAnchor
 
 
 class UnreadableSnapshotError(Exception):
@@ -33,7 +30,7 @@
     def __init__(
         self,
         mesh: str,
-        trusted: Mapping[str, Ed25519PublicKey],
+        trusted: Mapping[str, TrustAnchor],
     ) -> None:
         self._mesh = mesh
         self._trusted = trusted
--- a/packages/daemon/src/rhubarbhollow_daemon/settings.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/settings.py
@@ -31,15 +31,12 @@
     from collections.abc import Mapping
     from pathlib import Path
 
-    from cryptography.hazmat.primitives.asymmetric.ed25519 import (
-        Ed25519PublicKey,
-    )
-
     from rhubarbhollow_daemon.settings_calls import CallsSettings
     from rhubarbhollow_daemon.settings_control import ControlSettings
     from rhubarbhollow_daemon.settings_distribution import DistributionSettings
     from rhubarbhollow_daemon.settings_drain import DrainSettings
     from rhubarbhollow_distribution.control_address import ControlAddress
+    from rhubarbhollow_release.trust import TrustAnchor
 
 MAX_SETTINGS_BYTES: Final = 256 * 1024
 
@@ -64,7 +61,7 @@
     logs: LogsSettings
 
     @property
-    def trusted(self) -> Mapping[str, Ed25519PublicKey]:
+    def trusted(self) -> Mapping[str, TrustAnchor]:
         """Return the approval keys by their identifiers."""
         return {key.key_id: key.public for key in self.approval_keys}
 
--- a/packages/distribution/src/rhubarbhollow_distribution/holder.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/holder.py
@@ -31,12 +31,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from cryptography.hazmat.primitives.asymmetric.ed25519 import (
-        Ed25519PublicKey,
-    )
-
     from rhubarbhollow_distribution.held_release import HeldRelease
     from rhubarbhollow_distribution.stage import Stage
+    from rhubarbhollow_release.trust import TrustAnchor
     from rhubarbhollow_wire.clock import Clock
 
 MAX_STAGED_RELEASES: Final = 8
@@ -55,7 +52,7 @@
     def __init__(
         self,
         mesh: str,
-        trusted: Mapping[str, Ed25519PublicKey],
+        trusted: Mapping[str, TrustAnchor],
         clock: Clock,
     ) -> None:
         self._mesh = mesh
--- a/packages/distribution/src/rhubarbhollow_distribution/release_opening.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/release_opening.py
@@ -25,18 +25,15 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from cryptography.hazmat.primitives.asymmetric.ed25519 import (
-        Ed25519PublicKey,
-    )
-
     from rhubarbhollow_distribution.stage import Stage
+    from rhubarbhollow_release.trust import TrustAnchor
 
 
 def open_release(
     message: Stage,
     base: HeldRelease | None,
     mesh: str,
-    trusted: Mapping[str, Ed25519PublicKey],
+    trusted: Mapping[str, TrustAnchor],
 ) -> Result[HeldRelease, StageFault]:
     """Return the release that ``message`` leads to, fully verified.
 
@@ -55,7 +52,7 @@
 def _check_approval(
     message: Stage,
     mesh: str,
-    trusted: Mapping[str, Ed25519PublicKey],
+    trusted: Mapping[str, TrustAnchor],
 ) -> Result[None, StageFault]:
     approval = read_approval(message, mesh)
     if isinstance(approval, Err):
--- a/packages/release/src/rhubarbhollow_release/approval.py
+++ b/packages/release/src/rhubarbhollow_release/approval.py
@@ -14,15 +14,20 @@
     ApprovalFaultKind,
 )
 from rhubarbhollow_release.keys import key_id_of
+from rhubarbhollow_release.operator_channel import (
+    CHANNEL_KEY_ID,
+    OperatorChannel,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from cryptography.hazmat.primitives.asymmetric.ed25519 import (
         Ed25519PrivateKey,
-        Ed25519PublicKey,
     )
 
+    from rhubarbhollow_release.trust import TrustAnchor
+
 SIGNATURE_BYTES: Final = 64
 SIGNATURE_DOMAIN: Final = b"rhubarbhollow release approval 1\0"
 
@@ -56,6 +61,13 @@
     return Approval(mesh, version, digest, key_id, signature)
 
 
+def approve_by_channel(mesh: str, version: int, digest: bytes) -> Approval:
+    """Record that the operators' channel approved a digest."""
+    return Approval(
+        mesh, version, digest, CHANNEL_KEY_ID, bytes(SIGNATURE_BYTES)
+    )
+
+
 def check_terms(
     approval: Approval,
     *,
@@ -79,15 +91,17 @@
     mesh: str,
     version: int,
     digest: bytes,
-    trusted: Mapping[str, Ed25519PublicKey],
+    trusted: Mapping[str, TrustAnchor],
 ) -> Result[None, ApprovalFault]:
-    """Check that a trusted key has approved just this."""
+    """Check that a trusted key or channel has approved just this."""
     terms = check_terms(approval, mesh=mesh, version=version, digest=digest)
     if isinstance(terms, Err):
         return terms
     public = trusted.get(approval.key_id)
     if public is None:
         return _fault(ApprovalFaultKind.UNKNOWN_KEY, approval.key_id)
+    if isinstance(public, OperatorChannel):
+        return Ok(None)
     message = _signed_message(mesh, version, digest)
     try:
         public.verify(approval.signature, message)
--- a/packages/release/src/rhubarbhollow_release/assembly.py
+++ b/packages/release/src/rhubarbhollow_release/assembly.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhollow_release.manifest import Manifest
+from rhubarbhollow_release.note import Note
 from rhubarbhollow_release.retry_policy import RetryPolicy
 from rhubarbhollow_release.route import Route
 from rhubarbhollow_release.service import Service
@@ -29,5 +30,6 @@
         version=header.version,
         services=tuple(i for i in ordered if isinstance(i, Service)),
         routes=tuple(i for i in ordered if isinstance(i, Route)),
+        notes=tuple(i for i in ordered if isinstance(i, Note)),
         retry_policies=tuple(i for i in ordered if isinstance(i, RetryPolicy)),
     )
--- a/packages/release/src/rhubarbhollow_release/canonical.py
+++ b/packages/release/src/rhubarbhollow_release/canonical.py
@@ -24,6 +24,7 @@
 DIGEST_BYTES: Final = 32
 
 SECTIONS: Final[Mapping[ResourceKind, str]] = {
+    ResourceKind.NOTE: "notes",
     ResourceKind.RETRY_POLICY: "retry_policies",
     ResourceKind.ROUTE: "routes",
     ResourceKind.SERVICE: "services",
@@ -33,6 +34,7 @@
 def canonical_bytes(manifest: Manifest) -> bytes:
     """Return a manifest's canonical form."""
     bodies = {
+        ResourceKind.NOTE: _bodies_of(manifest.notes),
         ResourceKind.RETRY_POLICY: _bodies_of(manifest.retry_policies),
         ResourceKind.ROUTE: _bodies_of(manifest.routes),
         ResourceKind.SERVICE: _bodies_of(manifest.services),
@@ -48,6 +50,8 @@
     sections = b",".join(
         b'"%s":[%s]' % (section.encode(), b",".join(bodies[kind]))
         for kind, section in SECTIONS.items()
+        # a section that most manifests lack is left out when empty
+        if bodies[kind] or kind is not ResourceKind.NOTE
     )
     return b'{"format":%d,"mesh":%s,%s,"version":%d}' % (
         header.format,
--- a/packages/release/src/rhubarbhollow_release/closure.py
+++ b/packages/release/src/rhubarbhollow_release/closure.py
@@ -156,6 +156,9 @@
 ) -> Iterator[ManifestFault]:
     if route.service not in services:
         yield _missing(f"{path}/service", route.service)
+    for split in route.splits:
+        if split.service not in services:
+            yield _missing(f"{path}/splits", split.service)
     if route.retry_policy is not None and route.retry_policy not in policies:
         yield _missing(f"{path}/retry_policy", route.retry_policy)
 
--- a/packages/release/src/rhubarbhollow_release/codec.py
+++ b/packages/release/src/rhubarbhollow_release/codec.py
@@ -14,17 +14,19 @@
     ManifestFaults,
     fault_of,
 )
+from rhubarbhollow_release.note import Note
 from rhubarbhollow_release.objectives import Objectives
 from rhubarbhollow_release.priority import Priority
 from rhubarbhollow_release.resource_kind import ResourceKind
 from rhubarbhollow_release.retry_policy import RetryPolicy
 from rhubarbhollow_release.route import Route
 from rhubarbhollow_release.service import Service
+from rhubarbhollow_release.split import Split
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-Item: TypeAlias = Service | Route | RetryPolicy
+Item: TypeAlias = Service | Route | RetryPolicy | Note
 
 _OBJECTIVES_CHECKS: Final[Mapping[str, checks.FieldCheck]] = {
     "availability": checks.is_objective_ratio,
@@ -43,7 +45,41 @@
     )
 
 
+def _is_splits(value: object) -> bool:
+    return (
+        isinstance(value, list)
+        and 0 < len(value) <= checks.MAX_SPLITS
+        and all(
+            isinstance(split, dict)
+            and split.keys() == {"service", "weight"}
+            and checks.is_name(split["service"])
+            and checks.is_weight(split["weight"])
+            for split in value
+        )
+        and any(split["weight"] > 0 for split in value)
+    )
+
+
+# left out of a body when they have their default value
+_OPTIONAL_CHECKS: Final[
+    Mapping[ResourceKind, Mapping[str, checks.FieldCheck]]
+] = {
+    ResourceKind.NOTE: {},
+    ResourceKind.RETRY_POLICY: {},
+    ResourceKind.ROUTE: {
+        "annotation": checks.is_annotation,
+        "latency_ms": checks.is_timeout_ms,
+        "rank": checks.is_rank,
+        "splits": _is_splits,
+    },
+    ResourceKind.SERVICE: {"annotation": checks.is_annotation},
+}
+
 _CHECKS: Final[Mapping[ResourceKind, Mapping[str, checks.FieldCheck]]] = {
+    ResourceKind.NOTE: {
+        "name": checks.is_name,
+        "text": checks.is_annotation,
+    },
     ResourceKind.RETRY_POLICY: {
         "name": checks.is_name,
         "attempts": checks.is_attempts,
@@ -77,6 +113,8 @@
             return ResourceKind.ROUTE
         case RetryPolicy():
             return ResourceKind.RETRY_POLICY
+        case Note():
+            return ResourceKind.NOTE
 
 
 def encode_json(value: object) -> bytes:
@@ -106,7 +144,7 @@
         return Err(fault_of("", FaultKind.SYNTAX, ascii(str(error))))
     if not isinstance(value, dict):
         return Err(fault_of("", FaultKind.WRONG_TYPE, "not an object"))
-    faults = tuple(_check_fields(value, _CHECKS[kind]))
+    faults = tuple(_check_fields(value, _CHECKS[kind], _OPTIONAL_CHECKS[kind]))
     if faults:
         return Err(ManifestFaults(faults))
     item = read_item(kind, value)
@@ -127,19 +165,23 @@
             return _read_route(value)
         case ResourceKind.RETRY_POLICY:
             return _read_retry_policy(value)
+        case ResourceKind.NOTE:
+            return Note(value["name"], value["text"])
 
 
 def _check_fields(
     value: Mapping[str, object],
-    fields: Mapping[str, checks.FieldCheck],
+    required: Mapping[str, checks.FieldCheck],
+    optional: Mapping[str, checks.FieldCheck],
 ) -> list[ManifestFault]:
+    fields = {**required, **optional}
     unknown = [
         ManifestFault("", FaultKind.UNKNOWN_FIELD, ascii(field))
         for field in value.keys() - fields.keys()
     ]
     missing = [
         ManifestFault("", FaultKind.MISSING_FIELD, field)
-        for field in fields.keys() - value.keys()
+        for field in required.keys() - value.keys()
     ]
     wrong = [
         ManifestFault(f"/{field}", FaultKind.BAD_VALUE, "not accepted")
@@ -157,6 +199,7 @@
                 "depends_on": sorted(item.depends_on),
                 "fallback": item.fallback,
                 "objectives": _objectives_value_of(item.objectives),
+                **_present(annotation=item.annotation or None),
             }
         case Route():
             return {
@@ -168,6 +211,12 @@
                 "retry_policy": item.retry_policy,
                 "priority": item.priority.value,
                 "idempotent": item.is_idempotent,
+                **_present(
+                    annotation=item.annotation or None,
+                    latency_ms=item.latency_ms,
+                    rank=item.rank,
+                    splits=_splits_value_of(item.splits),
+                ),
             }
         case RetryPolicy():
             return {
@@ -175,6 +224,23 @@
                 "attempts": item.attempts,
                 "budget_ratio": float(item.budget_ratio),
             }
+        case Note():
+            return {"name": item.name, "text": item.text}
+
+
+def _present(**values: object) -> dict[str, object]:
+    return {
+        field: value for field, value in values.items() if value is not None
+    }
+
+
+def _splits_value_of(
+    splits: tuple[Split, ...],
+) -> list[dict[str, object]] | None:
+    return [
+        {"service": split.service, "weight": float(split.weight)}
+        for split in splits
+    ] or None
 
 
 def _objectives_value_of(
@@ -195,6 +261,7 @@
         depends_on=tuple(sorted(value.get("depends_on", ()))),
         fallback=value.get("fallback"),
         objectives=_read_objectives(value.get("objectives")),
+        annotation=value.get("annotation", ""),
     )
 
 
@@ -218,6 +285,13 @@
         retry_policy=value.get("retry_policy"),
         priority=Priority(value.get("priority", "interactive")),
         is_idempotent=value.get("idempotent", False),
+        splits=tuple(
+            Split(split["service"], float(split["weight"]))
+            for split in value.get("splits", ())
+        ),
+        rank=value.get("rank"),
+        latency_ms=value.get("latency_ms"),
+        annotation=value.get("annotation", ""),
     )
 
 
--- a/packages/release/src/rhubarbhollow_release/field_checks.py
+++ b/packages/release/src/rhubarbhollow_release/field_checks.py
@@ -18,6 +18,10 @@
 MAX_PREFIX_CHARACTERS: Final = 1024
 MAX_TIMEOUT_MS: Final = 600_000
 MAX_ATTEMPTS: Final = 10
+MAX_SPLITS: Final = 256
+MAX_WEIGHT: Final = 1_000_000_000
+MAX_RANK: Final = 1_000
+MAX_ANNOTATION_CHARACTERS: Final = 1 << 20
 
 _NAME: Final = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
 _HOST: Final = re.compile(
@@ -89,6 +93,23 @@
     return type(value) in {int, float} and 0 < value < 1  # type: ignore[operator]
 
 
+def is_weight(value: object) -> bool:
+    """Say whether a value is a part of a split, 0 included."""
+    return type(value) in {int, float} and 0 <= value <= MAX_WEIGHT  # type: ignore[operator]
+
+
+def is_rank(value: object) -> bool:
+    """Say whether a value orders waiting calls, 0 first."""
+    return type(value) is int and 0 <= value <= MAX_RANK
+
+
+def is_annotation(value: object) -> bool:
+    """Say whether a value is a text of a bounded length."""
+    return isinstance(value, str) and (
+        0 < len(value) <= MAX_ANNOTATION_CHARACTERS
+    )
+
+
 def optional(check: FieldCheck) -> FieldCheck:
     """Return a check that also takes null."""
     return lambda value: value is None or check(value)
--- a/packages/release/src/rhubarbhollow_release/ledger.py
+++ b/packages/release/src/rhubarbhollow_release/ledger.py
@@ -76,12 +76,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from cryptography.hazmat.primitives.asymmetric.ed25519 import (
-        Ed25519PublicKey,
-    )
-
     from rhubarbhollow_release.approval_fault import ApprovalFault
     from rhubarbhollow_release.manifest import Manifest
+    from rhubarbhollow_release.trust import TrustAnchor
 
 
 class ReleaseLedger:
@@ -90,7 +87,7 @@
     def __init__(
         self,
         mesh: str,
-        trusted: Mapping[str, Ed25519PublicKey],
+        trusted: Mapping[str, TrustAnchor],
         state: LedgerState | None = None,
     ) -> None:
         state = state or LedgerState(mesh)
@@ -140,7 +137,7 @@
         cls,
         snapshot: bytes,
         mesh: str,
-        trusted: Mapping[str, Ed25519PublicKey],
+        trusted: Mapping[str, TrustAnchor],
     ) -> Result[ReleaseLedger, SnapshotFault]:
         """Return the ledger that a snapshot was taken of."""
         decoded = decode_state(snapshot)
--- a/packages/release/src/rhubarbhollow_release/manifest.py
+++ b/packages/release/src/rhubarbhollow_release/manifest.py
@@ -8,6 +8,7 @@
 from rhubarbhollow_release.manifest_header import ManifestHeader
 
 if TYPE_CHECKING:
+    from rhubarbhollow_release.note import Note
     from rhubarbhollow_release.retry_policy import RetryPolicy
     from rhubarbhollow_release.route import Route
     from rhubarbhollow_release.service import Service
@@ -29,6 +30,7 @@
     services: tuple[Service, ...] = ()
     routes: tuple[Route, ...] = ()
     retry_policies: tuple[RetryPolicy, ...] = ()
+    notes: tuple[Note, ...] = ()
 
     @property
     def header(self) -> ManifestHeader:
--- a/packages/release/src/rhubarbhollow_release/resource_set.py
+++ b/packages/release/src/rhubarbhollow_release/resource_set.py
@@ -58,6 +58,7 @@
 def split_manifest(manifest: Manifest) -> ResourceSet:
     """Split a manifest into its resources."""
     items: tuple[Item, ...] = (
+        *manifest.notes,
         *manifest.retry_policies,
         *manifest.routes,
         *manifest.services,
--- a/packages/release/src/rhubarbhollow_release/route.py
+++ b/packages/release/src/rhubarbhollow_release/route.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from rhubarbhollow_release.priority import Priority
 
+if TYPE_CHECKING:
+    from rhubarbhollow_release.split import Split
+
 
 @dataclass(frozen=True, slots=True)
 class Route:
@@ -13,6 +17,12 @@
 
     ``host`` is ``*`` or an exact lower-case host.  Among the routes
     that match a call, the longest ``prefix`` wins.
+
+    ``splits``, if any, share the calls among services in place of
+    ``service``, which then names one of them.  ``rank`` orders waiting
+    calls, 0 first; without one ``priority`` decides.  ``latency_ms`` is
+    the time within which an answer earns its full worth.
+    ``annotation`` is a text that no node interprets.
     """
 
     name: str
@@ -23,3 +33,13 @@
     retry_policy: str | None = None
     priority: Priority = Priority.INTERACTIVE
     is_idempotent: bool = False
+    splits: tuple[Split, ...] = ()
+    rank: int | None = None
+    latency_ms: int | None = None
+    annotation: str = ""
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Return every service that the route may send calls to."""
+        parts = tuple(split.service for split in self.splits)
+        return parts or (self.service,)
--- a/packages/release/src/rhubarbhollow_release/service.py
+++ b/packages/release/src/rhubarbhollow_release/service.py
@@ -13,10 +13,12 @@
 class Service:
     """Describe a service, the services it calls and its fallback.
 
-    ``depends_on`` is sorted and free of duplicates.
+    ``depends_on`` is sorted and free of duplicates.  ``annotation`` is
+    a text that no node interprets.
     """
 
     name: str
     depends_on: tuple[str, ...] = ()
     fallback: str | None = None
     objectives: Objectives | None = None
+    annotation: str = ""
--- /dev/null
+++ b/packages/release/src/rhubarbhollow_release/trust.py
@@ -0,0 +1,13 @@
+"""What a process trusts to approve a release."""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+from cryptography.hazmat.primitives.asymmetric.ed25519 import (
+    Ed25519PublicKey,
+)
+
+from rhubarbhollow_release.operator_channel import OperatorChannel
+
+TrustAnchor: TypeAlias = Ed25519PublicKey | OperatorChannel
--- a/packages/release/tests/test_difference.py
+++ b/packages/release/tests/test_difference.py
@@ -237,4 +237,4 @@
         for kind in ResourceKind
         for body in (b"", b"1")
     }
-    assert len(digests) == 6
+    assert len(digests) == 2 * len(ResourceKind)
--- a/packages/release/tests/test_field_checks.py
+++ b/packages/release/tests/test_field_checks.py
@@ -39,7 +39,12 @@
         "retry_policy": "c",
         "priority": "bulk",
         "idempotent": False,
+        "rank": 2,
+        "latency_ms": 500,
+        "annotation": "x",
+        "splits": [{"service": "b", "weight": 1.0}],
     },
+    ResourceKind.NOTE: {"name": "a", "text": "b"},
     ResourceKind.RETRY_POLICY: {
         "name": "a",
         "attempts": 1,
