Let calls speak another system's field names, and share routes by weight

Cause: on the users' platform the request's id, time limit, origin and the upstream's refusal have other field names; answers repeat the request's id, may be those of earlier requests and may end with the connection. Change: Dialect names the fields; an answer with another id is skipped; a 2xx that repeats no id is taken as broken; a close ends an undelimited answer, a reset does not. Splits go through smooth weighted round robin. A refusal of a node before its upstream saw the request costs no attempt and no token, with a limit of its own. A leaving upstream's gate sends away what waits. Ruled out: translating in a port of its own in front of the caller port, which parses each call twice.

--- a/packages/calls/src/rhubarbhollow_calls/call_route.py
+++ b/packages/calls/src/rhubarbhollow_calls/call_route.py
@@ -16,7 +16,8 @@
     ``host`` is ``*`` for any host. ``budget_ratio`` is the share of
     recent calls that may be sent again. ``fallbacks`` are the services
     whose upstreams are tried in turn when none of ``service`` can be
-    chosen.
+    chosen. ``splits`` pairs services with weights above 0 and comes
+    before ``service``. ``rank`` orders waiting calls, 0 first.
     """
 
     name: str
@@ -29,3 +30,6 @@
     priority: CallPriority
     is_idempotent: bool
     fallbacks: tuple[str, ...]
+    splits: tuple[tuple[str, float], ...] = ()
+    rank: int = 0
+    latency_seconds: float | None = None
--- a/packages/calls/src/rhubarbhollow_calls/http_answer_reader.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_answer_reader.py
@@ -7,6 +7,7 @@
 import httptools
 
 from rhubarbhollow_calls.http_answer_head import parse_answer_head
+from rhubarbhollow_calls.http_dialect import NATIVE_DIALECT
 from rhubarbhollow_calls.http_fault import (
     HttpFault,
     HttpFaultError,
@@ -17,6 +18,7 @@
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.http_answer_head import AnswerHead
+    from rhubarbhollow_calls.http_dialect import Dialect
     from rhubarbhollow_calls.http_fields import Field
 
 _FIRST_FINAL_STATUS: Final = 200
@@ -46,16 +48,21 @@
     """
 
     __slots__ = (
+        "_dialect",
         "_fields",
         "_is_expected",
         "_is_for_head",
         "_is_interim",
+        "_is_until_close",
         "_parser",
         "_pending_bytes",
         "_sink",
     )
 
-    def __init__(self, sink: AnswerSink) -> None:
+    def __init__(
+        self, sink: AnswerSink, dialect: Dialect = NATIVE_DIALECT
+    ) -> None:
+        self._dialect = dialect
         self._sink = sink
         self._parser = httptools.HttpResponseParser(self)
         self._fields: list[Field] = []
@@ -63,11 +70,20 @@
         self._is_expected = False
         self._is_for_head = False
         self._is_interim = False
+        self._is_until_close = False
 
     def expect(self, is_for_head: bool) -> None:
         """Accept one final answer, to HEAD or to another method."""
         self._is_expected = True
         self._is_for_head = is_for_head
+        self._is_until_close = False
+
+    def finish(self) -> bool:
+        """Learn of an orderly end; return whether it ends an answer."""
+        if not self._is_expected or not self._is_until_close:
+            return False
+        self._end()
+        return True
 
     def feed(self, data: bytes) -> HttpFault | None:
         """Parse ``data``; after a fault nothing more may be fed."""
@@ -113,7 +129,9 @@
             self._fields,
             self._is_for_head,
             self._parser.should_keep_alive(),
+            self._dialect,
         )
+        self._is_until_close = head.is_until_close
         self._pending_bytes = 0
         self._sink.answer_started(head)
         if self._is_for_head:
--- a/packages/calls/src/rhubarbhollow_calls/http_fields.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_fields.py
@@ -24,23 +24,29 @@
 
 def split_fields(
     fields: Sequence[Field],
+    dropped: frozenset[bytes] = frozenset(),
+    passed: frozenset[bytes] = frozenset(),
 ) -> tuple[bytes, dict[bytes, bytes]]:
     """Return the lines that go on and the values that this hop reads.
 
     Names must be in lower case. A watched field that is given twice is
     refused, since two parsers may each believe another of the values.
+    ``dropped`` and ``passed`` name further fields that are read, and
+    that end here or go on.
     """
+    watched = _WATCHED | dropped | passed
+    read = _READ | passed
     lines: list[bytes] = []
     seen: dict[bytes, bytes] = {}
     for name, value in fields:
-        if name not in _WATCHED and not name.startswith(names.MESH_PREFIX):
+        if name not in watched and not name.startswith(names.MESH_PREFIX):
             lines.append(b"%b: %b\r\n" % (name, value))
             continue
         if name in seen:
             seen[name] = _join_list(name, seen[name], value)
             continue
         seen[name] = value
-        if name in _READ:
+        if name in read:
             lines.append(b"%b: %b\r\n" % (name, value))
     if names.CONNECTION in seen:
         lines = _drop_nominated(lines, seen[names.CONNECTION])
--- a/packages/calls/src/rhubarbhollow_calls/http_mesh_fields.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_mesh_fields.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_calls import http_names as names
+from rhubarbhollow_calls.http_dialect import NATIVE_DIALECT
 from rhubarbhollow_calls.http_fault import HttpFaultError, HttpFaultKind
 from rhubarbhollow_calls.http_integer import parse_integer
 from rhubarbhollow_calls.http_limits import MAX_REQUEST_ID_BYTES
@@ -13,6 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from rhubarbhollow_calls.http_dialect import Dialect
+
 
 @dataclass(frozen=True, slots=True)
 class MeshFields:
@@ -31,20 +34,28 @@
     priority: bytes = b""
     is_idempotent: bool = False
     upstream: bytes = b""
+    origin: bytes = b""
+    rank: int = 0
 
 
 NO_MESH_FIELDS: Final = MeshFields()
 
 
 def parse_mesh_fields(
-    seen: Mapping[bytes, bytes], is_from_node: bool
+    seen: Mapping[bytes, bytes],
+    is_from_node: bool,
+    dialect: Dialect = NATIVE_DIALECT,
 ) -> MeshFields:
     """Read the fields out of ``seen``, which maps names to values."""
-    request_id = seen.get(names.REQUEST_ID)
+    request_id = seen.get(dialect.request_id)
     if request_id is not None and not _is_request_id(request_id):
         raise HttpFaultError(
             HttpFaultKind.FIELD_INVALID, "the request id is not a token"
         )
+    if dialect.is_foreign and not is_from_node:
+        # a caller that speaks other names sets none of ours
+        timeout_ms = _maybe_integer(seen, dialect.time_limit)
+        return MeshFields(None, timeout_ms, 0, request_id)
     position = _maybe_integer(seen, names.POSITION)
     timeout_ms = _maybe_integer(seen, names.TIMEOUT_MS)
     depth = _maybe_integer(seen, names.DEPTH) or 0
@@ -59,6 +70,8 @@
         seen.get(names.PRIORITY, b""),
         seen.get(names.IDEMPOTENT) == b"true",
         seen.get(names.UPSTREAM, b""),
+        seen.get(names.ORIGIN, b""),
+        _maybe_integer(seen, names.RANK) or 0,
     )
 
 
--- a/packages/calls/src/rhubarbhollow_calls/http_request_head.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_request_head.py
@@ -12,6 +12,7 @@
     Body,
     SizedBody,
 )
+from rhubarbhollow_calls.http_dialect import NATIVE_DIALECT
 from rhubarbhollow_calls.http_fault import HttpFaultError, HttpFaultKind
 from rhubarbhollow_calls.http_fields import split_fields
 from rhubarbhollow_calls.http_integer import parse_integer
@@ -25,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
+    from rhubarbhollow_calls.http_dialect import Dialect
     from rhubarbhollow_calls.http_fields import Field
 
 
@@ -59,10 +61,11 @@
     fields: Sequence[Field],
     is_from_node: bool,
     is_keep_alive: bool,
+    dialect: Dialect = NATIVE_DIALECT,
 ) -> RequestHead:
     """Check a head, or raise ``HttpFaultError``."""
     _check_target(method, target)
-    block, seen = split_fields(fields)
+    block, seen = split_fields(fields, dialect.dropped, dialect.passed)
     host = seen.get(names.HOST)
     if not host:
         raise HttpFaultError(HttpFaultKind.HOST_MISSING, "no Host field")
@@ -71,7 +74,7 @@
     if len(seen) > 1:
         _check_expectations(seen)
         is_continue_expected = names.EXPECT in seen
-        mesh = parse_mesh_fields(seen, is_from_node)
+        mesh = parse_mesh_fields(seen, is_from_node, dialect)
     return RequestHead(
         method,
         target,
--- a/packages/calls/src/rhubarbhollow_calls/http_request_reader.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_request_reader.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from rhubarbhollow_calls.http_dialect import NATIVE_DIALECT
 from rhubarbhollow_calls.http_fault import (
     HttpFault,
     HttpFaultError,
@@ -20,6 +21,7 @@
 from rhubarbhollow_calls.http_request_head import parse_request_head
 
 if TYPE_CHECKING:
+    from rhubarbhollow_calls.http_dialect import Dialect
     from rhubarbhollow_calls.http_fields import Field
     from rhubarbhollow_calls.http_request_head import RequestHead
 
@@ -48,6 +50,7 @@
     """
 
     __slots__ = (
+        "_dialect",
         "_fields",
         "_is_from_node",
         "_is_last",
@@ -59,7 +62,13 @@
         "_target",
     )
 
-    def __init__(self, sink: RequestSink, is_from_node: bool) -> None:
+    def __init__(
+        self,
+        sink: RequestSink,
+        is_from_node: bool,
+        dialect: Dialect = NATIVE_DIALECT,
+    ) -> None:
+        self._dialect = dialect
         self._sink = sink
         self._is_from_node = is_from_node
         self._parser = httptools.HttpRequestParser(self)
@@ -134,6 +143,7 @@
             self._fields,
             self._is_from_node,
             self._parser.should_keep_alive(),
+            self._dialect,
         )
         self._is_last = not head.is_keep_alive
         self._pending_bytes = 0
--- a/packages/calls/src/rhubarbhollow_calls/io_attempt.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_attempt.py
@@ -20,6 +20,7 @@
     from rhubarbhollow_calls.http_answer_head import AnswerHead
     from rhubarbhollow_calls.http_request_head import RequestHead
     from rhubarbhollow_calls.io_client import BreakCause, ClientConnection
+    from rhubarbhollow_calls.io_local_upstream import LocalUpstream
     from rhubarbhollow_calls.io_pool import ConnectionPool
     from rhubarbhollow_calls.io_request_body import RequestBody
 
@@ -42,6 +43,10 @@
         """Return the field lines for the next hop, as of now."""
         ...
 
+    def upstream_lines(self, upstream: LocalUpstream) -> bytes:
+        """Return the field lines for the upstream, as of now."""
+        ...
+
     def answer_started(self, head: AnswerHead) -> None:
         """Take the head of an answer that is no refusal."""
         ...
@@ -158,7 +163,9 @@
         # Said first: a write that fails may still have sent something.
         self._is_written = True
         is_for_head = self._head.method == b"HEAD"
-        connection.begin(self, is_for_head, self._encode_known())
+        connection.begin(
+            self, is_for_head, self._encode_known(), self._echoed_id()
+        )
         self._body.drop_if_long()
         if self._body.is_whole:
             self._end_request(connection)
@@ -238,8 +245,16 @@
     def _read_refusal(self, head: AnswerHead) -> AttemptFailure:
         raise NotImplementedError
 
+    def _lines(self) -> bytes:
+        """Return the field lines for the next hop, as of now."""
+        return self._owner.node_lines()
+
+    def _echoed_id(self) -> bytes | None:
+        """Return the id that the answer has to repeat, if any."""
+        return None
+
     def _encode_known(self) -> bytes:
-        head = encode_request(self._head, self._owner.node_lines())
+        head = encode_request(self._head, self._lines())
         parts = self._body.parts
         if not parts:
             return head
--- a/packages/calls/src/rhubarbhollow_calls/io_caller.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller.py
@@ -13,6 +13,7 @@
 from rhubarbhollow_calls.refusal import RefusalKind
 
 if TYPE_CHECKING:
+    from rhubarbhollow_calls.http_dialect import Dialect
     from rhubarbhollow_calls.http_fault import HttpFault
     from rhubarbhollow_calls.http_request_head import RequestHead
     from rhubarbhollow_calls.io_exchange import Exchange
@@ -32,6 +33,11 @@
         """Return false: most fields that nodes set are ignored."""
         return False
 
+    @property
+    def dialect(self) -> Dialect:
+        """Return the field names of callers and upstreams."""
+        return self._node.dialect
+
     def open_call(
         self, head: RequestHead, downstream: ListenerConnection
     ) -> Exchange:
@@ -109,6 +115,8 @@
     ) -> Exchange:
         if self._node.is_draining:
             kind, detail = RefusalKind.DRAINING, "this node is stopping"
+        elif self._node.snapshot is None:
+            kind, detail = RefusalKind.NO_RELEASE, "no release is in force"
         elif state is None:
             kind, detail = RefusalKind.NO_ROUTE, "no route matches"
         else:
--- a/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
@@ -33,6 +33,15 @@
 PEER_GRACE_SECONDS: Final = 0.03
 CUT_ANSWER_DELAY_SECONDS: Final = 0.1
 _ERROR_STATUS: Final = 500
+# refusals of a node: the upstream beside it has not seen the request
+_UNOFFERED_KINDS: Final = frozenset(
+    (
+        RefusalKind.NO_UPSTREAM,
+        RefusalKind.QUEUE_FULL,
+        RefusalKind.DRAINING,
+        RefusalKind.STALE_POSITION,
+    )
+)
 
 
 class CallerExchange(Exchange):
@@ -49,8 +58,10 @@
         "_cut_attempts",
         "_endpoint",
         "_failure",
+        "_service",
         "_state",
         "_tried",
+        "_unoffered",
     )
 
     def __init__(
@@ -69,6 +80,8 @@
         self._attempt_started_at = now
         self._attempts_made = 0
         self._cut_attempts = 0
+        self._unoffered = 0
+        self._service = state.services.next()
         self._endpoint: Endpoint | None = None
         self._tried: frozenset[str] = frozenset()
         self._failure: AttemptFailure | None = None
@@ -86,17 +99,19 @@
         """Return the fields for the node beside the upstream."""
         left = format_deadline(self._deadline, self._node.clock.monotonic())
         endpoint = self._endpoint
-        return b"%b%b: %b\r\n%b: %d\r\n%b: %b\r\n%b: %b\r\n" % (
+        lines = b"%b%b: %b\r\n%b: %d\r\n%b: %b\r\n" % (
             self._state.request_lines,
             names.TIMEOUT_MS,
             left,
             names.DEPTH,
             self._head.mesh.depth + 1,
-            names.REQUEST_ID,
-            self._request_id,
             names.UPSTREAM,
             b"" if endpoint is None else endpoint.name.encode(),
         )
+        if self._node.dialect.is_foreign:
+            # the caller's own field with the request's id goes on
+            return lines + b"%b: %b\r\n" % (names.ORIGIN, self._node.origin)
+        return lines + b"%b: %b\r\n" % (names.REQUEST_ID, self._request_id)
 
     def _try(self) -> None:
         endpoint = self._choose()
@@ -104,7 +119,6 @@
             self._give_up()
             return
         self._endpoint = endpoint
-        self._attempts_made += 1
         self._attempt_started_at = self._node.clock.monotonic()
         self._node.book.started(endpoint.name)
         self._begin(self._make_attempt(endpoint))
@@ -112,7 +126,7 @@
     def _choose(self) -> Endpoint | None:
         book = self._node.book
         route = self._state.route
-        endpoint = book.choose(route.service, self._tried)
+        endpoint = book.choose(self._service, self._tried)
         if endpoint is not None or self._tried:
             return endpoint
         chosen = (
@@ -138,12 +152,17 @@
 
     def _follow_up(self, failure: AttemptFailure) -> None:
         self._failure = failure
+        is_offered = failure.refusal.kind not in _UNOFFERED_KINDS
+        if is_offered:
+            self._attempts_made += 1
+        else:
+            self._unoffered += 1
         if failure.result is CallResult.BROKEN:
             self._note_cut()
         if failure.refusal.kind is RefusalKind.QUARANTINED:
             self._refuse(failure.refusal)
             return
-        match decide_retry(self._view(failure)):
+        match decide_retry(self._view(failure, is_offered=is_offered)):
             case Retry(excluded):
                 self._tried = excluded
                 self._state.counters.retries += 1
@@ -174,7 +193,9 @@
         if not self._is_over:
             self._refuse(refusal)
 
-    def _view(self, failure: AttemptFailure) -> AttemptView:
+    def _view(
+        self, failure: AttemptFailure, *, is_offered: bool
+    ) -> AttemptView:
         route = self._state.route
         endpoint = self._endpoint
         tried = self._tried
@@ -195,6 +216,8 @@
             remaining_ms=self._deadline.remaining_ms(now),
             budget=self._state.budget,
             cut_attempts=self._cut_attempts,
+            is_offered=is_offered,
+            unoffered=self._unoffered,
         )
 
     def _give_up(self) -> None:
@@ -204,7 +227,7 @@
         self._refuse_unwritten(
             RefusalKind.NO_UPSTREAM,
             UnwrittenStage.ROUTING,
-            f"no upstream of {self._state.route.service}",
+            f"no upstream of {self._service}",
         )
 
     def _answer_lines(self, head: AnswerHead) -> bytes:
--- a/packages/calls/src/rhubarbhollow_calls/io_client.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_client.py
@@ -68,16 +68,19 @@
         "_is_reading_paused",
         "_is_request_whole",
         "_is_reusable",
+        "_is_stray",
         "_pool",
         "_reader",
+        "_request_id",
         "_transport",
         "_user",
+        "idle_limit",
         "idle_ticks",
     )
 
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
-        self._reader = AnswerReader(self)
+        self._reader = AnswerReader(self, pool.dialect)
         self._transport: asyncio.Transport | None = None
         self._user: ConnectionUser | None = None
         self._is_request_whole = False
@@ -85,17 +88,30 @@
         self._is_reusable = False
         self._is_reading_paused = False
         self._is_closing = False
+        self._is_stray = False
+        self._request_id: bytes | None = None
         self.idle_ticks = 0
+        self.idle_limit: int | None = None
 
     def begin(
-        self, user: ConnectionUser, is_for_head: bool, data: bytes
+        self,
+        user: ConnectionUser,
+        is_for_head: bool,
+        data: bytes,
+        request_id: bytes | None = None,
     ) -> None:
-        """Write the first bytes of a request for ``user``."""
+        """Write the first bytes of a request for ``user``.
+
+        An answer that repeats another id than ``request_id`` is that of
+        an earlier request and is skipped.
+        """
         if self._user is not None or self._is_closing:
             raise ConnectionInUse
         self._user = user
         self._is_request_whole = False
         self._is_answer_whole = False
+        self._request_id = request_id
+        self._is_stray = False
         self._reader.expect(is_for_head)
         self.write(data)
 
@@ -141,7 +157,11 @@
             self._break(BreakCause.BAD_ANSWER)
 
     def eof_received(self) -> bool:
-        """Close, since no whole answer can follow."""
+        """Close, since nothing can follow; it may end an answer."""
+        if self._reader.finish() and self._is_answer_whole:
+            self._is_reusable = False
+            self._finish(None)
+            return False
         self._break(BreakCause.CLOSED)
         return False
 
@@ -160,18 +180,32 @@
             self._user.resume_request()
 
     def answer_started(self, head: AnswerHead) -> None:
-        """Pass the head to the user."""
-        self._is_reusable = head.is_keep_alive
+        """Pass the head to the user, unless it is another request's."""
+        self._is_reusable = head.is_keep_alive and not head.is_until_close
+        if head.idle_seconds is not None:
+            # one less: the answer may have been on its way for long
+            self.idle_limit = max(0, head.idle_seconds - 1)
+        self._is_stray = (
+            self._request_id is not None
+            and head.request_id is not None
+            and head.request_id != self._request_id
+        )
+        if self._is_stray:
+            return
         if self._user is not None:
             self._user.answer_started(head)
 
     def answer_data(self, data: bytes) -> None:
         """Pass a part of the body to the user."""
-        if self._user is not None:
+        if self._user is not None and not self._is_stray:
             self._user.answer_data(data)
 
     def answer_ended(self) -> None:
         """Note the end; bytes after it may be left in the buffer."""
+        if self._is_stray:
+            self._is_stray = False
+            self._reader.expect(is_for_head=False)
+            return
         self._is_answer_whole = True
 
     def _finish(self, fault: HttpFault | None) -> None:
--- a/packages/calls/src/rhubarbhollow_calls/io_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_exchange.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from rhubarbhollow_calls.deadline import Deadline, format_deadline
 from rhubarbhollow_calls.http_body import CHUNKED_BODY, NO_BODY
 from rhubarbhollow_calls.http_encoding import (
     CLOSE_LINE,
@@ -18,13 +19,13 @@
 from rhubarbhollow_calls.refusal import Refusal, RefusalKind
 
 if TYPE_CHECKING:
-    from rhubarbhollow_calls.deadline import Deadline
     from rhubarbhollow_calls.http_answer_head import AnswerHead
     from rhubarbhollow_calls.http_body import Body
     from rhubarbhollow_calls.http_fault import HttpFault
     from rhubarbhollow_calls.http_request_head import RequestHead
     from rhubarbhollow_calls.io_attempt import Attempt, AttemptFailure
     from rhubarbhollow_calls.io_listener import ListenerConnection
+    from rhubarbhollow_calls.io_local_upstream import LocalUpstream
     from rhubarbhollow_calls.io_node import CallNode
 
 
@@ -152,6 +153,21 @@
         """Return the field lines for the next hop, as of now."""
         raise NotImplementedError
 
+    def upstream_lines(self, upstream: LocalUpstream) -> bytes:
+        """Return the field lines for the upstream, as of now."""
+        dialect = self._node.dialect
+        if not dialect.is_foreign:
+            return self.node_lines()
+        left = format_deadline(self._deadline, self._node.clock.monotonic())
+        return b"%b: %b\r\n%b: %b\r\n%b: %b\r\n" % (
+            dialect.time_limit,
+            left,
+            dialect.upstream,
+            upstream.instance.encode(),
+            dialect.origin,
+            self._origin(),
+        )
+
     def answer_started(self, head: AnswerHead) -> None:
         """Hold the answer's head until something follows it.
 
@@ -213,6 +229,10 @@
     def _refusal_lines(self) -> bytes:
         return b""
 
+    def _origin(self) -> bytes:
+        """Return the service beside the node that the call came to."""
+        return self._node.origin
+
     def _follow_up(self, failure: AttemptFailure) -> None:
         self._refuse(failure.refusal)
 
@@ -259,6 +279,8 @@
             refusal,
             self._request_id,
             self._refusal_lines(),
+            status=self._node.status_of(refusal),
+            retry_after_seconds=self._node.retry_after(refusal),
             is_for_head=self._head.method == b"HEAD",
             is_last=self._downstream.is_last_answer(),
         )
--- a/packages/calls/src/rhubarbhollow_calls/io_listener.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_listener.py
@@ -13,6 +13,7 @@
 from rhubarbhollow_calls.io_pending import PendingRequest
 
 if TYPE_CHECKING:
+    from rhubarbhollow_calls.http_dialect import Dialect
     from rhubarbhollow_calls.http_fault import HttpFault
     from rhubarbhollow_calls.http_request_head import RequestHead
     from rhubarbhollow_calls.io_settings import CallSettings
@@ -58,6 +59,11 @@
         """Return whether the callers of this port are nodes."""
         ...
 
+    @property
+    def dialect(self) -> Dialect:
+        """Return the field names of callers and upstreams."""
+        ...
+
     def open_call(
         self, head: RequestHead, downstream: ListenerConnection
     ) -> CallHandler:
@@ -105,7 +111,7 @@
 
     def __init__(self, opener: CallOpener) -> None:
         self._opener = opener
-        self._reader = RequestReader(self, opener.is_from_node)
+        self._reader = RequestReader(self, opener.is_from_node, opener.dialect)
         self._transport: asyncio.Transport | None = None
         self._active: CallHandler | None = None
         self._queue: deque[PendingRequest] = deque()
--- a/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
@@ -6,6 +6,7 @@
 
 from rhubarbhollow_calls.call_result import CallResult
 from rhubarbhollow_calls.io_attempt import Attempt, AttemptFailure
+from rhubarbhollow_calls.io_client import BreakCause
 from rhubarbhollow_calls.io_fingerprint import (
     FINGERPRINTED_BODY_BYTES,
     fingerprint_request,
@@ -34,6 +35,9 @@
     from rhubarbhollow_calls.slot_ticket import Ticket
 
 _SHED_STATUS: Final = 503
+_MISDIRECTED_STATUS: Final = 421
+_REFUSAL_STATUSES: Final = frozenset((408, 421, 429, 503))
+_SUCCESS_CLASS: Final = 2
 
 _KINDS: Final = {
     SlotRefusal.QUEUE_FULL: RefusalKind.QUEUE_FULL,
@@ -163,7 +167,29 @@
         else:
             self._port.note_abandoned(fingerprint, self._epoch)
 
+    def answer_started(self, head: AnswerHead) -> None:
+        """Pass the head on, unless nothing ties it to this request."""
+        is_success = head.status // 100 == _SUCCESS_CLASS
+        if self._echoed_id() and is_success and head.request_id is None:
+            connection, self._connection = self._connection, None
+            if connection is not None:
+                connection.abort()
+            self.connection_broken(BreakCause.BAD_ANSWER)
+            return
+        super().answer_started(head)
+
+    def _lines(self) -> bytes:
+        return self._owner.upstream_lines(self._port.upstream)
+
+    def _echoed_id(self) -> bytes | None:
+        if not self._port.dialect.is_foreign:
+            return None
+        return self._head.mesh.request_id
+
     def _is_refusal(self, head: AnswerHead) -> bool:
+        if self._port.dialect.is_foreign:
+            is_marked = head.is_not_run and head.status in _REFUSAL_STATUSES
+            return is_marked or head.status == _MISDIRECTED_STATUS
         return head.is_not_run and head.status == _SHED_STATUS
 
     def _read_refusal(self, head: AnswerHead) -> AttemptFailure:  # noqa: ARG002
--- a/packages/calls/src/rhubarbhollow_calls/io_local_port.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_port.py
@@ -7,7 +7,12 @@
 
 from rhubarbhollow_calls.io_crash_watch import BrokenCall, CrashWatch
 from rhubarbhollow_calls.io_pool import ConnectionPool
-from rhubarbhollow_calls.slot_admission import Admitted, Queued, Refused
+from rhubarbhollow_calls.slot_admission import (
+    Admitted,
+    Queued,
+    Refused,
+    SlotRefusal,
+)
 from rhubarbhollow_calls.slot_gate import SlotGate
 
 if TYPE_CHECKING:
@@ -17,7 +22,6 @@
     from rhubarbhollow_calls.io_settings import CallSettings
     from rhubarbhollow_calls.quarantine import Quarantine
     from rhubarbhollow_calls.quarantine_message import QuarantineMessage
-    from rhubarbhollow_calls.slot_admission import SlotRefusal
     from rhubarbhollow_calls.slot_ticket import Ticket
     from rhubarbhollow_wire.clock import Clock
 
@@ -65,7 +69,9 @@
             upstream.connections,
             settings.upstream_idle_seconds,
             settings,
+            settings.dialect,
         )
+        self.dialect = settings.dialect
         self.upstream_name = upstream.name.encode()
         self._publish = publish
         self._crash_watch = CrashWatch(
@@ -127,6 +133,18 @@
         """Admit nothing new."""
         self._gate.begin_drain()
 
+    def begin_leave(self) -> None:
+        """Admit nothing new and send away what waits.
+
+        The upstream has asked for no more work, so that a call which
+        waits would have to start after that.
+        """
+        self._gate.begin_drain()
+        for ticket in self._gate.take_waiting():
+            user = self._waiting.pop(ticket.call_id, None)
+            if user is not None:
+                user.slot_refused(SlotRefusal.DRAINING)
+
     def close(self) -> None:
         """Open no more connections."""
         self.pool.close()
--- a/packages/calls/src/rhubarbhollow_calls/io_local_upstream.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_upstream.py
@@ -12,6 +12,8 @@
     ``slots`` bounds the calls that run there, ``connections`` the
     connections that it accepts.  ``incarnation`` tells one run of the
     upstream's process from the next.
+    ``instance`` is the name that the upstream knows itself by.
+    ``is_leaving`` closes its gate for new calls.
     """
 
     name: str
@@ -21,3 +23,5 @@
     slots: int
     connections: int
     incarnation: int = 0
+    instance: str = ""
+    is_leaving: bool = False
--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from http import HTTPStatus
+from random import Random
+from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_calls import http_names as names
 from rhubarbhollow_calls.io_caller import CallerPort
@@ -17,6 +19,7 @@
 from rhubarbhollow_calls.io_position import PositionCheck
 from rhubarbhollow_calls.io_route_state import RouteState
 from rhubarbhollow_calls.io_settings import CallSettings
+from rhubarbhollow_calls.refusal_status import status_for_foreign
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -30,10 +33,15 @@
     from rhubarbhollow_calls.io_snapshot import Snapshot
     from rhubarbhollow_calls.quarantine import Quarantine
     from rhubarbhollow_calls.quarantine_message import QuarantineMessage
+    from rhubarbhollow_calls.refusal import Refusal
     from rhubarbhollow_calls.upstream_book import UpstreamBook
     from rhubarbhollow_wire.clock import Clock
 
 
+# share of the mean by which the time until a return varies
+RETRY_AFTER_SPREAD: Final = 0.5
+
+
 class CallNode:
     """Join the two ports, the pools and the decisions of one node.
 
@@ -53,6 +61,7 @@
         publish: QuarantinePublisher | None = None,
         claims: ClaimPort | None = None,
         observer: CallObserver | None = None,
+        random: Random | None = None,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -62,6 +71,8 @@
         self.local_port: LocalPort | None = None
         self.position_line = b""
         self.is_draining = False
+        self._is_leaving = False
+        self._random = random or Random()  # noqa: S311 - spreads returns
         self._observe_position = observe_position
         self._settings = settings or CallSettings()
         self._quarantine = quarantine
@@ -69,6 +80,8 @@
         self.claims = claims
         self.observer = observer or SilentObserver()
         self._request_id_prefix = name.encode()
+        self.dialect = self._settings.dialect
+        self.origin = self._settings.origin
         self._background: set[asyncio.Task[None]] = set()
         self._snapshot: Snapshot | None = None
         self._position = 0
@@ -121,6 +134,8 @@
         port = self.local_port
         if port and upstream and port.is_same_process(upstream):
             port.resize(upstream)
+            if upstream.is_leaving:
+                port.begin_leave()
             return
         if port is not None:
             port.close()
@@ -133,6 +148,8 @@
                 self._quarantine,
                 self._publish,
             )
+            if upstream.is_leaving:
+                self.local_port.begin_leave()
 
     def caller_protocol_factory(self) -> ListenerConnection:
         """Return a protocol for a connection to the caller port."""
@@ -142,6 +159,12 @@
         """Return a protocol for a connection to the peer port."""
         return ListenerConnection(self._peer_port)
 
+    def begin_leaving(self) -> None:
+        """Ask callers to go elsewhere; new calls are still served."""
+        self._is_leaving = True
+        for connection in self._connections:
+            connection.begin_drain()
+
     def begin_drain(self) -> None:
         """Refuse new calls as not run; those in flight end."""
         self.is_draining = True
@@ -173,6 +196,22 @@
 
     # For the ports and the exchanges.
 
+    def status_of(self, refusal: Refusal) -> int:
+        """Return the HTTP status that callers here understand."""
+        if self.dialect.is_foreign:
+            return status_for_foreign(refusal)
+        return refusal.status
+
+    def retry_after(self, refusal: Refusal) -> float | None:
+        """Return the seconds to wait before a repeat, if any."""
+        if not self.dialect.is_foreign:
+            return None
+        if self.status_of(refusal) != HTTPStatus.SERVICE_UNAVAILABLE:
+            return None
+        # jitter keeps callers that were refused together apart
+        spread = RETRY_AFTER_SPREAD * (2 * self._random.random() - 1)
+        return self._settings.retry_after_seconds * (1 + spread)
+
     def route(self, host: bytes, target: bytes) -> RouteState | None:
         """Return the route for a call that begins now."""
         if self._snapshot is None:
@@ -246,7 +285,7 @@
         """Note a connection; above the limit it serves one call."""
         self._connections.add(connection)
         is_kept = len(self._connections) <= self._settings.kept_connections
-        if self.is_draining or not is_kept:
+        if self.is_draining or self._is_leaving or not is_kept:
             connection.begin_drain()
 
     def connection_closed(self, connection: ListenerConnection) -> None:
--- a/packages/calls/src/rhubarbhollow_calls/io_peer.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_peer.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.http_answer_head import AnswerHead
+    from rhubarbhollow_calls.http_dialect import Dialect
     from rhubarbhollow_calls.http_fault import HttpFault
     from rhubarbhollow_calls.http_request_head import RequestHead
     from rhubarbhollow_calls.io_listener import ListenerConnection
@@ -73,6 +74,9 @@
             self._request_id,
         )
 
+    def _origin(self) -> bytes:
+        return self._head.mesh.origin
+
     def _answer_lines(self, head: AnswerHead) -> bytes:  # noqa: ARG002
         return self._node.position_line
 
@@ -94,6 +98,11 @@
         """Return true: every field that nodes set is read."""
         return True
 
+    @property
+    def dialect(self) -> Dialect:
+        """Return the field names of callers and upstreams."""
+        return self._node.dialect
+
     def open_call(
         self, head: RequestHead, downstream: ListenerConnection
     ) -> PeerExchange:
--- a/packages/calls/src/rhubarbhollow_calls/io_pool.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_pool.py
@@ -7,9 +7,11 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
+from rhubarbhollow_calls.http_dialect import NATIVE_DIALECT
 from rhubarbhollow_calls.io_client import ClientConnection
 
 if TYPE_CHECKING:
+    from rhubarbhollow_calls.http_dialect import Dialect
     from rhubarbhollow_calls.io_settings import CallSettings
 
 
@@ -49,7 +51,9 @@
         limit: int,
         idle_seconds: int,
         settings: CallSettings,
+        dialect: Dialect = NATIVE_DIALECT,
     ) -> None:
+        self.dialect = dialect
         self._host = host
         self._port = port
         self._limit = limit
@@ -116,8 +120,12 @@
         """Close what has been idle too long; called once a second."""
         for connection in self._idle:
             connection.idle_ticks += 1
-        while self._idle and self._idle[0].idle_ticks > self._idle_seconds:
-            self._idle[0].abort()
+        for connection in list(self._idle):
+            limit = self._idle_seconds
+            if connection.idle_limit is not None:
+                limit = min(limit, connection.idle_limit)
+            if connection.idle_ticks > limit:
+                connection.abort()
 
     def close(self) -> None:
         """Open nothing more; connections in use end with their call."""
--- a/packages/calls/src/rhubarbhollow_calls/io_refusal_answer.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_refusal_answer.py
@@ -39,13 +39,16 @@
     own_lines: bytes = b"",
     *,
     status: int | None = None,
+    retry_after_seconds: float | None = None,
     is_for_head: bool = False,
     is_last: bool = False,
 ) -> bytes:
     """Return a whole answer; ``status`` overrides that of the kind."""
     document = problem_bytes(refusal, request_id.decode("latin-1"))
-    if status is not None:
+    if status is not None and status != refusal.status:
         document = _with_status(document, status)
+    if retry_after_seconds is not None:
+        own_lines += b"%b: %.3f\r\n" % (names.RETRY_AFTER, retry_after_seconds)
     return (
         b"%bcontent-type: %b\r\ncontent-length: %d\r\n"
         b"%b: %b\r\n%b: %b\r\n%b: %b\r\n%b: decided\r\n%b%b\r\n%b"
--- a/packages/calls/src/rhubarbhollow_calls/io_route_state.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_route_state.py
@@ -7,6 +7,7 @@
 from rhubarbhollow_calls import http_names as names
 from rhubarbhollow_calls.io_counters import RouteCounters
 from rhubarbhollow_calls.retry_budget import RetryBudget
+from rhubarbhollow_calls.weighted_choice import WeightedChoice
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.call_route import CallRoute
@@ -28,6 +29,7 @@
         "position",
         "request_lines",
         "route",
+        "services",
     )
 
     def __init__(
@@ -49,6 +51,10 @@
             self.budget = RetryBudget(
                 route.budget_ratio, MIN_RETRIES_PER_SECOND, clock
             )
+        parts = route.splits or ((route.service, 1.0),)
+        self.services = WeightedChoice(parts)
+        if previous is not None and previous.services.parts == parts:
+            self.services = previous.services
         self.answer_lines = b"%b: %d\r\n" % (names.POSITION, position)
         self.request_lines = b"%b: %d\r\n%b: %b\r\n%b: %b\r\n%b: %b\r\n" % (
             names.POSITION,
@@ -60,3 +66,5 @@
             names.IDEMPOTENT,
             b"true" if route.is_idempotent else b"false",
         )
+        if route.rank:
+            self.request_lines += b"%b: %d\r\n" % (names.RANK, route.rank)
--- a/packages/calls/src/rhubarbhollow_calls/io_settings.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_settings.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from rhubarbhollow_calls.http_dialect import NATIVE_DIALECT, Dialect
+
 
 @dataclass(frozen=True, slots=True)
 class CallSettings:
@@ -13,6 +15,9 @@
     servers close an idle connection, so that a call is seldom written
     to a connection that is just being closed.  ``kept_connections``
     bounds the listeners' connections that are kept after an answer.
+    ``origin`` names the service beside this node.
+    ``retry_after_seconds`` is the mean time after which a refused
+    caller is asked to return.
     """
 
     queue_limit: int = 64
@@ -25,3 +30,6 @@
     kept_connections: int = 2_048
     head_timeout_seconds: int = 10
     linger_seconds: int = 2
+    dialect: Dialect = NATIVE_DIALECT
+    origin: bytes = b""
+    retry_after_seconds: float = 0.25
--- a/packages/calls/src/rhubarbhollow_calls/refusal.py
+++ b/packages/calls/src/rhubarbhollow_calls/refusal.py
@@ -34,6 +34,7 @@
 
     BAD_REQUEST = "bad_request"
     NO_ROUTE = "no_route"
+    NO_RELEASE = "no_release"
     NO_UPSTREAM = "no_upstream"
     UNREACHABLE = "unreachable"
     QUEUE_FULL = "queue_full"
@@ -54,6 +55,7 @@
 _STATUS: Final = {
     RefusalKind.BAD_REQUEST: 400,
     RefusalKind.NO_ROUTE: 404,
+    RefusalKind.NO_RELEASE: 503,
     RefusalKind.NO_UPSTREAM: 503,
     RefusalKind.UNREACHABLE: 503,
     RefusalKind.QUEUE_FULL: 503,
--- a/packages/calls/src/rhubarbhollow_calls/retry_decision.py
+++ b/packages/calls/src/rhubarbhollow_calls/retry_decision.py
@@ -16,6 +16,8 @@
 RETRY_DECIDED: Final = b"decided"
 # a request that two upstreams broke under may be what breaks them
 MAX_CUT_ATTEMPTS: Final = 2
+# nodes that may refuse one call before their upstream sees it
+MAX_UNOFFERED: Final = 3
 
 
 class GiveUpReason(Enum):
@@ -42,7 +44,10 @@
     answer, of whatever status. ``is_from_deeper`` means that the
     failure carries the ``RETRY_HEADER`` of a hop further down.
     ``cut_attempts`` counts the attempts whose connection broke after
-    the request was written.
+    the request was written. ``is_offered`` is false if a node refused
+    the call before its upstream saw it, and ``unoffered`` counts such
+    attempts: they load no upstream, so they cost neither an attempt of
+    the route nor a token, but have a limit of their own.
     """
 
     executed: Executed
@@ -58,6 +63,8 @@
     remaining_ms: int
     budget: RetryBudget
     cut_attempts: int = 0
+    is_offered: bool = True
+    unoffered: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +89,8 @@
     reason = _maybe_give_up_reason(attempt)
     if reason is not None:
         return GiveUp(reason)
+    if not attempt.is_offered:
+        return Retry(attempt.tried)
     # last, so that a call that cannot be retried costs no token
     if not attempt.budget.try_spend():
         return GiveUp(GiveUpReason.BUDGET)
@@ -102,6 +111,7 @@
             attempt.attempts_made >= attempt.attempts_allowed,
             GiveUpReason.ATTEMPTS,
         ),
+        (attempt.unoffered > MAX_UNOFFERED, GiveUpReason.ATTEMPTS),
         (
             attempt.cut_attempts >= MAX_CUT_ATTEMPTS,
             GiveUpReason.CUT_TWICE,
--- a/packages/calls/src/rhubarbhollow_calls/slot_gate.py
+++ b/packages/calls/src/rhubarbhollow_calls/slot_gate.py
@@ -141,6 +141,13 @@
         """Turn away new tickets; those that wait still get slots."""
         self._is_draining = True
 
+    def take_waiting(self) -> tuple[Ticket, ...]:
+        """Empty the queue; return the tickets that were in it."""
+        waiting = (*self._interactive.values(), *self._bulk.values())
+        self._interactive.clear()
+        self._bulk.clear()
+        return waiting
+
     def take_expired(self) -> tuple[Ticket, ...]:
         """Return the tickets that were skipped as expired, once."""
         expired = tuple(self._expired)
--- a/packages/calls/tests/test_io_edges.py
+++ b/packages/calls/tests/test_io_edges.py
@@ -12,6 +12,7 @@
 )
 
 from rhubarbhollow_calls.call_priority import CallPriority
+from rhubarbhollow_calls.http_dialect import NATIVE_DIALECT
 from rhubarbhollow_calls.io_listener import ListenerConnection
 from rhubarbhollow_calls.io_local_attempt import LocalAttempt
 from rhubarbhollow_calls.io_local_port import LocalPort
@@ -158,6 +159,7 @@
     """Start calls that never end."""
 
     is_from_node = False
+    dialect = NATIVE_DIALECT
 
     def __init__(self):
         self.started = []
