--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := wire release replication distribution calls daemon cli
+MEMBERS := $(PACKAGES:%=packages/%) platform
 SEED ?= 1
 MINUTES ?= 1
 
@@ -9,11 +10,11 @@
 
 setup: $(VENV)/.ready
 
-$(VENV)/.ready: requirements.txt $(PACKAGES:%=packages/%/pyproject.toml)
+$(VENV)/.ready: requirements.txt $(MEMBERS:%=%/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install -q --require-hashes -r requirements.txt
 	$(BIN)/python -m pip install -q --no-deps --no-build-isolation \
-		$(PACKAGES:%=-e packages/%)
+		$(MEMBERS:%=-e %)
 	touch $@
 
 lint: setup
@@ -21,7 +22,7 @@
 	$(BIN)/ruff check .
 
 types: setup
-	$(BIN)/mypy $(PACKAGES:%=packages/%/src)
+	$(BIN)/mypy $(MEMBERS:%=%/src)
 
 test: lint types
 	$(BIN)/python -m pytest
--- a/packages/daemon/src/rhubarbhollow_daemon/codec.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/codec.py
@@ -20,6 +20,7 @@
 from rhubarbhollow_distribution.activate import Activate
 from rhubarbhollow_distribution.active_report import ActiveReport
 from rhubarbhollow_distribution.control_heartbeat import ControlHeartbeat
+from rhubarbhollow_distribution.control_list import ControlList
 from rhubarbhollow_distribution.endpoint_change import EndpointChange
 from rhubarbhollow_distribution.endpoint_report import EndpointReport
 from rhubarbhollow_distribution.hello import Hello
@@ -46,6 +47,7 @@
         ClaimAnswer,
         ClaimRequest,
         ControlHeartbeat,
+        ControlList,
         CrashReport,
         EndpointChange,
         EndpointReport,
--- a/packages/daemon/src/rhubarbhollow_daemon/control_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_building.py
@@ -21,6 +21,7 @@
 from rhubarbhollow_daemon.release_machine import ReleaseMachine
 from rhubarbhollow_daemon.stage_builder import StageBuilder
 from rhubarbhollow_distribution.admission import AdmissionQueue
+from rhubarbhollow_distribution.control_directory import ControlDirectory
 from rhubarbhollow_distribution.endpoint_pacer import EndpointPacer
 from rhubarbhollow_distribution.endpoint_store import EndpointStore
 from rhubarbhollow_distribution.feed_settings import FeedSettings
@@ -60,19 +61,24 @@
     opened = _open_store(control.data_folder / LOG_FOLDER_NAME)
     if isinstance(opened, Err):
         return opened
-    claims = _build_claims(
-        settings,
-        control,
-        incarnation,
-        traffic,
-        clock,
-        random,
-    )
-    if isinstance(claims, Err):
-        return claims
+    directory = ControlDirectory(settings.controls)
+    claims: ClaimParts | None = None
+    if control.keeps_claims:
+        built = _build_claims(
+            settings,
+            control,
+            incarnation,
+            directory,
+            traffic,
+            clock,
+            random,
+        )
+        if isinstance(built, Err):
+            return built
+        claims = built.ok_value
     name = settings.instance.name
     hello = PeerHello(settings.mesh, name, incarnation, LogGroup.RELEASES)
-    links = PeerLinks(hello, settings.controls, traffic, random)
+    links = PeerLinks(hello, directory, traffic, random)
     machine = ReleaseMachine(settings.mesh, settings.trusted)
     replica = Replica(
         settings=_replica_settings(name, control, LogGroup.RELEASES),
@@ -123,6 +129,7 @@
                 links,
                 clock,
                 settings.distribution.lease.total_seconds(),
+                directory,
             ),
             exchange=exchange,
             leader_desk=LeaderDesk(
@@ -133,10 +140,11 @@
                 control.staging_deadline.total_seconds(),
             ),
             links=links,
+            directory=directory,
             floor=StartFloor(floor_file.position),
             floor_file=floor_file,
             feed_settings=feed_settings,
-            claims=claims.ok_value,
+            claims=claims,
         )
     )
 
@@ -145,6 +153,7 @@
     settings: Settings,
     control: ControlSettings,
     incarnation: int,
+    directory: ControlDirectory,
     traffic: Traffic,
     clock: Clock,
     random: Random,
@@ -154,7 +163,7 @@
         return opened
     name = settings.instance.name
     hello = PeerHello(settings.mesh, name, incarnation, LogGroup.CLAIMS)
-    links = PeerLinks(hello, settings.controls, traffic, random)
+    links = PeerLinks(hello, directory, traffic, random)
     machine = ClaimMachine()
     replica = Replica(
         settings=_replica_settings(name, control, LogGroup.CLAIMS),
@@ -191,6 +200,7 @@
         ),
         heartbeat_ms=round(control.heartbeat.total_seconds() * 1000),
         snapshot_after_entries=control.snapshot_after_entries,
+        may_form_cluster=control.may_form,
         repair_after_seconds=control.repair_after.total_seconds(),
         log_name=group.name.lower(),
     )
--- a/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
@@ -66,6 +66,7 @@
         self._positions = (0, 0)
         self._floor_retry_at = 0.0
         parts.replica.on_applied(lambda _: self.post(LogAdvanced()))
+        parts.directory.watch(self._tell_controls)
 
     def post(self, event: ControlEvent) -> None:
         """Queue an event; peers repeat what a full inbox drops."""
@@ -143,6 +144,12 @@
             return await self._receiver.receive()
         return None
 
+    def _tell_controls(self) -> None:
+        """Tell a change of the directory to all who depend on it."""
+        directory = self._parts.directory
+        self._parts.leader_desk.set_controls(directory.names)
+        self._parts.desk.broadcast(directory.message)
+
     def _react(self, event: ControlEvent, view: LedgerView) -> None:
         desk = self._parts.desk
         match event:
@@ -272,7 +279,7 @@
         link: NodeLink,
         group: TaskGroup,
     ) -> None:
-        claims = self._parts.claims.desk
+        claims = self._parts.claims
         while True:
             received = await connection.receive()
             if isinstance(received, Err):
@@ -284,9 +291,12 @@
                 return
             message = received.ok_value
             if isinstance(message, ClaimRequest):
+                if claims is None:
+                    _log.warning("claims_not_kept", node=link.hello.node)
+                    continue
                 # claims wait for a quorum and own no state here
                 group.start_soon(
-                    claims.serve_node,
+                    claims.desk.serve_node,
                     message,
                     link.outbox.put,
                 )
--- a/packages/daemon/src/rhubarbhollow_daemon/control_parts.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_parts.py
@@ -15,6 +15,7 @@
     from rhubarbhollow_daemon.peer_links import PeerLinks
     from rhubarbhollow_daemon.release_machine import ReleaseMachine
     from rhubarbhollow_daemon.stage_builder import StageBuilder
+    from rhubarbhollow_distribution.control_directory import ControlDirectory
     from rhubarbhollow_distribution.endpoint_store import EndpointStore
     from rhubarbhollow_distribution.feed_settings import FeedSettings
     from rhubarbhollow_distribution.node_register import NodeRegister
@@ -49,7 +50,8 @@
     exchange: EndpointExchange
     leader_desk: LeaderDesk
     links: PeerLinks
+    directory: ControlDirectory
     floor: StartFloor
     floor_file: FloorFile
     feed_settings: FeedSettings
-    claims: ClaimParts
+    claims: ClaimParts | None
--- a/packages/daemon/src/rhubarbhollow_daemon/control_tasks.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_tasks.py
@@ -10,6 +10,8 @@
 from rhubarbhollow_daemon.control_handlers import ControlHandlers
 from rhubarbhollow_daemon.control_instance import ControlInstance
 from rhubarbhollow_daemon.control_listener import ControlListener
+from rhubarbhollow_daemon.document_desk import DocumentDesk
+from rhubarbhollow_daemon.document_relay import DocumentRelay
 from rhubarbhollow_daemon.fleet import Fleet
 from rhubarbhollow_daemon.leader_relay import LeaderRelay
 from rhubarbhollow_daemon.log_group import LogGroup
@@ -21,9 +23,12 @@
     from anyio.abc import TaskGroup
 
     from rhubarbhollow_daemon.control_parts import ControlParts
+    from rhubarbhollow_daemon.document_format import DocumentFormat
     from rhubarbhollow_daemon.http_server import AdminApplication
+    from rhubarbhollow_daemon.peer_links import PeerLinks
     from rhubarbhollow_daemon.settings import Settings
     from rhubarbhollow_daemon.settings_listen import ListenSettings
+    from rhubarbhollow_replication.replica import Replica
     from rhubarbhollow_wire.traffic import Traffic
 
 LISTEN_BACKLOG: Final = 1_024
@@ -37,7 +42,8 @@
     served_traffic: Traffic,
     peer_traffic: Traffic,
     group: TaskGroup,
-) -> None:
+    document_format: DocumentFormat | None = None,
+) -> DocumentRelay | None:
     """Start every task of a control instance in ``group``."""
     burn = BurnCollection(parts)
     instance = ControlInstance(parts, burn)
@@ -50,7 +56,10 @@
         parts.clock,
     )
     fleet = Fleet(parts)
-    dispatch = PeerDispatch(parts, instance, relay, fleet, burn, group)
+    documents = _build_documents(settings, parts, document_format)
+    dispatch = PeerDispatch(
+        parts, instance, relay, fleet, burn, group, documents
+    )
     listener = ControlListener(
         settings.mesh,
         served_traffic,
@@ -60,25 +69,49 @@
     )
     handlers = ControlHandlers(settings, version, parts, relay, fleet, burn)
     handlers.register(application)
-    _start_logs(settings, parts, group)
+    _start_logs(parts, group)
     group.start_soon(instance.run)
     group.start_soon(_listen, settings.listen, listener)
+    return documents
 
 
-def _start_logs(
+def _build_documents(
     settings: Settings,
     parts: ControlParts,
+    document_format: DocumentFormat | None,
+) -> DocumentRelay | None:
+    if document_format is None:
+        return None
+    desk = DocumentDesk(
+        settings.mesh, parts.machine, parts.replica, document_format
+    )
+    return DocumentRelay(
+        parts.replica,
+        parts.machine,
+        desk,
+        document_format,
+        parts.links,
+        parts.clock,
+    )
+
+
+def _start_logs(parts: ControlParts, group: TaskGroup) -> None:
+    _start_log(LogGroup.RELEASES, parts.replica, parts.links, group)
+    claims = parts.claims
+    if claims is not None:
+        _start_log(LogGroup.CLAIMS, claims.replica, claims.links, group)
+        group.start_soon(claims.desk.expire)
+
+
+def _start_log(
+    log_group: LogGroup,
+    replica: Replica,
+    links: PeerLinks,
     group: TaskGroup,
 ) -> None:
-    names = tuple(control.name for control in settings.controls)
-    for log_group, replica, links in (
-        (LogGroup.RELEASES, parts.replica, parts.links),
-        (LogGroup.CLAIMS, parts.claims.replica, parts.claims.links),
-    ):
-        group.start_soon(replica.run)
-        group.start_soon(links.run)
-        group.start_soon(MembershipKeeper(log_group, names, replica).run)
-    group.start_soon(parts.claims.desk.expire)
+    group.start_soon(replica.run)
+    group.start_soon(links.run)
+    group.start_soon(MembershipKeeper(log_group, links, replica).run)
 
 
 async def _listen(
--- /dev/null
+++ b/packages/daemon/src/rhubarbhollow_daemon/document_relay.py
@@ -0,0 +1,222 @@
+"""Submitting and reading documents through any control instance."""
+
+from __future__ import annotations
+
+import struct
+import zlib
+from typing import TYPE_CHECKING, Final
+
+import anyio
+import structlog
+from result import Err, Ok, Result
+
+from rhubarbhollow_daemon.document_outcome import (
+    DocumentOutcome,
+    DocumentVerdict,
+)
+from rhubarbhollow_daemon.log_group import LogGroup
+from rhubarbhollow_daemon.messages import ProposeAnswer
+from rhubarbhollow_daemon.propose_relay import ProposeRelay
+from rhubarbhollow_daemon.submission_kind import SubmissionKind
+from rhubarbhollow_replication.role import Role
+
+if TYPE_CHECKING:
+    from rhubarbhollow_daemon.document_desk import DocumentDesk
+    from rhubarbhollow_daemon.document_format import DocumentFormat
+    from rhubarbhollow_daemon.messages import ProposeRequest
+    from rhubarbhollow_daemon.peer_links import PeerLinks
+    from rhubarbhollow_daemon.release_machine import ReleaseMachine
+    from rhubarbhollow_release.resource_set import ResourceSet
+    from rhubarbhollow_replication.replica import Replica
+    from rhubarbhollow_wire.clock import Clock
+
+# operators give an instance a second before they ask another
+ANSWER_DEADLINE_SECONDS: Final = 0.9
+# the log syncs twice within this on a slow disk
+RETRY_SECONDS: Final = 0.05
+MAX_RELAYED: Final = 64
+MAX_DOCUMENT_BYTES: Final = 12 << 20
+
+_COMPRESSION_LEVEL: Final = 1
+_BASE: Final = struct.Struct(">Q")
+_INDEX: Final = struct.Struct(">Q")
+
+_log = structlog.get_logger()
+
+
+class DocumentRelay:
+    """Have the leader accept documents, and read the latest one here.
+
+    A read asks the leader how far the log is committed, with a round
+    of the quorum, and waits until this instance has applied that much;
+    an instance that cannot find out gives no document.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        machine: ReleaseMachine,
+        desk: DocumentDesk,
+        format_: DocumentFormat,
+        links: PeerLinks,
+        clock: Clock,
+    ) -> None:
+        self._replica = replica
+        self._machine = machine
+        self._desk = desk
+        self._format = format_
+        self._links = links
+        self._clock = clock
+        self._submissions = ProposeRelay(
+            links, LogGroup.RELEASES, SubmissionKind.DOCUMENT
+        )
+        self._reads = ProposeRelay(
+            links, LogGroup.RELEASES, SubmissionKind.READ_INDEX
+        )
+        self._limiter = anyio.CapacityLimiter(MAX_RELAYED)
+        self._applied = anyio.Event()
+        self._rendered: tuple[bytes, bytes] | None = None
+        replica.on_applied(self._note_applied)
+
+    async def submit(
+        self, document: bytes, base_version: int
+    ) -> DocumentOutcome:
+        """Return the leader's verdict, or why there is none in time."""
+        deadline = self._clock.monotonic() + ANSWER_DEADLINE_SECONDS
+        outcome = _unavailable("no leader is known")
+        is_open = False
+        payload: bytes | None = None
+        while (left := deadline - self._clock.monotonic()) > 0:
+            if self._replica.status.role is Role.LEADER:
+                outcome = await self._submit_here(document, base_version, left)
+            else:
+                payload = payload or _pack(document, base_version)
+                outcome = await self._ask_leader(payload, left)
+            if outcome.verdict < DocumentVerdict.UNAVAILABLE:
+                return outcome
+            is_open |= outcome.verdict is DocumentVerdict.UNKNOWN
+            await anyio.sleep(RETRY_SECONDS)
+        if is_open:
+            return DocumentOutcome(DocumentVerdict.UNKNOWN, outcome.detail)
+        return outcome
+
+    async def read(self) -> Result[bytes, DocumentOutcome]:
+        """Return the latest accepted document, if that is certain."""
+        with anyio.move_on_after(ANSWER_DEADLINE_SECONDS):
+            while True:
+                index = await self._read_index()
+                if index is not None:
+                    await self._wait_applied(index)
+                    return self._render_latest()
+                await anyio.sleep(RETRY_SECONDS)
+        return Err(_unavailable("the latest release is not confirmed"))
+
+    def take_answer(self, answer: ProposeAnswer) -> None:
+        """Hand a leader's answer to whoever waits for it."""
+        self._submissions.take(answer)
+        self._reads.take(answer)
+
+    async def serve(self, control: str, request: ProposeRequest) -> None:
+        """Answer what another instance asks of the leader."""
+        async with self._limiter:
+            try:
+                answer = await self._answer(request)
+            except Exception:
+                # it would end this process, and that of the next leader
+                _log.exception("relayed_document_failed", peer=control)
+                return
+        self._links.send(control, answer)
+
+    async def _answer(self, request: ProposeRequest) -> ProposeAnswer:
+        leader = self._replica.status.leader or ""
+        if request.kind == SubmissionKind.READ_INDEX:
+            index = await self._confirmed_index()
+            payload = b"" if index is None else _INDEX.pack(index)
+            return ProposeAnswer(request.request_id, 0, payload, leader)
+        (base_version,) = _BASE.unpack_from(request.payload)
+        document = zlib.decompressobj().decompress(
+            request.payload[_BASE.size :], MAX_DOCUMENT_BYTES
+        )
+        outcome = await self._submit_here(
+            document, base_version, ANSWER_DEADLINE_SECONDS
+        )
+        return ProposeAnswer(
+            request.request_id,
+            int(outcome.verdict),
+            outcome.detail.encode(),
+            leader,
+        )
+
+    async def _submit_here(
+        self, document: bytes, base_version: int, seconds: float
+    ) -> DocumentOutcome:
+        with anyio.move_on_after(seconds):
+            return await self._desk.submit(document, base_version)
+        return DocumentOutcome(DocumentVerdict.UNKNOWN, "not committed yet")
+
+    async def _ask_leader(
+        self, payload: bytes, seconds: float
+    ) -> DocumentOutcome:
+        leader = self._replica.status.leader or ""
+        link = self._links.by_name.get(leader)
+        if link is None or not link.is_up:
+            return _unavailable("no leader is connected")
+        answer = await self._submissions.ask(leader, payload, seconds)
+        if answer is None:
+            return DocumentOutcome(
+                DocumentVerdict.UNKNOWN, "the leader did not answer"
+            )
+        return DocumentOutcome(
+            DocumentVerdict(answer.status), answer.outcome.decode()
+        )
+
+    async def _read_index(self) -> int | None:
+        status = self._replica.status
+        if status.role is Role.LEADER:
+            return await self._confirmed_index()
+        leader = status.leader or ""
+        link = self._links.by_name.get(leader)
+        if link is None or not link.is_up:
+            return None
+        answer = await self._reads.ask(leader, b"", ANSWER_DEADLINE_SECONDS)
+        if answer is None or not answer.outcome:
+            return None
+        (index,) = _INDEX.unpack(answer.outcome)
+        return int(index)
+
+    async def _confirmed_index(self) -> int | None:
+        """Return what was committed at the call, if this one leads."""
+        index = self._replica.status.commit_index
+        if not await self._replica.confirm_leadership():
+            return None
+        return index
+
+    async def _wait_applied(self, index: int) -> None:
+        while self._replica.status.applied_index < index:
+            await self._applied.wait()
+
+    def _note_applied(self, index: int) -> None:
+        del index
+        self._applied.set()
+        self._applied = anyio.Event()
+
+    def _render_latest(self) -> Result[bytes, DocumentOutcome]:
+        latest = self._machine.ledger.latest
+        if latest is None:
+            return Err(_unavailable("no release was accepted yet"))
+        return Ok(self._render(latest.resources))
+
+    def _render(self, resources: ResourceSet) -> bytes:
+        digest = resources.digest
+        if self._rendered is None or self._rendered[0] != digest:
+            self._rendered = digest, self._format.render(resources)
+        return self._rendered[1]
+
+
+def _pack(document: bytes, base_version: int) -> bytes:
+    packed = zlib.compress(document, _COMPRESSION_LEVEL)
+    return _BASE.pack(base_version) + packed
+
+
+def _unavailable(detail: str) -> DocumentOutcome:
+    return DocumentOutcome(DocumentVerdict.UNAVAILABLE, detail)
--- a/packages/daemon/src/rhubarbhollow_daemon/http_request.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/http_request.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 
@@ -22,12 +22,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """Hold one request whole; its size is bounded by the server."""
+    """Hold one request whole; its size is bounded by the server.
+
+    Names of ``headers`` are in lower case.
+    """
 
     method: str
     path: str
     query: str
     body: bytes
+    headers: Mapping[str, str] = field(default_factory=dict)
 
     def argument(self, name: str) -> str | None:
         """Return the first value of a query argument."""
--- a/packages/daemon/src/rhubarbhollow_daemon/http_server.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/http_server.py
@@ -105,6 +105,10 @@
             scope["path"],
             scope["query_string"].decode("latin-1"),
             body.ok_value,
+            {
+                name.decode("latin-1"): value.decode("latin-1")
+                for name, value in scope.get("headers", ())
+            },
         )
         try:
             return await self._dispatch(request)
--- a/packages/daemon/src/rhubarbhollow_daemon/leader_desk.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/leader_desk.py
@@ -76,6 +76,10 @@
             if heard.heard_at >= oldest
         )
 
+    def set_controls(self, controls: Iterable[str]) -> None:
+        """Wait for the nodes of these control instances from now on."""
+        self._planner.set_controls(controls)
+
     def note_summary(self, summary: RegisterSummary) -> None:
         """Take over a control instance's counts."""
         now = self._clock.monotonic()
--- a/packages/daemon/src/rhubarbhollow_daemon/leader_relay.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/leader_relay.py
@@ -18,6 +18,7 @@
 from rhubarbhollow_daemon.messages import ProposeAnswer
 from rhubarbhollow_daemon.propose_relay import ProposeRelay
 from rhubarbhollow_daemon.submission import answer_too_large
+from rhubarbhollow_daemon.submission_kind import SubmissionKind
 from rhubarbhollow_replication.role import Role
 from rhubarbhollow_wire.codec import MAX_FRAME_BYTES
 
@@ -28,7 +29,6 @@
     from rhubarbhollow_replication.replica import Replica
     from rhubarbhollow_wire.clock import Clock
 
-SUBMIT_KIND: Final = 1
 SUBMIT_DEADLINE_SECONDS: Final = 8.0
 ANSWER_TIMEOUT_SECONDS: Final = 2.0
 RETRY_SECONDS: Final = 0.1
@@ -65,7 +65,9 @@
         self._desk = desk
         self._links = links
         self._clock = clock
-        self._relay = ProposeRelay(links, LogGroup.RELEASES, SUBMIT_KIND)
+        self._relay = ProposeRelay(
+            links, LogGroup.RELEASES, SubmissionKind.RELEASE
+        )
         self._relayed = anyio.CapacityLimiter(MAX_RELAYED)
 
     async def submit(self, body: bytes) -> HttpResponse:
--- a/packages/daemon/src/rhubarbhollow_daemon/local_upstreams.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/local_upstreams.py
@@ -117,5 +117,7 @@
             port=announcement.port,
             slots=announcement.slots,
             connections=announcement.connections,
-            incarnation=self._incarnation,
+            incarnation=announcement.started_at_ms or self._incarnation,
+            instance=announcement.name,
+            is_leaving=announcement.is_leaving,
         )
--- a/packages/daemon/src/rhubarbhollow_daemon/logs.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/logs.py
@@ -4,12 +4,24 @@
 
 import logging
 import sys
+from typing import TYPE_CHECKING
 
 import structlog
 
+if TYPE_CHECKING:
+    from typing import TextIO
 
-def configure_logs(level: str, instance: str, data_centre: str) -> None:
-    """Write events of ``level`` and above to standard error."""
+
+def configure_logs(
+    level: str,
+    instance: str,
+    data_centre: str,
+    output: TextIO | None = None,
+) -> None:
+    """Write events of ``level`` and above to ``output``.
+
+    Without one they go to standard error.
+    """
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -24,7 +36,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()],
         ),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=output or sys.stderr),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(
--- a/packages/daemon/src/rhubarbhollow_daemon/membership_keeper.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/membership_keeper.py
@@ -12,9 +12,8 @@
 from rhubarbhollow_replication.role import Role
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from rhubarbhollow_daemon.log_group import LogGroup
+    from rhubarbhollow_daemon.peer_links import PeerLinks
     from rhubarbhollow_replication.replica import Replica
 
 INTERVAL_SECONDS: Final = 1.0
@@ -23,7 +22,7 @@
 
 
 class MembershipKeeper:
-    """Add every control instance of the settings as a learner.
+    """Add every control instance that is connected as a learner.
 
     A learner holds the log without a vote and serves its data centre.
     The log itself gives it the vote of a voter that stays away, and
@@ -34,11 +33,11 @@
     def __init__(
         self,
         group: LogGroup,
-        controls: Iterable[str],
+        links: PeerLinks,
         replica: Replica,
     ) -> None:
         self._group = group
-        self._controls = tuple(controls)
+        self._links = links
         self._replica = replica
 
     async def run(self) -> None:
@@ -54,7 +53,10 @@
         if status.role is not Role.LEADER:
             return None
         known = {member.name for member in status.members}
-        return next((one for one in self._controls if one not in known), None)
+        connected = (
+            name for name, link in self._links.by_name.items() if link.is_up
+        )
+        return next((one for one in connected if one not in known), None)
 
     async def _add(self, name: str) -> None:
         outcome = await self._replica.change_membership(AddLearner(name))
--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from importlib.metadata import version
+from importlib.metadata import PackageNotFoundError, version
 from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_calls.io_node import CallNode
@@ -23,10 +23,7 @@
 from rhubarbhollow_distribution.announcement_book import AnnouncementBook
 from rhubarbhollow_distribution.endpoint_table import EndpointTable
 from rhubarbhollow_distribution.holder import ReleaseHolder
-from rhubarbhollow_distribution.source_choice import (
-    SILENCE_SECONDS,
-    SourceChooser,
-)
+from rhubarbhollow_distribution.source_choice import SourceChooser
 from rhubarbhollow_wire.traffic import Traffic
 
 if TYPE_CHECKING:
@@ -65,7 +62,11 @@
         settings.controls,
         clock,
         random,
-        max(SILENCE_SECONDS, SILENT_HEARTBEATS * heartbeat_seconds),
+        max(
+            settings.distribution.silence.total_seconds(),
+            SILENT_HEARTBEATS * heartbeat_seconds,
+        ),
+        settings.distribution.return_after.total_seconds(),
     )
     quarantine = Quarantine(clock)
     burn = BurnLedger(clock)
@@ -103,7 +104,7 @@
     traffic = Traffic()
     return NodeParts(
         settings=settings,
-        version=version("rhubarbhollow-daemon"),
+        version=own_version(),
         clock=clock,
         call_node=call_node,
         state=state,
@@ -130,9 +131,19 @@
     )
 
 
+def own_version() -> str:
+    """Return the installed version, if the package is installed."""
+    try:
+        return version("rhubarbhollow-daemon")
+    except PackageNotFoundError:
+        return "not installed"
+
+
 def _call_settings(calls: CallsSettings) -> CallSettings:
     return CallSettings(
         queue_limit=calls.queue_limit,
         connect_timeout_seconds=calls.connect_timeout.total_seconds(),
         head_timeout_seconds=round(calls.head_timeout.total_seconds()),
+        dialect=calls.dialect,
+        origin=calls.origin.encode(),
     )
--- a/packages/daemon/src/rhubarbhollow_daemon/node_desk.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_desk.py
@@ -23,6 +23,7 @@
     from rhubarbhollow_daemon.peer_links import PeerLinks
     from rhubarbhollow_daemon.quarantine_relay import QuarantineRelay
     from rhubarbhollow_distribution.admission import AdmissionQueue
+    from rhubarbhollow_distribution.control_directory import ControlDirectory
     from rhubarbhollow_distribution.endpoint_store import EndpointStore
     from rhubarbhollow_distribution.ledger_view import LedgerView
     from rhubarbhollow_distribution.node_register import NodeRegister
@@ -52,6 +53,7 @@
         peers: PeerLinks,
         clock: Clock,
         lease_seconds: float,
+        directory: ControlDirectory,
     ) -> None:
         self._welcome = welcome
         self._register = register
@@ -62,6 +64,7 @@
         self._peers = peers
         self._clock = clock
         self._lease_seconds = lease_seconds
+        self._directory = directory
         self._links: dict[str, NodeLink] = {}
         self._waiting: dict[str, NodeLink] = {}
         self._left_at: dict[str, float] = {}
@@ -220,6 +223,7 @@
         self._links[link.hello.node] = link
         self._left_at.pop(link.hello.node, None)
         link.outbox.put(self._welcome)
+        link.outbox.put(self._directory.message)
         for message in self._relay.recent():
             link.outbox.put(message)
         _log.info(
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -26,6 +26,7 @@
 )
 from rhubarbhollow_distribution.active_report import ActiveReport
 from rhubarbhollow_distribution.control_heartbeat import ControlHeartbeat
+from rhubarbhollow_distribution.control_list import ControlList
 from rhubarbhollow_distribution.endpoint_change import EndpointChange
 from rhubarbhollow_distribution.hello import Hello
 from rhubarbhollow_distribution.position_check import PositionCheck
@@ -146,6 +147,8 @@
                 self._claims.take(message)
             case CrashReport() | Exoneration():
                 self._quarantine.merge(message)
+            case ControlList(controls):
+                self._chooser.learn(controls)
             case ControlHeartbeat():
                 self._chooser.note_heartbeat(message)
             case _:
--- a/packages/daemon/src/rhubarbhollow_daemon/peer_dispatch.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/peer_dispatch.py
@@ -15,6 +15,8 @@
     ProposeAnswer,
     ProposeRequest,
 )
+from rhubarbhollow_daemon.submission_kind import SubmissionKind
+from rhubarbhollow_distribution.control_list import ControlList
 from rhubarbhollow_replication.messages import PeerMessage
 
 if TYPE_CHECKING:
@@ -23,6 +25,7 @@
     from rhubarbhollow_daemon.burn_collection import BurnCollection
     from rhubarbhollow_daemon.control_instance import ControlInstance
     from rhubarbhollow_daemon.control_parts import ControlParts
+    from rhubarbhollow_daemon.document_relay import DocumentRelay
     from rhubarbhollow_daemon.fleet import Fleet
     from rhubarbhollow_daemon.leader_relay import LeaderRelay
     from rhubarbhollow_daemon.messages import PeerHello
@@ -41,6 +44,7 @@
         fleet: Fleet,
         burn: BurnCollection,
         group: TaskGroup,
+        documents: DocumentRelay | None = None,
     ) -> None:
         self._parts = parts
         self._instance = instance
@@ -48,6 +52,7 @@
         self._fleet = fleet
         self._burn = burn
         self._group = group
+        self._documents = documents
 
     def take(self, hello: PeerHello, message: object) -> None:
         """Pass a message on without waiting."""
@@ -58,6 +63,9 @@
 
     def _take_claims(self, control: str, message: object) -> None:
         claims = self._parts.claims
+        if claims is None:
+            _log.warning("claims_not_kept", peer=control)
+            return
         if isinstance(message, PeerMessage):
             claims.replica.receive(message)
             return
@@ -83,9 +91,12 @@
             return
         match message:
             case ProposeRequest():
-                self._group.start_soon(self._relay.serve, control, message)
+                self._take_request(control, message)
             case ProposeAnswer():
+                # each relay knows the requests that are its own
                 self._relay.take_answer(message)
+                if self._documents is not None:
+                    self._documents.take_answer(message)
             case NodesRequest(request_id):
                 nodes = self._fleet.own_nodes()
                 answer = NodesAnswer(request_id, nodes)
@@ -96,5 +107,15 @@
                 self._burn.take_from_peer(message)
             case NodesAnswer():
                 self._fleet.take(message)
+            case ControlList(controls):
+                self._parts.directory.merge(controls)
             case _:
                 self._instance.serve_peer(control, message)
+
+    def _take_request(self, control: str, request: ProposeRequest) -> None:
+        if request.kind == SubmissionKind.RELEASE:
+            self._group.start_soon(self._relay.serve, control, request)
+        elif self._documents is not None:
+            self._group.start_soon(self._documents.serve, control, request)
+        else:
+            _log.warning("documents_not_served", peer=control)
--- a/packages/daemon/src/rhubarbhollow_daemon/peer_link.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/peer_link.py
@@ -14,6 +14,7 @@
 from rhubarbhollow_wire.connection import FrameConnection
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from rhubarbhollow_daemon.messages import PeerHello
@@ -43,7 +44,9 @@
         port: int,
         traffic: Traffic,
         random: Random,
+        greeting: Callable[[], tuple[object, ...]] = tuple,
     ) -> None:
+        self._greeting = greeting
         self._hello = hello
         self._name = name
         self._host = host
@@ -110,7 +113,7 @@
             await connection.close()
 
     async def _serve(self, connection: FrameConnection) -> None:
-        sent = await connection.send(self._hello)
+        sent = await connection.send(self._hello, *self._greeting())
         if isinstance(sent, Err):
             return
         async with anyio.create_task_group() as group:
--- a/packages/daemon/src/rhubarbhollow_daemon/peer_links.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/peer_links.py
@@ -6,45 +6,48 @@
 
 import anyio
 
+from rhubarbhollow_daemon.log_group import LogGroup
 from rhubarbhollow_daemon.peer_link import PeerLink
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Mapping
     from random import Random
 
+    from anyio.abc import TaskGroup
+
     from rhubarbhollow_daemon.messages import PeerHello
     from rhubarbhollow_distribution.control_address import ControlAddress
+    from rhubarbhollow_distribution.control_directory import ControlDirectory
     from rhubarbhollow_wire.traffic import Traffic
 
 
 class PeerLinks:
-    """Send to other control instances by name."""
+    """Send to other control instances by name.
+
+    A link is opened to each instance that the directory learns of, and
+    tells the directory to the other end whenever it stands.
+    """
 
     def __init__(
         self,
         hello: PeerHello,
-        controls: Iterable[ControlAddress],
+        directory: ControlDirectory,
         traffic: Traffic,
         random: Random,
     ) -> None:
-        self._incarnation = hello.incarnation
-        self._links = {
-            address.name: PeerLink(
-                hello,
-                address.name,
-                address.host,
-                address.port,
-                traffic,
-                random,
-            )
-            for address in controls
-            if address.name != hello.control
-        }
+        self._hello = hello
+        self._directory = directory
+        self._traffic = traffic
+        self._random = random
+        self._links: dict[str, PeerLink] = {}
+        self._group: TaskGroup | None = None
+        self._learn()
+        directory.watch(self._learn)
 
     @property
     def incarnation(self) -> int:
         """Return the start of this process."""
-        return self._incarnation
+        return self._hello.incarnation
 
     @property
     def by_name(self) -> Mapping[str, PeerLink]:
@@ -70,5 +73,35 @@
     async def run(self) -> None:
         """Keep every link up until cancelled."""
         async with anyio.create_task_group() as group:
+            self._group = group
             for link in self._links.values():
                 group.start_soon(link.run)
+            await anyio.sleep_forever()
+
+    def _learn(self) -> None:
+        for address in self._directory.addresses:
+            if address.name == self._hello.control:
+                continue
+            if address.name not in self._links:
+                self._open(address)
+        if self._hello.group == LogGroup.RELEASES:
+            self.broadcast(self._directory.message)
+
+    def _open(self, address: ControlAddress) -> None:
+        link = PeerLink(
+            self._hello,
+            address.name,
+            address.host,
+            address.port,
+            self._traffic,
+            self._random,
+            self._greeting,
+        )
+        self._links[address.name] = link
+        if self._group is not None:
+            self._group.start_soon(link.run)
+
+    def _greeting(self) -> tuple[object, ...]:
+        if self._hello.group == LogGroup.RELEASES:
+            return (self._directory.message,)
+        return ()
--- a/packages/daemon/src/rhubarbhollow_daemon/process.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/process.py
@@ -17,6 +17,7 @@
 from rhubarbhollow_daemon.control_building import build_control
 from rhubarbhollow_daemon.control_tasks import start_control
 from rhubarbhollow_daemon.explain_handlers import ExplainHandlers
+from rhubarbhollow_daemon.extension import Extension, ExtensionHost
 from rhubarbhollow_daemon.http_response import answer_json
 from rhubarbhollow_daemon.http_server import (
     AdminApplication,
@@ -24,8 +25,9 @@
     serve_admin,
 )
 from rhubarbhollow_daemon.metrics import Metrics
-from rhubarbhollow_daemon.node_building import build_node
+from rhubarbhollow_daemon.node_building import build_node, own_version
 from rhubarbhollow_daemon.node_handlers import NodeHandlers
+from rhubarbhollow_daemon.process_handlers import ProcessHandlers
 from rhubarbhollow_daemon.readings import read_control, read_node
 from rhubarbhollow_wire.clock import SystemClock
 from rhubarbhollow_wire.traffic import Traffic
@@ -36,6 +38,7 @@
     from anyio.abc import TaskGroup
 
     from rhubarbhollow_daemon.control_parts import ControlParts
+    from rhubarbhollow_daemon.document_relay import DocumentRelay
     from rhubarbhollow_daemon.http_request import HttpRequest
     from rhubarbhollow_daemon.http_response import HttpResponse
     from rhubarbhollow_daemon.node_parts import NodeParts
@@ -49,12 +52,17 @@
 _log = structlog.get_logger()
 
 
-async def run_process(settings: Settings) -> Result[None, StoreFault]:
+async def run_process(
+    settings: Settings,
+    extension: Extension | None = None,
+) -> Result[None, StoreFault]:
     """Run until a signal ends the process."""
     clock = SystemClock()
     random = SystemRandom()
     incarnation = int(clock.utc().timestamp() * 1000)
-    node = build_node(settings, incarnation, clock, random)
+    node: NodeParts | None = None
+    if settings.has_node:
+        node = build_node(settings, incarnation, clock, random)
     application = AdminApplication()
     peer_traffic = Traffic()
     control: ControlParts | None = None
@@ -70,7 +78,9 @@
         if isinstance(built, Err):
             return built
         control = built.ok_value
-    process = _Process(settings, node, control, application, peer_traffic)
+    process = _Process(
+        settings, node, control, application, peer_traffic, extension
+    )
     await process.run()
     return Ok(None)
 
@@ -81,15 +91,18 @@
     def __init__(
         self,
         settings: Settings,
-        node: NodeParts,
+        node: NodeParts | None,
         control: ControlParts | None,
         application: AdminApplication,
         peer_traffic: Traffic,
+        extension: Extension | None = None,
     ) -> None:
         self._settings = settings
         self._node = node
         self._control = control
         self._application = application
+        self._extension = extension
+        self._documents: DocumentRelay | None = None
         self._peer_traffic = peer_traffic
         self._served_traffic = Traffic()
         self._admin = build_admin_server(application)
@@ -97,54 +110,80 @@
     async def run(self) -> None:
         """Serve until drained."""
         listen = self._settings.listen
-        host = listen.host
-        loop = asyncio.get_running_loop()
-        call_node = self._node.call_node
-        servers = [
-            await loop.create_server(
-                call_node.caller_protocol_factory,
-                sock=_bind(host, listen.caller_port),
-            ),
-            await loop.create_server(
-                call_node.peer_protocol_factory,
-                sock=_bind(host, listen.peer_port),
-            ),
-        ]
-        admin_socket = _bind(host, listen.admin_port)
+        servers = await self._listen_for_calls()
+        admin_socket = bind_listener(listen.host, listen.admin_port)
         async with anyio.create_task_group() as group:
             if self._control is not None:
                 self._start_control(self._control, group)
             self._register_handlers()
-            group.start_soon(self._node.session.run)
-            group.start_soon(self._keep_house)
-            group.start_soon(self._node.claims.clear_lost)
+            if self._node is not None:
+                group.start_soon(self._node.session.run)
+                group.start_soon(self._keep_house, self._node)
+                group.start_soon(self._node.claims.clear_lost)
             group.start_soon(serve_admin, self._admin, admin_socket)
+            self._start_extension(group)
             freeze_startup_objects()
             _log.info("process_started", mesh=self._settings.mesh)
             await self._wait_for_end()
             for server in servers:
                 server.close()
-            call_node.close()
+            if self._node is not None:
+                self._node.call_node.close()
+            if self._extension is not None:
+                self._extension.stop()
             self._admin.stop()
             group.cancel_scope.cancel()
         _log.info("process_stopped")
 
+    async def _listen_for_calls(self) -> list[asyncio.Server]:
+        if self._node is None:
+            return []
+        listen = self._settings.listen
+        loop = asyncio.get_running_loop()
+        call_node = self._node.call_node
+        return [
+            await loop.create_server(
+                factory,
+                sock=bind_listener(listen.host, port),
+                backlog=listen.backlog,
+            )
+            for factory, port in (
+                (call_node.caller_protocol_factory, listen.caller_port),
+                (call_node.peer_protocol_factory, listen.peer_port),
+            )
+        ]
+
     def _start_control(self, parts: ControlParts, group: TaskGroup) -> None:
-        start_control(
+        extension = self._extension
+        self._documents = start_control(
             self._settings,
-            self._node.version,
+            own_version(),
             parts,
             self._application,
             self._served_traffic,
             self._peer_traffic,
             group,
+            None if extension is None else extension.document_format,
+        )
+
+    def _start_extension(self, group: TaskGroup) -> None:
+        if self._extension is None:
+            return
+        host = ExtensionHost(
+            self._settings, self._node, self._control, self._documents
         )
+        self._extension.start(host, group)
 
     def _register_handlers(self) -> None:
         metrics = Metrics(
             self._settings.instance.name,
             self._settings.instance.data_centre,
         )
+        if self._node is None:
+            ProcessHandlers(metrics, self._read_all).register(
+                self._application
+            )
+            return
         handlers = NodeHandlers(self._node, metrics, self._read_all)
         handlers.register(self._application)
         ExplainHandlers(self._node).register(self._application)
@@ -159,7 +198,8 @@
             self._application.add("GET", "/v1/status", show_status)
 
     def _read_all(self) -> Iterator[Reading]:
-        yield from read_node(self._node)
+        if self._node is not None:
+            yield from read_node(self._node)
         if self._control is not None:
             traffic = {
                 "served": self._served_traffic,
@@ -167,19 +207,19 @@
             }
             yield from read_control(self._control, traffic)
 
-    async def _keep_house(self) -> None:
+    async def _keep_house(self, node: NodeParts) -> None:
         while True:
             await anyio.sleep(HOUSEKEEPING_SECONDS)
-            self._node.call_node.tick()
-            self._node.upstreams.expire()
-            self._node.burn.flush()
-            self._node.state.endpoints.purge()
-            self._node.quarantine.forget_old()
+            node.call_node.tick()
+            node.upstreams.expire()
+            node.burn.flush()
+            node.state.endpoints.purge()
+            node.quarantine.forget_old()
 
     async def _wait_for_end(self) -> None:
         """Drain on the first signal, stop on the second.
 
-        SIGHUP is ignored: settings are read at the start only.
+        SIGHUP is ignored: an extension that reloads looks at its file.
         """
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
         with anyio.open_signal_receiver(
@@ -201,9 +241,14 @@
     async def _drain(self) -> None:
         """Withdraw, let that spread, then finish what is in flight."""
         drain = self._settings.drain
+        if self._extension is not None:
+            self._extension.begin_leaving()
+        if self._node is None:
+            return
         call_node = self._node.call_node
         _log.info("drain_started", in_flight=call_node.in_flight)
         self._node.upstreams.leave_all()
+        call_node.begin_leaving()
         await anyio.sleep(drain.spread.total_seconds())
         call_node.begin_drain()
         with anyio.move_on_after(drain.budget.total_seconds()) as scope:
@@ -216,7 +261,8 @@
         )
 
 
-def _bind(host: str, port: int) -> socket.socket:
+def bind_listener(host: str, port: int) -> socket.socket:
+    """Return a bound socket that is not listening yet."""
     bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     bound.bind((host, port))
--- a/packages/daemon/src/rhubarbhollow_daemon/propose_relay.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/propose_relay.py
@@ -14,20 +14,24 @@
     from rhubarbhollow_daemon.peer_links import PeerLinks
 
 REQUESTS_PER_INCARNATION: Final = 1 << 20
+# four kinds share the ids of an incarnation
+REQUESTS_PER_KIND: Final = 1 << 18
 
 
 class ProposeRelay:
     """Send commands to the leader and match its answers to them.
 
     An answer to this instance's earlier process may arrive after a
-    restart, so the ids of two incarnations never meet.
+    restart, so the ids of two incarnations never meet,
+    and neither do those of two kinds.
     """
 
     def __init__(self, links: PeerLinks, group: LogGroup, kind: int) -> None:
         self._links = links
         self._group = group
         self._kind = kind
-        self._last_id = links.incarnation * REQUESTS_PER_INCARNATION
+        first = links.incarnation * REQUESTS_PER_INCARNATION
+        self._last_id = first + kind * REQUESTS_PER_KIND
         self._answers: dict[int, ProposeAnswer] = {}
         self._waiting: dict[int, anyio.Event] = {}
 
--- a/packages/daemon/src/rhubarbhollow_daemon/settings.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/settings.py
@@ -26,6 +26,10 @@
     read_drain,
 )
 from rhubarbhollow_daemon.settings_schema import find_schema_faults
+from rhubarbhollow_release.operator_channel import (
+    CHANNEL_KEY_ID,
+    OperatorChannel,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -45,7 +49,9 @@
 class Settings:
     """Hold everything that one process of the mesh is told.
 
-    ``control`` is none on an instance without a disk.
+    ``control`` is none on an instance without a disk.  ``has_node`` is
+    false where no upstream and no caller is beside the process.
+    ``has_channel`` trusts the operators' channel beside the keys.
     """
 
     mesh: str
@@ -59,11 +65,18 @@
     calls: CallsSettings
     drain: DrainSettings
     logs: LogsSettings
+    has_node: bool = True
+    has_channel: bool = False
 
     @property
     def trusted(self) -> Mapping[str, TrustAnchor]:
         """Return the approval keys by their identifiers."""
-        return {key.key_id: key.public for key in self.approval_keys}
+        trusted: dict[str, TrustAnchor] = {
+            key.key_id: key.public for key in self.approval_keys
+        }
+        if self.has_channel:
+            trusted[CHANNEL_KEY_ID] = OperatorChannel()
+        return trusted
 
 
 def load_settings(path: Path) -> Result[Settings, SettingsFaults]:
--- a/packages/daemon/src/rhubarbhollow_daemon/settings_control.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/settings_control.py
@@ -16,6 +16,8 @@
 
     ``members`` are the names of the first voters.  ``staging_deadline``
     bounds how long a slow or cut-off node delays an activation.
+    ``may_form`` lets empty stores of all members start a new history.
+    ``keeps_claims`` runs the log of non-idempotent requests with keys.
     """
 
     data_folder: Path
@@ -26,3 +28,5 @@
     snapshot_after_entries: int = 4096
     repair_after: timedelta = timedelta(seconds=30)
     admission_per_second: float = 200.0
+    may_form: bool = True
+    keeps_claims: bool = True
--- a/packages/daemon/src/rhubarbhollow_daemon/settings_distribution.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/settings_distribution.py
@@ -12,10 +12,14 @@
 
     A longer ``coalescing`` window sends fewer messages; ``load`` is the
     window for changes of load alone.  A node's lease ends when nothing
-    was heard of it for ``lease``.
+    was heard of it for ``lease``.  A node leaves a source that is
+    silent for ``silence``, and goes back to one of its own data centre
+    after ``return_after``.
     """
 
     coalescing: timedelta = timedelta(milliseconds=20)
     load: timedelta = timedelta(milliseconds=1000)
     heartbeat: timedelta = timedelta(milliseconds=1000)
     lease: timedelta = timedelta(milliseconds=4000)
+    silence: timedelta = timedelta(milliseconds=3000)
+    return_after: timedelta = timedelta(seconds=60)
--- a/packages/daemon/src/rhubarbhollow_daemon/settings_listen.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/settings_listen.py
@@ -17,3 +17,4 @@
     peer_port: int
     admin_port: int
     control_port: int | None = None
+    backlog: int = 1_024
--- a/packages/daemon/tests/test_claim_desk.py
+++ b/packages/daemon/tests/test_claim_desk.py
@@ -16,6 +16,7 @@
     ProposeRequest,
 )
 from rhubarbhollow_daemon.peer_links import PeerLinks
+from rhubarbhollow_distribution.control_directory import ControlDirectory
 from rhubarbhollow_replication.role import Role
 from rhubarbhollow_wire.clock import ManualClock
 from rhubarbhollow_wire.traffic import Traffic
@@ -41,7 +42,9 @@
 
 def ask(command):
     machine = ClaimMachine()
-    links = PeerLinks(PeerHello("m", "c1", 1, 1), (), Traffic(), Random(1))
+    links = PeerLinks(
+        PeerHello("m", "c1", 1, 1), ControlDirectory(), Traffic(), Random(1)
+    )
     desk = ClaimDesk(machine, Leader(machine), links, ManualClock())
     answers = []
     anyio.run(desk.serve_node, ClaimRequest(7, command), answers.append)
@@ -71,7 +74,9 @@
     machine = ClaimMachine()
     leader = Leader(machine)
     leader.propose = lambda _: anyio.sleep_forever()
-    links = PeerLinks(PeerHello("m", "c1", 1, 1), (), Traffic(), Random(1))
+    links = PeerLinks(
+        PeerHello("m", "c1", 1, 1), ControlDirectory(), Traffic(), Random(1)
+    )
     desk = ClaimDesk(machine, leader, links, ManualClock())
     answers = []
 
--- a/packages/daemon/tests/test_membership_keeper.py
+++ b/packages/daemon/tests/test_membership_keeper.py
@@ -55,7 +55,13 @@
 ):
     monkeypatch.setattr(membership_keeper, "INTERVAL_SECONDS", 0)
     replica = Replica(role, members, refusals)
-    keeper = MembershipKeeper(LogGroup.CLAIMS, ("c1", "c2", "c3"), replica)
+    up = {"c1": True, "c2": True, "c3": True, "c4": False}
+    links = SimpleNamespace(
+        by_name={
+            name: SimpleNamespace(is_up=is_up) for name, is_up in up.items()
+        }
+    )
+    keeper = MembershipKeeper(LogGroup.CLAIMS, links, replica)
 
     async def run():
         with anyio.CancelScope() as replica.scope:
--- a/packages/daemon/tests/test_node_desk.py
+++ b/packages/daemon/tests/test_node_desk.py
@@ -12,6 +12,7 @@
 from rhubarbhollow_daemon.peer_links import PeerLinks
 from rhubarbhollow_daemon.quarantine_relay import QuarantineRelay
 from rhubarbhollow_distribution.admission import AdmissionQueue
+from rhubarbhollow_distribution.control_directory import ControlDirectory
 from rhubarbhollow_distribution.endpoint_pacer import EndpointPacer
 from rhubarbhollow_distribution.endpoint_record import EndpointRecord
 from rhubarbhollow_distribution.endpoint_report import EndpointReport
@@ -44,7 +45,9 @@
         self.store = EndpointStore("c1", 1, self.clock)
         self.register = NodeRegister("c1", "ilala", self.clock, LEASE_SECONDS)
         hello = PeerHello("mesh", "c1", 1, 0)
-        self.peers = links = PeerLinks(hello, (), Traffic(), self.random)
+        self.peers = links = PeerLinks(
+            hello, ControlDirectory(), Traffic(), self.random
+        )
         self.desk = NodeDesk(
             Welcome("c1", "ilala", 1),
             self.register,
@@ -67,6 +70,7 @@
             links,
             self.clock,
             LEASE_SECONDS,
+            ControlDirectory(),
         )
 
     def join(self, incarnation=7):
--- a/packages/daemon/tests/test_process.py
+++ b/packages/daemon/tests/test_process.py
@@ -29,6 +29,9 @@
     def leave_all(self):
         self.steps.append("withdraw")
 
+    def begin_leaving(self):
+        self.steps.append("leave")
+
     def begin_drain(self):
         self.steps.append("drain")
         self._is_draining = True
@@ -56,7 +59,7 @@
     one = _Process(settings, node, None, None, None)
     with capture_logs() as events:
         anyio.run(one._drain)
-    assert node.steps == ["withdraw", "spread 2.0", "drain"]
+    assert node.steps == ["withdraw", "leave", "spread 2.0", "drain"]
     assert events[-1]["event"] == "drain_finished"
     assert events[-1]["is_complete"] is (left == 0)
     assert events[-1]["in_flight"] == left
--- a/packages/daemon/tests/test_propose_relay.py
+++ b/packages/daemon/tests/test_propose_relay.py
@@ -7,6 +7,7 @@
 from rhubarbhollow_daemon.messages import PeerHello, ProposeAnswer
 from rhubarbhollow_daemon.peer_links import PeerLinks
 from rhubarbhollow_daemon.propose_relay import ProposeRelay
+from rhubarbhollow_distribution.control_directory import ControlDirectory
 from rhubarbhollow_wire.traffic import Traffic
 
 
@@ -67,5 +68,5 @@
 
 def test_the_links_know_the_incarnation():
     hello = PeerHello("m", "c1", 7, 1)
-    links = PeerLinks(hello, (), Traffic(), Random(1))
+    links = PeerLinks(hello, ControlDirectory(), Traffic(), Random(1))
     assert links.incarnation == 7
--- a/packages/distribution/src/rhubarbhollow_distribution/activation.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/activation.py
@@ -56,6 +56,10 @@
         """Return the highest position known to be activated."""
         return self._active_position
 
+    def set_controls(self, controls: Iterable[str]) -> None:
+        """Wait for the nodes of these control instances from now on."""
+        self._controls = frozenset(controls)
+
     def note_accepted(self, position: int) -> None:
         """Note an accepted release; its deadline begins now."""
         if position > self._active_position:
--- a/packages/distribution/src/rhubarbhollow_distribution/announcement.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/announcement.py
@@ -59,6 +59,8 @@
 
     ``load`` is a share from 0 to 1, or none when it is not reported.
     The upstream repeats its announcement within ``lease``.
+    ``started_at_ms`` tells one run of its process from the next, where
+    the upstream says when it started.
     """
 
     name: str
@@ -70,6 +72,7 @@
     lease: timedelta
     is_leaving: bool = False
     load: float | None = None
+    started_at_ms: int | None = None
 
 
 def read_announcement(
--- a/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
@@ -46,20 +46,17 @@
         clock: Clock,
         random: random.Random,
         silence_seconds: float = SILENCE_SECONDS,
+        return_seconds: float = RETURN_SECONDS,
     ) -> None:
         if not controls:
             raise ValueError("a node needs the address of a control instance")
         self._clock = clock
         self._random = random
         self._silence_seconds = silence_seconds
-        # Nodes of one data centre spread over its instances by chance.
-        self._candidates = {
-            address.name: SourceCandidate(
-                address,
-                random.random() + (address.data_centre != local_data_centre),
-            )
-            for address in controls
-        }
+        self._return_seconds = return_seconds
+        self._local_data_centre = local_data_centre
+        self._candidates: dict[str, SourceCandidate] = {}
+        self.learn(controls)
         self._current: SourceCandidate | None = None
         self._failures = 0
         self._heard_at = 0.0
@@ -81,6 +78,22 @@
         elapsed = self._clock.monotonic() - self._heard_at
         return self._current is not None and elapsed >= self._silence_seconds
 
+    def learn(self, addresses: Iterable[ControlAddress]) -> None:
+        """Take over control instances, or their data centres."""
+        for address in addresses:
+            known = self._candidates.get(address.name)
+            if known is not None and known.address == address:
+                continue
+            # Nodes of one data centre spread over its instances by
+            # chance.
+            is_remote = address.data_centre != self._local_data_centre
+            rank = self._random.random() + is_remote
+            if known is None:
+                candidate = SourceCandidate(address, rank)
+                self._candidates[address.name] = candidate
+            else:
+                known.address, known.rank = address, rank
+
     def next_attempt(self) -> Attempt:
         """Return whom to connect to, and when, without a source.
 
@@ -210,7 +223,7 @@
             return ChangeReason.NOT_FRESH
         if _has_lasted(self._behind_since, BEHIND_SECONDS, now):
             return ChangeReason.BEHIND
-        is_settled = now >= self._connected_at + RETURN_SECONDS
+        is_settled = now >= self._connected_at + self._return_seconds
         if not self._current.is_local and is_settled:
             return ChangeReason.PREFERS_LOCAL
         return None
@@ -244,7 +257,10 @@
         current = self._current
         if current is None:
             return
-        if self._clock.monotonic() >= self._connected_at + RETURN_SECONDS:
+        if (
+            self._clock.monotonic()
+            >= self._connected_at + self._return_seconds
+        ):
             current.suspicions = 0
 
     def _compare_positions(self) -> None:
--- a/packages/release/src/rhubarbhollow_release/ledger.py
+++ b/packages/release/src/rhubarbhollow_release/ledger.py
@@ -193,13 +193,21 @@
         A release that was accepted before is planned without content
         and whoever signed it, since its key may have been replaced.
         """
-        target = split_manifest(manifest)
-        if self.find_answer(manifest.version, target.digest) is not None:
+        return self.plan_resources(split_manifest(manifest), approval)
+
+    def plan_resources(
+        self,
+        target: ResourceSet,
+        approval: Approval,
+    ) -> Result[SubmitRelease, ApprovalFault]:
+        """Build the command that submits a manifest's resources."""
+        version = target.header.version
+        if self.find_answer(version, target.digest) is not None:
             return self._plan_repeat(target, approval)
         verified = verify_approval(
             approval,
             mesh=self._mesh,
-            version=manifest.version,
+            version=version,
             digest=target.digest,
             trusted=self._trusted,
         )
--- a/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
+++ b/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
@@ -2407,6 +2407,187 @@
         return not (self == other)
 
 
+class ControlAddress(object):
+    """
+    Attributes:
+     - name
+     - data_centre
+     - host
+     - port
+
+    """
+
+    __slots__ = (
+        'name',
+        'data_centre',
+        'host',
+        'port',
+    )
+
+
+    def __init__(self, name=None, data_centre=None, host=None, port=None,):
+        self.name = name
+        self.data_centre = data_centre
+        self.host = host
+        self.port = port
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ControlAddress')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 2)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 3)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 4)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ControlList(object):
+    """
+    Attributes:
+     - controls
+
+    """
+
+    __slots__ = (
+        'controls',
+    )
+
+
+    def __init__(self, controls=None,):
+        self.controls = controls
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.controls = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = ControlAddress()
+                        _elem26.read(iprot)
+                        self.controls.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ControlList')
+        if self.controls is not None:
+            oprot.writeFieldBegin('controls', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.controls))
+            for iter27 in self.controls:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EndpointsRequest(object):
     """
     Attributes:
@@ -2601,22 +2782,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.staged = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = PositionCount()
-                        _elem26.read(iprot)
-                        self.staged.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = PositionCount()
+                        _elem33.read(iprot)
+                        self.staged.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.in_force = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = PositionCount()
-                        _elem32.read(iprot)
-                        self.in_force.append(_elem32)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = PositionCount()
+                        _elem39.read(iprot)
+                        self.in_force.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2641,15 +2822,15 @@
         if self.staged is not None:
             oprot.writeFieldBegin('staged', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.staged))
-            for iter33 in self.staged:
-                iter33.write(oprot)
+            for iter40 in self.staged:
+                iter40.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.in_force is not None:
             oprot.writeFieldBegin('in_force', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.in_force))
-            for iter34 in self.in_force:
-                iter34.write(oprot)
+            for iter41 in self.in_force:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2908,11 +3089,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.nodes = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = NodeStatus()
-                        _elem40.read(iprot)
-                        self.nodes.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = NodeStatus()
+                        _elem47.read(iprot)
+                        self.nodes.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2933,8 +3114,8 @@
         if self.nodes is not None:
             oprot.writeFieldBegin('nodes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.nodes))
-            for iter41 in self.nodes:
-                iter41.write(oprot)
+            for iter48 in self.nodes:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3781,11 +3962,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.counts = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = BurnCount()
-                        _elem47.read(iprot)
-                        self.counts.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = BurnCount()
+                        _elem54.read(iprot)
+                        self.counts.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3806,8 +3987,8 @@
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.counts))
-            for iter48 in self.counts:
-                iter48.write(oprot)
+            for iter55 in self.counts:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3869,6 +4050,7 @@
      - exoneration
      - burn_request
      - burn_answer
+     - control_list
 
     """
 
@@ -3904,10 +4086,11 @@
         'exoneration',
         'burn_request',
         'burn_answer',
+        'control_list',
     )
 
 
-    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_chunk=None, snapshot_reply=None, hello=None, staged_report=None, active_report=None, node_heartbeat=None, stage_request=None, endpoint_report=None, welcome=None, stage=None, activate=None, control_heartbeat=None, endpoint_change=None, redirect=None, peer_hello=None, register_summary=None, nodes_request=None, nodes_answer=None, propose_request=None, propose_answer=None, endpoints_request=None, claim_request=None, claim_answer=None, crash_report=None, exoneration=None, burn_request=None, burn_answer=None,):
+    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_chunk=None, snapshot_reply=None, hello=None, staged_report=None, active_report=None, node_heartbeat=None, stage_request=None, endpoint_report=None, welcome=None, stage=None, activate=None, control_heartbeat=None, endpoint_change=None, redirect=None, peer_hello=None, register_summary=None, nodes_request=None, nodes_answer=None, propose_request=None, propose_answer=None, endpoints_request=None, claim_request=None, claim_answer=None, crash_report=None, exoneration=None, burn_request=None, burn_answer=None, control_list=None,):
         self.vote_request = vote_request
         self.vote_reply = vote_reply
         self.append_request = append_request
@@ -3939,6 +4122,7 @@
         self.exoneration = exoneration
         self.burn_request = burn_request
         self.burn_answer = burn_answer
+        self.control_list = control_list
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4135,6 +4319,12 @@
                     self.burn_answer.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 32:
+                if ftype == TType.STRUCT:
+                    self.control_list = ControlList()
+                    self.control_list.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4269,6 +4459,10 @@
             oprot.writeFieldBegin('burn_answer', TType.STRUCT, 31)
             self.burn_answer.write(oprot)
             oprot.writeFieldEnd()
+        if self.control_list is not None:
+            oprot.writeFieldBegin('control_list', TType.STRUCT, 32)
+            self.control_list.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4475,6 +4669,19 @@
     (3, TType.I64, 'incarnation', None, None, ),  # 3
     (4, TType.I32, 'group', None, None, ),  # 4
 )
+all_structs.append(ControlAddress)
+ControlAddress.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'data_centre', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'host', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'port', None, None, ),  # 4
+)
+all_structs.append(ControlList)
+ControlList.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'controls', (TType.STRUCT, [ControlAddress, None], False), None, ),  # 1
+)
 all_structs.append(EndpointsRequest)
 EndpointsRequest.thrift_spec = (
     None,  # 0
@@ -4615,6 +4822,7 @@
     (29, TType.STRUCT, 'exoneration', [Exoneration, None], None, ),  # 29
     (30, TType.STRUCT, 'burn_request', [BurnRequest, None], None, ),  # 30
     (31, TType.STRUCT, 'burn_answer', [BurnAnswer, None], None, ),  # 31
+    (32, TType.STRUCT, 'control_list', [ControlList, None], None, ),  # 32
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
+++ b/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
@@ -173,6 +173,18 @@
   4: i32 group
 }
 
+// Every control instance that the sender knows, itself among them.
+struct ControlAddress {
+  1: string name
+  2: string data_centre
+  3: string host
+  4: i32 port
+}
+
+struct ControlList {
+  1: list<ControlAddress> controls
+}
+
 // Asks a control instance for every endpoint that it vouches for.
 struct EndpointsRequest {
   1: string control
@@ -308,4 +320,5 @@
   29: optional Exoneration exoneration
   30: optional BurnRequest burn_request
   31: optional BurnAnswer burn_answer
+  32: optional ControlList control_list
 }
