--- a/packages/calls/src/rhubarbhollow_calls/http_mesh_fields.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_mesh_fields.py
@@ -48,7 +48,7 @@
 ) -> MeshFields:
     """Read the fields out of ``seen``, which maps names to values."""
     request_id = seen.get(dialect.request_id)
-    if request_id is not None and not _is_request_id(request_id):
+    if request_id is not None and not _is_request_id(request_id, dialect):
         raise HttpFaultError(
             HttpFaultKind.FIELD_INVALID, "the request id is not a token"
         )
@@ -80,7 +80,10 @@
     return None if value is None else parse_integer(name, value)
 
 
-def _is_request_id(value: bytes) -> bool:
+def _is_request_id(value: bytes, dialect: Dialect) -> bool:
     if not 0 < len(value) <= MAX_REQUEST_ID_BYTES:
         return False
+    if dialect.is_foreign:
+        # what is an id there is for the callers to say
+        return value.isascii()
     return value.replace(b"-", b"a").replace(b"_", b"a").isalnum()
