Give a node that starts in the past a later incarnation

Cause: incarnations order a node's records and are the time of its start. After a step of the clock backwards a restarted node's records lose against those of its earlier process, so its upstream stays unknown for the tombstones' 120 s. Change: the welcome names the incarnation to go on under, one above what is remembered; the node issues its records anew. Ruled out: a steady clock, which starts again with the machine; a counter on disk, which these machines lack. Also: our links notice a silent connection in 1.2 s in place of 5 s, the seeds are followed in the settings file, and the adapter has its tests (under tests/platform: a tests folder below platform/ hides the standard library's module of that name while pytest runs).

--- a/packages/daemon/src/rhubarbhollow_daemon/node_desk.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_desk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 import structlog
@@ -210,19 +211,31 @@
         link.due = link.feed.next_due()
 
     def _admit(self, link: NodeLink, view: LedgerView) -> None:
-        if not self._register.admit(link.hello):
+        hello = link.hello
+        incarnation = self._store.incarnation_for(
+            hello.node, hello.incarnation
+        )
+        if incarnation != hello.incarnation:
+            _log.warning(
+                "node_clock_behind",
+                node=hello.node,
+                incarnation=hello.incarnation,
+                raised_to=incarnation,
+            )
+            link.raise_incarnation(incarnation)
+            hello = link.hello
+        if not self._register.admit(hello):
             self._send_away(
                 link,
                 Redirect(int(RedirectReason.BUSY), REJOIN_DELAY_MS),
             )
             return
-        hello = link.hello
         buried = self._store.admit_node(hello.node, hello.incarnation)
         self._exchange.publish(buried)
         self._end_replaced(self._links.pop(link.hello.node, None))
         self._links[link.hello.node] = link
         self._left_at.pop(link.hello.node, None)
-        link.outbox.put(self._welcome)
+        link.outbox.put(replace(self._welcome, node_incarnation=incarnation))
         link.outbox.put(self._directory.message)
         for message in self._relay.recent():
             link.outbox.put(message)
--- a/packages/daemon/src/rhubarbhollow_daemon/node_link.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -28,6 +29,10 @@
         """Return the node's first message."""
         return self._hello
 
+    def raise_incarnation(self, incarnation: int) -> None:
+        """Know the node under a higher incarnation than it named."""
+        self._hello = replace(self._hello, incarnation=incarnation)
+
     @property
     def feed(self) -> NodeFeed:
         """Return the decisions on what to send next."""
--- a/packages/daemon/src/rhubarbhollow_daemon/node_session.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_session.py
@@ -164,6 +164,7 @@
         self._chooser.note_connected(attempt.address)
         source = connected.ok_value
         self._state.expect_endpoints_of(source.endpoints_source)
+        self._state.go_on_as(source.node_incarnation)
         return source.connection
 
     async def _send_heartbeats(self) -> None:
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -117,6 +117,18 @@
         """Take endpoint changes of the source that has welcomed us."""
         self._endpoints.expect(source)
 
+    def go_on_as(self, incarnation: int) -> None:
+        """Announce under a higher incarnation, if one is given."""
+        if incarnation <= self._incarnation:
+            return
+        _log.warning(
+            "incarnation_raised",
+            own=self._incarnation,
+            raised_to=incarnation,
+        )
+        self._incarnation = incarnation
+        self._announcements.raise_incarnation(incarnation)
+
     def hello(self) -> Hello:
         """Return the first message of a new connection."""
         return Hello(
--- a/packages/daemon/src/rhubarbhollow_daemon/socket_options.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/socket_options.py
@@ -10,10 +10,12 @@
 if TYPE_CHECKING:
     from anyio.abc import ByteStream
 
-UNACKNOWLEDGED_MS: Final = 5_000
-KEEPALIVE_IDLE_SECONDS: Final = 5
-KEEPALIVE_INTERVAL_SECONDS: Final = 2
-KEEPALIVE_PROBES: Final = 3
+# a release has 2 s to reach every node, so a connection that went
+# silent has to be replaced well within that
+UNACKNOWLEDGED_MS: Final = 1_200
+KEEPALIVE_IDLE_SECONDS: Final = 2
+KEEPALIVE_INTERVAL_SECONDS: Final = 1
+KEEPALIVE_PROBES: Final = 2
 
 
 def detect_lost_peer(stream: ByteStream) -> None:
--- a/packages/daemon/src/rhubarbhollow_daemon/source_connection.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/source_connection.py
@@ -33,10 +33,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SourceConnection:
-    """A connection with the source of the endpoint changes on it."""
+    """A connection, and what its welcome said."""
 
     connection: FrameConnection
     endpoints_source: str
+    node_incarnation: int
 
 
 async def connect_source(
@@ -75,7 +76,11 @@
         return Err(NotConnected(type(sent.err_value).__name__))
     match await connection.receive():
         case Ok(Welcome() as welcome):
-            return Ok(SourceConnection(connection, welcome.source))
+            return Ok(
+                SourceConnection(
+                    connection, welcome.source, welcome.node_incarnation
+                )
+            )
         case Ok(Redirect(retry_after_ms=retry_after_ms)):
             delay_seconds = retry_after_ms / MS_PER_SECOND
             return Err(NotConnected("redirected", delay_seconds))
--- a/packages/daemon/tests/test_node_desk.py
+++ b/packages/daemon/tests/test_node_desk.py
@@ -165,3 +165,22 @@
         link.is_up, link.generation = True, generation
         desk.desk.tick(VIEW)
     assert sent == [crash, crash]
+
+
+def test_a_process_that_starts_in_the_past_is_given_a_later_start():
+    desk = Desk()
+    desk.desk.leave(desk.join(incarnation=2_000))
+    hello = Hello("mesh", "n1", "ilala", 500, 0, b"", 0, "", 0)
+    link = desk.link(hello)
+    desk.desk.join(link, VIEW)
+    assert link.hello.incarnation == 2_001
+    assert desk.register.entries[0].incarnation == 2_001
+    record = replace(RECORD, incarnation=link.hello.incarnation)
+    desk.desk.hear(link, EndpointReport((record,)), VIEW)
+    assert desk.store.records == (record,)
+
+
+def test_a_reconnect_of_the_same_process_keeps_its_start():
+    desk = Desk()
+    desk.desk.leave(desk.join(incarnation=2_000))
+    assert desk.join(incarnation=2_000).hello.incarnation == 2_000
--- a/packages/distribution/src/rhubarbhollow_distribution/announcement_book.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/announcement_book.py
@@ -142,6 +142,14 @@
         )
         return tuple(self._remove(name) for name in ended)
 
+    def raise_incarnation(self, incarnation: int) -> None:
+        """Issue every record again, under a higher incarnation."""
+        self._incarnation = max(self._incarnation, incarnation)
+        for name, listed in tuple(self._listed.items()):
+            renewed = replace(listed.record, incarnation=self._incarnation)
+            record = self._issue(renewed)
+            self._listed[name] = replace(listed, record=record)
+
     def take_changes(self) -> tuple[EndpointRecord, ...]:
         """Return the latest records issued since the last call."""
         changed = tuple(self._changed.values())
--- a/packages/distribution/src/rhubarbhollow_distribution/endpoint_store.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/endpoint_store.py
@@ -114,6 +114,23 @@
                 del entry.vouched[via]
                 self._refresh(key)
 
+    def incarnation_for(self, node: str, incarnation: int) -> int:
+        """Return an incarnation that no older record outranks.
+
+        Equal ones are of the same process: a process draws the time of
+        its start in milliseconds.
+        """
+        known = max(
+            (
+                record.incarnation
+                for key, entry in self._entries.items()
+                if key[0] == node
+                for record in entry.vouched.values()
+            ),
+            default=incarnation,
+        )
+        return incarnation if known <= incarnation else known + 1
+
     def admit_node(
         self,
         node: str,
--- a/packages/distribution/src/rhubarbhollow_distribution/welcome.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/welcome.py
@@ -7,11 +7,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Welcome:
-    """Name the control instance that admitted the node."""
+    """Name the control instance that admitted the node.
+
+    ``node_incarnation`` is the one that the node has to use from now
+    on: its own, unless one that was at least as high is remembered of
+    an earlier process, as after a step of the clock.
+    """
 
     control: str
     data_centre: str
     incarnation: int
+    node_incarnation: int = 0
 
     @property
     def source(self) -> str:
--- a/packages/distribution/tests/test_announcement.py
+++ b/packages/distribution/tests/test_announcement.py
@@ -157,3 +157,22 @@
     outcomes = [book.announce(replace(DESK, name=name)) for name in names]
     assert outcomes[-1].unwrap_err() == TooManyUpstreams(MAX_UPSTREAMS)
     assert book.announce(replace(DESK, name="desk-0")).is_ok()
+
+
+def test_announcements_are_issued_again_under_the_later_start():
+    book = AnnouncementBook(
+        node="n1",
+        data_centre="ilala",
+        peer_host="127.0.0.1",
+        peer_port=1,
+        incarnation=500,
+        clock=ManualClock(),
+    )
+    lease = timedelta(seconds=6)
+    book.announce(Announcement("u", "desk", "127.0.0.1", 2, 9, 18, lease))
+    first = book.take_changes()[0]
+    book.raise_incarnation(2_001)
+    (second,) = book.take_changes()
+    assert second.incarnation == 2_001
+    assert second.order > first.order
+    assert book.records == (second,)
--- a/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
+++ b/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
@@ -1712,6 +1712,7 @@
      - control
      - data_centre
      - incarnation
+     - node_incarnation
 
     """
 
@@ -1719,13 +1720,15 @@
         'control',
         'data_centre',
         'incarnation',
+        'node_incarnation',
     )
 
 
-    def __init__(self, control=None, data_centre=None, incarnation=None,):
+    def __init__(self, control=None, data_centre=None, incarnation=None, node_incarnation=None,):
         self.control = control
         self.data_centre = data_centre
         self.incarnation = incarnation
+        self.node_incarnation = node_incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1751,6 +1754,11 @@
                     self.incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.node_incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1773,6 +1781,10 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 3)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
+        if self.node_incarnation is not None:
+            oprot.writeFieldBegin('node_incarnation', TType.I64, 4)
+            oprot.writeI64(self.node_incarnation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4622,6 +4634,7 @@
     (1, TType.STRING, 'control', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'data_centre', 'UTF8', None, ),  # 2
     (3, TType.I64, 'incarnation', None, None, ),  # 3
+    (4, TType.I64, 'node_incarnation', None, None, ),  # 4
 )
 all_structs.append(Stage)
 Stage.thrift_spec = (
--- a/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
+++ b/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
@@ -125,10 +125,12 @@
 
 // --- control instance to node --------------------------------------
 
+// ``node_incarnation`` is the one under which the node goes on.
 struct Welcome {
   1: string control
   2: string data_centre
   3: i64 incarnation
+  4: i64 node_incarnation
 }
 
 struct Stage {
--- /dev/null
+++ b/tests/platform/test_boot_file.py
@@ -0,0 +1,121 @@
+import json
+from pathlib import Path
+
+import pytest
+from result import Err, Ok
+
+from rhubarbhollow_platform.boot_file import (
+    decode_boot_file,
+    find_boot_path,
+    read_boot_file,
+)
+from rhubarbhollow_platform.seed_watch import SeedWatch
+from rhubarbhollow_platform.settings_translation import (
+    translate_core,
+    translate_sidecar,
+)
+
+SIDECAR = {
+    "NodeName": "sidecar-a-1",
+    "Ip": "10.1.0.38",
+    "Zone": "a",
+    "Zones": {"a": "r"},
+    "ListenAddresses": {
+        "Inbound": "10.1.0.38:8146",
+        "Outbound": "10.1.0.38:8147",
+        "Ready": "10.1.0.38:8141",
+        "Control": "10.1.0.38:8144",
+    },
+    "InternalPortRange": [7380, 7395],
+    "Seeds": ["10.1.0.42:8144", "10.2.0.43:8144"],
+    "FirstStart": True,
+    "DataDirectory": None,
+    "HeartbeatIntervalS": 1.5,
+    "Bounds": {"GracePeriodS": 6, "NewBoundS": 1},
+    "ApplicationAddress": "10.1.0.38:8145",
+    "Service": "desk",
+    "New": "field",
+}
+CORE = {
+    **SIDECAR,
+    "Ip": "10.1.0.42",
+    "ListenAddresses": {"Control": "10.1.0.42:8144"},
+    "DataDirectory": "/data/core",
+    "Service": None,
+}
+
+
+def decode(value):
+    return decode_boot_file(json.dumps(value).encode())
+
+
+def test_a_sidecars_settings():
+    settings = translate_sidecar(decode(SIDECAR).ok_value)
+    assert settings.instance.name == "10.1.0.38"
+    assert settings.instance.data_centre == "a"
+    assert settings.listen.caller_port == 8147
+    assert settings.listen.peer_port == 8146
+    assert settings.control is None
+    assert settings.calls.origin == "desk"
+    assert [one.port for one in settings.controls] == [7380, 7380]
+    drain = settings.drain
+    assert (drain.spread + drain.budget).total_seconds() < 6
+
+
+@pytest.mark.parametrize("is_first", [True, False])
+def test_only_a_first_start_may_found_a_log(is_first):
+    boot = decode({**CORE, "FirstStart": is_first}).ok_value
+    control = translate_core(boot, Path("data")).control
+    assert control.may_form is is_first
+    members = ("10.1.0.42", "10.2.0.43") if is_first else ()
+    assert control.members == members
+
+
+def test_a_core_machine_lists_itself_with_its_data_centre():
+    boot = decode({**CORE, "Seeds": ["10.2.0.43:8144"]}).ok_value
+    controls = translate_core(boot, Path("data")).controls
+    assert {(one.name, one.data_centre) for one in controls} == {
+        ("10.1.0.42", "a"),
+        ("10.2.0.43", ""),
+    }
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"Seeds": []},
+        {"Seeds": ["nowhere"]},
+        {"Seeds": None},
+        {"Ip": 5},
+        {"InternalPortRange": [1]},
+        {"ListenAddresses": {"Control": "x"}},
+    ],
+)
+def test_unusable_settings_are_refused_with_a_reason(changes):
+    fault = decode({**SIDECAR, **changes})
+    assert isinstance(fault, Err)
+    assert fault.err_value.detail
+
+
+def test_a_missing_file_or_variable_is_a_fault(tmp_path):
+    assert isinstance(find_boot_path({}), Err)
+    assert isinstance(read_boot_file(tmp_path / "none"), Err)
+
+
+def test_seeds_are_told_once_the_file_has_changed(tmp_path):
+    path = tmp_path / "local.json"
+    path.write_text(json.dumps(SIDECAR))
+    told = []
+    watch = SeedWatch(path, told.extend)
+    watch.look()
+    assert not told
+    path.write_text(json.dumps({**SIDECAR, "Seeds": ["10.3.0.9:8144"]}))
+    watch.look()
+    watch.look()
+    assert [one.host for one in told] == ["10.3.0.9"]
+    path.write_text("{")
+    watch.look()
+    path.unlink()
+    watch.look()
+    assert len(told) == 1
+    assert isinstance(find_boot_path({"RHUBARBHOLLOW_BOOT": "x"}), Ok)
