Keep the wanted number of voters apart from the initial members

Cause: a control instance that restarts is told no initial members, so its wanted number of voters was 0; as a leader it demoted the others one by one and ended itself in _retire_surplus_voter (min of nothing). Change: wanted_voters is a setting of its own; without one nobody is promoted or demoted. Test: test_without_a_wanted_size_nobody_is_promoted_or_demoted fails with the ValueError before the change.

--- a/packages/daemon/src/rhubarbhollow_daemon/control_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_building.py
@@ -201,6 +201,7 @@
         heartbeat_ms=round(control.heartbeat.total_seconds() * 1000),
         snapshot_after_entries=control.snapshot_after_entries,
         may_form_cluster=control.may_form,
+        wanted_voters=control.wanted_voters,
         repair_after_seconds=control.repair_after.total_seconds(),
         log_name=group.name.lower(),
     )
--- a/packages/daemon/src/rhubarbhollow_daemon/settings_control.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/settings_control.py
@@ -17,7 +17,8 @@
     ``members`` are the names of the first voters.  ``staging_deadline``
     bounds how long a slow or cut-off node delays an activation.
     ``may_form`` lets empty stores of all members start a new history.
-    ``keeps_claims`` runs the log of non-idempotent requests with keys.
+    ``wanted_voters`` is the size that the group is kept at, 0 that of
+    ``members``.  ``keeps_claims`` runs the log of non-idempotent requests with keys.
     """
 
     data_folder: Path
@@ -30,3 +31,4 @@
     admission_per_second: float = 200.0
     may_form: bool = True
     keeps_claims: bool = True
+    wanted_voters: int = 0
--- a/packages/replication/src/rhubarbhollow_replication/leadership.py
+++ b/packages/replication/src/rhubarbhollow_replication/leadership.py
@@ -174,7 +174,7 @@
             leader=settings.name,
             peers=self._peers,
             commit_index=self._journal.commit_index,
-            wanted_voters=len(settings.initial_members),
+            wanted_voters=settings.voter_target,
             now=now,
             alive_seconds=settings.election_timeout_seconds,
             silent_seconds=settings.repair_after_seconds,
--- a/packages/replication/src/rhubarbhollow_replication/plan.py
+++ b/packages/replication/src/rhubarbhollow_replication/plan.py
@@ -40,6 +40,8 @@
     While both vote, the silent one can still help if it comes back
     and another member is lost; demoted first, it could not.
     """
+    if not view.wanted_voters:
+        return _rebind_lost_store(view)
     wanted = view.wanted_voters + _has_silent_voter(view)
     return (
         _rebind_lost_store(view)
--- a/packages/replication/src/rhubarbhollow_replication/settings.py
+++ b/packages/replication/src/rhubarbhollow_replication/settings.py
@@ -19,7 +19,9 @@
     the loss of all their disks at once can start a second one.
     ``max_clock_drift_ratio`` bounds how much faster one member's clock
     runs than another's, as a share of elapsed time. ``log_name`` tells
-    the logs of one process apart in its log events.
+    the logs of one process apart in its log events. ``wanted_voters``
+    is the number that repairs lead to; 0 stands for that of
+    ``initial_members``, and one that is not known to repair nothing.
     """
 
     name: str
@@ -34,6 +36,7 @@
     repair_after_seconds: float = 60.0
     may_form_cluster: bool = True
     log_name: str = "log"
+    wanted_voters: int = 0
 
     def __post_init__(self) -> None:
         if self.heartbeat_ms * 2 > self.election_timeout_ms:
@@ -51,6 +54,11 @@
         """The time between the leader's rounds at rest."""
         return self.heartbeat_ms / MS_PER_SECOND
 
+    @property
+    def voter_target(self) -> int:
+        """The number of voters that repairs lead to; 0 for any."""
+        return self.wanted_voters or len(self.initial_members)
+
     @property
     def lease_seconds(self) -> float:
         """The time for which a confirmed round rules out rivals."""
--- a/packages/replication/tests/test_plan.py
+++ b/packages/replication/tests/test_plan.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from result import Err
 
@@ -25,6 +27,7 @@
 from rhubarbhollow_replication.membership_view import MembershipView
 from rhubarbhollow_replication.plan import plan_repair, plan_request
 from rhubarbhollow_replication.progress import Progress
+from rhubarbhollow_replication.settings import ReplicaSettings
 
 NOW = 100.0
 
@@ -149,3 +152,23 @@
     values = {name: 7 if name in names else 3 for name in "abcd"}
     reached = 7 if expected else 3 if configuration.voters else 0
     assert configuration.quorum_value(values) == reached
+
+
+@pytest.mark.parametrize(
+    ("before", "peers"),
+    [("a1", ""), ("a1 b1 c1", "b1 c1"), ("a1 b1 c1 (d1)", "b1-90 c1 d1")],
+)
+def test_without_a_wanted_size_nobody_is_promoted_or_demoted(before, peers):
+    unknown = replace(view(before, peers), wanted_voters=0)
+    assert plan_repair(unknown) is None
+
+
+@pytest.mark.parametrize(
+    ("members", "wanted", "target"),
+    [(("a", "b", "c"), 0, 3), ((), 3, 3), ((), 0, 0), (("a",), 3, 3)],
+)
+def test_a_restart_without_initial_members_keeps_its_size(
+    members, wanted, target
+):
+    settings = ReplicaSettings("a", members, wanted_voters=wanted)
+    assert settings.voter_target == target
