Place calls by the nodes' backlogs and order slots by rank and objective

Change: the gate has lanes by rank and objective, turns a call away that cannot start in time, lets late ones give way, and shares by service time in place of a count, so that the last lane still gets its turn. The node beside an upstream tells its backlog on each answer; a call with an objective goes where it is expected to end first, and leaves its data centre only when nobody there can serve it in time. Routes without an objective are placed as before. Ruled out: a reservation of slots for short calls, which leaves slots idle while histories wait.

--- a/packages/calls/src/rhubarbhollow_calls/call_result.py
+++ b/packages/calls/src/rhubarbhollow_calls/call_result.py
@@ -13,6 +13,8 @@
     UPSTREAM_ERROR = auto()
     # the upstream or the node beside it refused before it ran
     REFUSED_NOT_RUN = auto()
+    # the node beside it has too much to do in time; says its backlog
+    BUSY = auto()
     # the connection was cut or the attempt timed out; may have run
     BROKEN = auto()
     # no connection could be had, so that nothing was written
--- a/packages/calls/src/rhubarbhollow_calls/http_answer_head.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_answer_head.py
@@ -34,7 +34,8 @@
     ``length`` is the declared length, which an answer to HEAD and a
     304 carry although no body follows.  ``is_until_close`` says that
     only the end of the connection delimits the body.
-    ``idle_seconds`` is how long the sender keeps the connection open.
+    ``idle_seconds`` is how long the sender keeps the connection open,
+    and ``backlog_ms`` the work by slot at the node that answers.
     """
 
     status: int
@@ -49,6 +50,7 @@
     request_id: bytes | None = None
     is_until_close: bool = False
     idle_seconds: int | None = None
+    backlog_ms: int | None = None
 
 
 def parse_answer_head(
@@ -64,7 +66,6 @@
         passed |= {dialect.not_run}
     block, seen = split_fields(fields, passed=passed)
     length = _find_length(seen)
-    position = seen.get(names.POSITION)
     body = _find_body(status, seen, length, is_for_head, dialect)
     is_until_close = body is CHUNKED_BODY and (
         names.TRANSFER_ENCODING not in seen
@@ -75,13 +76,14 @@
         body,
         length,
         is_keep_alive,
-        None if position is None else parse_integer(b"position", position),
+        _maybe_integer(seen, names.POSITION),
         seen.get(names.EXECUTED),
         seen.get(names.REFUSAL, b""),
         _is_not_run(seen, dialect),
         seen.get(dialect.request_id),
         is_until_close,
         _find_idle_seconds(seen),
+        _maybe_integer(seen, names.BACKLOG_MS),
     )
 
 
@@ -100,6 +102,11 @@
     return None
 
 
+def _maybe_integer(seen: Mapping[bytes, bytes], name: bytes) -> int | None:
+    value = seen.get(name)
+    return None if value is None else parse_integer(name, value)
+
+
 def _find_length(seen: Mapping[bytes, bytes]) -> int | None:
     value = seen.get(names.CONTENT_LENGTH)
     if value is None:
--- a/packages/calls/src/rhubarbhollow_calls/http_mesh_fields.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_mesh_fields.py
@@ -35,7 +35,7 @@
     is_idempotent: bool = False
     upstream: bytes = b""
     origin: bytes = b""
-    rank: int = 0
+    objective_ms: int | None = None
 
 
 NO_MESH_FIELDS: Final = MeshFields()
@@ -71,7 +71,7 @@
         seen.get(names.IDEMPOTENT) == b"true",
         seen.get(names.UPSTREAM, b""),
         seen.get(names.ORIGIN, b""),
-        _maybe_integer(seen, names.RANK) or 0,
+        _maybe_integer(seen, names.OBJECTIVE_MS),
     )
 
 
--- a/packages/calls/src/rhubarbhollow_calls/io_attempt.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_attempt.py
@@ -29,11 +29,13 @@
 class AttemptFailure:
     """Say what to answer if the attempt was the last, and why.
 
-    ``result`` is the evidence about the upstream.
+    ``result`` is the evidence about the upstream, and ``backlog_ms``
+    what the node beside it said of its queue.
     """
 
     refusal: Refusal
     result: CallResult
+    backlog_ms: int | None = None
 
 
 class AttemptOwner(Protocol):
--- a/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_calls import http_names as names
+from rhubarbhollow_calls.call_kind import CallKind
 from rhubarbhollow_calls.call_result import CallResult
 from rhubarbhollow_calls.deadline import Deadline, format_deadline
 from rhubarbhollow_calls.io_exchange import Exchange
@@ -19,7 +20,6 @@
     Retry,
     decide_retry,
 )
-from rhubarbhollow_calls.slot_ticket import Ticket
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.endpoint import Endpoint
@@ -32,6 +32,7 @@
 
 PEER_GRACE_SECONDS: Final = 0.03
 CUT_ANSWER_DELAY_SECONDS: Final = 0.1
+MS_PER_SECOND: Final = 1000
 _ERROR_STATUS: Final = 500
 # refusals of a node: the upstream beside it has not seen the request
 _UNOFFERED_KINDS: Final = frozenset(
@@ -108,6 +109,9 @@
             names.UPSTREAM,
             b"" if endpoint is None else endpoint.name.encode(),
         )
+        objective_ms = self._objective_left_ms()
+        if objective_ms is not None:
+            lines += b"%b: %d\r\n" % (names.OBJECTIVE_MS, objective_ms)
         if self._node.dialect.is_foreign:
             # the caller's own field with the request's id goes on
             return lines + b"%b: %b\r\n" % (names.ORIGIN, self._node.origin)
@@ -120,13 +124,14 @@
             return
         self._endpoint = endpoint
         self._attempt_started_at = self._node.clock.monotonic()
-        self._node.book.started(endpoint.name)
+        self._node.book.started(endpoint.name, self._state.route.name)
         self._begin(self._make_attempt(endpoint))
 
     def _choose(self) -> Endpoint | None:
         book = self._node.book
         route = self._state.route
-        endpoint = book.choose(self._service, self._tried)
+        self._tell_own_backlog()
+        endpoint = book.choose(self._service, self._tried, self._kind())
         if endpoint is not None or self._tried:
             return endpoint
         chosen = (
@@ -134,6 +139,29 @@
         )
         return next((one for one in chosen if one is not None), None)
 
+    def _kind(self) -> CallKind | None:
+        """Return what the choice of an upstream goes by, if known."""
+        route = self._state.route
+        if route.latency_seconds is None:
+            return None
+        now = self._node.clock.monotonic()
+        left = self._began_at + route.latency_seconds - now
+        return CallKind(route.name, route.latency_seconds, max(0.0, left))
+
+    def _objective_left_ms(self) -> int | None:
+        kind = self._kind()
+        return (
+            None if kind is None else round(kind.left_seconds * MS_PER_SECOND)
+        )
+
+    def _tell_own_backlog(self) -> None:
+        """Let the choice see the queue that is here to be looked at."""
+        port = self._node.local_port
+        if port is not None:
+            self._node.book.report_backlog(
+                port.upstream.name, port.gate.backlog_seconds
+            )
+
     def _make_attempt(self, endpoint: Endpoint) -> Attempt:
         node = self._node
         port = node.local_port
@@ -144,8 +172,11 @@
             self.expires_at = self._deadline.expires_at + PEER_GRACE_SECONDS
             return RemoteAttempt(self, self._head, self._body, endpoint, pool)
         route = self._state.route
-        ticket = Ticket(
-            route.priority, self._deadline.expires_at, node.next_call_id()
+        ticket = node.make_ticket(
+            route.priority,
+            self._deadline,
+            self._state,
+            self._objective_left_ms(),
         )
         name = route.name.encode()
         return LocalAttempt(self, self._head, self._body, port, ticket, name)
@@ -232,6 +263,7 @@
 
     def _answer_lines(self, head: AnswerHead) -> bytes:
         self._node.hear_position(head.position)
+        self._hear_backlog(head.backlog_ms)
         endpoint = self._endpoint
         return b"%b%b: %b\r\n%b: %b\r\n" % (
             self._state.answer_lines,
@@ -255,7 +287,14 @@
             self._state, self._upstream, seconds, is_error=is_error
         )
 
+    def _hear_backlog(self, backlog_ms: int | None) -> None:
+        if self._endpoint is not None and backlog_ms is not None:
+            self._node.book.report_backlog(
+                self._endpoint.name, backlog_ms / MS_PER_SECOND
+            )
+
     def _settle_failure(self, failure: AttemptFailure) -> None:
+        self._hear_backlog(failure.backlog_ms)
         self._settle(failure.result, self._node.clock.monotonic())
 
     def _settle_cancelled(self) -> None:
@@ -264,7 +303,10 @@
     def _settle(self, result: CallResult, now: float) -> None:
         if self._endpoint is not None:
             self._node.book.finished(
-                self._endpoint.name, result, now - self._attempt_started_at
+                self._endpoint.name,
+                result,
+                now - self._attempt_started_at,
+                self._state.route.name,
             )
 
     def _count_refusal(self, refusal: Refusal) -> None:
--- a/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
@@ -43,6 +43,7 @@
     SlotRefusal.QUEUE_FULL: RefusalKind.QUEUE_FULL,
     SlotRefusal.DEADLINE: RefusalKind.DEADLINE,
     SlotRefusal.DRAINING: RefusalKind.DRAINING,
+    SlotRefusal.TOO_LATE: RefusalKind.QUEUE_FULL,
 }
 
 
@@ -56,6 +57,7 @@
     __slots__ = (
         "_epoch",
         "_fingerprint",
+        "_granted_at",
         "_has_asked",
         "_has_slot",
         "_port",
@@ -80,6 +82,7 @@
         self._has_slot = False
         self._fingerprint: bytes | None = None
         self._epoch = 0
+        self._granted_at = 0.0
 
     @property
     def stage(self) -> UnwrittenStage:
@@ -93,6 +96,7 @@
         body = self._body
         if body.is_whole or body.size >= FINGERPRINTED_BODY_BYTES:
             self._has_asked = True
+            self._ticket = self._port.estimate(self._ticket, self._route)
             self._port.request_slot(self, self._ticket)
 
     def request_data(self, data: bytes) -> None:
@@ -115,6 +119,7 @@
             self._port.release_slot()
             return
         self._has_slot = True
+        self._granted_at = self._port.now()
         quarantine = self._port.quarantine
         if quarantine is None or self._may_start(quarantine):
             self._acquire(self._port.pool)
@@ -147,13 +152,19 @@
     def _fail_unwritten(self, kind: RefusalKind, detail: str) -> None:
         proof = NeverWritten(UnwrittenStage.ADMISSION)
         refusal = Refusal.not_run(kind, proof, detail)
-        self._fail(AttemptFailure(refusal, CallResult.REFUSED_NOT_RUN))
+        result = CallResult.REFUSED_NOT_RUN
+        if kind is RefusalKind.QUEUE_FULL and self._ticket.objective_ms:
+            result = CallResult.BUSY
+        self._fail(AttemptFailure(refusal, result))
 
     def _give_back(self, result: CallResult) -> None:
         if self._fingerprint is not None:
             self._end_fingerprint(self._fingerprint, result)
         if self._has_slot:
             self._has_slot = False
+            if result is CallResult.ANSWERED:
+                seconds = self._port.now() - self._granted_at
+                self._port.service_times.note(self._route, seconds)
             self._port.release_slot()
         elif self._has_asked:
             self._port.cancel_slot(self._ticket.call_id)
--- a/packages/calls/src/rhubarbhollow_calls/io_local_port.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_port.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import TYPE_CHECKING, Protocol
+from dataclasses import replace
+from typing import TYPE_CHECKING, Final, Protocol
 
 from rhubarbhollow_calls.io_crash_watch import BrokenCall, CrashWatch
 from rhubarbhollow_calls.io_pool import ConnectionPool
+from rhubarbhollow_calls.service_times import ServiceTimes
 from rhubarbhollow_calls.slot_admission import (
     Admitted,
     Queued,
@@ -26,6 +28,9 @@
     from rhubarbhollow_wire.clock import Clock
 
 
+MS_PER_SECOND: Final = 1000
+
+
 class QuarantinePublisher(Protocol):
     """Send what a quarantine has learnt to the other nodes."""
 
@@ -77,6 +82,8 @@
         self._crash_watch = CrashWatch(
             upstream, settings.connect_timeout_seconds
         )
+        self._clock = clock
+        self.service_times = ServiceTimes()
         self._gate = SlotGate(upstream.slots, settings.queue_limit, clock)
         self._waiting: dict[int, SlotUser] = {}
         self._granted: deque[SlotUser] = deque()
@@ -87,6 +94,25 @@
         """Return the gate, for reports."""
         return self._gate
 
+    def now(self) -> float:
+        """Return the time on this node's monotonic clock."""
+        return self._clock.monotonic()
+
+    def estimate(self, ticket: Ticket, route: bytes) -> Ticket:
+        """Return the ticket with the time that it needs and has.
+
+        A route without an objective waits as long as its deadline.
+        """
+        if not ticket.objective_ms:
+            return ticket
+        objective = ticket.objective_ms / MS_PER_SECOND
+        seconds = self.service_times.expect(route, objective)
+        return replace(
+            ticket,
+            service_seconds=seconds,
+            start_by=ticket.start_by - seconds,
+        )
+
     def request_slot(self, user: SlotUser, ticket: Ticket) -> None:
         """Grant a slot now or later, or refuse it now."""
         match self._gate.admit(ticket):
@@ -111,6 +137,10 @@
             user = self._waiting.pop(expired.call_id, None)
             if user is not None:
                 user.slot_expired()
+        for overdue in self._gate.take_overdue():
+            user = self._waiting.pop(overdue.call_id, None)
+            if user is not None:
+                user.slot_refused(SlotRefusal.TOO_LATE)
 
     def is_same_process(self, upstream: LocalUpstream) -> bool:
         """Return whether only the sizes of ``upstream`` may be new."""
--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -20,10 +20,13 @@
 from rhubarbhollow_calls.io_route_state import RouteState
 from rhubarbhollow_calls.io_settings import CallSettings
 from rhubarbhollow_calls.refusal_status import status_for_foreign
+from rhubarbhollow_calls.slot_ticket import Ticket
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
+    from rhubarbhollow_calls.call_priority import CallPriority
+    from rhubarbhollow_calls.deadline import Deadline
     from rhubarbhollow_calls.io_claim_port import ClaimPort
     from rhubarbhollow_calls.io_exchange import Exchange
     from rhubarbhollow_calls.io_local_port import QuarantinePublisher
@@ -38,6 +41,7 @@
     from rhubarbhollow_wire.clock import Clock
 
 
+MS_PER_SECOND: Final = 1000
 # share of the mean by which the time until a return varies
 RETRY_AFTER_SPREAD: Final = 0.5
 
@@ -258,6 +262,33 @@
         quarantine = self._quarantine
         return quarantine is not None and quarantine.is_suspected(fingerprint)
 
+    def make_ticket(
+        self,
+        priority: CallPriority,
+        deadline: Deadline,
+        state: RouteState | None,
+        objective_left_ms: int | None,
+    ) -> Ticket:
+        """Return a call's request for a slot of the upstream here.
+
+        ``objective_left_ms`` is what is left of the route's objective;
+        without one the call may wait as long as its deadline.
+        """
+        call_id = self.next_call_id()
+        route = None if state is None else state.route
+        if route is None or objective_left_ms is None:
+            return Ticket(priority, deadline.expires_at, call_id)
+        objective = route.latency_seconds or 0.0
+        left = objective_left_ms / MS_PER_SECOND
+        return Ticket(
+            priority,
+            deadline.expires_at,
+            call_id,
+            rank=route.rank,
+            objective_ms=round(objective * MS_PER_SECOND),
+            start_by=self.clock.monotonic() + left,
+        )
+
     def next_call_id(self) -> int:
         """Return a number that no other call of this node has."""
         self._last_call_id += 1
--- a/packages/calls/src/rhubarbhollow_calls/io_peer.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_peer.py
@@ -12,7 +12,6 @@
 from rhubarbhollow_calls.io_refusal_answer import encode_refusal, refuse_fault
 from rhubarbhollow_calls.not_run_proof import UnwrittenStage
 from rhubarbhollow_calls.refusal import RefusalKind
-from rhubarbhollow_calls.slot_ticket import Ticket
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.http_answer_head import AnswerHead
@@ -22,6 +21,8 @@
     from rhubarbhollow_calls.io_listener import ListenerConnection
     from rhubarbhollow_calls.io_node import CallNode
 
+MS_PER_SECOND: Final = 1000
+
 _PRIORITIES: Final = {
     priority.name.lower().encode(): priority for priority in CallPriority
 }
@@ -46,10 +47,12 @@
                 RefusalKind.NO_UPSTREAM, "the upstream is not beside this node"
             )
             return
-        ticket = Ticket(
-            _PRIORITIES.get(mesh.priority, CallPriority.BULK),
-            self._deadline.expires_at,
-            self._node.next_call_id(),
+        priority = _PRIORITIES.get(mesh.priority, CallPriority.BULK)
+        ticket = self._node.make_ticket(
+            priority,
+            self._deadline,
+            self._node.state_of_route(mesh.route.decode("latin-1")),
+            mesh.objective_ms,
         )
         self._begin(
             LocalAttempt(
@@ -78,10 +81,17 @@
         return self._head.mesh.origin
 
     def _answer_lines(self, head: AnswerHead) -> bytes:  # noqa: ARG002
-        return self._node.position_line
+        return self._node.position_line + self._backlog_line()
 
     def _refusal_lines(self) -> bytes:
-        return self._node.position_line
+        return self._node.position_line + self._backlog_line()
+
+    def _backlog_line(self) -> bytes:
+        port = self._node.local_port
+        if port is None or self._head.mesh.objective_ms is None:
+            return b""
+        backlog_ms = round(port.gate.backlog_seconds * MS_PER_SECOND)
+        return b"%b: %d\r\n" % (names.BACKLOG_MS, backlog_ms)
 
     def _refuse_admission(self, kind: RefusalKind, detail: str) -> None:
         self._refuse_unwritten(kind, UnwrittenStage.ADMISSION, detail)
--- a/packages/calls/src/rhubarbhollow_calls/io_remote_attempt.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_remote_attempt.py
@@ -62,6 +62,9 @@
         if is_not_run and kind is not RefusalKind.OUTCOME_UNKNOWN:
             proof = RefusedByPeer(self._endpoint.node)
             refusal = Refusal.not_run(kind, proof, detail)
-            return AttemptFailure(refusal, CallResult.REFUSED_NOT_RUN)
+            result = CallResult.REFUSED_NOT_RUN
+            if kind is RefusalKind.QUEUE_FULL and head.backlog_ms is not None:
+                result = CallResult.BUSY
+            return AttemptFailure(refusal, result, head.backlog_ms)
         refusal = Refusal.unknown(kind, detail)
         return AttemptFailure(refusal, CallResult.BROKEN)
--- a/packages/calls/src/rhubarbhollow_calls/io_route_state.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_route_state.py
@@ -66,5 +66,3 @@
             names.IDEMPOTENT,
             b"true" if route.is_idempotent else b"false",
         )
-        if route.rank:
-            self.request_lines += b"%b: %d\r\n" % (names.RANK, route.rank)
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/placing.py
@@ -0,0 +1,119 @@
+"""Placing a call where it is expected to end first.
+
+The load that it answers: nodes of one data centre share a few
+upstreams, each sees its own calls only, and bytes to other data centres
+are dear.  So the node beside an upstream tells its backlog on each
+answer, and a call leaves its data centre only when nobody there can
+serve it in time.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from rhubarbhollow_calls.candidate_view import Eligibility
+from rhubarbhollow_calls.upstream_ranking import rank_endpoint
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Sequence
+    from random import Random
+
+    from rhubarbhollow_calls.upstream_evidence import UpstreamEvidence
+
+# comparing more candidates than this gains little and costs time
+MAX_COMPARED: Final = 4
+# how much longer calls take on an upstream that has just started
+COLD_FACTOR: Final = 2.0
+COLD_SECONDS: Final = 4.0
+
+_USABLE: Final = frozenset(
+    (
+        Eligibility.LOCAL,
+        Eligibility.REMOTE,
+        Eligibility.LOCAL_FULL,
+        Eligibility.REMOTE_FULL,
+    )
+)
+
+
+def place_call(
+    members: Sequence[UpstreamEvidence],
+    excluded: Collection[str],
+    service_seconds: float,
+    patience_seconds: float,
+    now: float,
+    random: Random,
+) -> UpstreamEvidence | None:
+    """Return the upstream for a call, or nothing.
+
+    ``service_seconds`` is what the call takes on average, and
+    ``patience_seconds`` how long it may wait and still be in time.
+    """
+    usable = [
+        evidence
+        for evidence in members
+        if evidence.endpoint.name not in excluded
+        and rank_endpoint(evidence, now) in _USABLE
+    ]
+    local = [evidence for evidence in usable if evidence.is_local]
+    remote = [evidence for evidence in usable if not evidence.is_local]
+    best = _soonest(local, service_seconds, now, random)
+    if best is not None and expected_wait(best, now) <= patience_seconds:
+        return best
+    other = _soonest(remote, service_seconds, now, random)
+    if other is not None and expected_wait(other, now) <= patience_seconds:
+        return other
+    return best or other or _last_resort(members, excluded, now)
+
+
+def expected_wait(evidence: UpstreamEvidence, now: float) -> float:
+    """Return the seconds that a call would wait for a slot."""
+    elapsed = max(0.0, now - evidence.backlog_at)
+    left = max(0.0, evidence.backlog_seconds - elapsed)
+    return left + evidence.sent_seconds
+
+
+def expected_end(
+    evidence: UpstreamEvidence, service_seconds: float, now: float
+) -> float:
+    """Return the seconds until the answer, weighed by failures."""
+    service = service_seconds * evidence.slowness
+    if now < evidence.endpoint.joined_at + COLD_SECONDS:
+        service *= COLD_FACTOR
+    end = expected_wait(evidence, now) + service
+    return end * (1 + evidence.faded_failures(now))
+
+
+def _soonest(
+    candidates: Sequence[UpstreamEvidence],
+    service_seconds: float,
+    now: float,
+    random: Random,
+) -> UpstreamEvidence | None:
+    if not candidates:
+        return None
+    compared = candidates
+    if len(candidates) > MAX_COMPARED:
+        compared = random.sample(candidates, MAX_COMPARED)
+    # jitter spreads the calls of many nodes that know the same
+    return min(
+        compared,
+        key=lambda evidence: (
+            expected_end(evidence, service_seconds, now)
+            * (1 + random.random() / 8)
+        ),
+    )
+
+
+def _last_resort(
+    members: Sequence[UpstreamEvidence],
+    excluded: Collection[str],
+    now: float,
+) -> UpstreamEvidence | None:
+    """Return the one that is the least unusable, but none leaving."""
+    ranked = [
+        (rank_endpoint(evidence, now), not evidence.is_local, index)
+        for index, evidence in enumerate(members)
+        if evidence.endpoint.name not in excluded and not evidence.is_leaving
+    ]
+    return members[min(ranked)[2]] if ranked else None
--- a/packages/calls/src/rhubarbhollow_calls/slot_admission.py
+++ b/packages/calls/src/rhubarbhollow_calls/slot_admission.py
@@ -12,6 +12,8 @@
 
     QUEUE_FULL = "queue_full"
     DEADLINE = "deadline"
+    # it would start too late to meet its objective
+    TOO_LATE = "too_late"
     DRAINING = "draining"
 
 
--- a/packages/calls/src/rhubarbhollow_calls/slot_gate.py
+++ b/packages/calls/src/rhubarbhollow_calls/slot_gate.py
@@ -16,7 +16,7 @@
 )
 
 if TYPE_CHECKING:
-    from rhubarbhollow_calls.slot_ticket import Ticket
+    from rhubarbhollow_calls.slot_ticket import Lane, Ticket
     from rhubarbhollow_wire.clock import Clock
 
 # after so many interactive tickets in a row a waiting bulk one is next
@@ -24,8 +24,12 @@
 # keeps room in the queue for interactive tickets
 BULK_QUEUE_SHARE: Final = 0.75
 
+# the weight of one more call in the mean service time
+MEAN_WEIGHT: Final = 0.1
+
 _ADMITTED: Final = Admitted()
 _REFUSED_FULL: Final = Refused(SlotRefusal.QUEUE_FULL)
+_REFUSED_LATE: Final = Refused(SlotRefusal.TOO_LATE)
 _REFUSED_DEADLINE: Final = Refused(SlotRefusal.DEADLINE)
 _REFUSED_DRAINING: Final = Refused(SlotRefusal.DRAINING)
 
@@ -45,20 +49,28 @@
 class SlotGate:
     """Admit calls to the one upstream beside this node.
 
-    Interactive tickets go before bulk ones, except that a waiting bulk
-    ticket gets a slot after ``INTERACTIVE_RUN_LIMIT`` interactive ones
-    in a row. Within a priority the order is that of arrival.
+    Tickets wait in lanes, by priority, rank and objective; a lower lane
+    goes first, and within a lane the order is that of arrival.  The
+    last lane that waits gets a slot after the others were given
+    ``INTERACTIVE_RUN_LIMIT`` times its service time in a row, so that
+    no lane starves.
+
+    A ticket that would start too late to meet its objective is turned
+    away at once, so that its call can go elsewhere; one that turned out
+    to be late gives way to those that are not.
     """
 
     __slots__ = (
-        "_bulk",
         "_bulk_limit",
         "_clock",
         "_expired",
+        "_given_before_last",
         "_in_use",
-        "_interactive",
-        "_interactive_run",
         "_is_draining",
+        "_lanes",
+        "_mean_seconds",
+        "_overdue",
+        "_places",
         "_queue_limit",
         "_slots",
     )
@@ -70,10 +82,13 @@
         self._clock = clock
         self._in_use = 0
         self._is_draining = False
-        self._interactive: OrderedDict[int, Ticket] = OrderedDict()
-        self._bulk: OrderedDict[int, Ticket] = OrderedDict()
-        self._interactive_run = 0
+        self._lanes: dict[Lane, OrderedDict[int, Ticket]] = {}
+        self._places: dict[int, Lane] = {}
+        # service time given to other lanes while the last one waited
+        self._given_before_last = 0.0
+        self._mean_seconds = 0.0
         self._expired: list[Ticket] = []
+        self._overdue: list[Ticket] = []
 
     @property
     def slots(self) -> int:
@@ -88,7 +103,7 @@
     @property
     def waiting(self) -> int:
         """Return the tickets in the queue."""
-        return len(self._interactive) + len(self._bulk)
+        return len(self._places)
 
     @property
     def is_draining(self) -> bool:
@@ -100,16 +115,33 @@
         """Return whether nothing runs and nothing waits."""
         return not self._in_use and not self.waiting
 
+    @property
+    def backlog_seconds(self) -> float:
+        """Return the work that is held here, by slot.
+
+        Running calls are taken to have half of their time left.
+        """
+        running = self._in_use * self._mean_seconds / 2
+        waiting = sum(
+            ticket.service_seconds
+            for lane in self._lanes.values()
+            for ticket in lane.values()
+        )
+        return (running + waiting) / max(1, self._slots)
+
     def admit(self, ticket: Ticket) -> Admission:
         """Give the ticket a slot, a place in the queue, or neither."""
         if self._is_draining:
             return _REFUSED_DRAINING
-        if self._clock.monotonic() >= ticket.deadline:
+        now = self._clock.monotonic()
+        if now >= ticket.deadline:
             return _REFUSED_DEADLINE
         if self._in_use < self._slots:
             # a free slot means that no live ticket waits
-            self._in_use += 1
+            self._take_slot(ticket)
             return _ADMITTED
+        if now + self._expected_wait(ticket) > ticket.start_by:
+            return _REFUSED_LATE
         return self._enqueue(ticket)
 
     def release(self) -> Ticket | None:
@@ -121,9 +153,11 @@
 
     def cancel(self, call_id: int) -> bool:
         """Remove a waiting ticket; return whether it was waiting."""
-        if self._interactive.pop(call_id, None) is not None:
-            return True
-        return self._bulk.pop(call_id, None) is not None
+        lane = self._places.pop(call_id, None)
+        if lane is None:
+            return False
+        self._drop(lane, call_id)
+        return True
 
     def resize(self, slots: int) -> tuple[Ticket, ...]:
         """Change the slots; return the tickets that got a new one.
@@ -143,9 +177,13 @@
 
     def take_waiting(self) -> tuple[Ticket, ...]:
         """Empty the queue; return the tickets that were in it."""
-        waiting = (*self._interactive.values(), *self._bulk.values())
-        self._interactive.clear()
-        self._bulk.clear()
+        waiting = tuple(
+            ticket
+            for lane in sorted(self._lanes)
+            for ticket in self._lanes[lane].values()
+        )
+        self._lanes.clear()
+        self._places.clear()
         return waiting
 
     def take_expired(self) -> tuple[Ticket, ...]:
@@ -154,44 +192,90 @@
         self._expired.clear()
         return expired
 
+    def take_overdue(self) -> tuple[Ticket, ...]:
+        """Return the tickets that gave way as late, once."""
+        overdue = tuple(self._overdue)
+        self._overdue.clear()
+        return overdue
+
+    def _expected_wait(self, ticket: Ticket) -> float:
+        """Return the seconds until a slot is free for the ticket."""
+        ahead = sum(
+            waiting.service_seconds
+            for lane, queue in self._lanes.items()
+            if lane <= ticket.lane
+            for waiting in queue.values()
+        )
+        return (ahead + self._mean_seconds) / max(1, self._slots)
+
     def _enqueue(self, ticket: Ticket) -> Admission:
         if self.waiting >= self._queue_limit:
             return _REFUSED_FULL
         is_bulk = ticket.priority is CallPriority.BULK
-        if is_bulk and len(self._bulk) >= self._bulk_limit:
+        if is_bulk and self._bulk_waiting() >= self._bulk_limit:
             return _REFUSED_FULL
-        queue = self._bulk if is_bulk else self._interactive
-        if ticket.call_id in self._interactive or ticket.call_id in self._bulk:
+        if ticket.call_id in self._places:
             raise RepeatedTicket(ticket.call_id)
-        queue[ticket.call_id] = ticket
+        lane = ticket.lane
+        self._lanes.setdefault(lane, OrderedDict())[ticket.call_id] = ticket
+        self._places[ticket.call_id] = lane
         return Queued(self.waiting)
 
+    def _bulk_waiting(self) -> int:
+        return sum(
+            len(queue)
+            for lane, queue in self._lanes.items()
+            if lane[0] == CallPriority.BULK
+        )
+
     def _maybe_hand_over(self) -> Ticket | None:
         if self._in_use >= self._slots:
             return None
         now = self._clock.monotonic()
         while (ticket := self._maybe_pop()) is not None:
-            if now < ticket.deadline:
+            if now >= ticket.deadline:
+                self._expired.append(ticket)
+            elif now > ticket.start_by and self.waiting:
+                self._overdue.append(ticket)
+            else:
                 self._note_turn(ticket)
-                self._in_use += 1
+                self._take_slot(ticket)
                 return ticket
-            self._expired.append(ticket)
         self._check_idle()
         return None
 
     def _maybe_pop(self) -> Ticket | None:
-        is_bulk_turn = self._interactive_run >= INTERACTIVE_RUN_LIMIT
-        if self._bulk and (is_bulk_turn or not self._interactive):
-            return self._bulk.popitem(last=False)[1]
-        if self._interactive:
-            return self._interactive.popitem(last=False)[1]
-        return None
+        if not self._lanes:
+            return None
+        lane = self._next_lane()
+        call_id = next(iter(self._lanes[lane]))
+        del self._places[call_id]
+        return self._drop(lane, call_id)
+
+    def _next_lane(self) -> Lane:
+        first, last = min(self._lanes), max(self._lanes)
+        head = next(iter(self._lanes[last].values()))
+        limit = INTERACTIVE_RUN_LIMIT * head.cost
+        return last if self._given_before_last >= limit else first
+
+    def _drop(self, lane: Lane, call_id: int) -> Ticket:
+        queue = self._lanes[lane]
+        ticket = queue.pop(call_id)
+        if not queue:
+            del self._lanes[lane]
+        return ticket
 
     def _note_turn(self, ticket: Ticket) -> None:
-        if ticket.priority is CallPriority.BULK or not self._bulk:
-            self._interactive_run = 0
+        is_last = not any(lane > ticket.lane for lane in self._lanes)
+        if is_last:
+            self._given_before_last = 0.0
         else:
-            self._interactive_run += 1
+            self._given_before_last += ticket.cost
+
+    def _take_slot(self, ticket: Ticket) -> None:
+        self._in_use += 1
+        seconds = ticket.service_seconds
+        self._mean_seconds += MEAN_WEIGHT * (seconds - self._mean_seconds)
 
     def _check_idle(self) -> None:
         if self._in_use < self._slots and self.waiting:
--- a/packages/calls/src/rhubarbhollow_calls/upstream_book.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_book.py
@@ -7,7 +7,9 @@
 from rhubarbhollow_calls.call_result import CallResult
 from rhubarbhollow_calls.candidate_view import CandidateView, Eligibility
 from rhubarbhollow_calls.invariant import InvariantViolation
+from rhubarbhollow_calls.placing import place_call
 from rhubarbhollow_calls.service_evidence import ServiceEvidence
+from rhubarbhollow_calls.service_times import ServiceTimes
 from rhubarbhollow_calls.upstream_evidence import UpstreamEvidence
 from rhubarbhollow_calls.upstream_ranking import (
     best_ranked,
@@ -19,6 +21,7 @@
     from collections.abc import Collection, Sequence
     from random import Random
 
+    from rhubarbhollow_calls.call_kind import CallKind
     from rhubarbhollow_calls.endpoint import Endpoint
     from rhubarbhollow_calls.endpoint_table import EndpointTable
     from rhubarbhollow_wire.clock import Clock
@@ -31,6 +34,8 @@
 MAX_EJECTION_DOUBLINGS: Final = 5
 # a local endpoint this much slower than a remote one counts as full
 SPILL_RATIO: Final = 2.0
+# share of the objective that is left to the work itself
+WORK_SHARE: Final = 0.4
 EXPLORED_SHARE: Final = 0.01
 BASE_REFUSAL_SECONDS: Final = 0.01
 MAX_REFUSAL_DOUBLINGS: Final = 2
@@ -60,6 +65,7 @@
         self._departed: dict[str, UpstreamEvidence] = {}
         self._by_service: dict[str, ServiceEvidence] = {}
         self._version = 0
+        self._times = ServiceTimes()
 
     @property
     def version(self) -> int:
@@ -93,13 +99,22 @@
             members.bound_ejections(now)
 
     def choose(
-        self, service: str, excluded: Collection[str]
+        self,
+        service: str,
+        excluded: Collection[str],
+        kind: CallKind | None = None,
     ) -> Endpoint | None:
-        """Return the upstream for a call, or nothing."""
+        """Return the upstream for a call, or nothing.
+
+        With a ``kind`` the expected end of the call decides, as told by
+        the nodes' backlogs; without one, calls in flight and latency.
+        """
         members = self._by_service.get(service)
         if members is None:
             return None
         now = self._clock.monotonic()
+        if kind is not None:
+            return self._place(members, excluded, kind, now)
         chosen = self._maybe_choose(members, excluded, now)
         if chosen is None:
             return None
@@ -111,14 +126,29 @@
                 return remote.endpoint
         return chosen.endpoint
 
-    def started(self, endpoint_name: str) -> None:
+    def started(self, endpoint_name: str, route: str = "") -> None:
         """Count a call as in flight on a chosen endpoint."""
-        self._evidence(endpoint_name).in_flight += 1
+        evidence = self._evidence(endpoint_name)
+        evidence.in_flight += 1
+        seconds = self._times.expect(route.encode(), None)
+        evidence.sent_seconds += seconds / max(1, evidence.endpoint.slots)
+
+    def report_backlog(self, endpoint_name: str, seconds: float) -> None:
+        """Note the work by slot at the node beside an endpoint."""
+        evidence = self._by_name.get(endpoint_name)
+        if evidence is not None:
+            evidence.observe_backlog(seconds, self._clock.monotonic())
 
     def finished(
-        self, endpoint_name: str, result: CallResult, latency_seconds: float
+        self,
+        endpoint_name: str,
+        result: CallResult,
+        latency_seconds: float,
+        route: str = "",
     ) -> None:
         """Take the end of a started call as evidence."""
+        if result is CallResult.ANSWERED:
+            self._note_time(endpoint_name, latency_seconds, route)
         evidence = self._evidence(endpoint_name)
         if evidence.in_flight <= 0:
             raise UnstartedCall(endpoint_name)
@@ -157,6 +187,32 @@
         evidence.replace(endpoint)
         return evidence
 
+    def _place(
+        self,
+        members: ServiceEvidence,
+        excluded: Collection[str],
+        kind: CallKind,
+        now: float,
+    ) -> Endpoint | None:
+        seconds = self._times.expect(
+            kind.route.encode(), kind.objective_seconds
+        )
+        # not the average, which holds the waits of a busy time
+        work = kind.objective_seconds * WORK_SHARE
+        patience = max(0.0, kind.left_seconds - work)
+        chosen = place_call(
+            members.all, excluded, seconds, patience, now, self._random
+        )
+        return None if chosen is None else chosen.endpoint
+
+    def _note_time(self, name: str, seconds: float, route: str) -> None:
+        evidence = self._by_name.get(name)
+        key = route.encode()
+        usual = self._times.known(key)
+        self._times.note(key, seconds)
+        if evidence is not None and usual:
+            evidence.observe_slowness(seconds / usual)
+
     def _evidence(self, name: str) -> UpstreamEvidence:
         evidence = self._by_name.get(name) or self._departed.get(name)
         if evidence is None:
@@ -234,6 +290,9 @@
                 self._learn_answer(evidence, seconds, now)
             case CallResult.REFUSED_NOT_RUN:
                 self._learn_refusal(evidence, now)
+            case CallResult.BUSY:
+                # says nothing against calls that are shorter
+                pass
             case CallResult.CANCELLED:
                 self._learn_cancellation(evidence, seconds, now)
             case CallResult.UPSTREAM_ERROR:
--- a/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
@@ -13,6 +13,8 @@
 LATENCY_WEIGHT: Final = 0.2
 # evidence counts half after this without a call, so that an endpoint
 # that was slow or failed once is tried again
+# one call that took unusually long says no more than this
+MAX_SLOWNESS: Final = 8.0
 EVIDENCE_MEMORY_SECONDS: Final = 5.0
 SLOW_START_SECONDS: Final = 10.0
 MIN_SLOW_START_SHARE: Final = 0.1
@@ -22,6 +24,8 @@
     """Hold the counters of one endpoint; its book changes them."""
 
     __slots__ = (
+        "backlog_at",
+        "backlog_seconds",
         "consecutive_failures",
         "ejected_until",
         "ejections",
@@ -35,7 +39,9 @@
         "refusals",
         "refusing_until",
         "reported_load",
+        "sent_seconds",
         "slow_start_at",
+        "slowness",
         "stale_in_flight",
     )
 
@@ -72,6 +78,13 @@
         """Forget all but the calls in flight."""
         self.latency_seconds: float | None = None
         self.latency_at = 0.0
+        # the work by slot that the node beside it told of, when it did,
+        # and what was sent there since
+        self.backlog_seconds = 0.0
+        self.backlog_at = 0.0
+        self.sent_seconds = 0.0
+        # how much longer calls take here than elsewhere, 1 for alike
+        self.slowness = 1.0
         self.consecutive_failures = 0
         self.failed_at = 0.0
         self.refusals = 0
@@ -117,6 +130,17 @@
         if known is not None and seconds > known:
             self.observe_latency(seconds, now)
 
+    def observe_backlog(self, seconds: float, now: float) -> None:
+        """Take over what the node beside the upstream holds."""
+        self.backlog_seconds = seconds
+        self.backlog_at = now
+        self.sent_seconds = 0.0
+
+    def observe_slowness(self, ratio: float) -> None:
+        """Mix in one call's time over that of its route."""
+        bounded = min(max(ratio, 1 / MAX_SLOWNESS), MAX_SLOWNESS)
+        self.slowness += LATENCY_WEIGHT * (bounded - self.slowness)
+
     def faded_latency(self, now: float) -> float | None:
         """Return the latency, less by the time without evidence."""
         if self.latency_seconds is None:
--- a/packages/calls/tests/test_io_failures.py
+++ b/packages/calls/tests/test_io_failures.py
@@ -80,7 +80,7 @@
     def _prefer_b(self, book):
         choose = book.choose
 
-        def choose_b_first(service, excluded):
+        def choose_b_first(service, excluded, kind=None):
             if "desk-b" not in excluded:
                 return self.mesh.endpoints["desk-b"]
             return choose(service, excluded)
@@ -299,7 +299,7 @@
                 upstream._script = killer(upstream)
                 client = await mesh.client(name)
                 mesh.nodes[name].node.book.choose = (
-                    lambda service, excluded, name=name: (
+                    lambda service, excluded, kind=None, name=name: (
                         None if excluded else mesh.endpoints[f"desk-{name}"]
                     )
                 )
@@ -421,12 +421,12 @@
         async with Setup(ONCE, other, only_b=True) as setup:
             node = setup.mesh.nodes["a"].node
             choose = node.book.choose
-            node.book.choose = lambda service, excluded: (
+            node.book.choose = lambda service, excluded, kind=None: (
                 None if service == "none" else choose(service, excluded)
             )
             client = await setup.mesh.client("a")
             assert (await client.get("/x")).body == b"GET /x "
-            node.book.choose = lambda service, excluded: None
+            node.book.choose = lambda service, excluded, kind=None: None
             answer = await client.get("/x")
             assert answer.headers["rhubarbhollow-refusal"] == "no_upstream"
             assert answer.headers["rhubarbhollow-executed"] == "no"
--- /dev/null
+++ b/packages/calls/tests/test_slot_lanes.py
@@ -0,0 +1,166 @@
+"""The slot gate under more work than its slots can do.
+
+The load is that of one upstream on a busy day: urgent orders, lookups
+that others wait for, and long histories.
+"""
+
+import heapq
+from collections import Counter
+from random import Random
+
+import pytest
+
+from rhubarbhollow_calls.call_priority import CallPriority
+from rhubarbhollow_calls.slot_admission import (
+    Admitted,
+    Queued,
+    Refused,
+    SlotRefusal,
+)
+from rhubarbhollow_calls.slot_gate import SlotGate
+from rhubarbhollow_calls.slot_ticket import Ticket
+from rhubarbhollow_wire.clock import ManualClock
+
+SLOTS = 9
+# name: rank, objective in ms, work in seconds
+KINDS = {
+    "order": (0, 300, 0.11),
+    "lookup": (2, 150, 0.04),
+    "history": (2, 2000, 0.64),
+}
+
+
+def ticket(kind, call_id, now, deadline_seconds=5.0):
+    rank, objective_ms, seconds = KINDS[kind]
+    return Ticket(
+        CallPriority.BULK if rank >= 2 else CallPriority.INTERACTIVE,
+        now + deadline_seconds,
+        call_id,
+        rank=rank,
+        objective_ms=objective_ms,
+        service_seconds=seconds,
+        start_by=now + objective_ms / 1000 - seconds,
+    )
+
+
+def fill(gate, clock, kind="history"):
+    for call_id in range(SLOTS):
+        admitted = gate.admit(ticket(kind, call_id, clock.monotonic()))
+        assert isinstance(admitted, Admitted)
+
+
+def test_a_call_that_cannot_be_in_time_is_turned_away_at_once():
+    clock = ManualClock()
+    gate = SlotGate(SLOTS, 64, clock)
+    fill(gate, clock)
+    outcomes = [
+        gate.admit(ticket("history", 100 + n, clock.monotonic()))
+        for n in range(64)
+    ]
+    refused = [one for one in outcomes if isinstance(one, Refused)]
+    assert refused
+    assert {one.reason for one in refused} == {SlotRefusal.TOO_LATE}
+    # what waits can start within 1.36 s, at 0.64 s a call and 9 slots
+    assert gate.waiting <= (2.0 - 0.64) * SLOTS / 0.64 + 1
+
+
+def test_short_urgent_calls_wait_for_none_of_the_long_ones():
+    clock = ManualClock()
+    gate = SlotGate(SLOTS, 64, clock)
+    fill(gate, clock)
+    for n, kind in enumerate(("history", "history", "lookup", "order")):
+        gate.admit(ticket(kind, 200 + n, clock.monotonic()))
+    order = [gate.release().call_id for _ in range(4)]
+    assert order == [203, 202, 200, 201]
+
+
+def test_a_call_that_turned_late_gives_way():
+    clock = ManualClock()
+    gate = SlotGate(SLOTS, 64, clock)
+    fill(gate, clock)
+    gate.admit(ticket("lookup", 300, clock.monotonic()))
+    clock.advance(0.2)
+    gate.admit(ticket("history", 301, clock.monotonic()))
+    assert gate.release().call_id == 301
+    assert [one.call_id for one in gate.take_overdue()] == [300]
+
+
+def test_the_only_call_that_waits_is_served_though_late():
+    clock = ManualClock()
+    gate = SlotGate(SLOTS, 64, clock)
+    fill(gate, clock)
+    gate.admit(ticket("lookup", 300, clock.monotonic()))
+    clock.advance(0.2)
+    assert gate.release().call_id == 300
+
+
+def play(rates, seconds, seed, *, is_naive=False):
+    """Offer calls at ``rates`` a second; return what came in time.
+
+    The naive gate knows deadlines alone: one queue, first come first.
+    """
+    random = Random(seed)
+    clock = ManualClock()
+    gate = SlotGate(SLOTS, 64, clock)
+    events = [
+        (random.expovariate(rate), index, "arrive", kind)
+        for index, (kind, rate) in enumerate(rates.items())
+    ]
+    heapq.heapify(events)
+    running = {}
+    arrived, in_time = Counter(), Counter()
+    serial = len(events)
+    while events:
+        at, _, what, kind = heapq.heappop(events)
+        if at > seconds:
+            break
+        clock.advance(at - clock.monotonic())
+        serial += 1
+        if what == "arrive":
+            arrived[kind] += 1
+            one = ticket(kind, serial, at)
+            if is_naive:
+                one = Ticket(CallPriority.BULK, one.deadline, serial)
+            running[serial] = (kind, at)
+            started = one if isinstance(gate.admit(one), Admitted) else None
+            gap = random.expovariate(rates[kind])
+            heapq.heappush(events, (at + gap, serial, "arrive", kind))
+        else:
+            started = gate.release()
+        gate.take_overdue()
+        if started is None:
+            continue
+        kind, since = running.pop(started.call_id)
+        end = at + KINDS[kind][2] * random.expovariate(1)
+        in_time[kind] += end - since <= KINDS[kind][1] / 1000
+        heapq.heappush(events, (end, serial, "end", kind))
+    return {kind: in_time[kind] / arrived[kind] for kind in arrived}
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_overload_is_borne_by_the_long_calls(seed):
+    # 2.2 + 3.2 + 9.0 slots of work for 9 slots
+    rates = {"order": 20, "lookup": 80, "history": 14}
+    share = play(rates, 200, seed)
+    naive = play(rates, 200, seed, is_naive=True)
+    assert share["order"] > 2 * naive["order"]
+    assert share["lookup"] > 2 * naive["lookup"]
+    # it still gets its turn, in the slots that are left
+    assert share["history"] >= max(0.25, naive["history"])
+
+
+def test_long_calls_are_not_starved_by_a_flood_of_urgent_ones():
+    share = play({"order": 200, "history": 4}, 100, 1)
+    assert share["history"] > 0.05
+
+
+def test_backlog_is_the_work_by_slot():
+    clock = ManualClock()
+    gate = SlotGate(SLOTS, 64, clock)
+    assert gate.backlog_seconds == 0
+    fill(gate, clock)
+    before = gate.backlog_seconds
+    queued = gate.admit(ticket("history", 50, clock.monotonic()))
+    assert isinstance(queued, Queued)
+    added = gate.backlog_seconds - before
+    assert added == pytest.approx(0.64 / SLOTS)
--- a/packages/daemon/src/rhubarbhollow_daemon/route_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/route_building.py
@@ -60,6 +60,17 @@
         priority=_priority(route.priority),
         is_idempotent=route.is_idempotent,
         fallbacks=tuple(_follow_fallbacks(route.service, services)),
+        splits=tuple(
+            (split.service, split.weight)
+            for split in route.splits
+            if split.weight > 0
+        ),
+        rank=route.rank or 0,
+        latency_seconds=(
+            None
+            if route.latency_ms is None
+            else route.latency_ms / MS_PER_SECOND
+        ),
     )
 
 
--- a/packages/daemon/src/rhubarbhollow_daemon/settings_control.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/settings_control.py
@@ -18,7 +18,8 @@
     bounds how long a slow or cut-off node delays an activation.
     ``may_form`` lets empty stores of all members start a new history.
     ``wanted_voters`` is the size that the group is kept at, 0 that of
-    ``members``.  ``keeps_claims`` runs the log of non-idempotent requests with keys.
+    ``members``.  ``keeps_claims`` runs the log of non-idempotent
+    requests with keys.
     """
 
     data_folder: Path
