Log each failed attempt and refusal with its id, and try an early failure elsewhere

Cause: on-call engineers have logs and metrics alone, and the log had no line for a request. An upstream that fails some of its requests (srv_grey) looks healthy, and its 5xx of an idempotent request ended the call. An early 5xx of an idempotent route with an objective goes to another upstream, within the budget; the share of failures weighs in placing.

--- a/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
@@ -9,6 +9,7 @@
 from rhubarbhollow_calls.call_kind import CallKind
 from rhubarbhollow_calls.call_result import CallResult
 from rhubarbhollow_calls.deadline import Deadline, format_deadline
+from rhubarbhollow_calls.io_attempt import AttemptFailure
 from rhubarbhollow_calls.io_exchange import Exchange
 from rhubarbhollow_calls.io_fingerprint import fingerprint_request
 from rhubarbhollow_calls.io_local_attempt import LocalAttempt
@@ -25,7 +26,7 @@
     from rhubarbhollow_calls.endpoint import Endpoint
     from rhubarbhollow_calls.http_answer_head import AnswerHead
     from rhubarbhollow_calls.http_request_head import RequestHead
-    from rhubarbhollow_calls.io_attempt import Attempt, AttemptFailure
+    from rhubarbhollow_calls.io_attempt import Attempt
     from rhubarbhollow_calls.io_listener import ListenerConnection
     from rhubarbhollow_calls.io_node import CallNode
     from rhubarbhollow_calls.io_route_state import RouteState
@@ -34,6 +35,10 @@
 CUT_ANSWER_DELAY_SECONDS: Final = 0.1
 MS_PER_SECOND: Final = 1000
 _ERROR_STATUS: Final = 500
+# failures that another upstream may not have
+_FAILED_STATUSES: Final = frozenset((500, 502, 503))
+# share of the objective that has to be left for another attempt
+EARLY_SHARE: Final = 0.5
 # refusals of a node: the upstream beside it has not seen the request
 _UNOFFERED_KINDS: Final = frozenset(
     (
@@ -181,6 +186,40 @@
         name = route.name.encode()
         return LocalAttempt(self, self._head, self._body, port, ticket, name)
 
+    def answer_started(self, head: AnswerHead) -> None:
+        """Take an answer, unless it is one to make another attempt for.
+
+        An upstream that fails some of its requests looks healthy, so an
+        early failure of an idempotent request is tried elsewhere.
+        """
+        if not self._is_worth_another(head):
+            super().answer_started(head)
+            return
+        failure = AttemptFailure(
+            Refusal.unknown(
+                RefusalKind.OUTCOME_UNKNOWN, f"status {head.status}"
+            ),
+            CallResult.UPSTREAM_ERROR,
+            head.backlog_ms,
+        )
+        attempt, self._attempt = self._attempt, None
+        if attempt is not None:
+            attempt.cancel()
+        self.attempt_failed(failure)
+
+    def _is_worth_another(self, head: AnswerHead) -> bool:
+        kind = self._kind()
+        if head.status not in _FAILED_STATUSES or kind is None:
+            return False
+        if not self._state.route.is_idempotent or not self._body.is_whole:
+            return False
+        if not self._body.is_kept or self._attempts_made > 0:
+            return False
+        # a slow failure is that of something the upstream waited for
+        is_early = kind.left_seconds > EARLY_SHARE * kind.objective_seconds
+        attempts = self._state.route.attempts
+        return is_early and attempts > 1 and self._state.budget.balance >= 1
+
     def _follow_up(self, failure: AttemptFailure) -> None:
         self._failure = failure
         is_offered = failure.refusal.kind not in _UNOFFERED_KINDS
@@ -193,7 +232,11 @@
         if failure.refusal.kind is RefusalKind.QUARANTINED:
             self._refuse(failure.refusal)
             return
-        match decide_retry(self._view(failure, is_offered=is_offered)):
+        decision = decide_retry(self._view(failure, is_offered=is_offered))
+        self._node.observer.attempt_failed(
+            self._state, self._upstream, self._request_id, failure, decision
+        )
+        match decision:
             case Retry(excluded):
                 self._tried = excluded
                 self._state.counters.retries += 1
--- a/packages/calls/src/rhubarbhollow_calls/io_observer.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_observer.py
@@ -5,14 +5,16 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    from rhubarbhollow_calls.io_attempt import AttemptFailure
     from rhubarbhollow_calls.io_route_state import RouteState
     from rhubarbhollow_calls.refusal import Refusal
+    from rhubarbhollow_calls.retry_decision import RetryDecision
 
 
 class CallObserver(Protocol):
     """Count calls and remember refusals; called once a call at most.
 
-    Both methods run on the path of the call and must be short.
+    Its methods run on the path of the call and must be short.
     """
 
     def call_answered(
@@ -37,6 +39,17 @@
         """Hear of a refusal; ``upstream`` may be empty."""
         ...
 
+    def attempt_failed(
+        self,
+        state: RouteState,
+        upstream: str,
+        request_id: bytes,
+        failure: AttemptFailure,
+        decision: RetryDecision,
+    ) -> None:
+        """Hear of an attempt that failed, and what follows it."""
+        ...
+
     def call_aborted(self, state: RouteState, upstream: str) -> None:
         """Hear of an answer that was cut short."""
         ...
@@ -65,5 +78,15 @@
     ) -> None:
         """Do nothing."""
 
+    def attempt_failed(
+        self,
+        state: RouteState,
+        upstream: str,
+        request_id: bytes,
+        failure: AttemptFailure,
+        decision: RetryDecision,
+    ) -> None:
+        """Do nothing."""
+
     def call_aborted(self, state: RouteState, upstream: str) -> None:
         """Do nothing."""
--- a/packages/calls/src/rhubarbhollow_calls/placing.py
+++ b/packages/calls/src/rhubarbhollow_calls/placing.py
@@ -26,6 +26,11 @@
 COLD_FACTOR: Final = 2.0
 COLD_SECONDS: Final = 4.0
 
+# an upstream that fails half of its calls counts as eight times as slow
+FAILURE_POWER: Final = 3
+# bounds the factor for one that fails nearly all
+MIN_SUCCEEDING: Final = 0.1
+
 _USABLE: Final = frozenset(
     (
         Eligibility.LOCAL,
@@ -81,7 +86,8 @@
     if now < evidence.endpoint.joined_at + COLD_SECONDS:
         service *= COLD_FACTOR
     end = expected_wait(evidence, now) + service
-    return end * (1 + evidence.faded_failures(now))
+    succeeding = max(MIN_SUCCEEDING, 1 - evidence.failure_share)
+    return end / succeeding**FAILURE_POWER
 
 
 def _soonest(
--- a/packages/calls/src/rhubarbhollow_calls/upstream_book.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_book.py
@@ -41,6 +41,16 @@
 MAX_REFUSAL_DOUBLINGS: Final = 2
 
 
+_FAILURES: Final = frozenset(
+    (
+        CallResult.UPSTREAM_ERROR,
+        CallResult.REFUSED_NOT_RUN,
+        CallResult.BROKEN,
+        CallResult.UNREACHABLE,
+    )
+)
+
+
 class UnstartedCall(InvariantViolation):
     """A call was finished on an endpoint that had none in flight."""
 
@@ -149,6 +159,7 @@
         """Take the end of a started call as evidence."""
         if result is CallResult.ANSWERED:
             self._note_time(endpoint_name, latency_seconds, route)
+        self._note_end(endpoint_name, result)
         evidence = self._evidence(endpoint_name)
         if evidence.in_flight <= 0:
             raise UnstartedCall(endpoint_name)
@@ -205,6 +216,15 @@
         )
         return None if chosen is None else chosen.endpoint
 
+    def _note_end(self, name: str, result: CallResult) -> None:
+        evidence = self._by_name.get(name)
+        if evidence is None:
+            return
+        if result is CallResult.ANSWERED:
+            evidence.observe_end(is_failure=False)
+        elif result in _FAILURES:
+            evidence.observe_end(is_failure=True)
+
     def _note_time(self, name: str, seconds: float, route: str) -> None:
         evidence = self._by_name.get(name)
         key = route.encode()
--- a/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
@@ -13,6 +13,8 @@
 LATENCY_WEIGHT: Final = 0.2
 # evidence counts half after this without a call, so that an endpoint
 # that was slow or failed once is tried again
+# ten calls make up most of the share
+FAILURE_WEIGHT: Final = 0.1
 # one call that took unusually long says no more than this
 MAX_SLOWNESS: Final = 8.0
 EVIDENCE_MEMORY_SECONDS: Final = 5.0
@@ -31,6 +33,7 @@
         "ejections",
         "endpoint",
         "failed_at",
+        "failure_share",
         "in_flight",
         "is_local",
         "is_on_trial",
@@ -85,6 +88,8 @@
         self.sent_seconds = 0.0
         # how much longer calls take here than elsewhere, 1 for alike
         self.slowness = 1.0
+        # the share of recent calls that failed or were shed
+        self.failure_share = 0.0
         self.consecutive_failures = 0
         self.failed_at = 0.0
         self.refusals = 0
@@ -136,6 +141,12 @@
         self.backlog_at = now
         self.sent_seconds = 0.0
 
+    def observe_end(self, *, is_failure: bool) -> None:
+        """Mix one call's end into the share of failures."""
+        self.failure_share += FAILURE_WEIGHT * (
+            is_failure - self.failure_share
+        )
+
     def observe_slowness(self, ratio: float) -> None:
         """Mix in one call's time over that of its route."""
         bounded = min(max(ratio, 1 / MAX_SLOWNESS), MAX_SLOWNESS)
--- a/packages/calls/tests/test_io_failures.py
+++ b/packages/calls/tests/test_io_failures.py
@@ -123,6 +123,29 @@
     run(main())
 
 
+@pytest.mark.parametrize("entry", ["a", "b", "c"])
+@pytest.mark.parametrize(
+    ("route", "status", "runs"),
+    [
+        (replace(IDEMPOTENT, latency_seconds=2.0), 200, 1),
+        (replace(ONCE, latency_seconds=2.0), 503, 0),
+        (replace(IDEMPOTENT, latency_seconds=2.0, attempts=1), 503, 0),
+    ],
+)
+def test_an_early_failure_of_an_idempotent_call_is_tried_elsewhere(
+    entry, route, status, runs
+):
+    async def main():
+        async with Setup(route, script=fail) as setup:
+            client = await setup.mesh.client(entry)
+            answer = await client.ask("GET", "/", b"")
+            assert answer.status == status
+            assert len(setup.bad.requests) == 1
+            assert len(setup.good.requests) == runs
+
+    run(main())
+
+
 @pytest.mark.parametrize("entry", ["a", "b"])
 @pytest.mark.parametrize(
     ("script", "route", "kind", "executed"),
--- a/packages/daemon/src/rhubarbhollow_daemon/call_observer.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/call_observer.py
@@ -5,14 +5,18 @@
 from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_calls.refusal import RefusalKind
+from rhubarbhollow_calls.retry_decision import GiveUp, Retry
 from rhubarbhollow_daemon.burn_ledger import BurnKey
 from rhubarbhollow_daemon.call_log import RefusedCall
 
 if TYPE_CHECKING:
+    from rhubarbhollow_calls.io_attempt import AttemptFailure
     from rhubarbhollow_calls.io_route_state import RouteState
     from rhubarbhollow_calls.refusal import Refusal
+    from rhubarbhollow_calls.retry_decision import RetryDecision
     from rhubarbhollow_daemon.burn_ledger import BurnLedger
     from rhubarbhollow_daemon.call_log import CallLog
+    from rhubarbhollow_daemon.decision_log import DecisionLog
     from rhubarbhollow_wire.clock import Clock
 
 CALLER_FAULTS: Final = frozenset(
@@ -26,9 +30,16 @@
 
 
 class NodeCallObserver:
-    """Count calls for the burn report and remember refusals."""
+    """Count calls for the burn report; log and remember refusals."""
 
-    def __init__(self, burn: BurnLedger, log: CallLog, clock: Clock) -> None:
+    def __init__(
+        self,
+        burn: BurnLedger,
+        log: CallLog,
+        clock: Clock,
+        decisions: DecisionLog,
+    ) -> None:
+        self._decisions = decisions
         self._burn = burn
         self._log = log
         self._clock = clock
@@ -59,6 +70,17 @@
         """
         if refusal.kind not in CALLER_FAULTS:
             self._burn.count_failure(_key(state, upstream))
+        self._decisions.write(
+            "call_refused",
+            request_id=request_id.decode("latin-1"),
+            route=state.route.name,
+            position=state.position,
+            upstream=upstream,
+            attempts=attempts,
+            refusal=refusal.kind.value,
+            executed=refusal.executed.value,
+            detail=refusal.detail,
+        )
         self._log.add(
             request_id,
             RefusedCall(
@@ -73,11 +95,41 @@
             ),
         )
 
+    def attempt_failed(
+        self,
+        state: RouteState,
+        upstream: str,
+        request_id: bytes,
+        failure: AttemptFailure,
+        decision: RetryDecision,
+    ) -> None:
+        """Log a failed attempt with what follows it."""
+        self._decisions.write(
+            "attempt_failed",
+            request_id=request_id.decode("latin-1"),
+            route=state.route.name,
+            position=state.position,
+            upstream=upstream,
+            refusal=failure.refusal.kind.value,
+            executed=failure.refusal.executed.value,
+            detail=failure.refusal.detail,
+            backlog_ms=failure.backlog_ms,
+            decision=_name_of(decision),
+        )
+
     def call_aborted(self, state: RouteState, upstream: str) -> None:
         """Count an answer that was cut short."""
         self._burn.count_failure(_key(state, upstream))
 
 
+def _name_of(decision: RetryDecision) -> str:
+    match decision:
+        case GiveUp(reason):
+            return f"give_up:{reason.value}"
+        case Retry():
+            return "retry"
+
+
 def _key(state: RouteState, upstream: str) -> BurnKey:
     route = state.route
     return BurnKey(route.service, route.name, upstream, state.position)
--- a/packages/daemon/src/rhubarbhollow_daemon/logs.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/logs.py
@@ -4,19 +4,21 @@
 
 import logging
 import sys
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, cast
 
 import structlog
 
 if TYPE_CHECKING:
     from typing import TextIO
 
+    from rhubarbhollow_daemon.log_output import NonBlockingOutput
+
 
 def configure_logs(
     level: str,
     instance: str,
     data_centre: str,
-    output: TextIO | None = None,
+    output: TextIO | NonBlockingOutput | None = None,
 ) -> None:
     """Write events of ``level`` and above to ``output``.
 
@@ -36,7 +38,9 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()],
         ),
-        logger_factory=structlog.WriteLoggerFactory(file=output or sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(
+            file=cast("TextIO", output or sys.stderr)
+        ),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(
--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -13,6 +13,7 @@
 from rhubarbhollow_daemon.call_log import CallLog
 from rhubarbhollow_daemon.call_observer import NodeCallObserver
 from rhubarbhollow_daemon.claim_client import ClaimClient
+from rhubarbhollow_daemon.decision_log import DecisionLog
 from rhubarbhollow_daemon.endpoint_view import EndpointView
 from rhubarbhollow_daemon.local_upstreams import LocalUpstreams
 from rhubarbhollow_daemon.node_claims import NodeClaims
@@ -98,7 +99,7 @@
         quarantine,
         outbox.put,
         claims,
-        NodeCallObserver(burn, call_log, clock),
+        NodeCallObserver(burn, call_log, clock, DecisionLog(clock)),
     )
     state.attach(call_node)
     traffic = Traffic()
