--- a/packages/calls/src/rhubarbhollow_calls/endpoint.py
+++ b/packages/calls/src/rhubarbhollow_calls/endpoint.py
@@ -31,3 +31,8 @@
     state: EndpointState
     incarnation: int
     joined_at: float
+
+    @property
+    def instance(self) -> str:
+        """Return the name under which its node lists the upstream."""
+        return self.name.removeprefix(f"{self.node}/")
--- a/packages/calls/src/rhubarbhollow_calls/http_mesh_fields.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_mesh_fields.py
@@ -8,6 +8,7 @@
 from rhubarbhollow_calls import http_names as names
 from rhubarbhollow_calls.http_dialect import NATIVE_DIALECT
 from rhubarbhollow_calls.http_fault import HttpFaultError, HttpFaultKind
+from rhubarbhollow_calls.http_hop import Hop, parse_hop
 from rhubarbhollow_calls.http_integer import parse_integer
 from rhubarbhollow_calls.http_limits import MAX_REQUEST_ID_BYTES
 
@@ -56,6 +57,8 @@
         # a caller that speaks other names sets none of ours
         timeout_ms = _maybe_integer(seen, dialect.time_limit)
         return MeshFields(None, timeout_ms, 0, request_id)
+    if dialect.is_foreign:
+        return _read_hop(parse_hop(seen.get(names.HOP, b"")), request_id)
     position = _maybe_integer(seen, names.POSITION)
     timeout_ms = _maybe_integer(seen, names.TIMEOUT_MS)
     depth = _maybe_integer(seen, names.DEPTH) or 0
@@ -75,6 +78,19 @@
     )
 
 
+def _read_hop(hop: Hop, request_id: bytes | None) -> MeshFields:
+    return MeshFields(
+        position=hop.position,
+        timeout_ms=hop.timeout_ms,
+        depth=hop.depth,
+        request_id=request_id,
+        route=hop.route,
+        upstream=hop.instance,
+        origin=hop.origin,
+        objective_ms=hop.objective_ms,
+    )
+
+
 def _maybe_integer(seen: Mapping[bytes, bytes], name: bytes) -> int | None:
     value = seen.get(name)
     return None if value is None else parse_integer(name, value)
--- a/packages/calls/src/rhubarbhollow_calls/http_names.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_names.py
@@ -15,6 +15,8 @@
 UPSTREAM: Final = b"rhubarbhollow-upstream"
 ORIGIN: Final = b"rhubarbhollow-origin"
 OBJECTIVE_MS: Final = b"rhubarbhollow-objective-ms"
+# all that a node tells the next one of a call, in one field
+HOP: Final = b"rhubarbhollow-hop"
 BACKLOG_MS: Final = b"rhubarbhollow-backlog-ms"
 EXECUTED: Final = b"rhubarbhollow-executed"
 REFUSAL: Final = b"rhubarbhollow-refusal"
--- a/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
@@ -9,6 +9,7 @@
 from rhubarbhollow_calls.call_kind import CallKind
 from rhubarbhollow_calls.call_result import CallResult
 from rhubarbhollow_calls.deadline import Deadline, format_deadline
+from rhubarbhollow_calls.http_hop import Hop, encode_hop
 from rhubarbhollow_calls.io_attempt import AttemptFailure
 from rhubarbhollow_calls.io_exchange import Exchange
 from rhubarbhollow_calls.io_fingerprint import fingerprint_request
@@ -104,23 +105,38 @@
     def node_lines(self) -> bytes:
         """Return the fields for the node beside the upstream."""
         left = format_deadline(self._deadline, self._node.clock.monotonic())
-        endpoint = self._endpoint
-        lines = b"%b%b: %b\r\n%b: %d\r\n%b: %b\r\n" % (
+        objective_ms = self._objective_left_ms()
+        if self._node.dialect.is_foreign:
+            return self._encode_hop(int(left), objective_ms)
+        lines = b"%b%b: %b\r\n%b: %d\r\n%b: %b\r\n%b: %b\r\n" % (
             self._state.request_lines,
             names.TIMEOUT_MS,
             left,
             names.DEPTH,
             self._head.mesh.depth + 1,
             names.UPSTREAM,
-            b"" if endpoint is None else endpoint.name.encode(),
+            self._upstream.encode(),
+            names.REQUEST_ID,
+            self._request_id,
         )
-        objective_ms = self._objective_left_ms()
-        if objective_ms is not None:
-            lines += b"%b: %d\r\n" % (names.OBJECTIVE_MS, objective_ms)
-        if self._node.dialect.is_foreign:
-            # the caller's own field with the request's id goes on
-            return lines + b"%b: %b\r\n" % (names.ORIGIN, self._node.origin)
-        return lines + b"%b: %b\r\n" % (names.REQUEST_ID, self._request_id)
+        if objective_ms is None:
+            return lines
+        return lines + b"%b: %d\r\n" % (names.OBJECTIVE_MS, objective_ms)
+
+    def _encode_hop(self, left_ms: int, objective_ms: int | None) -> bytes:
+        endpoint = self._endpoint
+        instance = b"" if endpoint is None else endpoint.instance.encode()
+        hop = Hop(
+            self._state.position,
+            left_ms,
+            self._head.mesh.depth + 1,
+            objective_ms,
+            self._state.route.name.encode(),
+            instance,
+            self._node.origin,
+        )
+        # the caller's own field with the request's id goes on
+        return b"%b: %b\r\n" % (names.HOP, encode_hop(hop))
 
     def _try(self) -> None:
         endpoint = self._choose()
--- a/packages/calls/src/rhubarbhollow_calls/io_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_exchange.py
@@ -229,6 +229,10 @@
     def _refusal_lines(self) -> bytes:
         return b""
 
+    def _is_brief(self) -> bool:
+        """Return whether a refusal goes without its document."""
+        return False
+
     def _origin(self) -> bytes:
         """Return the service beside the node that the call came to."""
         return self._node.origin
@@ -281,6 +285,7 @@
             self._refusal_lines(),
             status=self._node.status_of(refusal),
             retry_after_seconds=self._node.retry_after(refusal),
+            is_brief=self._is_brief(),
             is_for_head=self._head.method == b"HEAD",
             is_last=self._downstream.is_last_answer(),
         )
--- a/packages/calls/src/rhubarbhollow_calls/io_peer.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_peer.py
@@ -19,6 +19,7 @@
     from rhubarbhollow_calls.http_fault import HttpFault
     from rhubarbhollow_calls.http_request_head import RequestHead
     from rhubarbhollow_calls.io_listener import ListenerConnection
+    from rhubarbhollow_calls.io_local_port import LocalPort
     from rhubarbhollow_calls.io_node import CallNode
 
 MS_PER_SECOND: Final = 1000
@@ -42,17 +43,17 @@
             )
             return
         port = self._node.local_port
-        if port is None or port.upstream_name != mesh.upstream:
+        if port is None or not self._is_for(port):
             self._refuse_admission(
                 RefusalKind.NO_UPSTREAM, "the upstream is not beside this node"
             )
             return
+        state = self._node.state_of_route(mesh.route.decode("latin-1"))
         priority = _PRIORITIES.get(mesh.priority, CallPriority.BULK)
+        if not mesh.priority and state is not None:
+            priority = state.route.priority
         ticket = self._node.make_ticket(
-            priority,
-            self._deadline,
-            self._node.state_of_route(mesh.route.decode("latin-1")),
-            mesh.objective_ms,
+            priority, self._deadline, state, mesh.objective_ms
         )
         self._begin(
             LocalAttempt(
@@ -77,6 +78,16 @@
             self._request_id,
         )
 
+    def _is_for(self, port: LocalPort) -> bool:
+        upstream = self._head.mesh.upstream
+        if self._node.dialect.is_foreign:
+            return upstream == port.upstream.instance.encode()
+        return upstream == port.upstream_name
+
+    def _is_brief(self) -> bool:
+        # a node reads the fields alone
+        return self._node.dialect.is_foreign
+
     def _origin(self) -> bytes:
         return self._head.mesh.origin
 
--- a/packages/calls/src/rhubarbhollow_calls/io_refusal_answer.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_refusal_answer.py
@@ -40,10 +40,13 @@
     *,
     status: int | None = None,
     retry_after_seconds: float | None = None,
+    is_brief: bool = False,
     is_for_head: bool = False,
     is_last: bool = False,
 ) -> bytes:
     """Return a whole answer; ``status`` overrides that of the kind."""
+    if is_brief:
+        return _encode_brief(refusal, own_lines, is_last=is_last)
     document = problem_bytes(refusal, request_id.decode("latin-1"))
     if status is not None and status != refusal.status:
         document = _with_status(document, status)
@@ -69,6 +72,20 @@
     )
 
 
+def _encode_brief(
+    refusal: Refusal, own_lines: bytes, *, is_last: bool
+) -> bytes:
+    return b"%b%b: %b\r\n%b: %b\r\ncontent-length: 0\r\n%b%b\r\n" % (
+        encode_status(refusal.status),
+        names.EXECUTED,
+        refusal.executed.header_value,
+        names.REFUSAL,
+        refusal.kind.value.encode(),
+        own_lines,
+        CLOSE_LINE if is_last else b"",
+    )
+
+
 def _with_status(document: bytes, status: int) -> bytes:
     problem = json.loads(document)
     problem["status"] = status
--- a/packages/calls/src/rhubarbhollow_calls/placing.py
+++ b/packages/calls/src/rhubarbhollow_calls/placing.py
@@ -31,6 +31,10 @@
 # bounds the factor for one that fails nearly all
 MIN_SUCCEEDING: Final = 0.1
 
+# how long a backlog in another data centre is taken to last; several
+# calls of each kind end there in that time and tell of it anew
+REMOTE_MEMORY_SECONDS: Final = 0.5
+
 _USABLE: Final = frozenset(
     (
         Eligibility.LOCAL,
@@ -66,9 +70,25 @@
     if best is not None and expected_wait(best, now) <= patience_seconds:
         return best
     other = _soonest(remote, service_seconds, now, random)
-    if other is not None and expected_wait(other, now) <= patience_seconds:
+    if other is not None and remote_wait(other, now) <= patience_seconds:
         return other
-    return best or other or _last_resort(members, excluded, now)
+    if best is not None:
+        return best
+    if excluded and other is not None:
+        # refused here and as busy there: bytes for nothing
+        return None
+    return other or _last_resort(members, excluded, now)
+
+
+def remote_wait(evidence: UpstreamEvidence, now: float) -> float:
+    """Return the wait in another data centre, without optimism.
+
+    Where a backlog was seen it is taken to last for a while: whatever
+    filled it goes on, and a refused call has cost its bytes.
+    """
+    if now < evidence.backlog_at + REMOTE_MEMORY_SECONDS:
+        return evidence.backlog_seconds + evidence.sent_seconds
+    return expected_wait(evidence, now)
 
 
 def expected_wait(evidence: UpstreamEvidence, now: float) -> float:
--- /dev/null
+++ b/packages/calls/tests/test_io_dialect.py
@@ -0,0 +1,137 @@
+"""Calls of callers and upstreams that use another system's names."""
+
+from dataclasses import replace
+
+import pytest
+from tests.standin.mesh import DEFAULT_ROUTE, Mesh, run
+from tests.standin.scripted_upstream import (
+    ScriptedUpstream,
+    encode_answer,
+)
+
+from rhubarbhollow_calls.http_dialect import Dialect
+from rhubarbhollow_calls.io_settings import CallSettings
+
+FOREIGN = Dialect(
+    request_id=b"x-id",
+    time_limit=b"x-left",
+    upstream=b"x-only",
+    origin=b"x-from",
+    not_run=b"x-untouched",
+    is_foreign=True,
+)
+SETTINGS = CallSettings(dialect=FOREIGN, origin=b"shop")
+ROUTE = replace(DEFAULT_ROUTE, latency_seconds=2.0, rank=1)
+
+
+async def answer_well(request, writer):
+    writer.write(encode_answer(b"well", f"x-id: {request.headers['x-id']}"))
+
+
+async def answer_stray_first(request, writer):
+    writer.write(encode_answer(b"stray", "x-id: another"))
+    await answer_well(request, writer)
+
+
+async def answer_without_id(request, writer):
+    writer.write(encode_answer(b"whose?"))
+
+
+async def answer_until_close(request, writer):
+    head = f"HTTP/1.1 200 OK\r\nx-id: {request.headers['x-id']}\r\n\r\n"
+    writer.write(head.encode() + b"all of it")
+    writer.close()
+
+
+async def refuse(request, writer):
+    writer.write(
+        encode_answer(b"", "x-untouched: 1", status="503 Service Unavailable")
+    )
+
+
+async def misdirect(request, writer):
+    writer.write(encode_answer(b"", status="421 Misdirected Request"))
+
+
+async def two_nodes(script, route=ROUTE, **kwargs):
+    upstream = ScriptedUpstream(script)
+    await upstream.start()
+    mesh = Mesh(route, settings=SETTINGS)
+    await mesh.add_node("a")
+    await mesh.add_node("b", upstream, **kwargs)
+    return mesh, upstream
+
+
+@pytest.mark.parametrize("entry", ["a", "b"])
+def test_an_upstream_hears_the_other_systems_fields(entry):
+    async def main():
+        mesh, upstream = await two_nodes(answer_well)
+        client = await mesh.client(entry)
+        answer = await client.ask(
+            "GET", "/a", b"", "x-id: 1.2", "x-left: 900", "x-from: forged"
+        )
+        assert (answer.status, answer.body) == (200, b"well")
+        headers = upstream.requests[0].headers
+        assert headers["x-id"] == "1.2"
+        assert 850 <= int(headers["x-left"]) <= 900
+        assert headers["x-only"] == "desk-b"
+        assert headers["x-from"] == "shop"
+        assert not any(n.startswith("rhubarbhollow") for n in headers)
+        await mesh.close()
+
+    run(main())
+
+
+@pytest.mark.parametrize("entry", ["a", "b"])
+@pytest.mark.parametrize(
+    ("script", "status", "body"),
+    [
+        (answer_stray_first, 200, b"well"),
+        (answer_until_close, 200, b"all of it"),
+        (answer_without_id, 502, None),
+        (refuse, 503, None),
+        (misdirect, 503, None),
+    ],
+)
+def test_answers_that_are_not_simple(entry, script, status, body):
+    async def main():
+        mesh, upstream = await two_nodes(script)
+        client = await mesh.client(entry)
+        answer = await client.ask("GET", "/a", b"", "x-id: 7")
+        assert answer.status == status
+        if body is not None:
+            assert answer.body == body
+        if status == 503:
+            assert 0 < float(answer.headers["retry-after"]) < 1
+        assert len(upstream.requests) == 1
+        await mesh.close()
+
+    run(main())
+
+
+def test_a_leaving_upstreams_gate_is_closed_for_what_comes_from_afar():
+    async def main():
+        mesh, upstream = await two_nodes(answer_well)
+        node = mesh.nodes["b"].node
+        leaving = replace(node.local_port.upstream, is_leaving=True)
+        node.set_local_upstream(leaving)
+        client = await mesh.client("a")
+        answer = await client.ask("POST", "/a", b"x", "x-id: 8")
+        assert answer.status == 503
+        assert not upstream.requests
+        await mesh.close()
+
+    run(main())
+
+
+def test_a_node_that_leaves_still_serves_and_asks_to_close():
+    async def main():
+        mesh, _upstream = await two_nodes(answer_well)
+        client = await mesh.client("b")
+        mesh.nodes["b"].node.begin_leaving()
+        answer = await client.ask("GET", "/a", b"", "x-id: 9")
+        assert answer.status == 200
+        assert answer.headers["connection"] == "close"
+        await mesh.close()
+
+    run(main())
--- a/packages/calls/tests/test_placing.py
+++ b/packages/calls/tests/test_placing.py
@@ -113,3 +113,12 @@
         book.started("a", "lookup")
         book.finished("a", CallResult.UPSTREAM_ERROR, 0.05, "lookup")
     assert {book.choose("s", (), KIND).name for _ in range(20)} == {"b"}
+
+
+def test_a_call_that_was_refused_here_does_not_go_where_it_is_as_busy():
+    book = book_of(*TWO_HERE)
+    book.report_backlog("c", 0.9)
+    book.clock.advance(0.4)
+    assert book.choose("s", ("a", "b"), KIND) is None
+    book.clock.advance(0.4)
+    assert book.choose("s", ("a", "b"), KIND).name == "c"
--- a/tests/standin/mesh.py
+++ b/tests/standin/mesh.py
@@ -151,7 +151,15 @@
     ) -> None:
         name = f"{service}-{made.node.name}"
         made.node.set_local_upstream(
-            LocalUpstream(name, service, "127.0.0.1", port, slots, connections)
+            LocalUpstream(
+                name,
+                service,
+                "127.0.0.1",
+                port,
+                slots,
+                connections,
+                instance=name,
+            )
         )
         self.endpoints[name] = Endpoint(
             name, service, "here", made.node.name, "127.0.0.1",
