Test documents on the real ledger and the directory of control instances

Compare and swap under a rival that commits between comparison and command, a repeat after later releases, a leader that is not confirmed; seeds that tell no data centre.

--- /dev/null
+++ b/packages/distribution/tests/test_control_directory.py
@@ -0,0 +1,58 @@
+import random
+
+import pytest
+
+from rhubarbhollow_distribution.change_reason import ChangeReason
+from rhubarbhollow_distribution.control_address import ControlAddress
+from rhubarbhollow_distribution.control_directory import (
+    MAX_CONTROLS,
+    ControlDirectory,
+)
+from rhubarbhollow_distribution.source_choice import SourceChooser
+from rhubarbhollow_wire.clock import ManualClock
+
+
+def address(name, data_centre=""):
+    return ControlAddress(name, data_centre, name, 7380)
+
+
+def test_news_are_told_once():
+    directory = ControlDirectory([address("c1")])
+    told = []
+    directory.watch(lambda: told.append(directory.names))
+    assert directory.merge([address("c1"), address("c2", "east")])
+    assert not directory.merge([address("c2", "east")])
+    assert told == [frozenset({"c1", "c2"})]
+
+
+def test_a_seed_completes_nothing_and_takes_nothing_back():
+    directory = ControlDirectory([address("c1")])
+    assert directory.merge([address("c1", "west")])
+    assert not directory.merge([address("c1")])
+    assert directory.addresses == (address("c1", "west"),)
+
+
+def test_a_wrong_list_adds_a_bounded_number():
+    directory = ControlDirectory()
+    directory.merge(address(f"c{n}") for n in range(2 * MAX_CONTROLS))
+    assert len(directory.names) == MAX_CONTROLS
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_node_finds_its_own_data_centre_from_any_seed(seed):
+    clock = ManualClock()
+    chooser = SourceChooser(
+        "west",
+        (address("c1"), address("c2")),
+        clock,
+        random.Random(seed),
+        return_seconds=2.0,
+    )
+    first = chooser.next_attempt()
+    chooser.note_connected(first.address)
+    chooser.learn([address("c1", "east"), address("c2", "east")])
+    chooser.learn([address("c3", "west")])
+    clock.advance(2.0)
+    other = chooser.maybe_alternative()
+    assert other.reason is ChangeReason.PREFERS_LOCAL
+    assert other.address.name == "c3"
--- /dev/null
+++ b/tests/platform/test_document_desk.py
@@ -0,0 +1,159 @@
+"""Compare and swap of documents on the real ledger."""
+
+import json
+from types import SimpleNamespace
+
+import anyio
+import pytest
+from result import Err, Ok
+
+from rhubarbhollow_daemon.document_desk import DocumentDesk
+from rhubarbhollow_daemon.document_outcome import DocumentVerdict
+from rhubarbhollow_daemon.document_relay import DocumentRelay
+from rhubarbhollow_daemon.release_machine import ReleaseMachine
+from rhubarbhollow_platform.configuration_format import ConfigurationFormat
+from rhubarbhollow_release.operator_channel import (
+    CHANNEL_KEY_ID,
+    OperatorChannel,
+)
+from rhubarbhollow_replication.fault import NotLeader
+from rhubarbhollow_replication.role import Role
+from rhubarbhollow_wire.clock import ManualClock
+
+MESH = "mesh"
+TRUSTED = {CHANNEL_KEY_ID: OperatorChannel()}
+
+
+class Log:
+    """Apply each command at once, as the log of one member would."""
+
+    def __init__(self):
+        self.machine = ReleaseMachine(MESH, TRUSTED)
+        self.is_confirmed = True
+        self.before_apply = None
+        self.index = 0
+        self.status = SimpleNamespace(
+            role=Role.LEADER, leader="c1", commit_index=0, applied_index=0
+        )
+
+    async def propose(self, payload):
+        if not self.is_confirmed:
+            return Err(NotLeader(None))
+        if self.before_apply is not None:
+            intruder, self.before_apply = self.before_apply, None
+            self.machine.apply(0, intruder)
+        self.index += 1
+        return Ok(self.machine.apply(self.index, payload))
+
+    async def confirm_leadership(self):
+        return self.is_confirmed
+
+    def on_applied(self, callback):
+        pass
+
+
+def document(version, service="desk"):
+    action = {"Service": service, "TimeoutS": 1, "MaxAttempts": 2}
+    rule = {
+        "Name": "r",
+        "Kind": "safe",
+        "Match": {"PathPrefix": "/a/"},
+        "Action": action,
+    }
+    return json.dumps(
+        {
+            "Version": f"{version:08x}",
+            "Listeners": [{"Host": "h.example", "RuleTables": [rule]}],
+            "Clusters": [{"Name": "desk"}, {"Name": "bench"}],
+        }
+    ).encode()
+
+
+def desk_on(log):
+    return DocumentDesk(MESH, log.machine, log, ConfigurationFormat(MESH))
+
+
+def submit(desk, data, base):
+    async def run():
+        return (await desk.submit(data, base)).verdict
+
+    return anyio.run(run)
+
+
+def test_documents_follow_each_other():
+    desk = desk_on(Log())
+    accepted = DocumentVerdict.ACCEPTED
+    assert submit(desk, document(2), 0) is accepted
+    assert submit(desk, document(5, "bench"), 2) is accepted
+    # a repeat gets the first answer, also after another was accepted
+    assert submit(desk, document(2), 0) is accepted
+
+
+@pytest.mark.parametrize(
+    ("data", "base", "verdict"),
+    [
+        (document(9, "bench"), 1, DocumentVerdict.CONFLICT),
+        (document(2, "bench"), 0, DocumentVerdict.CONFLICT),
+        (document(2, "bench"), 2, DocumentVerdict.INVALID),
+        (document(1), 2, DocumentVerdict.INVALID),
+        (document(9, "none"), 2, DocumentVerdict.INVALID),
+        (document(9)[:-7], 2, DocumentVerdict.INVALID),
+    ],
+)
+def test_what_does_not_fit_is_refused(data, base, verdict):
+    log = Log()
+    desk = desk_on(log)
+    submit(desk, document(2), 0)
+    assert submit(desk, data, base) is verdict
+    assert log.machine.ledger.highest_version == 2
+
+
+def test_two_documents_on_one_version_are_not_both_accepted():
+    """The other one commits between the comparison and the command."""
+    log = Log()
+    desk = desk_on(log)
+    submit(desk, document(2), 0)
+    other = Log()
+    other.machine = ReleaseMachine(MESH, TRUSTED)
+    rival_desk = desk_on(other)
+    submit(rival_desk, document(2), 0)
+    captured = []
+    propose = other.propose
+
+    async def capture(payload):
+        captured.append(payload)
+        return await propose(payload)
+
+    other.propose = capture
+    submit(rival_desk, document(7), 2)
+    log.before_apply = captured[0]
+    verdict = submit(desk, document(7, "bench"), 2)
+    assert verdict is DocumentVerdict.CONFLICT
+    assert log.machine.ledger.latest_position == 2
+
+
+def test_a_leader_that_is_not_confirmed_refuses_nobody():
+    log = Log()
+    desk = desk_on(log)
+    submit(desk, document(2), 0)
+    log.is_confirmed = False
+    verdict = submit(desk, document(9), 1)
+    assert verdict is DocumentVerdict.UNAVAILABLE
+
+
+def test_a_read_needs_a_confirmed_leader():
+    log = Log()
+    submit(desk_on(log), document(2), 0)
+    links = SimpleNamespace(by_name={}, incarnation=1)
+    relay = DocumentRelay(
+        log,
+        log.machine,
+        desk_on(log),
+        ConfigurationFormat(MESH),
+        links,
+        ManualClock(),
+    )
+    read = anyio.run(relay.read)
+    assert json.loads(read.ok_value) == json.loads(document(2))
+    log.is_confirmed = False
+    assert isinstance(anyio.run(relay.read), Err)
