Check closure without wording faults, and measure a change

Cause: a change of one route among 1,600 took 68 ms of processor time on the leader and 20 ms on a node: closure prepared the path of every item's faults and counted each kind in a pass of its own, keys were built at each comparison.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
 import uvloop
 
 from bench.call_path import compare_ways
+from bench.change_cost import run_change_cost
 from bench.distribution import measure_size
 from bench.distribution_figures import (
     print_size,
@@ -90,6 +91,13 @@
         print_slopes(sizes)
 
 
+@main.command("change-cost")
+def change_cost() -> None:
+    """Measure what a change of a large configuration costs."""
+    for step, spent_ms in run_change_cost().items():
+        click.echo(f"{step:15} {spent_ms:8.2f} ms")
+
+
 @main.command()
 def policy() -> None:
     """Compare the decisions on calls with naive ones."""
--- /dev/null
+++ b/bench/change_cost.py
@@ -0,0 +1,114 @@
+"""What one change of a large configuration costs leader and node.
+
+Run as ``python -m bench change-cost``; processor time, best of several
+changes, one route changed in each.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import TYPE_CHECKING, Final, TypeVar
+
+from rhubarbhollow_distribution.release_opening import open_release
+from rhubarbhollow_distribution.stage_encoding import build_stage
+from rhubarbhollow_platform.configuration_format import ConfigurationFormat
+from rhubarbhollow_release.approval import approve_by_channel
+from rhubarbhollow_release.command import decode_command, encode_command
+from rhubarbhollow_release.ledger import ReleaseLedger
+from rhubarbhollow_release.operator_channel import (
+    CHANNEL_KEY_ID,
+    OperatorChannel,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from rhubarbhollow_distribution.held_release import HeldRelease
+
+T = TypeVar("T")
+
+MESH: Final = "bench"
+ROUTES: Final = 1_600
+CHANGES: Final = 10
+MS_PER_SECOND: Final = 1000
+TRUSTED: Final = {CHANNEL_KEY_ID: OperatorChannel()}
+
+
+class _Timer:
+    """Keep the least processor time of each step."""
+
+    def __init__(self) -> None:
+        self.best_ms: dict[str, float] = {}
+
+    def run(self, step: str, work: Callable[..., T], *args: object) -> T:
+        """Do a step, and return what it returns."""
+        began = time.process_time()
+        outcome = work(*args)
+        spent_ms = (time.process_time() - began) * MS_PER_SECOND
+        self.best_ms[step] = min(self.best_ms.get(step, spent_ms), spent_ms)
+        return outcome
+
+
+def run_change_cost() -> dict[str, float]:
+    """Return milliseconds of processor time by step."""
+    format_ = ConfigurationFormat(MESH)
+    ledger = ReleaseLedger(MESH, TRUSTED)
+    held: HeldRelease | None = None
+    timer = _Timer()
+    for version in range(1, CHANGES + 1):
+        held = _change(version, format_, ledger, held, timer)
+        if version == 1:
+            # the first release decodes everything
+            timer.best_ms.clear()
+    best = timer.best_ms
+    leader = sum(spent for step, spent in best.items() if step != "node")
+    return {**best, "leader in all": leader}
+
+
+def _change(
+    version: int,
+    format_: ConfigurationFormat,
+    ledger: ReleaseLedger,
+    held: HeldRelease | None,
+    timer: _Timer,
+) -> HeldRelease:
+    target = timer.run("decode", format_.read, _document(version)).unwrap()
+    digest = timer.run("digest", lambda: target.digest)
+    approval = approve_by_channel(MESH, version, digest)
+    planned = timer.run("plan", ledger.plan_resources, target, approval)
+    entry = encode_command(planned.unwrap())
+    timer.run("apply", lambda: ledger.apply(decode_command(entry).unwrap()))
+    position = ledger.latest_position
+    base = held.resources if held else None
+    stage = timer.run("stage", build_stage, position, approval, target, base)
+    opened = timer.run("node", open_release, stage, held, MESH, TRUSTED)
+    return opened.unwrap()
+
+
+def _document(version: int) -> bytes:
+    rules = [_rule(n, version if n == version else 0) for n in range(ROUTES)]
+    return json.dumps(
+        {
+            "Version": f"{version:08x}",
+            "Limits": {"MaxHeaderBytes": 16384, "IdleTimeoutS": 15},
+            "Listeners": [{"Host": "h.example", "RuleTables": rules}],
+            "Clusters": [{"Name": "desk"}, {"Name": "bench"}],
+        },
+        separators=(",", ":"),
+    ).encode()
+
+
+def _rule(number: int, change: int) -> dict[str, object]:
+    return {
+        "Name": f"r-{number:07x}",
+        "Kind": "safe",
+        "LatencyObjectiveS": 0.5,
+        "Priority": 2,
+        "Match": {"PathPrefix": f"/p{number:x}/"},
+        "Action": {
+            "Service": "desk" if number % 2 else "bench",
+            "TimeoutS": 1.2 + change,
+            "MaxAttempts": 2,
+        },
+    }
--- a/packages/release/src/rhubarbhollow_release/closure.py
+++ b/packages/release/src/rhubarbhollow_release/closure.py
@@ -91,6 +91,55 @@
     )
 
 
+def is_closed(items: Iterable[Item]) -> bool:
+    """Say whether a closure of the items would have no fault.
+
+    Every release that is in order takes this path, at a fraction of the
+    time that wording faults takes.
+    """
+    by_kind: dict[ResourceKind, list[Item]] = {
+        kind: [] for kind in ResourceKind
+    }
+    for item in items:
+        by_kind[kind_of(item)].append(item)
+    names = {
+        kind: {item.name for item in members}
+        for kind, members in by_kind.items()
+    }
+    if any(len(names[kind]) != len(by_kind[kind]) for kind in ResourceKind):
+        return False
+    return _are_routes_closed(by_kind[ResourceKind.ROUTE], names) and (
+        _are_services_closed(by_kind[ResourceKind.SERVICE])
+    )
+
+
+def _are_routes_closed(
+    routes: Sequence[Item],
+    names: Mapping[ResourceKind, set[str]],
+) -> bool:
+    services = names[ResourceKind.SERVICE]
+    policies = names[ResourceKind.RETRY_POLICY]
+    matches: set[tuple[str, str]] = set()
+    for route in routes:
+        if not isinstance(route, Route):
+            return False
+        if route.service not in services:
+            return False
+        if route.retry_policy is not None and (
+            route.retry_policy not in policies
+        ):
+            return False
+        if any(split.service not in services for split in route.splits):
+            return False
+        matches.add((route.host, route.prefix))
+    return len(matches) == len(routes)
+
+
+def _are_services_closed(services: Sequence[Item]) -> bool:
+    """Look at references among services, which few of them have."""
+    return not any(True for _ in closure_of(services).find_faults())
+
+
 def _check_item(
     placed: PlacedItem,
     counts: Mapping[ResourceKind, Counter[str]],
--- a/packages/release/src/rhubarbhollow_release/codec.py
+++ b/packages/release/src/rhubarbhollow_release/codec.py
@@ -104,17 +104,17 @@
 }
 
 
+_KINDS: Final[Mapping[type, ResourceKind]] = {
+    Service: ResourceKind.SERVICE,
+    Route: ResourceKind.ROUTE,
+    RetryPolicy: ResourceKind.RETRY_POLICY,
+    Note: ResourceKind.NOTE,
+}
+
+
 def kind_of(item: Item) -> ResourceKind:
     """Return the kind of an item."""
-    match item:
-        case Service():
-            return ResourceKind.SERVICE
-        case Route():
-            return ResourceKind.ROUTE
-        case RetryPolicy():
-            return ResourceKind.RETRY_POLICY
-        case Note():
-            return ResourceKind.NOTE
+    return _KINDS[type(item)]
 
 
 def encode_json(value: object) -> bytes:
--- a/packages/release/src/rhubarbhollow_release/resource.py
+++ b/packages/release/src/rhubarbhollow_release/resource.py
@@ -30,7 +30,7 @@
     name: str
     body: bytes
 
-    @property
+    @cached_property
     def key(self) -> ResourceKey:
         """Return the identity within a manifest."""
         return ResourceKey(self.kind, self.name)
--- a/packages/release/src/rhubarbhollow_release/resource_set.py
+++ b/packages/release/src/rhubarbhollow_release/resource_set.py
@@ -15,7 +15,7 @@
     digest_of,
     join_bodies,
 )
-from rhubarbhollow_release.closure import closure_of
+from rhubarbhollow_release.closure import closure_of, is_closed
 from rhubarbhollow_release.manifest import MANIFEST_FORMAT, Manifest
 from rhubarbhollow_release.manifest_fault import (
     FaultKind,
@@ -83,9 +83,9 @@
                 items.append(item)
             case Err(found):
                 faults.extend(_at_resource(resource, found))
-    every = limit_faults(chain(faults, closure_of(items).find_faults()))
-    if every:
-        return Err(ManifestFaults(every))
+    if faults or not is_closed(items):
+        every = chain(faults, closure_of(items).find_faults())
+        return Err(ManifestFaults(limit_faults(every)))
     return Ok(assemble_manifest(header, items))
 
 
