--- a/packages/calls/src/rhubarbhollow_calls/io_attempt.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_attempt.py
@@ -12,6 +12,7 @@
     encode_data,
     encode_request,
 )
+from rhubarbhollow_calls.io_client import BreakCause
 from rhubarbhollow_calls.io_pool import ConnectFault
 from rhubarbhollow_calls.not_run_proof import NeverWritten, UnwrittenStage
 from rhubarbhollow_calls.refusal import Refusal, RefusalKind
@@ -19,7 +20,7 @@
 if TYPE_CHECKING:
     from rhubarbhollow_calls.http_answer_head import AnswerHead
     from rhubarbhollow_calls.http_request_head import RequestHead
-    from rhubarbhollow_calls.io_client import BreakCause, ClientConnection
+    from rhubarbhollow_calls.io_client import ClientConnection
     from rhubarbhollow_calls.io_local_upstream import LocalUpstream
     from rhubarbhollow_calls.io_pool import ConnectionPool
     from rhubarbhollow_calls.io_request_body import RequestBody
@@ -217,7 +218,10 @@
         self._connection = None
         detail = f"no whole answer, connection {cause.value}"
         refusal = Refusal.unknown(RefusalKind.OUTCOME_UNKNOWN, detail)
-        self._fail(AttemptFailure(refusal, CallResult.BROKEN))
+        # a lost peer costs each call a timeout, as an unreachable one
+        is_lost = cause is BreakCause.LOST
+        result = CallResult.UNREACHABLE if is_lost else CallResult.BROKEN
+        self._fail(AttemptFailure(refusal, result))
 
     def pause_request(self) -> None:
         """Hold the body back."""
--- a/packages/calls/src/rhubarbhollow_calls/io_client.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_client.py
@@ -8,6 +8,7 @@
 
 from rhubarbhollow_calls.http_answer_reader import AnswerReader
 from rhubarbhollow_calls.invariant import InvariantViolation
+from rhubarbhollow_calls.io_lost_peer import watch_for_loss
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.http_answer_head import AnswerHead
@@ -20,6 +21,8 @@
 
     CLOSED = "closed"
     BAD_ANSWER = "bad-answer"
+    # the other end acknowledges nothing any more
+    LOST = "lost"
 
 
 class ConnectionUser(Protocol):
@@ -142,8 +145,9 @@
         self._close()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
+        """Keep the transport, and notice if the other end is lost."""
         self._transport = cast("asyncio.Transport", transport)
+        watch_for_loss(transport, self._pool.unacknowledged_ms)
 
     def data_received(self, data: bytes) -> None:
         """Parse a part of the answer."""
@@ -165,9 +169,10 @@
         self._break(BreakCause.CLOSED)
         return False
 
-    def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
+    def connection_lost(self, exc: Exception | None) -> None:
         """Tell the user, if the answer was not whole."""
-        self._break(BreakCause.CLOSED)
+        is_lost = isinstance(exc, TimeoutError)
+        self._break(BreakCause.LOST if is_lost else BreakCause.CLOSED)
 
     def pause_writing(self) -> None:
         """Hold the request back until the transport has drained."""
--- a/packages/calls/src/rhubarbhollow_calls/io_pool.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_pool.py
@@ -54,6 +54,7 @@
         dialect: Dialect = NATIVE_DIALECT,
     ) -> None:
         self.dialect = dialect
+        self.unacknowledged_ms = settings.unacknowledged_ms
         self._host = host
         self._port = port
         self._limit = limit
--- a/packages/calls/src/rhubarbhollow_calls/io_settings.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_settings.py
@@ -15,6 +15,7 @@
     servers close an idle connection, so that a call is seldom written
     to a connection that is just being closed.  ``kept_connections``
     bounds the listeners' connections that are kept after an answer.
+    ``unacknowledged_ms`` ends a connection whose other end is lost.
     ``origin`` names the service beside this node.
     ``retry_after_seconds`` is the mean time after which a refused
     caller is asked to return.
@@ -30,6 +31,7 @@
     kept_connections: int = 2_048
     head_timeout_seconds: int = 10
     linger_seconds: int = 2
+    unacknowledged_ms: int = 1_000
     dialect: Dialect = NATIVE_DIALECT
     origin: bytes = b""
     retry_after_seconds: float = 0.25
--- /dev/null
+++ b/packages/calls/tests/test_io_lost_peer.py
@@ -0,0 +1,83 @@
+import asyncio
+import socket
+
+import pytest
+from tests.standin.mesh import run
+from tests.standin.scripted_upstream import ScriptedUpstream, echo
+
+from rhubarbhollow_calls.call_result import CallResult
+from rhubarbhollow_calls.io_client import ClientConnection
+from rhubarbhollow_calls.io_pool import ConnectionPool
+from rhubarbhollow_calls.io_settings import CallSettings
+
+
+class User:
+    def __init__(self):
+        self.causes = []
+
+    def connection_broken(self, cause):
+        self.causes.append(cause.value)
+
+
+def pool_to(port):
+    settings = CallSettings(unacknowledged_ms=700)
+    return ConnectionPool("127.0.0.1", port, 4, 4, settings)
+
+
+def test_a_connection_watches_for_the_loss_of_its_other_end():
+    async def main():
+        upstream = ScriptedUpstream(echo)
+        await upstream.start()
+        pool = pool_to(upstream.port)
+        ready = asyncio.get_running_loop().create_future()
+
+        class Waiter:
+            def connection_ready(self, connection):
+                ready.set_result(connection)
+
+        pool.acquire(Waiter())
+        connection = await ready
+        raw = connection._transport.get_extra_info("socket")
+        assert raw.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        assert (
+            raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == 700
+        )
+        pool.close()
+        connection.abort()
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    ("error", "cause"),
+    [
+        (TimeoutError(), "lost"),
+        (ConnectionResetError(), "closed"),
+        (None, "closed"),
+    ],
+)
+def test_a_lost_end_is_told_from_a_closed_one(error, cause):
+    connection = ClientConnection(pool_to(1))
+    user = User()
+    connection.begin(user, is_for_head=False, data=b"")
+    connection.connection_lost(error)
+    assert user.causes == [cause]
+
+
+def test_a_lost_end_counts_as_unreachable_but_may_have_run():
+    from rhubarbhollow_calls.io_attempt import Attempt
+    from rhubarbhollow_calls.io_client import BreakCause
+
+    failures = []
+
+    class Owner:
+        def attempt_failed(self, failure):
+            failures.append(failure)
+
+    class Bare(Attempt):
+        def _give_back(self, result):
+            pass
+
+    Bare(Owner(), None, None).connection_broken(BreakCause.LOST)
+    assert failures[0].result is CallResult.UNREACHABLE
+    assert failures[0].refusal.proof is None
--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -34,6 +34,7 @@
     from rhubarbhollow_daemon.settings_calls import CallsSettings
     from rhubarbhollow_wire.clock import Clock
 
+MS_PER_SECOND: Final = 1000
 # one lost heartbeat must not look like a silent source
 SILENT_HEARTBEATS: Final = 3
 
@@ -145,6 +146,9 @@
         queue_limit=calls.queue_limit,
         connect_timeout_seconds=calls.connect_timeout.total_seconds(),
         head_timeout_seconds=round(calls.head_timeout.total_seconds()),
+        unacknowledged_ms=round(
+            calls.unacknowledged.total_seconds() * MS_PER_SECOND
+        ),
         dialect=calls.dialect,
         origin=calls.origin.encode(),
     )
--- a/packages/daemon/src/rhubarbhollow_daemon/settings_calls.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/settings_calls.py
@@ -19,5 +19,6 @@
     queue_limit: int = 64
     connect_timeout: timedelta = timedelta(milliseconds=1000)
     head_timeout: timedelta = timedelta(milliseconds=10_000)
+    unacknowledged: timedelta = timedelta(milliseconds=1000)
     dialect: Dialect = NATIVE_DIALECT
     origin: str = ""
