--- a/packages/calls/src/rhubarbhollow_calls/io_client.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_client.py
@@ -8,7 +8,7 @@
 
 from rhubarbhollow_calls.http_answer_reader import AnswerReader
 from rhubarbhollow_calls.invariant import InvariantViolation
-from rhubarbhollow_calls.io_lost_peer import watch_for_loss
+from rhubarbhollow_wire.loss_watch import watch_for_loss
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.http_answer_head import AnswerHead
@@ -147,7 +147,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport, and notice if the other end is lost."""
         self._transport = cast("asyncio.Transport", transport)
-        watch_for_loss(transport, self._pool.unacknowledged_ms)
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            watch_for_loss(raw, self._pool.loss_limits)
 
     def data_received(self, data: bytes) -> None:
         """Parse a part of the answer."""
--- a/packages/calls/src/rhubarbhollow_calls/io_pool.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_pool.py
@@ -5,16 +5,24 @@
 import asyncio
 from collections import deque
 from enum import Enum
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Final, Protocol
 
 from rhubarbhollow_calls.http_dialect import NATIVE_DIALECT
 from rhubarbhollow_calls.io_client import ClientConnection
+from rhubarbhollow_wire.loss_watch import LossLimits
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.http_dialect import Dialect
     from rhubarbhollow_calls.io_settings import CallSettings
 
 
+# a call on a dark machine ends within two seconds also if its request
+# was acknowledged before
+KEEPALIVE_IDLE_SECONDS: Final = 1
+KEEPALIVE_INTERVAL_SECONDS: Final = 1
+KEEPALIVE_PROBES: Final = 1
+
+
 class ConnectFault(Enum):
     """Name why no connection could be had; nothing was written."""
 
@@ -54,7 +62,12 @@
         dialect: Dialect = NATIVE_DIALECT,
     ) -> None:
         self.dialect = dialect
-        self.unacknowledged_ms = settings.unacknowledged_ms
+        self.loss_limits = LossLimits(
+            settings.unacknowledged_ms,
+            KEEPALIVE_IDLE_SECONDS,
+            KEEPALIVE_INTERVAL_SECONDS,
+            KEEPALIVE_PROBES,
+        )
         self._host = host
         self._port = port
         self._limit = limit
--- a/packages/daemon/tests/test_socket_options.py
+++ b/packages/daemon/tests/test_socket_options.py
@@ -4,10 +4,7 @@
 from anyio.abc import SocketAttribute
 from fake_stream import join_streams
 
-from rhubarbhollow_daemon.socket_options import (
-    UNACKNOWLEDGED_MS,
-    detect_lost_peer,
-)
+from rhubarbhollow_daemon.socket_options import LIMITS, detect_lost_peer
 
 
 def test_a_socket_notices_a_peer_that_is_gone():
@@ -22,7 +19,7 @@
                 raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
             )
 
-    assert anyio.run(run) == (1, UNACKNOWLEDGED_MS)
+    assert anyio.run(run) == (1, LIMITS.unacknowledged_ms)
 
 
 def test_a_stream_without_a_socket_is_left_alone():
