--- a/packages/daemon/src/rhubarbhollow_daemon/document_desk.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/document_desk.py
@@ -86,7 +86,13 @@
         for _ in range(MAX_PLANS):
             refusal = self._maybe_refuse(target, base_version)
             if refusal is not None:
-                return await self._confirm(refusal)
+                # a new leader has not applied all that was accepted
+                # before; after a round of the quorum it has
+                if not await self._replica.confirm_leadership():
+                    return _unconfirmed()
+                refusal = self._maybe_refuse(target, base_version)
+            if refusal is not None:
+                return refusal
             planned = self._machine.ledger.plan_resources(target, approval)
             if isinstance(planned, Err):
                 detail = planned.err_value.detail
@@ -117,13 +123,11 @@
             return DocumentOutcome(DocumentVerdict.INVALID, detail)
         return None
 
-    async def _confirm(self, refusal: DocumentOutcome) -> DocumentOutcome:
-        """Refuse only what the latest state of the log refuses."""
-        if await self._replica.confirm_leadership():
-            return refusal
-        return DocumentOutcome(
-            DocumentVerdict.UNAVAILABLE, "leadership is not confirmed"
-        )
+
+def _unconfirmed() -> DocumentOutcome:
+    return DocumentOutcome(
+        DocumentVerdict.UNAVAILABLE, "leadership is not confirmed"
+    )
 
 
 def _outcome_of(outcome: object) -> DocumentOutcome:
--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -69,6 +69,7 @@
             SILENT_HEARTBEATS * heartbeat_seconds,
         ),
         settings.distribution.return_after.total_seconds(),
+        settings.distribution.reconnect_cap.total_seconds(),
     )
     quarantine = Quarantine(clock)
     burn = BurnLedger(clock)
--- a/packages/daemon/src/rhubarbhollow_daemon/settings_distribution.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/settings_distribution.py
@@ -14,7 +14,8 @@
     window for changes of load alone.  A node's lease ends when nothing
     was heard of it for ``lease``.  A node leaves a source that is
     silent for ``silence``, and goes back to one of its own data centre
-    after ``return_after``.
+    after ``return_after``.  ``reconnect_cap`` bounds the pause between
+    two tries to connect.
     """
 
     coalescing: timedelta = timedelta(milliseconds=20)
@@ -23,3 +24,4 @@
     lease: timedelta = timedelta(milliseconds=4000)
     silence: timedelta = timedelta(milliseconds=3000)
     return_after: timedelta = timedelta(seconds=60)
+    reconnect_cap: timedelta = timedelta(seconds=10)
--- a/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
@@ -47,6 +47,7 @@
         random: random.Random,
         silence_seconds: float = SILENCE_SECONDS,
         return_seconds: float = RETURN_SECONDS,
+        backoff_cap_seconds: float = BACKOFF_CAP_SECONDS,
     ) -> None:
         if not controls:
             raise ValueError("a node needs the address of a control instance")
@@ -54,6 +55,7 @@
         self._random = random
         self._silence_seconds = silence_seconds
         self._return_seconds = return_seconds
+        self._backoff_cap_seconds = backoff_cap_seconds
         self._local_data_centre = local_data_centre
         self._candidates: dict[str, SourceCandidate] = {}
         self.learn(controls)
@@ -271,7 +273,9 @@
 
     def _draw_delay(self, failures: int) -> float:
         doubled = BACKOFF_BASE_SECONDS * 2.0 ** min(failures, MAX_DOUBLINGS)
-        return self._random.uniform(0.0, min(BACKOFF_CAP_SECONDS, doubled))
+        return self._random.uniform(
+            0.0, min(self._backoff_cap_seconds, doubled)
+        )
 
 
 def _prefer(
--- a/packages/distribution/tests/test_control_directory.py
+++ b/packages/distribution/tests/test_control_directory.py
@@ -56,3 +56,20 @@
     other = chooser.maybe_alternative()
     assert other.reason is ChangeReason.PREFERS_LOCAL
     assert other.address.name == "c3"
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_the_pause_after_a_long_outage_is_bounded(seed):
+    clock = ManualClock()
+    chooser = SourceChooser(
+        "west",
+        (address("c1"), address("c2")),
+        clock,
+        random.Random(seed),
+        backoff_cap_seconds=0.5,
+    )
+    for _ in range(50):
+        attempt = chooser.next_attempt()
+        assert attempt.delay_seconds <= 0.5
+        clock.advance(attempt.delay_seconds)
+        chooser.note_failed(attempt.address)
--- a/tests/platform/test_document_desk.py
+++ b/tests/platform/test_document_desk.py
@@ -157,3 +157,28 @@
     assert json.loads(read.ok_value) == json.loads(document(2))
     log.is_confirmed = False
     assert isinstance(anyio.run(relay.read), Err)
+
+
+def test_a_new_leader_compares_only_after_it_has_applied_the_log():
+    """What was accepted before it led is applied by the round alone."""
+    log = Log()
+    desk = desk_on(log)
+    captured = []
+    propose = log.propose
+
+    async def capture(payload):
+        captured.append(payload)
+        return await propose(payload)
+
+    log.propose = capture
+    submit(desk, document(2), 0)
+    behind = Log()
+
+    async def apply_and_confirm():
+        behind.machine.apply(1, captured[0])
+        return True
+
+    behind.confirm_leadership = apply_and_confirm
+    verdict = submit(desk_on(behind), document(5, "bench"), 2)
+    assert verdict is DocumentVerdict.ACCEPTED
+    assert behind.machine.ledger.highest_version == 5
