Take over no second address of a control instance

With relays each process is told another address of the others; the directory took over what it heard last, told it as news, and was corrected: control lists went back and forth without end. Change: what is heard completes an entry's data centre and changes nothing else. Test: test_two_that_were_told_different_addresses_do_not_go_on_about_it, which does not end before the change. Ruled out: load alone; the same test passes alone in 22 s before the change.

--- a/packages/distribution/src/rhubarbhollow_distribution/control_directory.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/control_directory.py
@@ -17,6 +17,18 @@
 MAX_CONTROLS: Final = 256
 
 
+def is_completed_by(known: ControlAddress, news: ControlAddress) -> bool:
+    """Say whether ``news`` adds a data centre to what is known.
+
+    Nothing else is taken over: two processes that were told different
+    addresses of a third would correct each other for ever.
+    """
+    return (
+        known.data_centre == UNKNOWN_DATA_CENTRE
+        and news.data_centre != UNKNOWN_DATA_CENTRE
+    )
+
+
 class ControlDirectory:
     """Collect the control instances from seeds and from each other.
 
@@ -61,12 +73,9 @@
 
     def _take(self, address: ControlAddress) -> bool:
         known = self._by_name.get(address.name)
-        if known == address:
-            return False
         if known is None and len(self._by_name) >= MAX_CONTROLS:
             return False
-        is_vaguer = address.data_centre == UNKNOWN_DATA_CENTRE
-        if known is not None and is_vaguer:
+        if known is not None and not is_completed_by(known, address):
             return False
         self._by_name[address.name] = address
         return True
--- a/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_distribution.change_reason import ChangeReason
+from rhubarbhollow_distribution.control_directory import is_completed_by
 from rhubarbhollow_distribution.source_attempt import Attempt
 from rhubarbhollow_distribution.source_candidate import (
     MAX_DOUBLINGS,
@@ -84,7 +85,9 @@
         """Take over control instances, or their data centres."""
         for address in addresses:
             known = self._candidates.get(address.name)
-            if known is not None and known.address == address:
+            if known is not None and not is_completed_by(
+                known.address, address
+            ):
                 continue
             # Nodes of one data centre spread over its instances by
             # chance.
--- a/packages/distribution/tests/test_control_directory.py
+++ b/packages/distribution/tests/test_control_directory.py
@@ -73,3 +73,13 @@
         assert attempt.delay_seconds <= 0.5
         clock.advance(attempt.delay_seconds)
         chooser.note_failed(attempt.address)
+
+
+def test_two_that_were_told_different_addresses_do_not_go_on_about_it():
+    first = ControlDirectory([ControlAddress("c3", "west", "relay-1", 1)])
+    second = ControlDirectory([ControlAddress("c3", "west", "relay-2", 2)])
+    rounds = 0
+    while first.merge(second.addresses) or second.merge(first.addresses):
+        rounds += 1
+        assert rounds < 5
+    assert first.addresses[0].host == "relay-1"
