--- a/packages/calls/src/rhubarbhollow_calls/backlog.py
+++ b/packages/calls/src/rhubarbhollow_calls/backlog.py
@@ -6,13 +6,8 @@
 from typing import Final
 
 from rhubarbhollow_calls.call_priority import CallPriority
-from rhubarbhollow_calls.http_fault import HttpFaultError, HttpFaultKind
-from rhubarbhollow_calls.http_integer import parse_integer
 
 MS_PER_SECOND: Final = 1000
-_SEPARATOR: Final = b","
-_PARTS: Final = 2
-_NAME: Final = b"backlog"
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,17 +39,8 @@
 
 
 def encode_backlog(backlog: Backlog) -> bytes:
-    """Return the field's value, in milliseconds."""
+    """Return the backlog in milliseconds, for a field or a log."""
     return b"%d,%d" % (
         round(backlog.interactive_seconds * MS_PER_SECOND),
         round(backlog.bulk_seconds * MS_PER_SECOND),
     )
-
-
-def parse_backlog(value: bytes) -> Backlog:
-    """Read the field's value, or raise ``HttpFaultError``."""
-    parts = value.split(_SEPARATOR)
-    if len(parts) != _PARTS:
-        raise HttpFaultError(HttpFaultKind.FIELD_INVALID, "not a backlog")
-    interactive, bulk = (parse_integer(_NAME, part) for part in parts)
-    return Backlog(interactive / MS_PER_SECOND, bulk / MS_PER_SECOND)
--- a/packages/calls/src/rhubarbhollow_calls/http_answer_head.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_answer_head.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_calls import http_names as names
-from rhubarbhollow_calls.backlog import Backlog, parse_backlog
 from rhubarbhollow_calls.http_body import (
     CHUNKED_BODY,
     NO_BODY,
@@ -17,6 +16,7 @@
 from rhubarbhollow_calls.http_fault import HttpFaultError, HttpFaultKind
 from rhubarbhollow_calls.http_fields import split_fields
 from rhubarbhollow_calls.http_integer import parse_integer
+from rhubarbhollow_calls.slot_report import SlotReport, parse_report
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -36,7 +36,7 @@
     304 carry although no body follows.  ``is_until_close`` says that
     only the end of the connection delimits the body.
     ``idle_seconds`` is how long the sender keeps the connection open,
-    and ``backlog`` what waits at the node that answers.
+    and ``slots`` what the node beside the upstream tells.
     """
 
     status: int
@@ -51,7 +51,7 @@
     request_id: bytes | None = None
     is_until_close: bool = False
     idle_seconds: int | None = None
-    backlog: Backlog | None = None
+    slots: SlotReport | None = None
 
 
 def parse_answer_head(
@@ -84,7 +84,7 @@
         seen.get(dialect.request_id),
         is_until_close,
         _find_idle_seconds(seen),
-        _maybe_backlog(seen),
+        _maybe_report(seen),
     )
 
 
@@ -108,9 +108,9 @@
     return None if value is None else parse_integer(name, value)
 
 
-def _maybe_backlog(seen: Mapping[bytes, bytes]) -> Backlog | None:
-    value = seen.get(names.BACKLOG)
-    return None if value is None else parse_backlog(value)
+def _maybe_report(seen: Mapping[bytes, bytes]) -> SlotReport | None:
+    value = seen.get(names.SLOTS)
+    return None if value is None else parse_report(value)
 
 
 def _find_length(seen: Mapping[bytes, bytes]) -> int | None:
--- a/packages/calls/src/rhubarbhollow_calls/http_names.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_names.py
@@ -17,7 +17,7 @@
 OBJECTIVE_MS: Final = b"rhubarbhollow-objective-ms"
 # all that a node tells the next one of a call, in one field
 HOP: Final = b"rhubarbhollow-hop"
-BACKLOG: Final = b"rhubarbhollow-backlog"
+SLOTS: Final = b"rhubarbhollow-slots"
 EXECUTED: Final = b"rhubarbhollow-executed"
 REFUSAL: Final = b"rhubarbhollow-refusal"
 NOT_RUN: Final = b"rhubarbhollow-not-run"
--- a/packages/calls/src/rhubarbhollow_calls/io_attempt.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_attempt.py
@@ -118,6 +118,11 @@
         """Return how far an unwritten request has come."""
         return UnwrittenStage.CONNECTING
 
+    @property
+    def held_seconds(self) -> float | None:
+        """Return how long a slot of this node has been held."""
+        return None
+
     def start(self) -> None:
         """Ask for what the attempt needs; may fail at once."""
         raise NotImplementedError
--- a/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
@@ -223,7 +223,7 @@
                 RefusalKind.OUTCOME_UNKNOWN, f"status {head.status}"
             ),
             CallResult.UPSTREAM_ERROR,
-            head.backlog,
+            None if head.slots is None else head.slots.backlog,
         )
         attempt, self._attempt = self._attempt, None
         if attempt is not None:
@@ -329,7 +329,9 @@
 
     def _answer_lines(self, head: AnswerHead) -> bytes:
         self._node.hear_position(head.position)
-        self._hear_backlog(head.backlog)
+        if head.slots is not None:
+            self._hear_backlog(head.slots.backlog)
+            self._held_seconds = head.slots.held_seconds
         endpoint = self._endpoint
         return b"%b%b: %b\r\n%b: %b\r\n" % (
             self._state.answer_lines,
@@ -371,6 +373,7 @@
                 result,
                 now - self._attempt_started_at,
                 self._state.route.name,
+                self._held_seconds,
             )
 
     def _count_refusal(self, refusal: Refusal) -> None:
--- a/packages/calls/src/rhubarbhollow_calls/io_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_exchange.py
@@ -50,6 +50,7 @@
         "_framing",
         "_head",
         "_held_head",
+        "_held_seconds",
         "_is_answering",
         "_is_over",
         "_is_request_paused",
@@ -77,6 +78,8 @@
         self._attempt: Attempt | None = None
         self._framing: Body = NO_BODY
         self._held_head: AnswerHead | None = None
+        # in the slot of the upstream, as the node beside it knows
+        self._held_seconds: float | None = None
         self._status = 0
         self._may_have_run = False
         self._is_answering = False
@@ -176,6 +179,8 @@
         be refused with its reason, or made again.
         """
         self._held_head = head
+        if self._attempt is not None:
+            self._held_seconds = self._attempt.held_seconds
         self._status = head.status
         self._framing = head.body
 
--- a/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
@@ -91,6 +91,13 @@
             return UnwrittenStage.CONNECTING
         return UnwrittenStage.QUEUED
 
+    @property
+    def held_seconds(self) -> float | None:
+        """Return how long a slot of this node has been held."""
+        if not self._has_slot:
+            return None
+        return self._port.now() - self._granted_at
+
     def start(self) -> None:
         """Ask for a slot, once enough of the body is there."""
         body = self._body
--- a/packages/calls/src/rhubarbhollow_calls/io_peer.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_peer.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_calls import http_names as names
-from rhubarbhollow_calls.backlog import encode_backlog
 from rhubarbhollow_calls.call_priority import CallPriority
 from rhubarbhollow_calls.deadline import Deadline, format_deadline
 from rhubarbhollow_calls.io_exchange import Exchange
@@ -13,6 +12,7 @@
 from rhubarbhollow_calls.io_refusal_answer import encode_refusal, refuse_fault
 from rhubarbhollow_calls.not_run_proof import UnwrittenStage
 from rhubarbhollow_calls.refusal import RefusalKind
+from rhubarbhollow_calls.slot_report import SlotReport, encode_report
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.http_answer_head import AnswerHead
@@ -91,17 +91,17 @@
         return self._head.mesh.origin
 
     def _answer_lines(self, head: AnswerHead) -> bytes:  # noqa: ARG002
-        return self._node.position_line + self._backlog_line()
+        return self._node.position_line + self._slots_line()
 
     def _refusal_lines(self) -> bytes:
-        return self._node.position_line + self._backlog_line()
+        return self._node.position_line + self._slots_line()
 
-    def _backlog_line(self) -> bytes:
+    def _slots_line(self) -> bytes:
         port = self._node.local_port
         if port is None or self._head.mesh.objective_ms is None:
             return b""
-        backlog = encode_backlog(port.gate.backlog)
-        return b"%b: %b\r\n" % (names.BACKLOG, backlog)
+        report = SlotReport(port.gate.backlog, self._held_seconds)
+        return b"%b: %b\r\n" % (names.SLOTS, encode_report(report))
 
     def _refuse_admission(self, kind: RefusalKind, detail: str) -> None:
         self._refuse_unwritten(kind, UnwrittenStage.ADMISSION, detail)
--- a/packages/calls/src/rhubarbhollow_calls/io_remote_attempt.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_remote_attempt.py
@@ -63,8 +63,9 @@
             proof = RefusedByPeer(self._endpoint.node)
             refusal = Refusal.not_run(kind, proof, detail)
             result = CallResult.REFUSED_NOT_RUN
-            if kind is RefusalKind.QUEUE_FULL and head.backlog is not None:
+            backlog = None if head.slots is None else head.slots.backlog
+            if kind is RefusalKind.QUEUE_FULL and backlog is not None:
                 result = CallResult.BUSY
-            return AttemptFailure(refusal, result, head.backlog)
+            return AttemptFailure(refusal, result, backlog)
         refusal = Refusal.unknown(kind, detail)
         return AttemptFailure(refusal, CallResult.BROKEN)
--- a/packages/calls/src/rhubarbhollow_calls/placing.py
+++ b/packages/calls/src/rhubarbhollow_calls/placing.py
@@ -11,6 +11,7 @@
 
 from typing import TYPE_CHECKING, Final
 
+from rhubarbhollow_calls.call_priority import CallPriority
 from rhubarbhollow_calls.candidate_view import Eligibility
 from rhubarbhollow_calls.upstream_ranking import rank_endpoint
 
@@ -18,7 +19,6 @@
     from collections.abc import Collection, Sequence
     from random import Random
 
-    from rhubarbhollow_calls.call_priority import CallPriority
     from rhubarbhollow_calls.placing_needs import PlacingNeeds
     from rhubarbhollow_calls.upstream_evidence import UpstreamEvidence
 
@@ -37,6 +37,18 @@
 # calls of each kind end there in that time and tell of it anew
 REMOTE_MEMORY_SECONDS: Final = 0.5
 
+# calls of a route differ: four in five take no more than this many
+# times the average
+SERVICE_MARGIN: Final = 1.25
+# the shares of its slack that a call waits in its own data centre
+# before it leaves: a bulk call leaves early where another data centre
+# is idle, since it holds the slots that urgent calls wait for and takes
+# the fewest bytes for its time in a slot
+_PATIENCE_SHARES: Final = {
+    CallPriority.INTERACTIVE: (1.0,),
+    CallPriority.BULK: (0.25, 1.0),
+}
+
 _USABLE: Final = frozenset(
     (
         Eligibility.LOCAL,
@@ -63,13 +75,19 @@
     ]
     local = [evidence for evidence in usable if evidence.is_local]
     remote = [evidence for evidence in usable if not evidence.is_local]
-    priority, patience = needs.priority, needs.patience_seconds
     best = _soonest(local, needs, now, random)
-    if best is not None and expected_wait(best, priority, now) <= patience:
-        return best
     other = _soonest(remote, needs, now, random)
-    if other is not None and remote_wait(other, priority, now) <= patience:
-        return other
+    for share in _PATIENCE_SHARES[needs.priority]:
+        if best is not None and (
+            expected_wait(best, needs.priority, now)
+            <= share * slack(best, needs, now)
+        ):
+            return best
+        if other is not None and (
+            remote_wait(other, needs.priority, now)
+            <= share * slack(other, needs, now)
+        ):
+            return other
     if best is not None:
         return best
     if excluded and other is not None:
@@ -102,13 +120,29 @@
     return left + evidence.sent.wait_seconds(priority)
 
 
-def expected_end(
+def service_seconds(
     evidence: UpstreamEvidence, needs: PlacingNeeds, now: float
 ) -> float:
-    """Return the seconds until the answer, weighed by failures."""
+    """Return the seconds that the call would hold a slot there."""
     service = needs.service_seconds * evidence.slowness
     if now < evidence.endpoint.joined_at + COLD_SECONDS:
         service *= COLD_FACTOR
+    return service
+
+
+def slack(
+    evidence: UpstreamEvidence, needs: PlacingNeeds, now: float
+) -> float:
+    """Return how long the call may wait there and still be in time."""
+    service = service_seconds(evidence, needs, now)
+    return max(0.0, needs.left_seconds - SERVICE_MARGIN * service)
+
+
+def expected_end(
+    evidence: UpstreamEvidence, needs: PlacingNeeds, now: float
+) -> float:
+    """Return the seconds until the answer, weighed by failures."""
+    service = service_seconds(evidence, needs, now)
     end = expected_wait(evidence, needs.priority, now) + service
     succeeding = max(MIN_SUCCEEDING, 1 - evidence.failure_share)
     return end / succeeding**FAILURE_POWER
--- a/packages/calls/src/rhubarbhollow_calls/placing_needs.py
+++ b/packages/calls/src/rhubarbhollow_calls/placing_needs.py
@@ -14,9 +14,9 @@
     """Say what a call takes, and how long it can wait.
 
     ``service_seconds`` is what it takes on average in a slot, and
-    ``patience_seconds`` how long it may wait and still be in time.
+    ``left_seconds`` in what time it has to end.
     """
 
     service_seconds: float
-    patience_seconds: float
+    left_seconds: float
     priority: CallPriority
--- /dev/null
+++ b/packages/calls/src/rhubarbhollow_calls/slot_report.py
@@ -0,0 +1,51 @@
+"""What the node beside an upstream tells with an answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+from rhubarbhollow_calls.backlog import (
+    MS_PER_SECOND,
+    Backlog,
+    encode_backlog,
+)
+from rhubarbhollow_calls.http_fault import HttpFaultError, HttpFaultKind
+from rhubarbhollow_calls.http_integer import parse_integer
+
+_SEPARATOR: Final = b","
+_PARTS: Final = 3
+_NAME: Final = b"slots"
+
+
+@dataclass(frozen=True, slots=True)
+class SlotReport:
+    """Say what waits there, and how long this call held its slot.
+
+    ``held_seconds`` is none for a call that had no slot.
+    """
+
+    backlog: Backlog
+    held_seconds: float | None = None
+
+
+def encode_report(report: SlotReport) -> bytes:
+    """Return the field's value, in milliseconds."""
+    held = b""
+    if report.held_seconds is not None:
+        held = b"%d" % round(report.held_seconds * MS_PER_SECOND)
+    return b"%b,%b" % (encode_backlog(report.backlog), held)
+
+
+def parse_report(value: bytes) -> SlotReport:
+    """Read the field's value, or raise ``HttpFaultError``."""
+    parts = value.split(_SEPARATOR)
+    if len(parts) != _PARTS:
+        raise HttpFaultError(HttpFaultKind.FIELD_INVALID, "no slot report")
+    interactive, bulk = (_read_seconds(part) for part in parts[:2])
+    held = _read_seconds(parts[2]) if parts[2] else None
+    return SlotReport(Backlog(interactive, bulk), held)
+
+
+def _read_seconds(part: bytes) -> float:
+    return parse_integer(_NAME, part) / MS_PER_SECOND
--- a/packages/calls/src/rhubarbhollow_calls/upstream_book.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_book.py
@@ -37,8 +37,6 @@
 MAX_EJECTION_DOUBLINGS: Final = 5
 # a local endpoint this much slower than a remote one counts as full
 SPILL_RATIO: Final = 2.0
-# share of the objective that is left to the work itself
-WORK_SHARE: Final = 0.4
 EXPLORED_SHARE: Final = 0.01
 BASE_REFUSAL_SECONDS: Final = 0.01
 MAX_REFUSAL_DOUBLINGS: Final = 2
@@ -164,10 +162,14 @@
         result: CallResult,
         latency_seconds: float,
         route: str = "",
+        held_seconds: float | None = None,
     ) -> None:
-        """Take the end of a started call as evidence."""
-        if result is CallResult.ANSWERED:
-            self._note_time(endpoint_name, latency_seconds, route)
+        """Take the end of a started call as evidence.
+
+        ``held_seconds`` is how long it held its slot, if that is known.
+        """
+        if result is CallResult.ANSWERED and held_seconds is not None:
+            self._note_time(endpoint_name, held_seconds, route)
         self._note_end(endpoint_name, result)
         evidence = self._evidence(endpoint_name)
         if evidence.in_flight <= 0:
@@ -217,10 +219,7 @@
         seconds = self._times.expect(
             kind.route.encode(), kind.objective_seconds
         )
-        # not the average, which holds the waits of a busy time
-        work = kind.objective_seconds * WORK_SHARE
-        patience = max(0.0, kind.left_seconds - work)
-        needs = PlacingNeeds(seconds, patience, kind.priority)
+        needs = PlacingNeeds(seconds, kind.left_seconds, kind.priority)
         chosen = place_call(members.all, excluded, needs, now, self._random)
         return None if chosen is None else chosen.endpoint
 
--- a/packages/calls/tests/test_placing.py
+++ b/packages/calls/tests/test_placing.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from rhubarbhollow_calls.backlog import Backlog
+from rhubarbhollow_calls.backlog import NO_BACKLOG, Backlog
 from rhubarbhollow_calls.call_kind import CallKind
 from rhubarbhollow_calls.call_priority import CallPriority
 from rhubarbhollow_calls.call_result import CallResult
@@ -88,7 +88,9 @@
     for _ in range(30):
         for name, seconds in (("a", 0.5), ("b", 0.1)):
             book.started(name, "lookup")
-            book.finished(name, CallResult.ANSWERED, seconds, "lookup")
+            book.finished(
+                name, CallResult.ANSWERED, seconds, "lookup", seconds
+            )
             book.report_backlog(name, both(0.0))
     chosen = [book.choose("s", (), KIND).name for _ in range(50)]
     assert chosen.count("b") == 50
@@ -144,3 +146,28 @@
     for _ in range(200):
         book.started("a", "history", CallPriority.BULK)
     assert book.choose("s", (), KIND).name == "a"
+
+
+def test_a_bulk_call_leaves_early_for_where_nobody_waits():
+    book = book_of(*TWO_HERE)
+    for name in "ab":
+        book.report_backlog(name, both(0.6))
+    left = CallKind("history", 2.0, 2.0, CallPriority.BULK)
+    assert book.choose("s", (), left).name == "c"
+    urgent = CallKind("history", 2.0, 2.0)
+    assert book.choose("s", (), urgent).name in "ab"
+    book.report_backlog("c", both(0.6))
+    assert book.choose("s", (), left).name in "ab"
+
+
+def test_waits_do_not_make_an_upstream_slow():
+    book = book_of(endpoint("a", "here"), endpoint("b", "here"))
+    for _ in range(30):
+        for name, waited in (("a", 0.5), ("b", 0.0)):
+            book.started(name, "lookup")
+            book.finished(
+                name, CallResult.ANSWERED, waited + 0.1, "lookup", 0.1
+            )
+            book.report_backlog(name, NO_BACKLOG)
+    chosen = [book.choose("s", (), KIND).name for _ in range(50)]
+    assert 15 <= chosen.count("a") <= 35
