--- a/packages/calls/src/rhubarbhollow_calls/io_local_port.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_port.py
@@ -9,7 +9,7 @@
 from rhubarbhollow_calls.call_priority import CallPriority
 from rhubarbhollow_calls.io_crash_watch import BrokenCall, CrashWatch
 from rhubarbhollow_calls.io_pool import ConnectionPool
-from rhubarbhollow_calls.service_times import ServiceTimes
+from rhubarbhollow_calls.service_times import SERVICE_MARGIN, ServiceTimes
 from rhubarbhollow_calls.slot_admission import (
     Admitted,
     Queued,
@@ -111,12 +111,11 @@
             return ticket
         objective = ticket.objective_ms / MS_PER_SECOND
         seconds = self.service_times.expect(route, objective)
-        end_by = ticket.start_by
         if ticket.priority is CallPriority.INTERACTIVE:
-            end_by = ticket.deadline
-        return replace(
-            ticket, service_seconds=seconds, start_by=end_by - seconds
-        )
+            start_by = ticket.deadline - seconds
+        else:
+            start_by = ticket.start_by - SERVICE_MARGIN * seconds
+        return replace(ticket, service_seconds=seconds, start_by=start_by)
 
     def request_slot(self, user: SlotUser, ticket: Ticket) -> None:
         """Grant a slot now or later, or refuse it now."""
--- a/packages/calls/src/rhubarbhollow_calls/placing.py
+++ b/packages/calls/src/rhubarbhollow_calls/placing.py
@@ -13,6 +13,7 @@
 
 from rhubarbhollow_calls.call_priority import CallPriority
 from rhubarbhollow_calls.candidate_view import Eligibility
+from rhubarbhollow_calls.service_times import SERVICE_MARGIN
 from rhubarbhollow_calls.upstream_ranking import rank_endpoint
 
 if TYPE_CHECKING:
@@ -37,9 +38,6 @@
 # calls of each kind end there in that time and tell of it anew
 REMOTE_MEMORY_SECONDS: Final = 0.5
 
-# calls of a route differ: four in five take no more than this many
-# times the average
-SERVICE_MARGIN: Final = 1.25
 # the shares of its slack that a call waits in its own data centre
 # before it leaves: a bulk call leaves early where another data centre
 # is idle, since it holds the slots that urgent calls wait for and takes
--- a/packages/calls/src/rhubarbhollow_calls/service_times.py
+++ b/packages/calls/src/rhubarbhollow_calls/service_times.py
@@ -6,6 +6,9 @@
 
 # the weight of one more call; ten calls make up most of the average
 CALL_WEIGHT: Final = 0.1
+# calls of a route differ: four in five take no more than this many
+# times the average
+SERVICE_MARGIN: Final = 1.25
 # share of the latency objective that a call is taken to need before
 # any of its route was seen; operators set objectives at about thrice
 # the work
--- a/packages/calls/src/rhubarbhollow_calls/slot_gate.py
+++ b/packages/calls/src/rhubarbhollow_calls/slot_gate.py
@@ -25,6 +25,8 @@
 # keeps room in the queue for interactive tickets
 BULK_QUEUE_SHARE: Final = 0.75
 
+# of the slots, when urgent calls are let pass
+MIN_BULK_SHARE: Final = 1 / (1 + INTERACTIVE_RUN_LIMIT)
 # the weight of one more call in the mean service time
 MEAN_WEIGHT: Final = 0.1
 
@@ -67,6 +69,7 @@
         "_expired",
         "_given_before_last",
         "_in_use",
+        "_interactive_seconds",
         "_is_draining",
         "_lanes",
         "_mean_seconds",
@@ -88,6 +91,8 @@
         # service time given to other lanes while the last one waited
         self._given_before_last = 0.0
         self._mean_seconds = 0.0
+        # the same, with bulk calls counted as none
+        self._interactive_seconds = 0.0
         self._expired: list[Ticket] = []
         self._overdue: list[Ticket] = []
 
@@ -202,14 +207,21 @@
         return overdue
 
     def _expected_wait(self, ticket: Ticket) -> float:
-        """Return the seconds until a slot is free for the ticket."""
+        """Return the seconds until a slot is free for the ticket.
+
+        A bulk call also lets those pass that come after it and are more
+        urgent, which leaves it a part of the slots.
+        """
         ahead = sum(
             waiting.service_seconds
             for lane, queue in self._lanes.items()
             if lane <= ticket.lane
             for waiting in queue.values()
         )
-        return (ahead + self._mean_seconds) / max(1, self._slots)
+        slots = float(max(1, self._slots))
+        if ticket.priority is CallPriority.BULK:
+            slots *= max(MIN_BULK_SHARE, 1 - self._interactive_share)
+        return (ahead + self._mean_seconds) / slots
 
     def _waiting_seconds(self) -> tuple[float, float]:
         """Return the service time that waits, of either class."""
@@ -221,6 +233,13 @@
             )
         return seconds[0], seconds[1]
 
+    @property
+    def _interactive_share(self) -> float:
+        """Return the share of recent service time in urgent calls."""
+        if not self._mean_seconds:
+            return 0.0
+        return self._interactive_seconds / self._mean_seconds
+
     def _enqueue(self, ticket: Ticket) -> Admission:
         if self.waiting >= self._queue_limit:
             return _REFUSED_FULL
@@ -289,6 +308,11 @@
         self._in_use += 1
         seconds = ticket.service_seconds
         self._mean_seconds += MEAN_WEIGHT * (seconds - self._mean_seconds)
+        if ticket.priority is CallPriority.BULK:
+            seconds = 0.0
+        self._interactive_seconds += MEAN_WEIGHT * (
+            seconds - self._interactive_seconds
+        )
 
     def _check_idle(self) -> None:
         if self._in_use < self._slots and self.waiting:
--- a/packages/calls/tests/test_slot_lanes.py
+++ b/packages/calls/tests/test_slot_lanes.py
@@ -177,3 +177,22 @@
     gate.admit(ticket("order", 50, clock.monotonic()))
     added = gate.backlog.interactive_seconds - before
     assert added == pytest.approx(0.11 / SLOTS)
+
+
+def test_a_bulk_call_reckons_with_the_urgent_ones_that_will_pass_it():
+    # a third of the slots' time goes to orders
+    waiting = {}
+    for orders in (0, 30):
+        clock = ManualClock()
+        gate = SlotGate(SLOTS, 64, clock)
+        for n in range(orders):
+            gate.admit(ticket("order", 1000 + n, clock.monotonic()))
+            if gate.in_use == SLOTS:
+                gate.release()
+        while gate.in_use:
+            gate.release()
+        fill(gate, clock, "history" if not orders else "order")
+        for n in range(64):
+            gate.admit(ticket("history", 100 + n, clock.monotonic()))
+        waiting[orders] = gate.waiting
+    assert 0 < waiting[30] < waiting[0] / 2
