Keep one retry budget a service, and save up less of it

A service that sheds all at once got the retries saved up over 10 s beside those that came in then, 0.2 a second for each route of each node, and the calls that repeated calls made again.

Ruled out: repeats by callers (each has an id of its own).

--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -20,6 +20,7 @@
 from rhubarbhollow_calls.io_route_state import RouteState
 from rhubarbhollow_calls.io_settings import CallSettings
 from rhubarbhollow_calls.refusal_status import status_for_foreign
+from rhubarbhollow_calls.retry_budgets import RetryBudgets
 from rhubarbhollow_calls.slot_ticket import Ticket
 
 if TYPE_CHECKING:
@@ -90,6 +91,7 @@
         self._snapshot: Snapshot | None = None
         self._position = 0
         self._states: dict[str, RouteState] = {}
+        self._budgets = RetryBudgets(clock)
         self._peer_pools: dict[tuple[str, int], ConnectionPool] = {}
         self._connections: set[ListenerConnection] = set()
         self.sweep = DeadlineSweep(clock)
@@ -119,10 +121,14 @@
         known = self._states
         self._states = {
             route.name: RouteState(
-                route, snapshot.position, self.clock, known.get(route.name)
+                route,
+                snapshot.position,
+                self._budgets.of(route),
+                known.get(route.name),
             )
             for route in snapshot.route_table.routes
         }
+        self._budgets.retain(snapshot.route_table.routes)
         self._snapshot = snapshot
         self._position = snapshot.position
         self.position_line = b"%b: %d\r\n" % (
--- a/packages/calls/src/rhubarbhollow_calls/io_route_state.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_route_state.py
@@ -2,24 +2,22 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 from rhubarbhollow_calls import http_names as names
 from rhubarbhollow_calls.io_counters import RouteCounters
-from rhubarbhollow_calls.retry_budget import RetryBudget
 from rhubarbhollow_calls.weighted_choice import WeightedChoice
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.call_route import CallRoute
-    from rhubarbhollow_wire.clock import Clock
-
-MIN_RETRIES_PER_SECOND: Final = 0.2
+    from rhubarbhollow_calls.retry_budget import RetryBudget
 
 
 class RouteState:
-    """Keep a route's budget, counters and ready-made field lines.
+    """Keep a route's counters and ready-made field lines.
 
-    Budget and counters outlive a release; the lines are made anew.
+    Counters outlive a release; the lines are made anew.  The budget is
+    that of all routes to the service.
     """
 
     __slots__ = (
@@ -36,7 +34,7 @@
         self,
         route: CallRoute,
         position: int,
-        clock: Clock,
+        budget: RetryBudget,
         previous: RouteState | None,
     ) -> None:
         self.route = route
@@ -44,13 +42,7 @@
         self.counters: RouteCounters = (
             RouteCounters() if previous is None else previous.counters
         )
-        self.budget: RetryBudget
-        if previous and previous.route.budget_ratio == route.budget_ratio:
-            self.budget = previous.budget
-        else:
-            self.budget = RetryBudget(
-                route.budget_ratio, MIN_RETRIES_PER_SECOND, clock
-            )
+        self.budget = budget
         parts = route.splits or ((route.service, 1.0),)
         self.services = WeightedChoice(parts)
         if previous is not None and previous.services.parts == parts:
--- a/packages/calls/src/rhubarbhollow_calls/retry_budget.py
+++ b/packages/calls/src/rhubarbhollow_calls/retry_budget.py
@@ -8,8 +8,10 @@
 if TYPE_CHECKING:
     from rhubarbhollow_wire.clock import Clock
 
-# calls older than a few of these no longer pay for retries
-BUDGET_MEMORY_SECONDS: Final = 10.0
+# calls older than a few of these no longer pay for retries.  What was
+# saved up is spent at once when a service begins to fail, beside what
+# comes in then: over 10 s that is 1.4 times the ratio.
+BUDGET_MEMORY_SECONDS: Final = 4.0
 
 
 class RetryBudget:
