--- a/packages/calls/src/rhubarbhollow_calls/io_settings.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_settings.py
@@ -18,7 +18,8 @@
     ``unacknowledged_ms`` ends a connection whose other end is lost.
     ``origin`` names the service beside this node.
     ``retry_after_seconds`` is the mean time after which a refused
-    caller is asked to return.
+    caller is asked to return: a busy upstream frees a slot every 20 ms
+    or so, and after four of them most callers can still be in time.
     """
 
     queue_limit: int = 64
@@ -34,4 +35,4 @@
     unacknowledged_ms: int = 1_000
     dialect: Dialect = NATIVE_DIALECT
     origin: bytes = b""
-    retry_after_seconds: float = 0.25
+    retry_after_seconds: float = 0.08
