Test what a process loads at its start

The test starts a Python process for each part and looks at its modules: no schema, YAML or signature library, and none of the other part.

--- /dev/null
+++ b/tests/platform/test_start.py
@@ -0,0 +1,40 @@
+"""What a process loads at its start, which callers wait for."""
+
+import subprocess
+import sys
+
+import pytest
+
+NODE = (
+    "rhubarbhollow_daemon.node_building",
+    "rhubarbhollow_daemon.node_handlers",
+    "rhubarbhollow_daemon.explain_handlers",
+    "rhubarbhollow_platform.sidecar_extension",
+)
+CONTROL = (
+    "rhubarbhollow_daemon.control_building",
+    "rhubarbhollow_daemon.control_tasks",
+    "rhubarbhollow_platform.core_extension",
+)
+# for manifests, signatures and settings files of the product's own
+# interface
+UNUSED = ("jsonschema", "yaml", "cryptography")
+
+
+@pytest.mark.parametrize(
+    ("parts", "absent"),
+    [
+        (NODE, (*UNUSED, *CONTROL, "rhubarbhollow_replication.replica")),
+        (CONTROL, (*UNUSED, *NODE, "rhubarbhollow_calls.io_node")),
+    ],
+)
+def test_a_process_loads_only_what_its_part_needs(parts, absent):
+    imports = ", ".join(("sys", "rhubarbhollow_platform.program", *parts))
+    loaded = subprocess.run(
+        [sys.executable, "-c", f"import {imports}; print(*sys.modules)"],
+        check=True,
+        capture_output=True,
+        text=True,
+    ).stdout.split()
+    assert set(parts) <= set(loaded)
+    assert set(absent).isdisjoint(loaded)
