--- a/packages/calls/src/rhubarbhollow_calls/io_observer.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_observer.py
@@ -39,6 +39,12 @@
         """Hear of a refusal; ``upstream`` may be empty."""
         ...
 
+    def call_not_begun(
+        self, request_id: bytes, refusal: Refusal, position: int
+    ) -> None:
+        """Hear of a refusal before a route was chosen."""
+        ...
+
     def attempt_failed(
         self,
         state: RouteState,
@@ -78,6 +84,11 @@
     ) -> None:
         """Do nothing."""
 
+    def call_not_begun(
+        self, request_id: bytes, refusal: Refusal, position: int
+    ) -> None:
+        """Do nothing."""
+
     def attempt_failed(
         self,
         state: RouteState,
--- a/packages/calls/src/rhubarbhollow_calls/io_refused_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_refused_exchange.py
@@ -42,5 +42,11 @@
     def _refusal_lines(self) -> bytes:
         return self._node.position_line
 
-    def _count_refusal(self, refusal: Refusal) -> None:  # noqa: ARG002
+    def _count_refusal(self, refusal: Refusal) -> None:
         self._node.counters.unrouted += 1
+        snapshot = self._node.snapshot
+        self._node.observer.call_not_begun(
+            self._request_id,
+            refusal,
+            0 if snapshot is None else snapshot.position,
+        )
--- a/packages/daemon/src/rhubarbhollow_daemon/call_observer.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/call_observer.py
@@ -72,21 +72,11 @@
         """
         if refusal.kind not in CALLER_FAULTS:
             self._burn.count_failure(_key(state, upstream))
-        self._decisions.write(
+        self._remember(
             "call_refused",
-            request_id=request_id.decode("latin-1"),
-            route=state.route.name,
-            position=state.position,
-            upstream=upstream,
-            attempts=attempts,
-            refusal=refusal.kind.value,
-            executed=refusal.executed.value,
-            detail=refusal.detail,
-        )
-        self._log.add(
             request_id,
             RefusedCall(
-                at=self._clock.utc().isoformat(timespec="milliseconds"),
+                at=self._now(),
                 route=state.route.name,
                 position=state.position,
                 upstream=upstream,
@@ -97,6 +87,25 @@
             ),
         )
 
+    def call_not_begun(
+        self, request_id: bytes, refusal: Refusal, position: int
+    ) -> None:
+        """Remember why a call has no route; it counts for none."""
+        self._remember(
+            "call_not_begun",
+            request_id,
+            RefusedCall(
+                at=self._now(),
+                route="",
+                position=position,
+                upstream="",
+                attempts=0,
+                kind=refusal.kind.value,
+                executed=refusal.executed.value,
+                detail=refusal.detail,
+            ),
+        )
+
     def attempt_failed(
         self,
         state: RouteState,
@@ -123,6 +132,25 @@
         """Count an answer that was cut short."""
         self._burn.count_failure(_key(state, upstream))
 
+    def _now(self) -> str:
+        return self._clock.utc().isoformat(timespec="milliseconds")
+
+    def _remember(
+        self, event: str, request_id: bytes, call: RefusedCall
+    ) -> None:
+        self._decisions.write(
+            event,
+            request_id=request_id.decode("latin-1"),
+            route=call.route,
+            position=call.position,
+            upstream=call.upstream,
+            attempts=call.attempts,
+            refusal=call.kind,
+            executed=call.executed,
+            detail=call.detail,
+        )
+        self._log.add(request_id, call)
+
 
 def _name_of(decision: RetryDecision) -> str:
     match decision:
