--- a/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
@@ -12,13 +12,14 @@
     from rhubarbhollow_calls.backlog import Backlog
     from rhubarbhollow_calls.endpoint import Endpoint
 
+# five calls make up most of the average
 LATENCY_WEIGHT: Final = 0.2
-# evidence counts half after this without a call, so that an endpoint
-# that was slow or failed once is tried again
 # ten calls make up most of the share
 FAILURE_WEIGHT: Final = 0.1
 # one call that took unusually long says no more than this
 MAX_SLOWNESS: Final = 8.0
+# evidence counts half after this without a call, so that an endpoint
+# that was slow or failed once is tried again
 EVIDENCE_MEMORY_SECONDS: Final = 5.0
 SLOW_START_SECONDS: Final = 10.0
 MIN_SLOW_START_SHARE: Final = 0.1
