Run pipelined calls that may be repeated at the same time

Cause: a connection ran one call at a time and stopped reading while one waited, so a caller that pipelines waited for the sum of its calls.

Change: each request of a connection is a PipelinedCall. Calls of idempotent routes start beside one another, up to 16 a connection; any other runs alone. Responses leave in the order of the requests; those that wait hold 256 KiB a connection, above which their attempts stop reading. While a later call runs, the first response is held until it is whole or the limit is reached: one that breaks off is then retried or refused, in place of a reset that takes the later ones with it. What is sent behind a request or response that ends the connection never starts.

--- a/packages/calls/src/rhubarbhollow_calls/http_limits.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_limits.py
@@ -15,3 +15,7 @@
 MAX_REPLAY_BYTES: Final = 65_536
 # Bytes discarded on a closing connection before it is aborted.
 MAX_DISCARDED_BYTES: Final = 262_144
+# Pipelined calls of one connection that run at the same time.
+MAX_OVERLAPPING_CALLS: Final = 16
+# Bytes of responses that one connection holds until their turn.
+MAX_HELD_BYTES: Final = 262_144
--- a/packages/calls/src/rhubarbhollow_calls/io_caller.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller.py
@@ -19,6 +19,7 @@
     from rhubarbhollow_calls.http_dialect import Dialect
     from rhubarbhollow_calls.http_fault import HttpFault
     from rhubarbhollow_calls.http_request_head import RequestHead
+    from rhubarbhollow_calls.io_downstream import Downstream
     from rhubarbhollow_calls.io_exchange import Exchange
     from rhubarbhollow_calls.io_listener import ListenerConnection
     from rhubarbhollow_calls.io_node import CallNode
@@ -41,9 +42,12 @@
         """Return the header names that callers and upstreams use."""
         return self._node.dialect
 
-    def open_call(
-        self, head: RequestHead, downstream: ListenerConnection
-    ) -> Exchange:
+    def may_overlap(self, head: RequestHead) -> bool:
+        """Return whether the call may be repeated or has no route."""
+        state = self._node.route(head.host, head.target)
+        return state is None or state.route.is_idempotent
+
+    def open_call(self, head: RequestHead, downstream: Downstream) -> Exchange:
         """Route a call by the release in force, or refuse it."""
         node = self._node
         mesh = head.mesh
@@ -84,7 +88,7 @@
 
     def _make_exchange(
         self,
-        downstream: ListenerConnection,
+        downstream: Downstream,
         head: RequestHead,
         request_id: bytes,
         deadline: Deadline,
@@ -112,7 +116,7 @@
     def _open_refused(
         self,
         head: RequestHead,
-        downstream: ListenerConnection,
+        downstream: Downstream,
         request_id: bytes,
         state: RouteState | None,
     ) -> Exchange:
--- a/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
@@ -29,7 +29,7 @@
     from rhubarbhollow_calls.http_request_head import RequestHead
     from rhubarbhollow_calls.http_response_head import ResponseHead
     from rhubarbhollow_calls.io_attempt import Attempt
-    from rhubarbhollow_calls.io_listener import ListenerConnection
+    from rhubarbhollow_calls.io_downstream import Downstream
     from rhubarbhollow_calls.io_node import CallNode
     from rhubarbhollow_calls.io_route_state import RouteState
 
@@ -81,7 +81,7 @@
     def __init__(
         self,
         node: CallNode,
-        downstream: ListenerConnection,
+        downstream: Downstream,
         head: RequestHead,
         request_id: bytes,
         deadline: Deadline,
--- a/packages/calls/src/rhubarbhollow_calls/io_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_exchange.py
@@ -27,7 +27,7 @@
     from rhubarbhollow_calls.http_request_head import RequestHead
     from rhubarbhollow_calls.http_response_head import ResponseHead
     from rhubarbhollow_calls.io_attempt import Attempt, AttemptFailure
-    from rhubarbhollow_calls.io_listener import ListenerConnection
+    from rhubarbhollow_calls.io_downstream import Downstream
     from rhubarbhollow_calls.io_local_upstream import LocalUpstream
     from rhubarbhollow_calls.io_node import CallNode
 
@@ -68,7 +68,7 @@
     def __init__(
         self,
         node: CallNode,
-        downstream: ListenerConnection,
+        downstream: Downstream,
         head: RequestHead,
         request_id: bytes,
         deadline: Deadline,
@@ -115,7 +115,7 @@
 
     def request_broken(self, fault: HttpFault) -> None:
         """Refuse a request whose body turned out to be malformed."""
-        if self._is_responding:
+        if self._is_responding and not self._take_back_response():
             self._cancel_attempt()
             self._abort()
             return
@@ -149,7 +149,7 @@
             return
         refusal = self._deadline_refusal()
         self._cancel_attempt()
-        if self._is_responding:
+        if self._is_responding and not self._take_back_response():
             self._abort()
         else:
             self._refuse(refusal)
@@ -214,7 +214,7 @@
         if failure.refusal.proof is None:
             self._may_have_run = True
         self._record_failure(failure)
-        if self._is_responding:
+        if self._is_responding and not self._take_back_response():
             self._abort()
         else:
             self._handle_failure(failure)
@@ -275,6 +275,14 @@
             lines += CLOSE_LINE
         return encode_response(head, lines)
 
+    def _take_back_response(self) -> bool:
+        """Return whether none of the response has reached the caller.
+
+        The call can then still be tried again, or refused.
+        """
+        self._is_responding = not self._downstream.discard_response()
+        return not self._is_responding
+
     def _begin(self, attempt: Attempt) -> None:
         self._attempt = attempt
         attempt.start()
--- a/packages/calls/src/rhubarbhollow_calls/io_keyed.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_keyed.py
@@ -35,7 +35,7 @@
     from rhubarbhollow_calls.http_request_head import RequestHead
     from rhubarbhollow_calls.http_response_head import ResponseHead
     from rhubarbhollow_calls.io_claim_port import ClaimPort
-    from rhubarbhollow_calls.io_listener import ListenerConnection
+    from rhubarbhollow_calls.io_downstream import Downstream
     from rhubarbhollow_calls.io_node import CallNode
     from rhubarbhollow_calls.io_route_state import RouteState
 
@@ -63,7 +63,7 @@
     def __init__(
         self,
         node: CallNode,
-        downstream: ListenerConnection,
+        downstream: Downstream,
         head: RequestHead,
         request_id: bytes,
         deadline: Deadline,
--- a/packages/calls/src/rhubarbhollow_calls/io_listener.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_listener.py
@@ -4,104 +4,51 @@
 
 import asyncio
 from collections import deque
-from typing import TYPE_CHECKING, Protocol, cast
+from typing import TYPE_CHECKING, cast
 
 from rhubarbhollow_calls.http_body import NO_BODY
 from rhubarbhollow_calls.http_encoding import CONTINUE_BYTES
-from rhubarbhollow_calls.http_limits import MAX_DISCARDED_BYTES
+from rhubarbhollow_calls.http_limits import (
+    MAX_DISCARDED_BYTES,
+    MAX_HELD_BYTES,
+    MAX_OVERLAPPING_CALLS,
+)
 from rhubarbhollow_calls.http_request_reader import RequestReader
-from rhubarbhollow_calls.io_pending import PendingRequest
+from rhubarbhollow_calls.io_pipelined_call import PipelinedCall
 
 if TYPE_CHECKING:
-    from rhubarbhollow_calls.http_dialect import Dialect
     from rhubarbhollow_calls.http_fault import HttpFault
     from rhubarbhollow_calls.http_request_head import RequestHead
+    from rhubarbhollow_calls.io_call_port import CallPort
     from rhubarbhollow_calls.io_settings import CallSettings
 
 
-class CallHandler(Protocol):
-    """Handle one call that arrived on a listener's connection."""
-
-    def start(self) -> None:
-        """Start the call; may end it synchronously."""
-        ...
-
-    def request_data(self, data: bytes) -> None:
-        """Handle a part of the request body."""
-        ...
-
-    def request_ended(self) -> None:
-        """Handle the end of the complete request."""
-        ...
-
-    def request_broken(self, fault: HttpFault) -> None:
-        """Handle a request whose body turned out to be malformed."""
-        ...
-
-    def cancel(self) -> None:
-        """Stop, since the caller no longer waits for the response."""
-        ...
-
-    def pause_response(self) -> None:
-        """Stop writing, since the send buffer is full."""
-        ...
-
-    def resume_response(self) -> None:
-        """Continue to write."""
-        ...
-
-
-class CallPort(Protocol):
-    """Create handlers for the calls that arrive at one port."""
-
-    @property
-    def is_from_node(self) -> bool:
-        """Return whether the clients of this port are nodes."""
-        ...
-
-    @property
-    def dialect(self) -> Dialect:
-        """Return the header names that callers and upstreams use."""
-        ...
-
-    def open_call(
-        self, head: RequestHead, downstream: ListenerConnection
-    ) -> CallHandler:
-        """Return a handler that has not been started."""
-        ...
-
-    def encode_fault(self, fault: HttpFault) -> bytes:
-        """Return the complete response to an unparsable request."""
-        ...
-
-    def connection_opened(self, connection: ListenerConnection) -> None:
-        """Register an accepted connection."""
-        ...
-
-    def connection_closed(self, connection: ListenerConnection) -> None:
-        """Unregister a closed connection."""
-        ...
-
-
 class ListenerConnection(asyncio.Protocol):
-    """Read requests, run one call at a time, and answer in order.
+    """Read requests, run their calls, and answer in order.
+
+    Pipelined calls that may be repeated run at the same time, up to
+    ``MAX_OVERLAPPING_CALLS``; any other runs alone.  Reading stops
+    while a request waits for its start, so that the queue holds no more
+    than the data of a single read.
 
-    Pipelined requests are queued.  Reading stops while one is queued,
-    so that the queue holds no more than the data of a single read.
+    While a later call is running, the response to an earlier one is
+    held until it is complete or ``MAX_HELD_BYTES`` are: a response that
+    breaks off would otherwise take the later ones with it.
     """
 
     __slots__ = (
-        "_active",
+        "_calls",
         "_discarded_bytes",
+        "_ends_by_linger",
         "_fault",
+        "_held_bytes",
         "_is_closing",
         "_is_draining",
         "_is_last",
-        "_is_newest_active",
-        "_is_paused_by_call",
         "_is_reading_paused",
         "_is_starting_queued",
         "_is_writing_paused",
+        "_newest",
         "_port",
         "_queue",
         "_reader",
@@ -113,63 +60,99 @@
         self._port = port
         self._reader = RequestReader(self, port.is_from_node, port.dialect)
         self._transport: asyncio.Transport | None = None
-        self._active: CallHandler | None = None
-        self._queue: deque[PendingRequest] = deque()
+        # Started calls whose response is not complete, in order.
+        self._calls: deque[PipelinedCall] = deque()
+        self._queue: deque[PipelinedCall] = deque()
+        # The request that is being read.
+        self._newest: PipelinedCall | None = None
         self._fault: HttpFault | None = None
-        self._is_newest_active = False
         self._is_last = False
+        self._ends_by_linger = False
         self._is_closing = False
         self._is_draining = False
         self._is_starting_queued = False
         self._is_reading_paused = False
-        self._is_paused_by_call = False
         self._is_writing_paused = False
+        self._held_bytes = 0
         self._discarded_bytes = 0
         self.idle_ticks = 0
 
     @property
     def is_busy(self) -> bool:
         """Return whether a call is in flight or queued."""
-        return self._active is not None or bool(self._queue)
+        return bool(self._calls) or bool(self._queue)
 
-    # Called by the exchange.
+    # Called by the calls.
 
-    def is_last_response(self) -> bool:
-        """Return whether the current response has to be the last one.
+    def is_last_response(self, call: PipelinedCall) -> bool:
+        """Return whether the response of ``call`` has to be the last.
 
         After a true result no further call starts on this connection.
         """
+        if not self._calls or call is not self._calls[-1]:
+            return False
         if self._is_draining and not self._queue:
             self._is_last = True
         return self._is_last
 
-    def write(self, data: bytes) -> None:
-        """Write a part of the active call's response."""
+    def is_streaming(self, call: PipelinedCall) -> bool:
+        """Return whether ``call`` may send its response as it comes."""
+        if not self._calls or call is not self._calls[0]:
+            return False
+        return call.is_sent or len(self._calls) == 1
+
+    def send(self, data: bytes) -> None:
+        """Write to the transport."""
         if self._transport is not None:
             self._transport.write(data)
 
-    def end_call(self) -> None:
-        """End the active call after its response has been written."""
-        self._active = None
-        if self._is_paused_by_call:
-            self._is_paused_by_call = False
-            self._update_reading()
+    def hold(self, call: PipelinedCall, size: int) -> None:
+        """Account for ``size`` more held bytes of ``call``.
+
+        Above the limit the first response is sent and others pause.
+        """
+        self._held_bytes += size
+        if self._held_bytes <= MAX_HELD_BYTES:
+            return
+        if self._calls and call is self._calls[0]:
+            call.flush()
+        else:
+            call.pause_response()
+
+    def release(self, size: int) -> None:
+        """Account for ``size`` bytes that are no longer held."""
+        self._held_bytes -= size
+
+    def call_ended(self) -> None:
+        """Send the responses whose turn has come, and start calls."""
+        while self._calls and self._calls[0].is_ended:
+            # Flushed first: the transport may pause the first call.
+            self._calls[0].flush()
+            if self._calls:
+                self._calls.popleft()
+        if self._calls:
+            self._continue_first()
+        self.update_reading()
         self._start_queued_calls()
 
     def abort(self) -> None:
-        """Reset the connection, to mark the response as truncated."""
-        self._active = None
+        """Reset the connection, to mark a response as truncated."""
         self._close_at_once()
 
-    def pause_request(self) -> None:
-        """Stop reading the request for now."""
-        self._is_paused_by_call = True
-        self._update_reading()
+    def update_reading(self) -> None:
+        """Pause or resume reading from the transport."""
+        should_pause = self._is_paused_by_call or bool(self._queue)
+        should_pause = should_pause or self._fault is not None
+        should_pause = should_pause and not self._is_closing
+        if should_pause == self._is_reading_paused or self._transport is None:
+            return
+        self._is_reading_paused = should_pause
+        if should_pause:
+            self._transport.pause_reading()
+        elif not self._transport.is_closing():
+            self._transport.resume_reading()
 
-    def resume_request(self) -> None:
-        """Continue to read the request."""
-        self._is_paused_by_call = False
-        self._update_reading()
+    # Called by the node.
 
     def begin_drain(self) -> None:
         """Make the next response the last one on this connection.
@@ -180,7 +163,7 @@
         self._is_draining = True
 
     def close(self) -> None:
-        """Close immediately and cancel the call in flight."""
+        """Close immediately and cancel the calls in flight."""
         self._close_at_once()
 
     def tick(self, settings: CallSettings) -> None:
@@ -215,7 +198,7 @@
             self._handle_fault(fault)
 
     def eof_received(self) -> bool:
-        """Cancel the call.
+        """Cancel the calls.
 
         A half-closed connection cannot be told from a closed one.
         """
@@ -225,70 +208,61 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
-        """Cancel the call in flight and drop the queued requests."""
+        """Cancel the calls in flight and drop the queued requests."""
         self._close_at_once()
         self._port.connection_closed(self)
 
     def pause_writing(self) -> None:
         """Pause the response until the transport buffer has drained."""
         self._is_writing_paused = True
-        if self._active is not None:
-            self._active.pause_response()
+        if self._calls:
+            self._calls[0].pause_response()
 
     def resume_writing(self) -> None:
-        """Resume the response, or start the next call."""
+        """Resume the response, and start the next calls."""
         self._is_writing_paused = False
-        if self._active is not None:
-            self._active.resume_response()
-        else:
-            self._start_queued_calls()
+        if self._calls:
+            self._calls[0].resume_response()
+        self._start_queued_calls()
 
     # Called by the request reader.
 
     def request_started(self, head: RequestHead) -> None:
-        """Start the call, or queue it behind an earlier one."""
-        if self._is_free and not self._queue:
-            self._is_newest_active = True
-            self._start(head)
-            return
-        self._is_newest_active = False
-        self._queue.append(PendingRequest(head))
-        self._update_reading()
+        """Start the call, or queue it behind earlier ones."""
+        call = self._newest = PipelinedCall(self, head)
+        self._queue.append(call)
+        self._start_queued_calls()
+        if self._queue:
+            self.update_reading()
 
     def request_data(self, data: bytes) -> None:
         """Forward or queue a part of the newest request's body."""
-        if not self._is_newest_active:
-            self._queue[-1].parts.append(data)
-        elif self._active is not None:
-            self._active.request_data(data)
-        else:
+        if self._newest is None or not self._newest.receive_data(data):
             self._discard(len(data))
 
     def request_ended(self) -> None:
         """Forward or queue the end of the newest request."""
-        if not self._is_newest_active:
-            self._queue[-1].is_whole = True
-        elif self._active is not None:
-            self._active.request_ended()
-        elif self._is_last:
-            self._close()
+        newest, self._newest = self._newest, None
         self._discarded_bytes = 0
-
-    def _start(self, head: RequestHead) -> None:
-        # A caller that sent "Expect: 100-continue" and was refused may
-        # or may not send the body, so no other request can follow on
-        # this connection.
-        self._is_last = not head.is_keep_alive or head.is_continue_expected
-        call = self._port.open_call(head, self)
-        self._active = call
-        call.start()
-        if self._active is not call or not head.is_continue_expected:
+        if newest is None:
             return
-        if head.body is not NO_BODY:
-            self.write(CONTINUE_BYTES)
+        is_answered = newest.is_ended
+        newest.receive_end()
+        self.update_reading()
+        if is_answered and self._is_last and not self._calls:
+            self._close()
+
+    @property
+    def _is_paused_by_call(self) -> bool:
+        return self._newest is not None and self._newest.is_request_paused
+
+    @property
+    def _is_free(self) -> bool:
+        is_idle = not self._calls and not self._is_writing_paused
+        return is_idle and not self._is_closing
 
     def _start_queued_calls(self) -> None:
-        """Start queued requests.
+        """Start queued calls.
 
         A loop, since a request that is refused synchronously ends its
         call within this method and would otherwise cause recursion.
@@ -296,8 +270,8 @@
         if self._is_starting_queued:
             return
         self._is_starting_queued = True
-        while self._is_free and self._queue and not self._is_last:
-            self._start_next(self._queue.popleft())
+        while self._queue and self._may_start(self._queue[0]):
+            self._start(self._queue.popleft())
         self._is_starting_queued = False
         if not self._is_free:
             return
@@ -306,46 +280,74 @@
         elif self._fault is not None:
             self._refuse(self._fault)
 
+    def _may_start(self, call: PipelinedCall) -> bool:
+        if self._is_last or self._is_closing or self._is_writing_paused:
+            return False
+        if not self._calls:
+            return True
+        if len(self._calls) >= MAX_OVERLAPPING_CALLS:
+            return False
+        if self._held_bytes > MAX_HELD_BYTES or call.head.is_continue_expected:
+            return False
+        # The calls behind the first one were checked at their start.
+        is_first_repeatable = self._calls[0].may_overlap(self._port)
+        return is_first_repeatable and call.may_overlap(self._port)
+
+    def _start(self, call: PipelinedCall) -> None:
+        head = call.head
+        # A caller that sent "Expect: 100-continue" and was refused may
+        # or may not send the body, so no other request can follow on
+        # this connection.
+        self._is_last = not head.is_keep_alive or head.is_continue_expected
+        self._calls.append(call)
+        call.start(self._port)
+        is_waiting = head.is_continue_expected and not call.is_ended
+        if is_waiting and head.body is not NO_BODY:
+            self.send(CONTINUE_BYTES)
+        call.forward_received_part()
+        self.update_reading()
+
+    def _continue_first(self) -> None:
+        """Let the call whose turn has come send its response."""
+        first = self._calls[0]
+        if len(self._calls) == 1 or self._held_bytes > MAX_HELD_BYTES:
+            first.flush()
+        if self._is_writing_paused:
+            first.pause_response()
+        else:
+            first.resume_response()
+
     def _end_last(self) -> None:
         self._queue.clear()
-        if not self._reader.is_mid_body:
+        if self._ends_by_linger:
+            self._linger()
+        elif not self._reader.is_mid_body:
             self._close()
 
-    @property
-    def _is_free(self) -> bool:
-        is_idle = self._active is None and not self._is_writing_paused
-        return is_idle and not self._is_closing
-
-    def _start_next(self, request: PendingRequest) -> None:
-        self._is_newest_active = not self._queue
-        self._start(request.head)
-        for part in request.parts:
-            if self._active is not None:
-                self._active.request_data(part)
-        if request.is_whole and self._active is not None:
-            self._active.request_ended()
-        self._update_reading()
-
     def _handle_fault(self, fault: HttpFault) -> None:
-        if self._reader.is_mid_body:
-            self._handle_body_fault(fault)
+        if self._reader.is_mid_body and self._newest is not None:
+            self._handle_body_fault(self._newest, fault)
         else:
             self._fault = fault
             self._start_queued_calls()
-        self._update_reading()
+        self.update_reading()
 
-    def _handle_body_fault(self, fault: HttpFault) -> None:
-        if not self._is_newest_active:
+    def _handle_body_fault(
+        self, newest: PipelinedCall, fault: HttpFault
+    ) -> None:
+        if not newest.is_started:
             self._queue.pop()
+            self._newest = None
             self._fault = fault
             return
-        if self._active is not None:
-            self._active.request_broken(fault)
-        if not self._is_closing:
+        self._is_last = True
+        self._ends_by_linger = True
+        newest.receive_fault(fault)
+        if not self._calls and not self._is_closing:
             self._linger()
 
     def _refuse(self, fault: HttpFault) -> None:
-        self.write(self._port.encode_fault(fault))
+        self.send(self._port.encode_fault(fault))
         self._linger()
 
     def _discard(self, size: int) -> None:
@@ -362,7 +364,7 @@
         self._is_closing = True
         if self._transport is not None and self._transport.can_write_eof():
             self._transport.write_eof()
-        self._update_reading()
+        self.update_reading()
 
     def _close(self) -> None:
         self._is_closing = True
@@ -370,22 +372,11 @@
             self._transport.close()
 
     def _close_at_once(self) -> None:
-        call, self._active = self._active, None
+        calls = list(self._calls)
+        self._calls.clear()
         self._queue.clear()
         self._is_closing = True
-        if call is not None:
+        for call in calls:
             call.cancel()
         if self._transport is not None:
             self._transport.abort()
-
-    def _update_reading(self) -> None:
-        should_pause = self._is_paused_by_call or bool(self._queue)
-        should_pause = should_pause or self._fault is not None
-        should_pause = should_pause and not self._is_closing
-        if should_pause == self._is_reading_paused or self._transport is None:
-            return
-        self._is_reading_paused = should_pause
-        if should_pause:
-            self._transport.pause_reading()
-        elif not self._transport.is_closing():
-            self._transport.resume_reading()
--- a/packages/calls/src/rhubarbhollow_calls/io_peer.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_peer.py
@@ -22,6 +22,7 @@
     from rhubarbhollow_calls.http_fault import HttpFault
     from rhubarbhollow_calls.http_request_head import RequestHead
     from rhubarbhollow_calls.http_response_head import ResponseHead
+    from rhubarbhollow_calls.io_downstream import Downstream
     from rhubarbhollow_calls.io_listener import ListenerConnection
     from rhubarbhollow_calls.io_local_port import LocalPort
     from rhubarbhollow_calls.io_node import CallNode
@@ -128,8 +129,12 @@
         """Return the header names that callers and upstreams use."""
         return self._node.dialect
 
+    def may_overlap(self, head: RequestHead) -> bool:  # noqa: ARG002
+        """Return false: nodes send one request at a time."""
+        return False
+
     def open_call(
-        self, head: RequestHead, downstream: ListenerConnection
+        self, head: RequestHead, downstream: Downstream
     ) -> PeerExchange:
         """Return the exchange for a call from another node."""
         node = self._node
--- a/packages/calls/src/rhubarbhollow_calls/io_refused_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_refused_exchange.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.http_request_head import RequestHead
-    from rhubarbhollow_calls.io_listener import ListenerConnection
+    from rhubarbhollow_calls.io_downstream import Downstream
     from rhubarbhollow_calls.io_node import CallNode
     from rhubarbhollow_calls.refusal import Refusal, RefusalKind
 
@@ -23,7 +23,7 @@
     def __init__(
         self,
         node: CallNode,
-        downstream: ListenerConnection,
+        downstream: Downstream,
         head: RequestHead,
         request_id: bytes,
         kind: RefusalKind,
