Match answers of upstreams by an id of the attempt

Cause: the own interface gave upstreams no id that they repeat. On a kept connection a late copy of an answer reached the next caller, and a copy of an earlier refusal turned into 'not run' for a request that was running, which then ran at a second upstream. On a foreign interface a caller that sent a refused request again under the same id met the same.

Change: each attempt carries rhubarbhollow-attempt, which the upstream repeats. A connection is kept only while its responses repeat the ids; an upstream that repeats none is called on a fresh connection for each request. After the first response of a connection one without an id is an error, and a connection on which a response to another request was skipped, or a refusal arrived, is closed after the call. An attempt skips at most 1 MiB of other responses.

Ruled out: trusting the order of answers for what may be repeated (a caller would still read another's answer).

--- a/bench/upstream.py
+++ b/bench/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 from typing import Any
 
@@ -13,6 +14,9 @@
     (b"content-type", b"application/json"),
     (b"content-length", b"%d" % len(BODY)),
 ]
+# A node keeps its connection to an upstream that repeats this field.
+IS_REPEATING = os.environ.get("BENCH_UPSTREAM_REPEATS") != "0"
+REPEATED_FIELDS = (b"rhubarbhollow-attempt",) if IS_REPEATING else ()
 
 
 async def answer(scope: Any, receive: Any, send: Any) -> None:  # noqa: ANN401
@@ -20,8 +24,11 @@
     if scope["type"] != "http":
         return
     await receive()
+    headers = HEADERS + [
+        field for field in scope["headers"] if field[0] in REPEATED_FIELDS
+    ]
     await send(
-        {"type": "http.response.start", "status": 200, "headers": HEADERS}
+        {"type": "http.response.start", "status": 200, "headers": headers}
     )
     await send({"type": "http.response.body", "body": BODY})
 
--- a/packages/calls/src/rhubarbhollow_calls/http_dialect.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_dialect.py
@@ -21,7 +21,8 @@
 
     ``is_foreign`` is true for the names of another system. Upstreams
     of such a system repeat request IDs, may end a response by closing
-    the connection, and are sent none of the native fields.
+    the connection, and are sent none of the native fields. A native
+    upstream repeats the id of the attempt, which no caller chooses.
     """
 
     request_id: bytes = names.REQUEST_ID
@@ -31,6 +32,11 @@
     not_run: bytes = names.NOT_RUN
     is_foreign: bool = False
 
+    @property
+    def echoed(self) -> bytes:
+        """Return the field that matches a response with its request."""
+        return self.request_id if self.is_foreign else names.ATTEMPT
+
     @property
     def dropped(self) -> frozenset[bytes]:
         """Return the additional request fields to read and remove."""
--- a/packages/calls/src/rhubarbhollow_calls/http_limits.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_limits.py
@@ -15,6 +15,9 @@
 MAX_REPLAY_BYTES: Final = 65_536
 # Bytes discarded on a closing connection before it is aborted.
 MAX_DISCARDED_BYTES: Final = 262_144
+# Bytes of responses to other requests that an attempt skips before its
+# own response.
+MAX_SKIPPED_BYTES: Final = 1_048_576
 # Pipelined calls of one connection that run at the same time.
 MAX_OVERLAPPING_CALLS: Final = 16
 # Bytes of responses that one connection holds until their turn.
--- a/packages/calls/src/rhubarbhollow_calls/http_names.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_names.py
@@ -12,6 +12,8 @@
 IDEMPOTENT: Final = b"rhubarbhollow-idempotent"
 DEPTH: Final = b"rhubarbhollow-depth"
 REQUEST_ID: Final = b"rhubarbhollow-request-id"
+# Sent with each attempt at an upstream, which repeats it.
+ATTEMPT: Final = b"rhubarbhollow-attempt"
 UPSTREAM: Final = b"rhubarbhollow-upstream"
 ORIGIN: Final = b"rhubarbhollow-origin"
 OBJECTIVE_MS: Final = b"rhubarbhollow-objective-ms"
--- a/packages/calls/src/rhubarbhollow_calls/http_response_head.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_response_head.py
@@ -37,7 +37,8 @@
     and a 304 carry although no body follows. ``is_until_close`` means
     that only the end of the connection delimits the body.
     ``idle_seconds`` is how long the sender keeps an idle connection
-    open, and ``slots`` is the slot report of the node beside the
+    open, ``request_id`` is the id that the sender repeated, and
+    ``slots`` is the slot report of the node beside the
     upstream.
     """
 
@@ -86,7 +87,7 @@
         values.get(names.EXECUTED),
         values.get(names.REFUSAL, b""),
         _is_not_run(values, dialect),
-        values.get(dialect.request_id),
+        values.get(dialect.echoed),
         is_until_close,
         _find_idle_seconds(values),
         _optional_report(values),
--- a/packages/calls/src/rhubarbhollow_calls/io_client.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_client.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Protocol, cast
 
+from rhubarbhollow_calls.http_fault import HttpFaultError, HttpFaultKind
+from rhubarbhollow_calls.http_limits import MAX_SKIPPED_BYTES
 from rhubarbhollow_calls.http_response_reader import ResponseReader
 from rhubarbhollow_calls.invariant import InvariantViolation
 from rhubarbhollow_wire.keepalive import enable_keepalive
@@ -67,10 +69,19 @@
     A connection is returned to the pool only after both request and
     response are complete.  Any other is closed, so that a late response
     can never be matched with a later request.
+
+    A request with an id is matched by it.  The connection is kept only
+    while the responses repeat the ids of their requests, and after the
+    first one a response without an id is an error: it may be another
+    copy of an earlier one.
     """
 
     __slots__ = (
+        "_has_responded",
+        "_has_skipped",
         "_is_closing",
+        "_is_for_head",
+        "_is_matched",
         "_is_reading_paused",
         "_is_request_whole",
         "_is_response_whole",
@@ -79,6 +90,7 @@
         "_pool",
         "_reader",
         "_request_id",
+        "_skipped_bytes",
         "_transport",
         "_user",
         "idle_limit",
@@ -96,6 +108,11 @@
         self._is_reading_paused = False
         self._is_closing = False
         self._is_unmatched = False
+        self._is_matched = False
+        self._is_for_head = False
+        self._has_responded = False
+        self._has_skipped = False
+        self._skipped_bytes = 0
         self._request_id: bytes | None = None
         self.idle_ticks = 0
         self.idle_limit: int | None = None
@@ -109,8 +126,8 @@
     ) -> None:
         """Write the first bytes of a request for ``user``.
 
-        A response with a request id other than ``request_id`` belongs
-        to an earlier request and is skipped.
+        A response with an id other than ``request_id`` belongs to an
+        earlier request and is skipped, up to ``MAX_SKIPPED_BYTES``.
         """
         if self._user is not None or self._is_closing:
             raise ConnectionInUse("the connection is in use or closing")
@@ -119,6 +136,9 @@
         self._is_response_whole = False
         self._request_id = request_id
         self._is_unmatched = False
+        self._is_matched = False
+        self._is_for_head = is_for_head
+        self._skipped_bytes = 0
         self._reader.expect(is_for_head)
         self.write(data)
 
@@ -131,6 +151,10 @@
         """Mark the request as completely written."""
         self._is_request_whole = True
 
+    def close_after_response(self) -> None:
+        """Do not reuse the connection after the current response."""
+        self._is_reusable = False
+
     def pause_reading(self) -> None:
         """Stop reading the response for now."""
         if self._transport is not None and not self._is_closing:
@@ -163,7 +187,7 @@
         fault = self._reader.feed(data)
         if self._is_response_whole:
             self._finish(fault)
-        elif fault is not None:
+        elif fault is not None or self._is_skipping_too_much(len(data)):
             self._break(BreakCause.BAD_RESPONSE)
 
     def eof_received(self) -> bool:
@@ -191,18 +215,23 @@
             self._user.resume_request()
 
     def response_started(self, head: ResponseHead) -> None:
-        """Forward the head, unless it belongs to another request."""
-        self._is_reusable = head.is_keep_alive and not head.is_until_close
+        """Forward the head, unless it belongs to another request.
+
+        Raise ``HttpFaultError`` if it cannot be told to which one.
+        """
+        expected = self._request_id
+        is_repeated = expected is None or head.request_id == expected
+        if not is_repeated and head.request_id is None:
+            self._check_first_response()
+        is_kept = head.is_keep_alive and not head.is_until_close
+        self._is_reusable = is_kept and is_repeated and not self._has_skipped
         if head.idle_seconds is not None:
             # One second less, since the response took time to arrive.
             self.idle_limit = max(0, head.idle_seconds - 1)
-        self._is_unmatched = (
-            self._request_id is not None
-            and head.request_id is not None
-            and head.request_id != self._request_id
-        )
+        self._is_unmatched = not is_repeated and head.request_id is not None
         if self._is_unmatched:
             return
+        self._is_matched = True
         if self._user is not None:
             self._user.response_started(head)
 
@@ -218,10 +247,25 @@
         """
         if self._is_unmatched:
             self._is_unmatched = False
-            self._reader.expect(is_for_head=False)
+            self._has_skipped = True
+            self._reader.expect(self._is_for_head)
             return
+        self._has_responded = True
         self._is_response_whole = True
 
+    def _check_first_response(self) -> None:
+        if self._has_responded:
+            raise HttpFaultError(
+                HttpFaultKind.UNEXPECTED,
+                "a response without an id on a connection in use again",
+            )
+
+    def _is_skipping_too_much(self, size: int) -> bool:
+        if self._is_matched:
+            return False
+        self._skipped_bytes += size
+        return self._skipped_bytes > MAX_SKIPPED_BYTES
+
     def _finish(self, fault: HttpFault | None) -> None:
         user, self._user = self._user, None
         self._is_response_whole = False
--- a/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
+from rhubarbhollow_calls import http_names as names
 from rhubarbhollow_calls.call_result import CallResult
 from rhubarbhollow_calls.io_attempt import Attempt, AttemptFailure
 from rhubarbhollow_calls.io_client import BreakCause
@@ -56,6 +57,7 @@
     """
 
     __slots__ = (
+        "_attempt_id",
         "_epoch",
         "_fingerprint",
         "_granted_at",
@@ -77,6 +79,7 @@
     ) -> None:
         super().__init__(owner, head, body)
         self._port = port
+        self._attempt_id = port.next_attempt_id()
         self._ticket = ticket
         self._route = route
         self._has_requested_slot = False
@@ -199,7 +202,8 @@
         """
         is_success = head.status // 100 == _SUCCESS_CLASS
         if (
-            self._expected_request_id()
+            self._port.dialect.is_foreign
+            and self._expected_request_id()
             and is_success
             and head.request_id is None
         ):
@@ -209,13 +213,20 @@
             self.connection_broken(BreakCause.BAD_RESPONSE)
             return
         super().response_started(head)
+        if self._refusal_head is not None and self._connection is not None:
+            # Another copy of the refusal could pass for the refusal of
+            # a later request with the same id.
+            self._connection.close_after_response()
 
     def _field_lines(self) -> bytes:
-        return self._owner.upstream_field_lines(self._port.upstream)
+        lines = self._owner.upstream_field_lines(self._port.upstream)
+        if self._port.dialect.is_foreign:
+            return lines
+        return lines + b"%b: %b\r\n" % (names.ATTEMPT, self._attempt_id)
 
     def _expected_request_id(self) -> bytes | None:
         if not self._port.dialect.is_foreign:
-            return None
+            return self._attempt_id
         return self._head.mesh.request_id
 
     def _is_refusal(self, head: ResponseHead) -> bool:
--- a/packages/calls/src/rhubarbhollow_calls/io_local_port.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_port.py
@@ -89,6 +89,7 @@
         self._waiting: dict[int, SlotUser] = {}
         self._granted: deque[SlotUser] = deque()
         self._is_granting = False
+        self._last_attempt_id = 0
 
     @property
     def gate(self) -> SlotGate:
@@ -99,6 +100,11 @@
         """Return the time on this node's monotonic clock."""
         return self._clock.monotonic()
 
+    def next_attempt_id(self) -> bytes:
+        """Return an id that no other attempt of this port has."""
+        self._last_attempt_id += 1
+        return b"%x" % self._last_attempt_id
+
     def estimate(self, ticket: Ticket, route: bytes) -> Ticket:
         """Return the ticket with its expected time and latest start.
 
--- a/packages/calls/tests/test_io_answers.py
+++ b/packages/calls/tests/test_io_answers.py
@@ -350,6 +350,7 @@
         headers = dict(upstream.requests[0].headers)
         assert 390 < int(headers.pop("rhubarbhollow-timeout-ms")) < 400
         assert headers.pop("rhubarbhollow-upstream", "desk-b") == "desk-b"
+        assert headers.pop("rhubarbhollow-attempt")
         headers.pop("rhubarbhollow-priority", None)
         headers.pop("rhubarbhollow-idempotent", None)
         assert headers == {
--- /dev/null
+++ b/packages/calls/tests/test_io_faulty_upstream.py
@@ -0,0 +1,259 @@
+"""Upstreams that repeat answers, or send bytes that are no answer."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+from tests.standin.http_client import encode_call
+from tests.standin.mesh import DEFAULT_ROUTE, Mesh, run, wait_until
+from tests.standin.scripted_upstream import ScriptedUpstream, encode_answer
+
+from rhubarbhollow_calls.http_dialect import Dialect
+from rhubarbhollow_calls.http_limits import MAX_HEAD_BYTES, MAX_SKIPPED_BYTES
+from rhubarbhollow_calls.io_settings import CallSettings
+
+FOREIGN = CallSettings(
+    dialect=Dialect(
+        request_id=b"x-id",
+        time_limit=b"x-left",
+        upstream=b"x-only",
+        origin=b"x-from",
+        not_run=b"rhubarbhollow-not-run",
+        is_foreign=True,
+    ),
+    origin=b"shop",
+)
+NATIVE = CallSettings()
+WRITE = replace(DEFAULT_ROUTE, is_idempotent=False)
+ENTRIES = pytest.mark.parametrize("entry", ["a", "b"], ids=["two", "one"])
+DIALECTS = pytest.mark.parametrize(
+    ("settings", "field"),
+    [(NATIVE, "rhubarbhollow-attempt"), (FOREIGN, "x-id")],
+    ids=["native", "foreign"],
+)
+NOT_RUN = "rhubarbhollow-not-run: true"
+UNAVAILABLE = "503 Service Unavailable"
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
+PIECE = b"y" * 16_384
+
+
+class CopyingUpstream(ScriptedUpstream):
+    """Write the first answer once more on its connection, if kept.
+
+    ``moment`` is ``with``, ``idle`` or ``during``: in one write with
+    the first answer, on the idle connection, or before the next answer.
+    """
+
+    def __init__(self, field, moment, *, echoes=True, is_refusal=False):
+        super().__init__(self._answer, echoes=False)
+        self.field = field
+        self.moment = moment
+        self.repeats_id = echoes
+        self.is_refusal = is_refusal
+        self.first = b""
+        self.kept = None
+        self.runs = []
+
+    async def _answer(self, request, writer):
+        if self.is_refusal and not self.first:
+            data = self._encode(request, b"", NOT_RUN, status=UNAVAILABLE)
+        else:
+            self.runs.append(request.target)
+            data = self._encode(request, request.target.encode())
+        if not self.first:
+            self.first = data
+            self.kept = writer
+            writer.write(data * 2 if self.moment == "with" else data)
+            if self.moment == "idle":
+                asyncio.get_running_loop().call_later(0.03, writer.write, data)
+            return
+        if self.moment == "during" and writer is self.kept:
+            writer.write(self.first)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        writer.write(data)
+
+    def _encode(self, request, body, *lines, status="200 OK"):
+        if self.repeats_id:
+            lines = (*lines, f"{self.field}: {request.headers[self.field]}")
+        return encode_answer(body, *lines, status=status)
+
+
+def faulty_test(upstream, check, settings, *routes, entry="a", others=0):
+    async def main():
+        await upstream.start()
+        mesh = Mesh(*(routes or (DEFAULT_ROUTE,)), settings=settings)
+        await mesh.add_node("a")
+        await mesh.add_node("b", upstream)
+        client = await mesh.client(entry)
+        await check(mesh, client)
+        await wait_until(
+            lambda: not any(n.node.in_flight for n in mesh.nodes.values())
+        )
+        assert mesh.nodes["b"].node.local_port.gate.is_idle
+        client.close()
+        await mesh.close()
+
+    run(main())
+
+
+@ENTRIES
+@DIALECTS
+@pytest.mark.parametrize("echoes", [True, False])
+@pytest.mark.parametrize("moment", ["with", "idle", "during"])
+def test_a_second_copy_of_an_answer_reaches_no_other_caller(
+    entry, settings, field, echoes, moment
+):
+    """Guard against the answer to one request reaching another.
+
+    An upstream that repeats no id is answered on a connection of its
+    own for each request; a foreign one without ids gets no success.
+    """
+    upstream = CopyingUpstream(field, moment, echoes=echoes)
+
+    async def check(mesh, client):
+        first = await client.get("/first", "x-id: 1")
+        await asyncio.sleep(0.06)
+        second = await client.get("/second", "x-id: 2")
+        if settings is FOREIGN and not echoes:
+            assert (first.status, second.status) == (502, 502)
+            return
+        assert first.body == b"/first"
+        assert second.body in (b"/second", b"")
+        assert second.status in (200, 502)
+        if echoes or settings is NATIVE:
+            assert (second.status, second.body) == (200, b"/second")
+
+    faulty_test(upstream, check, settings, entry=entry)
+
+
+@ENTRIES
+@DIALECTS
+@pytest.mark.parametrize("echoes", [True, False])
+@pytest.mark.parametrize("moment", ["with", "idle", "during"])
+@pytest.mark.parametrize("ids", [("x-id: 1", "x-id: 2"), ("x-id: 1",) * 2])
+def test_a_second_copy_of_a_refusal_is_no_proof(
+    entry, settings, field, echoes, moment, ids
+):
+    """Guard against "not run" for a request that runs.
+
+    The second request may have the id of the first one: a caller that
+    was refused may send it again as it was.
+    """
+    upstream = CopyingUpstream(field, moment, echoes=echoes, is_refusal=True)
+    lines = [(one, one.replace("x-id", "rhubarbhollow-request-id"))
+             for one in ids]  # fmt: skip
+
+    async def check(mesh, client):
+        first = await client.request("POST", "/first", b"x", *lines[0])
+        assert first.status == 503
+        await asyncio.sleep(0.06)
+        second = await client.request("POST", "/second", b"x", *lines[1])
+        assert upstream.runs == ["/second"]
+        expected = 502 if settings is FOREIGN and not echoes else 200
+        assert second.status == expected
+
+    faulty_test(upstream, check, settings, WRITE, entry=entry)
+
+
+async def endless_head(writer):
+    writer.write(b"HTTP/1.1 200 OK\r\n")
+    while True:
+        yield b"x-%b: 1\r\n" % PIECE[:100]
+
+
+async def endless_field(writer):
+    writer.write(b"HTTP/1.1 200 OK\r\nx-long: ")
+    while True:
+        yield PIECE
+
+
+async def endless_interim(writer):
+    while True:
+        yield b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100
+
+
+async def endless_garbage(writer):
+    while True:
+        yield b"\x00\xff" * 8_192
+
+
+async def endless_extension(writer):
+    writer.write(CHUNKED + b"\r\n5;x=")
+    while True:
+        yield PIECE
+
+
+async def endless_trailer(writer):
+    writer.write(CHUNKED + b"\r\n0\r\nx-t: ")
+    while True:
+        yield PIECE
+
+
+async def endless_other_body(writer):
+    writer.write(
+        CHUNKED + b"x-id: other\r\nrhubarbhollow-attempt: other\r\n\r\n"
+    )
+    while True:
+        yield b"%x\r\n%b\r\n" % (len(PIECE), PIECE)
+
+
+async def endless_other_answers(writer):
+    lines = ("x-id: other", "rhubarbhollow-attempt: other")
+    while True:
+        yield encode_answer(b"z" * 100, *lines) * 50
+
+
+@DIALECTS
+@ENTRIES
+@pytest.mark.parametrize(
+    "source",
+    [
+        endless_head,
+        endless_field,
+        endless_interim,
+        endless_garbage,
+        endless_extension,
+        endless_trailer,
+        endless_other_body,
+        endless_other_answers,
+    ],
+)
+def test_bytes_without_end_are_cut_off(entry, settings, field, source):
+    """Guard against reading what never becomes the answer.
+
+    The connection ends long before the deadline, its slot is free, and
+    the next request is served.
+    """
+    sent = 0
+
+    async def script(request, writer):
+        nonlocal sent
+        if request.target == "/next":
+            line = f"{field}: {request.headers[field]}"
+            writer.write(encode_answer(b"fine", line))
+            return
+        async for data in source(writer):
+            sent += len(data)
+            writer.write(data)
+            await writer.drain()
+            await asyncio.sleep(0)
+
+    upstream = ScriptedUpstream(script, echoes=False)
+
+    async def check(mesh, client):
+        client.send(encode_call("GET", "/endless", b"", "x-id: 1"))
+        answer = await client.read_answer()
+        # A chunk extension or a trailer comes after the response head.
+        assert answer.status == 502 or not answer.is_whole
+        second = await mesh.client(entry)
+        assert (await second.get("/next", "x-id: 2")).body == b"fine"
+        # The rest of what was sent lies in the buffers of sockets.
+        limit = MAX_HEAD_BYTES + MAX_SKIPPED_BYTES
+        assert sent < limit + 8_000_000
+        second.close()
+
+    faulty_test(
+        upstream, check, settings, replace(DEFAULT_ROUTE, attempts=1),
+        entry=entry,
+    )  # fmt: skip
--- a/tests/standin/scripted_upstream.py
+++ b/tests/standin/scripted_upstream.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Protocol, cast
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -29,11 +29,33 @@
     ) -> None: ...
 
 
+class EchoingWriter:
+    """Repeat the attempt's id in each response that starts a write."""
+
+    def __init__(self, writer: asyncio.StreamWriter, attempt: str) -> None:
+        self._writer = writer
+        self._line = f"\r\nrhubarbhollow-attempt: {attempt}\r\n".encode()
+
+    def write(self, data: bytes) -> None:
+        if data.startswith(b"HTTP/1.1 ") and not data.startswith(b"1", 9):
+            data = data.replace(b"\r\n", self._line, 1)
+        self._writer.write(data)
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._writer, name)
+
+
 class ScriptedUpstream:
-    """Serve on a loopback port and record every request."""
+    """Serve on a loopback port and record every request.
 
-    def __init__(self, script: Script, *, reads_body: bool = True) -> None:
+    With ``echoes`` all responses repeat the id of the attempt.
+    """
+
+    def __init__(
+        self, script: Script, *, reads_body: bool = True, echoes: bool = True
+    ) -> None:
         self._script = script
+        self._echoes = echoes
         self._reads_body = reads_body
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -69,7 +91,7 @@
                 request = await _read_request(reader, self._reads_body)
                 self.requests.append(request)
                 await self._update_counts()
-                await self._script(request, writer)
+                await self._script(request, self._wrap(request, writer))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
@@ -82,6 +104,14 @@
             writer.close()
             await self._update_counts(closed=1)
 
+    def _wrap(
+        self, request: Request, writer: asyncio.StreamWriter
+    ) -> asyncio.StreamWriter:
+        attempt = request.headers.get("rhubarbhollow-attempt")
+        if attempt is None or not self._echoes:
+            return writer
+        return cast("asyncio.StreamWriter", EchoingWriter(writer, attempt))
+
     async def _update_counts(self, opened: int = 0, closed: int = 0) -> None:
         self.opened += opened
         self.closed += closed
--- a/tests/standin/upstream.py
+++ b/tests/standin/upstream.py
@@ -236,21 +236,32 @@
         upstream = self._upstream
         self._write(
             b"HTTP/1.1 %d X\r\nx-upstream: %b\r\nx-runs: %d\r\n"
-            b"content-length: %d\r\n%b\r\n%b"
+            b"content-length: %d\r\n%b%b\r\n%b"
             % (
                 status,
                 upstream.settings.name.encode(),
                 upstream.runs,
                 len(body),
+                self._echo_line(),
                 lines,
                 body,
             )
         )
 
+    def _echo_line(self) -> bytes:
+        """Return the line that repeats the id of the attempt."""
+        attempt = dict(self._headers).get(b"rhubarbhollow-attempt")
+        if attempt is None:
+            return b""
+        return b"rhubarbhollow-attempt: %b\r\n" % attempt
+
     async def _write_large(self) -> None:
         """Stream the number of bytes given by the query's ``bytes``."""
         remaining = self._query_integer("bytes", 1_000_000)
-        self._write(b"HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n")
+        self._write(
+            b"HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n%b\r\n"
+            % self._echo_line()
+        )
         while remaining > 0:
             chunk = LARGE_CHUNK[:remaining]
             remaining -= len(chunk)
