Wait for the whole repair before a second voter is killed

Cause: the test killed the second voter as soon as the learner had a vote. The voter that it replaces is demoted one step later; in between four members vote, two of them dead, which is beyond the one loss that three voters bear. Every order of single steps has such a moment, and a swap in one step would let two majorities be disjoint.

Ruled out: load.

Change: the test waits until the replaced member votes no more, and a test of replicas with a manual clock plays both moments: nothing is decided in the window, all goes on once one of the two is back, and nothing is lost.

Conclusion: the fault was the test's; the product's promise is one loss until the repair is complete.

--- a/packages/replication/tests/test_replica.py
+++ b/packages/replication/tests/test_replica.py
@@ -73,8 +73,10 @@
         self.machines = {}
         self.scopes = {}
         self.muted = set()
+        self.on_send = lambda message: None
 
     def send(self, to, message):
+        self.on_send(message)
         if to in self.replicas and to not in self.muted:
             self.replicas[to].receive(message)
 
@@ -362,3 +364,49 @@
             assert (await cluster.call(leader.propose, b"two")).is_ok()
 
     anyio.run(run)
+
+
+@pytest.mark.parametrize("is_repaired", [False, True])
+def test_a_second_voter_is_lost_around_a_repair(tmp_path, is_repaired):
+    """Check which losses a replacement of a voter survives.
+
+    After the promotion of the learner four members vote, two of them
+    lost: nothing is decided until one is back, and nothing is lost.
+    Once the replaced voter is demoted, the rest decides on.
+    """
+
+    async def run():
+        async with running(tmp_path, repair_after_seconds=2.0) as (
+            cluster,
+            tasks,
+        ):
+            leader = await cluster.leader()
+            await cluster.call(leader.propose, b"one")
+            cluster.start(tasks, "d")
+            await cluster.call(leader.change_membership, AddLearner("d"))
+            first, second = (n for n in NAMES if n != leader.status.leader)
+            cluster.stop(first)
+
+            def voters():
+                members = leader.status.members
+                return {m.name for m in members if m.role.value == "voter"}
+
+            def cut_at_promotion(message):
+                if not is_repaired and len(voters()) > len(NAMES):
+                    cluster.muted.add(second)
+
+            cluster.on_send = cut_at_promotion
+            expected = {*NAMES, "d"} - ({first} if is_repaired else set())
+            await cluster.wait_until(lambda: voters() == expected)
+            cluster.stop(second)
+            for _ in range(500):
+                await cluster.advance()
+            assert (cluster.find_leader() is not None) == is_repaired
+            cluster.start(tasks, first)
+            leader = await cluster.leader()
+            assert (await cluster.call(leader.propose, b"two")).is_ok()
+            await cluster.wait_applied(2)
+            for name in cluster.replicas:
+                assert cluster.machines[name].commands == ["one", "two"]
+
+    anyio.run(run)
--- a/tests/processes/test_releases.py
+++ b/tests/processes/test_releases.py
@@ -204,11 +204,14 @@
         fleet.mesh.kill(first)
 
         def is_replaced():
+            # Until the first voter is demoted four members vote, and a
+            # second loss would leave two of them.
             members = (fleet.status(fleet.leader) or {}).get("members", [])
             roles = {member["name"]: member["role"] for member in members}
-            return roles.get(learner.name) == "voter"
+            voters = {name for name in roles if roles[name] == "voter"}
+            return learner.name in voters and first.name not in voters
 
-        fleet.wait("the learner's vote", is_replaced)
+        fleet.wait("the learner's vote in place of the first", is_replaced)
         fleet.wait(
             "the learner to learn of its vote",
             lambda: fleet.status(learner)["role"] == "follower",
