--- a/packages/calls/src/rhubarbhollow_calls/slot_gate.py
+++ b/packages/calls/src/rhubarbhollow_calls/slot_gate.py
@@ -15,6 +15,7 @@
     Refused,
     SlotRefusal,
 )
+from rhubarbhollow_calls.standing_queue import StandingQueue
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.slot_ticket import Lane, Ticket
@@ -32,6 +33,7 @@
 MIN_BULK_SHARE: Final = 1 / (1 + INTERACTIVE_RUN_LIMIT)
 # Weight of a new sample in the moving average of the service time.
 MEAN_WEIGHT: Final = 0.1
+MS_PER_SECOND: Final = 1000
 
 _ADMITTED: Final = Admitted()
 _REFUSED_FULL: Final = Refused(SlotRefusal.QUEUE_FULL)
@@ -64,7 +66,8 @@
 
     If no slot is free, a ticket that would start too late to meet its
     objective, or its deadline if it is interactive, is rejected at
-    once, so that its call can be sent to another upstream. A queued
+    once, so that its call can be sent to another upstream. So is a bulk
+    ticket that would wait long in a queue that does not drain. A queued
     ticket that has become late when its turn comes is removed and
     returned by ``take_overdue``, unless it is the last one waiting.
     """
@@ -83,6 +86,7 @@
         "_overdue",
         "_queue_limit",
         "_slots",
+        "_standing",
     )
 
     def __init__(self, slots: int, queue_limit: int, clock: Clock) -> None:
@@ -102,6 +106,7 @@
         self._mean_interactive_seconds = 0.0
         self._expired: list[Ticket] = []
         self._overdue: list[Ticket] = []
+        self._standing = StandingQueue()
 
     @property
     def slots(self) -> int:
@@ -159,7 +164,10 @@
             # A free slot implies that no ticket waits (_check_idle).
             self._take_slot(ticket)
             return _ADMITTED
-        if now + self._expected_wait(ticket) > ticket.start_by:
+        wait = self._expected_wait(ticket)
+        if now + wait > ticket.start_by or self._is_standing(
+            ticket, wait, now
+        ):
             return _REFUSED_LATE
         return self._enqueue(ticket)
 
@@ -234,6 +242,20 @@
             slots *= max(MIN_BULK_SHARE, 1 - self._interactive_share)
         return (ahead + self._mean_seconds) / slots
 
+    def _is_standing(self, ticket: Ticket, wait: float, now: float) -> bool:
+        """Return whether a bulk call meets a queue that does not drain.
+
+        Interactive calls have few ahead of them, and wait.
+        """
+        if ticket.priority is not CallPriority.BULK:
+            return False
+        waiting = self._bulk_waiting()
+        self._standing.observe(waiting, now)
+        if not ticket.objective_ms:
+            return False
+        objective = ticket.objective_ms / MS_PER_SECOND
+        return self._standing.is_too_long(waiting, wait, objective, now)
+
     def _waiting_seconds(self) -> tuple[float, float]:
         """Return the queued service time of each priority."""
         seconds = [0.0, 0.0]
