Relay commands to the leader in place of whole documents

Cause: an instance that doesn't lead sent the leader the operator's whole document, 34 KB compressed for 2,400 routes, for each of five changes a second, mostly to another data centre, and the leader parsed them all.

Ruled out: a difference on the operators' side (the platform sends whole documents).

Change: the instance that gets a document parses it, plans the command on its own ledger and relays that; ReleaseLog proposes and confirms here or at the leader. A command that isn't based on the latest release is planned again once the ledger here is confirmed by a round of the quorum. The leader checks that what is relayed is a submission whose approval it trusts before it stores it.

Measured: for one changed route of 500 the relayed request is below 700 bytes in a test.

Conclusion: an old instance's documents are answered as unavailable by a new leader, so it asks again; operators then reach another instance.

--- a/packages/daemon/src/rhubarbhollow_daemon/control_tasks.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_tasks.py
@@ -17,6 +17,7 @@
 from rhubarbhollow_daemon.log_group import LogGroup
 from rhubarbhollow_daemon.membership_manager import MembershipManager
 from rhubarbhollow_daemon.peer_dispatch import PeerDispatcher
+from rhubarbhollow_daemon.release_log import ReleaseLog
 from rhubarbhollow_daemon.submission import SubmissionService
 
 if TYPE_CHECKING:
@@ -86,16 +87,12 @@
 ) -> DocumentRelay | None:
     if document_format is None:
         return None
+    log = ReleaseLog(parts.replica, parts.machine, parts.links)
     documents = DocumentService(
-        settings.mesh, parts.machine, parts.replica, document_format
+        settings.mesh, parts.machine, log, document_format
     )
     return DocumentRelay(
-        parts.replica,
-        parts.machine,
-        documents,
-        document_format,
-        parts.links,
-        parts.clock,
+        log, parts.machine, documents, document_format, parts.clock
     )
 
 
--- a/packages/daemon/src/rhubarbhollow_daemon/document_outcome.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/document_outcome.py
@@ -5,6 +5,20 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from rhubarbhollow_release.outcome import (
+    Accepted,
+    AlreadyAccepted,
+    BaseMoved,
+    Refused,
+)
+from rhubarbhollow_replication.fault import (
+    NotLeader,
+    Overloaded,
+    PayloadTooLarge,
+    ProposeFault,
+    StoreFailed,
+)
+
 
 class DocumentVerdict(IntEnum):
     """Classify an outcome; the value is stable on the wire."""
@@ -14,6 +28,12 @@
     CONFLICT = 3
     UNAVAILABLE = 4
     UNKNOWN = 5
+    BASE_MOVED = 6
+
+    @property
+    def is_final(self) -> bool:
+        """Return whether a repetition would get the same verdict."""
+        return self <= DocumentVerdict.CONFLICT
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,8 +41,45 @@
     """Hold the verdict on a submitted document and its reason.
 
     ``UNAVAILABLE`` means that nothing was accepted, ``UNKNOWN`` that
-    the document may or may not have been accepted.
+    the document may or may not have been accepted. ``BASE_MOVED`` means
+    that it has to be planned again on the latest release; operators
+    never get it.
     """
 
     verdict: DocumentVerdict
     detail: str
+
+
+def outcome_of_command(outcome: object) -> DocumentOutcome:
+    """Return the verdict that a ledger's outcome amounts to."""
+    match outcome:
+        case Accepted(position, _, _):
+            return DocumentOutcome(
+                DocumentVerdict.ACCEPTED, f"accepted at position {position}"
+            )
+        case AlreadyAccepted(position, _, _):
+            return DocumentOutcome(
+                DocumentVerdict.ACCEPTED,
+                f"already accepted at position {position}",
+            )
+        case BaseMoved():
+            return DocumentOutcome(
+                DocumentVerdict.BASE_MOVED,
+                "another release was accepted meanwhile",
+            )
+        case Refused():
+            return DocumentOutcome(DocumentVerdict.INVALID, repr(outcome))
+        case _:
+            return DocumentOutcome(DocumentVerdict.CONFLICT, repr(outcome))
+
+
+def outcome_of_fault(fault: ProposeFault) -> DocumentOutcome:
+    """Return the verdict that a failed proposal amounts to."""
+    match fault:
+        case NotLeader() | Overloaded() | StoreFailed():
+            verdict = DocumentVerdict.UNAVAILABLE
+        case PayloadTooLarge():
+            verdict = DocumentVerdict.INVALID
+        case _:
+            verdict = DocumentVerdict.UNKNOWN
+    return DocumentOutcome(verdict, type(fault).__name__)
--- a/packages/daemon/src/rhubarbhollow_daemon/document_service.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/document_service.py
@@ -1,8 +1,8 @@
-"""Validation and commitment of submitted documents on the leader."""
+"""Validation and planning of submitted documents."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, Protocol
 
 import structlog
 from result import Err
@@ -13,25 +13,11 @@
 )
 from rhubarbhollow_release.approval import approve_by_channel
 from rhubarbhollow_release.command import encode_command
-from rhubarbhollow_release.outcome import (
-    Accepted,
-    AlreadyAccepted,
-    BaseMoved,
-    Refused,
-)
-from rhubarbhollow_replication.fault import (
-    NotLeader,
-    Overloaded,
-    PayloadTooLarge,
-    ProposeFault,
-    StoreFailed,
-)
 
 if TYPE_CHECKING:
     from rhubarbhollow_daemon.document_format import DocumentFormat
     from rhubarbhollow_daemon.release_machine import ReleaseMachine
     from rhubarbhollow_release.resource_set import ResourceSet
-    from rhubarbhollow_replication.replica import Replica
 
 # Each release accepted concurrently costs one attempt to plan.
 MAX_PLAN_ATTEMPTS: Final = 16
@@ -39,25 +25,37 @@
 _log = structlog.get_logger()
 
 
+class CommandLog(Protocol):
+    """The log that commands are committed to."""
+
+    async def propose(self, command: bytes) -> DocumentOutcome:
+        """Commit a command and return the ledger's verdict on it."""
+        ...
+
+    async def confirm(self) -> bool:
+        """Return whether the ledger here has all that is accepted."""
+        ...
+
+
 class DocumentService:
     """Accept documents by compare-and-swap on the base version.
 
-    The base version is compared with the latest release of the log, and
-    the command carries that release's digest. If another release is
-    accepted in between, the command fails and the comparison is
-    repeated.
+    The base version is compared with the latest release of the ledger
+    here, and the command carries that release's digest. If another
+    release was accepted meanwhile, the command fails; the ledger then
+    catches up and the comparison is repeated.
     """
 
     def __init__(
         self,
         mesh: str,
         machine: ReleaseMachine,
-        replica: Replica,
+        log: CommandLog,
         format_: DocumentFormat,
     ) -> None:
         self._mesh = mesh
         self._machine = machine
-        self._replica = replica
+        self._log = log
         self._format = format_
 
     async def submit(
@@ -82,33 +80,35 @@
     async def _submit(
         self, target: ResourceSet, base_version: int
     ) -> DocumentOutcome:
-        version = target.header.version
-        approval = approve_by_channel(self._mesh, version, target.digest)
         for _ in range(MAX_PLAN_ATTEMPTS):
             refusal = self._check_versions(target, base_version)
             if refusal is not None:
-                # A new leader may not have applied every accepted
-                # release yet; after a quorum round it has.
-                if not await self._replica.confirm_leadership():
-                    return _leadership_unconfirmed()
+                # The ledger here may lack accepted releases; once it is
+                # confirmed it lacks none.
+                if not await self._log.confirm():
+                    return _ledger_unconfirmed()
                 refusal = self._check_versions(target, base_version)
             if refusal is not None:
                 return refusal
-            planned = self._machine.ledger.plan_resources(target, approval)
-            if isinstance(planned, Err):
-                detail = planned.err_value.detail
-                return DocumentOutcome(DocumentVerdict.INVALID, detail)
-            command = encode_command(planned.ok_value)
-            proposed = await self._replica.propose(command)
-            if isinstance(proposed, Err):
-                return _outcome_of_fault(proposed.err_value)
-            if not isinstance(proposed.ok_value, BaseMoved):
-                return _outcome_of(proposed.ok_value)
+            outcome = await self._propose(target)
+            if outcome.verdict is not DocumentVerdict.BASE_MOVED:
+                return outcome
+            if not await self._log.confirm():
+                return _ledger_unconfirmed()
         return DocumentOutcome(
             DocumentVerdict.UNAVAILABLE,
             "other releases were accepted meanwhile; submit again",
         )
 
+    async def _propose(self, target: ResourceSet) -> DocumentOutcome:
+        version = target.header.version
+        approval = approve_by_channel(self._mesh, version, target.digest)
+        planned = self._machine.ledger.plan_resources(target, approval)
+        if isinstance(planned, Err):
+            detail = planned.err_value.detail
+            return DocumentOutcome(DocumentVerdict.INVALID, detail)
+        return await self._log.propose(encode_command(planned.ok_value))
+
     def _check_versions(
         self, target: ResourceSet, base_version: int
     ) -> DocumentOutcome | None:
@@ -126,36 +126,8 @@
         return None
 
 
-def _leadership_unconfirmed() -> DocumentOutcome:
+def _ledger_unconfirmed() -> DocumentOutcome:
     return DocumentOutcome(
         DocumentVerdict.UNAVAILABLE,
-        "no quorum confirmed that this instance is the leader",
+        "no quorum confirmed the latest release",
     )
-
-
-def _outcome_of(outcome: object) -> DocumentOutcome:
-    match outcome:
-        case Accepted(position, _, _):
-            return DocumentOutcome(
-                DocumentVerdict.ACCEPTED, f"accepted at position {position}"
-            )
-        case AlreadyAccepted(position, _, _):
-            return DocumentOutcome(
-                DocumentVerdict.ACCEPTED,
-                f"already accepted at position {position}",
-            )
-        case Refused():
-            return DocumentOutcome(DocumentVerdict.INVALID, repr(outcome))
-        case _:
-            return DocumentOutcome(DocumentVerdict.CONFLICT, repr(outcome))
-
-
-def _outcome_of_fault(fault: ProposeFault) -> DocumentOutcome:
-    match fault:
-        case NotLeader() | Overloaded() | StoreFailed():
-            verdict = DocumentVerdict.UNAVAILABLE
-        case PayloadTooLarge():
-            verdict = DocumentVerdict.INVALID
-        case _:
-            verdict = DocumentVerdict.UNKNOWN
-    return DocumentOutcome(verdict, type(fault).__name__)
--- a/packages/daemon/src/rhubarbhollow_daemon/propose_relay.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/propose_relay.py
@@ -13,8 +13,8 @@
     from rhubarbhollow_daemon.messages import ProposeAnswer
     from rhubarbhollow_daemon.peer_links import PeerLinks
 
-REQUESTS_PER_INCARNATION: Final = 1 << 20
-# Four kinds share the request ids of an incarnation.
+REQUESTS_PER_INCARNATION: Final = 1 << 21
+# Kinds are below eight and share the request ids of an incarnation.
 REQUESTS_PER_KIND: Final = 1 << 18
 
 
--- a/packages/daemon/src/rhubarbhollow_daemon/submission_kind.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/submission_kind.py
@@ -9,5 +9,6 @@
     """Identify the kind of a relayed request by its wire value."""
 
     RELEASE = 1
-    DOCUMENT = 2
+    # 2 carried a whole document in earlier versions.
     READ_INDEX = 3
+    COMMAND = 4
--- a/tests/platform/test_document_service.py
+++ b/tests/platform/test_document_service.py
@@ -10,8 +10,13 @@
 from rhubarbhollow_daemon.document_outcome import DocumentVerdict
 from rhubarbhollow_daemon.document_relay import DocumentRelay
 from rhubarbhollow_daemon.document_service import DocumentService
+from rhubarbhollow_daemon.log_group import LogGroup
+from rhubarbhollow_daemon.messages import ProposeRequest
+from rhubarbhollow_daemon.release_log import ReleaseLog
 from rhubarbhollow_daemon.release_machine import ReleaseMachine
+from rhubarbhollow_daemon.submission_kind import SubmissionKind
 from rhubarbhollow_platform.configuration_format import ConfigurationFormat
+from rhubarbhollow_release.command import ActivateRelease, encode_command
 from rhubarbhollow_release.operator_channel import (
     CHANNEL_KEY_ID,
     OperatorChannel,
@@ -69,8 +74,41 @@
     ).encode()
 
 
-def documents_on(log):
-    return DocumentService(MESH, log.machine, log, ConfigurationFormat(MESH))
+class Links:
+    """Deliver messages between the logs of named instances."""
+
+    incarnation = 1
+
+    def __init__(self, name, group, logs):
+        self.name = name
+        self.group = group
+        self.logs = logs
+        self.by_name = {
+            other: SimpleNamespace(is_up=True) for other in ("c1", "c2")
+        }
+        self.sent = []
+
+    def send(self, to, message):
+        self.sent.append(message)
+        log = self.logs[to]
+        if isinstance(message, ProposeRequest):
+            self.group.start_soon(log.serve, self.name, message)
+        else:
+            log.deliver_answer(message)
+
+
+def release_log_on(log, links=None):
+    links = links or SimpleNamespace(by_name={}, incarnation=1)
+    return ReleaseLog(log, log.machine, links)
+
+
+def documents_on(log, release_log=None):
+    return DocumentService(
+        MESH,
+        log.machine,
+        release_log or release_log_on(log),
+        ConfigurationFormat(MESH),
+    )
 
 
 def submit(documents, data, base):
@@ -154,13 +192,11 @@
     """A deposed leader would return an outdated document."""
     log = Log()
     submit(documents_on(log), document(2), 0)
-    links = SimpleNamespace(by_name={}, incarnation=1)
     relay = DocumentRelay(
-        log,
+        release_log_on(log),
         log.machine,
         documents_on(log),
         ConfigurationFormat(MESH),
-        links,
         ManualClock(),
     )
     read = anyio.run(relay.read)
@@ -196,3 +232,165 @@
     verdict = submit(documents_on(behind), document(5, "bench"), 2)
     assert verdict is DocumentVerdict.ACCEPTED
     assert behind.machine.ledger.highest_version == 5
+
+
+class Pair:
+    """A leader "c1" and a follower "c2" with ledgers of their own."""
+
+    def __init__(self, group):
+        self.leader, self.follower = Log(), Log()
+        self.follower.status = SimpleNamespace(
+            role=Role.FOLLOWER, leader="c1", commit_index=0, applied_index=0
+        )
+        logs = {}
+        self.links = Links("c2", group, logs)
+        logs["c1"] = release_log_on(self.leader, Links("c1", group, logs))
+        logs["c2"] = release_log_on(self.follower, self.links)
+        self.documents = {
+            "c1": documents_on(self.leader, logs["c1"]),
+            "c2": documents_on(self.follower, logs["c2"]),
+        }
+        self.log = logs["c2"]
+        self.entries = []
+        propose = self.leader.propose
+
+        async def record(payload):
+            self.entries.append(payload)
+            outcome = await propose(payload)
+            status = self.leader.status
+            status.commit_index = status.applied_index = self.leader.index
+            return outcome
+
+        self.leader.propose = record
+
+    def catch_up(self):
+        while self.follower.index < len(self.entries):
+            entry = self.entries[self.follower.index]
+            self.follower.index += 1
+            self.follower.machine.apply(self.follower.index, entry)
+        self.follower.status.applied_index = self.follower.index
+        self.log._on_applied(self.follower.index)
+
+    async def submit(self, name, data, base):
+        outcome = await self.documents[name].submit(data, base)
+        return outcome.verdict
+
+
+def pair_test(check):
+    async def main():
+        async with anyio.create_task_group() as group:
+            with anyio.fail_after(5):
+                await check(Pair(group))
+
+    anyio.run(main)
+
+
+def test_a_follower_relays_only_what_changes():
+    """Guard against a whole document that crosses data centres."""
+
+    async def check(pair):
+        routes = [
+            {
+                "Name": f"r-{number}",
+                "Kind": "safe",
+                "Match": {"PathPrefix": f"/{number}/"},
+                "Action": {"Service": "desk", "TimeoutS": 1},
+            }
+            for number in range(500)
+        ]
+        value = json.loads(document(2))
+        value["Listeners"][0]["RuleTables"] = routes
+        accepted = DocumentVerdict.ACCEPTED
+        data = json.dumps(value).encode()
+        assert await pair.submit("c1", data, 0) is accepted
+        pair.catch_up()
+        value["Version"] = f"{3:08x}"
+        routes[7]["Action"]["TimeoutS"] = 2
+        data = json.dumps(value).encode()
+        assert await pair.submit("c2", data, 2) is accepted
+        assert pair.leader.machine.ledger.highest_version == 3
+        (request,) = pair.links.sent
+        assert len(request.payload) < 700
+        # A repetition gets the first answer, here and at the leader.
+        assert await pair.submit("c2", data, 2) is accepted
+        assert await pair.submit("c1", data, 2) is accepted
+
+    pair_test(check)
+
+
+def test_a_follower_that_is_behind_compares_with_the_latest_release():
+    """Its ledger catches up before a document is planned or refused."""
+
+    async def check(pair):
+        accepted = DocumentVerdict.ACCEPTED
+        assert await pair.submit("c1", document(2), 0) is accepted
+        pair.catch_up()
+        assert await pair.submit("c1", document(5, "bench"), 2) is accepted
+        verdicts = []
+
+        async def submit(data, base):
+            verdicts.append(await pair.submit("c2", data, base))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit, document(7), 5)
+            await anyio.wait_all_tasks_blocked()
+            assert not verdicts
+            pair.catch_up()
+        async with anyio.create_task_group() as group:
+            # The follower still believes that 5 is the latest version.
+            group.start_soon(submit, document(9, "bench"), 5)
+            await anyio.wait_all_tasks_blocked()
+            assert len(verdicts) == 1
+            pair.catch_up()
+        assert verdicts == [accepted, DocumentVerdict.CONFLICT]
+        assert pair.leader.machine.ledger.highest_version == 7
+
+    pair_test(check)
+
+
+def test_a_lost_leader_leaves_the_outcome_of_a_command_unknown():
+    async def check(pair):
+        pair.links.send = lambda to, message: None
+        release_log = pair.log
+        with anyio.move_on_after(2):
+            outcome = await release_log.propose(b"")
+        assert outcome.verdict is DocumentVerdict.UNKNOWN
+        pair.links.by_name["c1"].is_up = False
+        outcome = await release_log.propose(b"")
+        assert outcome.verdict is DocumentVerdict.UNAVAILABLE
+        assert not await release_log.confirm()
+
+    pair_test(check)
+
+
+@pytest.mark.parametrize(
+    ("kind", "payload", "verdict"),
+    [
+        (SubmissionKind.COMMAND, b"", DocumentVerdict.INVALID),
+        (SubmissionKind.COMMAND, b"S" * 90, DocumentVerdict.INVALID),
+        (
+            SubmissionKind.COMMAND,
+            encode_command(ActivateRelease(1)),
+            DocumentVerdict.INVALID,
+        ),
+        (2, b"\0" * 9, DocumentVerdict.UNAVAILABLE),
+        (99, b"", DocumentVerdict.UNAVAILABLE),
+    ],
+)
+def test_a_relayed_request_that_is_no_submission_is_not_stored(
+    kind, payload, verdict
+):
+    """Guard against a log entry that no instance checked.
+
+    Kind 2 carried a whole document in earlier versions.
+    """
+
+    async def check(pair):
+        answers = []
+        pair.links.logs["c2"].deliver_answer = answers.append
+        request = ProposeRequest(1, LogGroup.RELEASES, payload, kind)
+        await pair.links.logs["c1"].serve("c2", request)
+        assert [answer.status for answer in answers] == [verdict]
+        assert pair.entries == []
+
+    pair_test(check)
