Send a release once to each instance, and to nodes from their own data centre

Change: a node tries a local instance within 0.1 s once it knows one; an instance of another data centre holds a whole release back for 0.5 s if it knows one there. A rejection that answers a request sent before the entries were resent is ignored, unless it names an earlier index. The daemon's log output drops lines on a full disk in place of failing (a submission that was accepted got a 500, and the process ended), and a Keep-Alive timeout of more digits than fit is ignored as a hint.

--- a/packages/calls/src/rhubarbhollow_calls/http_response_head.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_response_head.py
@@ -16,6 +16,7 @@
 from rhubarbhollow_calls.http_fault import HttpFaultError, HttpFaultKind
 from rhubarbhollow_calls.http_fields import split_fields
 from rhubarbhollow_calls.http_integer import parse_integer
+from rhubarbhollow_calls.http_limits import MAX_INTEGER_DIGITS
 from rhubarbhollow_calls.slot_report import SlotReport, parse_report
 
 if TYPE_CHECKING:
@@ -101,10 +102,15 @@
 
 
 def _find_idle_seconds(values: Mapping[bytes, bytes]) -> int | None:
-    """Return the timeout of the Keep-Alive field, or ``None``."""
+    """Return the timeout of the Keep-Alive field, or ``None``.
+
+    One that is no number, or too long, is ignored: it is a hint, and
+    the response is complete without it.
+    """
     for option in values.get(names.KEEP_ALIVE, b"").split(b","):
         name, _, value = option.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.isdigit():
+        is_number = value.isdigit() and len(value) <= MAX_INTEGER_DIGITS
+        if name.lower() == b"timeout" and is_number:
             return int(value)
     return None
 
--- a/packages/calls/tests/test_http_dialect.py
+++ b/packages/calls/tests/test_http_dialect.py
@@ -119,6 +119,7 @@
         (b"keep-alive: timeout=7, max=3", 7),
         (b"keep-alive: max=3", None),
         (b"keep-alive: timeout=x", None),
+        (b"keep-alive: timeout=" + b"9" * 5_000, None),
     ],
 )
 def test_keep_alive_timeout_of_the_sender_is_read(field, idle_seconds):
--- a/packages/daemon/src/rhubarbhollow_daemon/main.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/main.py
@@ -11,6 +11,7 @@
 import structlog
 from result import Err
 
+from rhubarbhollow_daemon.log_output import NonBlockingOutput
 from rhubarbhollow_daemon.logs import configure_logs
 from rhubarbhollow_daemon.process import run_process
 from rhubarbhollow_daemon.settings_file import load_settings
@@ -48,6 +49,7 @@
         settings.logs.level,
         settings.instance.name,
         settings.instance.data_centre,
+        NonBlockingOutput(sys.stderr.fileno()),
     )
     outcome = anyio.run(
         run_process,
--- a/packages/distribution/src/rhubarbhollow_distribution/control_directory.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/control_directory.py
@@ -60,6 +60,13 @@
         """Return the list to send to nodes and other instances."""
         return ControlList(self.addresses)
 
+    def serves(self, data_centre: str) -> bool:
+        """Return whether an instance is known in the data centre."""
+        return any(
+            address.data_centre == data_centre
+            for address in self._by_name.values()
+        )
+
     def watch(self, watcher: Callable[[], None]) -> None:
         """Register ``watcher`` to be called after each change."""
         self._watchers.append(watcher)
--- a/packages/distribution/src/rhubarbhollow_distribution/feed.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/feed.py
@@ -16,6 +16,8 @@
 from rhubarbhollow_release.difference import EMPTY_DIGEST
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from rhubarbhollow_distribution.control_message import ControlMessage
     from rhubarbhollow_distribution.endpoint_store import EndpointStore
     from rhubarbhollow_distribution.feed_settings import FeedSettings
@@ -27,6 +29,10 @@
     from rhubarbhollow_wire.clock import Clock
 
 START_POLL_SECONDS: Final = 0.05
+# How long a node without a release has to go to an instance of its own
+# data centre, before it gets a whole release from another one.  A node
+# tries a local instance within 0.1 s once it knows one.
+LOCAL_START_SECONDS: Final = 0.5
 
 
 class NodeFeed:
@@ -37,6 +43,10 @@
     freshness of this instance changed.  At most one stage message is
     outstanding; it carries a single net difference from the content
     that the node holds to the latest release.
+
+    ``has_local_source`` tells whether an instance is known in the data
+    centre of a node from elsewhere; a whole release is then held back
+    for ``LOCAL_START_SECONDS``.
     """
 
     def __init__(
@@ -48,6 +58,7 @@
         releases: ReleaseSource,
         endpoints: EndpointStore,
         clock: Clock,
+        has_local_source: Callable[[], bool] = lambda: False,
     ) -> None:
         self._settings = settings
         self._releases = releases
@@ -55,8 +66,13 @@
         self._clock = clock
         now = clock.monotonic()
         self._has_release = hello.active_position > 0
+        self._has_local_source = has_local_source
+        is_own_data_centre = hello.data_centre == data_centre
+        self._local_start_until = now
+        if not self._has_release and not is_own_data_centre:
+            self._local_start_until += LOCAL_START_SECONDS
         self._start_rule = StartRule(
-            is_own_data_centre=hello.data_centre == data_centre,
+            is_own_data_centre=is_own_data_centre,
             hello_at=now,
         )
         self._start_position: int | None = None
@@ -123,6 +139,7 @@
         times = [
             self._stage_sent_at + self._settings.stage_timeout_seconds,
             self._stage_ready_at(),
+            self._local_start_until,
         ]
         endpoints_at = self._endpoints.next_due()
         if endpoints_at is not None:
@@ -186,11 +203,17 @@
 
     def _must_wait(self) -> bool:
         now = self._clock.monotonic()
+        if self._may_start_locally(now):
+            return True
         if self._outstanding is not None:
             timeout = self._settings.stage_timeout_seconds
             return now < self._stage_sent_at + timeout
         return self._requested_base is None and now < self._stage_ready_at()
 
+    def _may_start_locally(self, now: float) -> bool:
+        """Return whether the node may still get its release nearby."""
+        return now < self._local_start_until and self._has_local_source()
+
     def _stage_ready_at(self) -> float:
         return self._stage_sent_at + self._settings.coalescing_seconds
 
--- a/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
@@ -48,9 +48,9 @@
     doubles with each replacement, so that the node does not alternate
     between instances.
 
-    A local instance that replaced a working remote one is on trial
-    until it reports that it is fresh; if it is not, the node leaves it
-    at once.
+    A local instance that replaced a fresh remote one is on trial until
+    it reports that it is fresh; if it is not, the node leaves it at
+    once.
     """
 
     def __init__(
@@ -74,6 +74,7 @@
         self._backoff_cap_seconds = backoff_cap_seconds
         self._local_data_centre = local_data_centre
         self._candidates: dict[str, SourceCandidate] = {}
+        self._return_at = 0.0
         self.learn(controls)
         self._current: SourceCandidate | None = None
         self._failures = 0
@@ -114,6 +115,8 @@
                 self._candidates[address.name] = candidate
             else:
                 known.address, known.rank = address, rank
+            if not is_remote:
+                self._return_soon()
 
     def next_attempt(self) -> Attempt:
         """Return the next attempt of a node without a source.
@@ -162,13 +165,16 @@
         previous = self._current
         if previous is not None and previous.address != address:
             self._suspect(previous, reason)
-        self._is_on_trial = reason is ChangeReason.PREFERS_LOCAL
+        self._is_on_trial = (
+            reason is ChangeReason.PREFERS_LOCAL and self._stale_since is None
+        )
         candidate = self._candidates[address.name]
         candidate.note_welcome()
         self._current = candidate
         self._failures = 0
         self._heard_at = now
         self._connected_at = now
+        self._return_at = now + self._return_seconds
         self._stale_since = None
         self._behind_since = None
         self._source_position = 0
@@ -248,11 +254,20 @@
             return ChangeReason.NOT_FRESH
         if _has_lasted(self._behind_since, BEHIND_SECONDS, now):
             return ChangeReason.BEHIND
-        is_settled = now >= self._connected_at + self._return_seconds
-        if not self._current.is_local and is_settled:
+        if not self._current.is_local and now >= self._return_at:
             return ChangeReason.PREFERS_LOCAL
         return None
 
+    def _return_soon(self) -> None:
+        """Try a local instance that has just become known.
+
+        A node knows only seeds when it starts, and what a remote source
+        sends it meanwhile crosses data centres.
+        """
+        delay = self._random.uniform(0.0, BACKOFF_BASE_SECONDS)
+        now = self._clock.monotonic()
+        self._return_at = min(self._return_at, now + delay)
+
     def _may_replace(
         self,
         candidate: SourceCandidate,
--- a/packages/distribution/tests/test_feed.py
+++ b/packages/distribution/tests/test_feed.py
@@ -21,7 +21,11 @@
 from rhubarbhollow_distribution.endpoint_change import EndpointChange
 from rhubarbhollow_distribution.endpoint_report import EndpointReport
 from rhubarbhollow_distribution.endpoint_store import EndpointStore
-from rhubarbhollow_distribution.feed import START_POLL_SECONDS, NodeFeed
+from rhubarbhollow_distribution.feed import (
+    LOCAL_START_SECONDS,
+    START_POLL_SECONDS,
+    NodeFeed,
+)
 from rhubarbhollow_distribution.feed_settings import FeedSettings
 from rhubarbhollow_distribution.node_heartbeat import NodeHeartbeat
 from rhubarbhollow_distribution.stage import Stage
@@ -35,7 +39,7 @@
 class FeedHarness:
     """Drive a feed, its inputs and the messages of its node."""
 
-    def __init__(self, hello, settings=QUICK):
+    def __init__(self, hello, settings=QUICK, *, has_local_source=False):
         self.clock = ManualClock()
         self.releases = Releases()
         self.store = EndpointStore("own", 1, self.clock)
@@ -46,6 +50,7 @@
             releases=self.releases,
             endpoints=self.store,
             clock=self.clock,
+            has_local_source=lambda: has_local_source,
         )
         self.feed = None
 
@@ -124,6 +129,39 @@
     play(harness, script)
 
 
+@pytest.mark.parametrize(
+    ("holds", "data_centre", "has_local_source", "script"),
+    [
+        ((), "temeke", True, "send 0 = ; wait 0.5; send 0 = 4-0"),
+        ((), "temeke", False, "send 0 = 4-0"),
+        ((), "ilala", True, "send 0 = 4-0"),
+        ((3,), "temeke", True, "send 3 = 4-3"),
+    ],
+)
+def test_a_whole_release_waits_for_a_node_that_has_a_local_source(
+    holds, data_centre, has_local_source, script
+):
+    """Guard against whole releases that cross data centres at a start.
+
+    Nodes connect to a seed first, mostly in another data centre; all of
+    them got the first release, 82 KB each, before they knew a local
+    instance.
+    """
+    harness = FeedHarness(
+        hello_at(*holds, data_centre=data_centre),
+        has_local_source=has_local_source,
+    )
+    play(harness, f"latest 4; {script}")
+
+
+def test_a_held_release_is_due_when_the_wait_ends():
+    harness = FeedHarness(
+        hello_at(data_centre="temeke"), SLOW, has_local_source=True
+    )
+    play(harness, "latest 4; send 0 = ")
+    assert harness.feed.next_due() <= LOCAL_START_SECONDS
+
+
 def test_isolated_instance_starts_no_remote_node():
     harness = FeedHarness(hello_at(data_centre="temeke"))
     play(harness, "latest 4; send 4 fresh:0 = 4-0, stale; staged 4; wait 9")
--- a/packages/distribution/tests/test_source_choice.py
+++ b/packages/distribution/tests/test_source_choice.py
@@ -4,6 +4,7 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 
@@ -12,6 +13,7 @@
 from rhubarbhollow_distribution.control_heartbeat import ControlHeartbeat
 from rhubarbhollow_distribution.source_candidate import SUSPECT_CAP_SECONDS
 from rhubarbhollow_distribution.source_choice import (
+    BACKOFF_BASE_SECONDS,
     BACKOFF_CAP_SECONDS,
     BEHIND_SECONDS,
     NOT_FRESH_SECONDS,
@@ -221,6 +223,40 @@
     assert chooser.explain().suspects == ("local-1",)
 
 
+@pytest.mark.parametrize("is_known", [False, True])
+def test_a_local_instance_that_becomes_known_is_tried_soon(is_known):
+    """Guard against releases that cross data centres after a start.
+
+    A seed list names no data centres, or none of the own one.
+    """
+    clock = ManualClock()
+    seed = replace(LOCAL_1, data_centre="")
+    controls = (FAR_1, seed) if is_known else (FAR_1,)
+    chooser = chooser_of(clock, controls=controls)
+    chooser.note_connected(FAR_1)
+    pass_time(clock, chooser, 1)
+    assert alternative_of(chooser) is None
+    chooser.learn(CONTROLS)
+    clock.advance(BACKOFF_BASE_SECONDS)
+    name, reason = alternative_of(chooser)
+    assert name.startswith("local-")
+    assert reason is ChangeReason.PREFERS_LOCAL
+
+
+def test_a_local_instance_is_not_on_trial_if_no_instance_was_fresh():
+    """Before the first leader is elected, leaving it gains nothing."""
+    clock = ManualClock()
+    chooser = chooser_of(clock, controls=(FAR_1,))
+    chooser.note_connected(FAR_1)
+    beat(chooser, is_fresh=False)
+    chooser.learn((LOCAL_1,))
+    clock.advance(BACKOFF_BASE_SECONDS)
+    assert alternative_of(chooser) == ("local-1", ChangeReason.PREFERS_LOCAL)
+    chooser.note_connected(LOCAL_1)
+    beat(chooser, is_fresh=False)
+    assert alternative_of(chooser) is None
+
+
 def test_a_local_instance_that_was_fresh_once_is_no_longer_on_trial():
     clock = ManualClock()
     chooser = chooser_of(clock, controls=(LOCAL_1, FAR_1))
--- a/packages/replication/src/rhubarbhollow_replication/leadership.py
+++ b/packages/replication/src/rhubarbhollow_replication/leadership.py
@@ -127,7 +127,14 @@
         if peer is None:
             return
         if not reply.is_success:
-            peer.record_rejection(reply.match_index)
+            is_news = peer.record_rejection(
+                reply.match_index,
+                untag_round(reply.round),
+                self._lease.round,
+            )
+            if not is_news:
+                self._confirm_rounds()
+                return
         elif reply.match_index > self._journal.log.last_index:
             return
         else:
--- a/packages/replication/src/rhubarbhollow_replication/progress.py
+++ b/packages/replication/src/rhubarbhollow_replication/progress.py
@@ -43,6 +43,8 @@
     round of its latest reply, including the peer's tag.
     ``echoed_round`` is the value of ``answered_round`` when the current
     round began; the peer uses it to bound the time of that round.
+    ``rewound_to`` and ``rewound_round`` are the hint of the latest
+    rejection and the leader's round when it arrived.
     """
 
     next_index: int
@@ -53,6 +55,8 @@
     store_id: str = ""
     transfer: SnapshotTransfer | None = None
     in_flight: deque[SentBatch] = field(default_factory=deque)
+    rewound_to: int = 0
+    rewound_round: int = -1
 
     @property
     def acked_round(self) -> int:
@@ -75,6 +79,7 @@
         self.next_index = last_index + 1
         self.transfer = None
         self.in_flight.clear()
+        self.rewound_round = -1
 
     def record_answer(self, tagged_round: int) -> None:
         """Record a reply if it answers a later round."""
@@ -98,11 +103,26 @@
         if self.transfer and index >= self.transfer.snapshot.last_index:
             self.transfer = None
 
-    def record_rejection(self, hint: int) -> None:
+    def record_rejection(
+        self, hint: int, answered_round: int, current_round: int
+    ) -> bool:
         """Move the next index back to the position given by a peer.
 
         The hint may be below the match index if the reply is outdated
         or names the start of a term. This only resends entries.
+
+        Return false, and change nothing, if the rejected request was
+        sent before entries were resent for an earlier rejection with
+        the same or a lower hint. Requests that were sent later are of
+        a later round, or are rejected with a lower hint.
         """
+        is_repeated = (
+            answered_round <= self.rewound_round and hint >= self.rewound_to
+        )
+        if is_repeated:
+            return False
+        self.rewound_to = hint
+        self.rewound_round = current_round
         self.next_index = hint + 1
         self.in_flight.clear()
+        return True
--- a/packages/replication/tests/test_core.py
+++ b/packages/replication/tests/test_core.py
@@ -418,6 +418,53 @@
     assert (leader.match_index("a"), leader.last_index) == (4, 5)
 
 
+def sent_to(name, effects):
+    sends = (*effects.sends_before_sync, *effects.sends_after_sync)
+    return [send.message for send in sends if send.to == name]
+
+
+def test_rejections_of_requests_in_flight_resend_entries_once():
+    """Check that a peer that is behind gets its entries once.
+
+    It rejects every request that was on its way when the leader learned
+    where to begin. Each rejection resent the whole log, to each of
+    seven control instances that joined during the first release.
+    """
+    leader = leader_of_term_4()
+    leader.handle(AppendReply(4, "b", True, 3, 1, "b1"), 5.0)
+    in_flight = []
+    for now in (5.0, 5.1):
+        leader.propose(b"large" * 100, now)
+        in_flight += sent_to("c", leader.take_effects(now))
+    assert len(in_flight) == 2
+
+    def reject(request):
+        """Answer as a peer that has lost its disk."""
+        reply = AppendReply(4, "c", False, 0, request.round, "c1")
+        leader.handle(reply, 5.1)
+        return [
+            entry.index
+            for sent in sent_to("c", leader.take_effects(5.1))
+            for entry in sent.entries
+        ]
+
+    assert [reject(one) for one in in_flight] == [[1, 2, 3, 4, 5], []]
+    # A later round tells that what was resent has been lost.
+    leader.tick(5.2)
+    (later,) = sent_to("c", leader.take_effects(5.2))
+    assert reject(later) == [1, 2, 3, 4, 5]
+
+
+def test_a_rejection_with_a_lower_hint_is_followed_at_once():
+    """Check that the leader finds the common prefix without waiting."""
+    leader = leader_of_term_4()
+    leader.take_effects(5.0)
+    for hint, first in ((2, 3), (1, 2), (0, 1)):
+        leader.handle(AppendReply(4, "c", False, hint, 1, "c1"), 5.0)
+        (request,) = sent_to("c", leader.take_effects(5.0))
+        assert request.entries[0].index == first
+
+
 def test_request_echoes_the_round_answered_before_it():
     """Check that a request echoes a reply received before its round.
 
--- a/tests/processes/test_releases.py
+++ b/tests/processes/test_releases.py
@@ -47,6 +47,24 @@
     fleet.wait_position(1)
 
 
+def test_a_full_log_output_fails_no_submission(tmp_path):
+    """Guard against an accepted release that is answered with 500.
+
+    Writing the log line of an accepted submission failed on a full
+    disk, and the error took the answer's place.
+    """
+    fleet = Fleet(tmp_path)
+    for control in fleet.controls:
+        control.folder.mkdir(parents=True, exist_ok=True)
+        (control.folder / "log").symlink_to("/dev/full")
+    with fleet:
+        status, answer = post(
+            fleet.controls[0], fleet.operator.build_submission(1)
+        )
+        assert (status, answer["position"]) == (200, 1)
+        fleet.wait_position(1)
+
+
 def test_a_killed_leader_loses_no_accepted_release(fleet):
     """Guard against the loss of an accepted release with its leader.
 
