--- a/packages/calls/tests/test_standing_queue.py
+++ b/packages/calls/tests/test_standing_queue.py
@@ -130,7 +130,7 @@
 
 
 def test_a_burst_waits_as_before(monkeypatch):
-    """A burst shorter than three objectives is what the queue is for."""
+    """A burst shorter than three objectives waits, as it may."""
     load = Load(1.2 * SLOTS / MEAN, 1)
     load.arrivals = [one for one in load.arrivals if one[0] < 0.5]
     counts = load.play()
