Refuse replication messages of strangers and unusable addresses

Cause: a process ended by one message: an append in the name of another member (or of none) showed a replica a second leader of its term, and a number near the 64 bits of the wire overflowed once it was added to.

Change: a log's message counts only if it names the instance that its connection greeted with, and that instance is in the directory; lists of control instances leave out addresses that can't be used; the codec refuses integers beyond 2**62.

Conclusion: a broken invariant of the log still ends the process, as it should. A node that reports a position no release has is not refused yet.

--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -25,6 +25,7 @@
     AlreadyActive,
 )
 from rhubarbhollow_distribution.active_report import ActiveReport
+from rhubarbhollow_distribution.control_address import is_usable
 from rhubarbhollow_distribution.control_heartbeat import ControlHeartbeat
 from rhubarbhollow_distribution.control_list import ControlList
 from rhubarbhollow_distribution.endpoint_change import EndpointChange
@@ -164,7 +165,7 @@
             case CrashReport() | Exoneration():
                 self._quarantine.merge(message)
             case ControlList(controls):
-                self._chooser.learn(controls)
+                self._chooser.learn(filter(is_usable, controls))
             case ControlHeartbeat():
                 self._chooser.note_heartbeat(message)
             case _:
--- a/packages/daemon/src/rhubarbhollow_daemon/peer_dispatch.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/peer_dispatch.py
@@ -16,8 +16,9 @@
     ProposeRequest,
 )
 from rhubarbhollow_daemon.submission_kind import SubmissionKind
+from rhubarbhollow_distribution.control_address import is_usable
 from rhubarbhollow_distribution.control_list import ControlList
-from rhubarbhollow_replication.messages import PeerMessage
+from rhubarbhollow_replication.messages import PeerMessage, sender_of
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -56,11 +57,42 @@
 
     def dispatch(self, hello: PeerHello, message: object) -> None:
         """Dispatch a message without waiting for its handler."""
+        if isinstance(message, PeerMessage) and not self._is_from_member(
+            hello.control, message
+        ):
+            return
         if hello.group == LogGroup.CLAIMS:
             self._dispatch_claims(hello.control, message)
         else:
             self._dispatch_releases(hello.control, message)
 
+    def _is_from_member(self, control: str, message: PeerMessage) -> bool:
+        """Return whether a log's message is its connection's own.
+
+        A message in another member's name could show a replica two
+        leaders of one term, which ends the process.
+        """
+        sender = sender_of(message)
+        if sender == control and control in self._parts.directory.names:
+            return True
+        _log.warning(
+            "peer_message_refused",
+            peer=control,
+            sender=sender,
+            message=type(message).__name__,
+        )
+        return False
+
+    def _merge_directory(self, control: str, message: ControlList) -> None:
+        usable = tuple(filter(is_usable, message.controls))
+        if len(usable) < len(message.controls):
+            _log.warning(
+                "control_addresses_refused",
+                peer=control,
+                count=len(message.controls) - len(usable),
+            )
+        self._parts.directory.merge(usable)
+
     def _dispatch_claims(self, control: str, message: object) -> None:
         claims = self._parts.claims
         if claims is None:
@@ -107,8 +139,8 @@
                 self._burn.deliver_from_peer(message)
             case NodesAnswer():
                 self._fleet.deliver(message)
-            case ControlList(controls):
-                self._parts.directory.merge(controls)
+            case ControlList():
+                self._merge_directory(control, message)
             case _:
                 self._instance.serve_peer(control, message)
 
--- a/packages/replication/src/rhubarbhollow_replication/messages.py
+++ b/packages/replication/src/rhubarbhollow_replication/messages.py
@@ -16,3 +16,14 @@
     | SnapshotChunk
     | SnapshotReply
 )
+
+
+def sender_of(message: PeerMessage) -> str:
+    """Return the member that a message says it comes from."""
+    match message:
+        case VoteRequest(candidate=name) | VoteReply(voter=name):
+            return name
+        case AppendRequest(leader=name) | SnapshotChunk(leader=name):
+            return name
+        case AppendReply(follower=name) | SnapshotReply(follower=name):
+            return name
--- a/packages/wire/src/rhubarbhollow_wire/codec.py
+++ b/packages/wire/src/rhubarbhollow_wire/codec.py
@@ -26,6 +26,9 @@
 
 MAX_FRAME_BYTES: Final = 16 * 1024 * 1024
 MAX_LIST_ITEMS: Final = 1_000_000
+# Bounds positions, terms and ids, so that sums of them still fit the 64
+# bits of the wire.
+MAX_INTEGER: Final = 1 << 62
 
 _DECODE_ERRORS: Final = (
     TException,
@@ -149,8 +152,10 @@
             return tuple(self._from_wire(item_hint, item) for item in raw)
         if is_dataclass(hint) and isinstance(hint, type):
             return self._from_struct(hint, raw)
-        if isinstance(raw, int) and _is_enum(hint):
-            return hint(raw)
+        if isinstance(raw, int):
+            if abs(raw) > MAX_INTEGER:
+                raise ValueError(f"{raw} is beyond {MAX_INTEGER}")
+            return hint(raw) if _is_enum(hint) else raw
         return raw
 
 
