Send node summaries to the leader, and to others at times

Change: the leader gets a summary at each change and every 0.5 s, the others at most once a second and every 3 s, which only feeds the status that operators see. A new leader gets all at once, and waits for each instance as at its start.

Ruled out: summaries on request only (a status of an instance without the lead would wait for all others).

--- a/packages/daemon/src/rhubarbhollow_daemon/activation_coordinator.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/activation_coordinator.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import structlog
 from result import Err
 
+from rhubarbhollow_daemon.summary_schedule import (
+    OTHERS_REPEAT_INTERVAL_SECONDS,
+)
 from rhubarbhollow_distribution.activation import (
     SUMMARY_LEASE_SECONDS,
     ActivationPlanner,
@@ -23,6 +26,10 @@
     from rhubarbhollow_replication.replica import Replica
     from rhubarbhollow_wire.clock import Clock
 
+# Repetitions of a summary that an instance without the lead may miss
+# before it no longer shows the sender's nodes.
+OTHERS_LEASE_REPEATS: Final = 2.5
+
 _log = structlog.get_logger()
 
 
@@ -35,8 +42,9 @@
 class ActivationCoordinator:
     """Track the staging progress of all nodes and propose activations.
 
-    Every instance collects the summaries, so that a new leader knows
-    the state of the fleet at once; only the leader proposes.
+    Every instance sends the leader its summary, and a new leader at
+    once; the leader waits for those that it hasn't heard from. Others
+    get a summary at times, to show operators the state of the fleet.
     """
 
     def __init__(
@@ -70,7 +78,12 @@
         instances that they reconnect to, so its last summary would
         count them twice.
         """
-        oldest = self._clock.monotonic() - SUMMARY_LEASE_SECONDS
+        lease_seconds = (
+            SUMMARY_LEASE_SECONDS
+            if self.is_leader
+            else OTHERS_LEASE_REPEATS * OTHERS_REPEAT_INTERVAL_SECONDS
+        )
+        oldest = self._clock.monotonic() - lease_seconds
         return tuple(
             received.summary
             for received in self._summaries.values()
@@ -87,6 +100,10 @@
         self._summaries[summary.control] = _ReceivedSummary(summary, now)
         self._planner.record_summary(summary)
 
+    def note_leadership(self) -> None:
+        """Wait for the summaries of all instances once more."""
+        self._planner.restart_wait()
+
     def record_log(self) -> None:
         """Record which positions the log has accepted and activated."""
         ledger = self._machine.ledger
--- a/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
@@ -25,7 +25,11 @@
     EndpointsRequest,
 )
 from rhubarbhollow_daemon.node_link import NodeLink
-from rhubarbhollow_daemon.summary_schedule import SummarySchedule
+from rhubarbhollow_daemon.summary_schedule import (
+    OTHERS_MIN_INTERVAL_SECONDS,
+    OTHERS_REPEAT_INTERVAL_SECONDS,
+    SummarySchedule,
+)
 from rhubarbhollow_distribution.endpoint_change import EndpointChange
 from rhubarbhollow_distribution.feed import NodeFeed
 from rhubarbhollow_distribution.ledger_view import LedgerView
@@ -61,6 +65,12 @@
         ](INBOX_EVENTS)
         self._last_tick_at = 0.0
         self._schedule = SummarySchedule(parts.clock)
+        self._others_schedule = SummarySchedule(
+            parts.clock,
+            OTHERS_REPEAT_INTERVAL_SECONDS,
+            OTHERS_MIN_INTERVAL_SECONDS,
+        )
+        self._summary_leader: str | None = None
         self._store_version = 0
         self._was_fresh = False
         self._positions = (0, 0)
@@ -144,6 +154,7 @@
             self._last_tick_at + TICK_SECONDS,
             self._parts.node_connections.next_due,
             self._schedule.due,
+            self._others_schedule.due,
             self._parts.exchange.next_due,
         )
         with anyio.move_on_after(max(0.0, due - now)):
@@ -224,12 +235,23 @@
             parts.node_connections.feed_due(view)
 
     def _send_summary(self) -> None:
+        """Send a summary to the leader soon, and to others at times."""
         parts = self._parts
         summary = parts.register.summary()
-        if not self._schedule.should_send(summary):
-            return
-        parts.activation_coordinator.record_summary(summary)
-        parts.links.broadcast(summary)
+        leader = parts.replica.status.leader
+        if leader != self._summary_leader:
+            self._summary_leader = leader
+            self._schedule.restart()
+            if leader == parts.name:
+                parts.activation_coordinator.note_leadership()
+        if self._schedule.should_send(summary):
+            parts.activation_coordinator.record_summary(summary)
+            if leader is not None:
+                parts.links.send(leader, summary)
+        if self._others_schedule.should_send(summary):
+            for name in parts.links.by_name:
+                if name != leader:
+                    parts.links.send(name, summary)
 
     async def _build_ledger_view(self) -> LedgerView:
         """Return a view of the ledger, after syncing a higher floor."""
--- a/packages/daemon/tests/test_control_instance.py
+++ b/packages/daemon/tests/test_control_instance.py
@@ -30,6 +30,7 @@
     pending: int | None = None
 
     data_centre = "ilala"
+    by_name = ()
     feed_settings = FeedSettings(0.0, 1.0)
     next_due = float("inf")
     recorded = recorded_floor = 9
--- a/packages/distribution/src/rhubarbhollow_distribution/activation.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/activation.py
@@ -46,7 +46,8 @@
         self._clock = clock
         self._deadline_seconds = staging_deadline_seconds
         self._lease_seconds = summary_lease_seconds
-        self._started_at = clock.monotonic()
+        # Since when summaries are expected here.
+        self._waiting_since = clock.monotonic()
         self._active_position = 0
         self._accepted_at: dict[int, float] = {}
         self._summaries: dict[str, _ReceivedSummary] = {}
@@ -62,6 +63,14 @@
         """Replace the set of control instances to wait for."""
         self._controls = frozenset(controls)
 
+    def restart_wait(self) -> None:
+        """Wait for every instance as if none had been heard so far.
+
+        A new leader has got no summaries, or old ones, before.
+        """
+        self._waiting_since = self._clock.monotonic()
+        self._summaries.clear()
+
     def record_accepted(self, position: int) -> None:
         """Record an accepted release and start its staging deadline."""
         if position > self._active_position:
@@ -132,8 +141,10 @@
 
     def _is_awaited(self, control: str) -> bool:
         received = self._summaries.get(control)
-        received_at = received.received_at if received else self._started_at
-        return self._clock.monotonic() < received_at + self._lease_seconds
+        heard_at = self._waiting_since
+        if received is not None:
+            heard_at = max(heard_at, received.received_at)
+        return self._clock.monotonic() < heard_at + self._lease_seconds
 
     def _highest_overdue(self) -> int | None:
         oldest = self._clock.monotonic() - self._deadline_seconds
--- a/packages/distribution/tests/test_activation.py
+++ b/packages/distribution/tests/test_activation.py
@@ -168,3 +168,21 @@
             clock.monotonic() - accepted_at[p] <= slack for p in overdue
         )
     assert active > 100
+
+
+def test_a_new_leader_waits_for_instances_it_has_not_heard():
+    """Guard against an activation that most nodes have not staged.
+
+    Before it led, it got few summaries, or none for a long time; an
+    instance that it has not heard would count as unreachable.
+    """
+    clock = ManualClock()
+    planner = planner_of(clock)
+    planner.record_summary(summary("b", 3))
+    clock.advance(60)
+    planner.restart_wait()
+    planner.record_accepted(3)
+    planner.record_summary(summary("a", 1, {3: 1}))
+    assert planner.maybe_propose() is None
+    planner.record_summary(summary("b", 3, {3: 3}))
+    assert planner.maybe_propose() == 3
