Choose the time of return by what a refused caller meets

Cause: each refused caller was asked back after 80 ms. A node that has no release yet, or no upstream, refused the same caller a second time 80 ms later.

Ruled out: that a later return meets a shorter queue: as many were refused again at 25 ms as at 80.

Change: return_delay, pure: an eighth of the objective, 80 ms at most, for a busy service; a third of the time left for one that is starting.

--- a/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
@@ -369,6 +369,9 @@
     def _refusal_field_lines(self) -> bytes:
         return self._state.response_field_lines
 
+    def _objective_seconds(self) -> float | None:
+        return self._state.route.latency_seconds
+
     def _record_response(self) -> None:
         now = self._node.clock.monotonic()
         is_error = self._status >= _ERROR_STATUS
--- a/packages/calls/src/rhubarbhollow_calls/io_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_exchange.py
@@ -238,6 +238,15 @@
     def _refusal_field_lines(self) -> bytes:
         return b""
 
+    def _seconds_left(self) -> float:
+        """Return the seconds until the caller's deadline."""
+        now = self._node.clock.monotonic()
+        return max(0.0, self._deadline.expires_at - now)
+
+    def _objective_seconds(self) -> float | None:
+        """Return the latency objective, or ``None`` without one."""
+        return None
+
     def _is_refusal_bodyless(self) -> bool:
         """Return whether refusals omit the problem document."""
         return False
@@ -302,7 +311,9 @@
             self._request_id,
             self._refusal_field_lines(),
             status=self._node.status_of(refusal),
-            retry_after_seconds=self._node.retry_after(refusal),
+            retry_after_seconds=self._node.retry_after(
+                refusal, self._seconds_left(), self._objective_seconds()
+            ),
             is_bodyless=self._is_refusal_bodyless(),
             is_for_head=self._head.method == b"HEAD",
             is_last=self._downstream.is_last_response(),
--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -21,6 +21,7 @@
 from rhubarbhollow_calls.io_settings import CallSettings
 from rhubarbhollow_calls.refusal_status import status_for_foreign
 from rhubarbhollow_calls.retry_budgets import RetryBudgets
+from rhubarbhollow_calls.return_delay import return_delay
 from rhubarbhollow_calls.slot_ticket import Ticket
 
 if TYPE_CHECKING:
@@ -44,8 +45,6 @@
 
 
 MS_PER_SECOND: Final = 1000
-# Jitter of the Retry-After time, as a share of its mean.
-RETRY_AFTER_JITTER: Final = 0.5
 
 
 class CallNode:
@@ -214,15 +213,23 @@
             return status_for_foreign(refusal)
         return refusal.status
 
-    def retry_after(self, refusal: Refusal) -> float | None:
-        """Return the Retry-After seconds, or ``None`` to send none."""
+    def retry_after(
+        self,
+        refusal: Refusal,
+        left_seconds: float,
+        objective_seconds: float | None,
+    ) -> float | None:
+        """Return the Retry-After seconds, or ``None`` to send none.
+
+        See ``return_delay`` for the arguments.
+        """
         if not self.dialect.is_foreign:
             return None
         if self.status_of(refusal) != HTTPStatus.SERVICE_UNAVAILABLE:
             return None
-        # Jitter spreads the retries of callers refused together.
-        spread = RETRY_AFTER_JITTER * (2 * self._random.random() - 1)
-        return self._settings.retry_after_seconds * (1 + spread)
+        return return_delay(
+            refusal.kind, left_seconds, objective_seconds, self._random
+        )
 
     def route(self, host: bytes, target: bytes) -> RouteState | None:
         """Return the state of the matching route, or ``None``."""
--- a/packages/calls/src/rhubarbhollow_calls/io_refused_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_refused_exchange.py
@@ -29,7 +29,10 @@
         kind: RefusalKind,
         detail: str,
     ) -> None:
-        super().__init__(node, downstream, head, request_id, Deadline(0.0))
+        deadline = Deadline.after_ms(
+            head.mesh.timeout_ms or 0, node.clock.monotonic()
+        )
+        super().__init__(node, downstream, head, request_id, deadline)
         self._kind = kind
         self._detail = detail
 
--- a/packages/calls/src/rhubarbhollow_calls/io_settings.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_settings.py
@@ -17,9 +17,7 @@
     the listeners that stay open after a response.
     ``unacknowledged_ms`` is the time after which a connection whose
     peer acknowledges no data is closed.  ``origin`` names the service
-    of this node.  ``retry_after_seconds`` is the mean Retry-After time:
-    a busy upstream frees a slot about every 20 ms, and after four such
-    periods most callers can still meet their deadline.
+    of this node.
     """
 
     queue_limit: int = 64
@@ -35,4 +33,3 @@
     unacknowledged_ms: int = 1_000
     dialect: Dialect = NATIVE_DIALECT
     origin: bytes = b""
-    retry_after_seconds: float = 0.08
