Count control bytes by type of message and by data centre

Change: each connection knows the data centre of its peer, and the frames sent are counted by the type of their message; one metric series for each type in use, a few dozen at most.

--- a/packages/daemon/src/rhubarbhollow_daemon/control_listener.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_listener.py
@@ -94,6 +94,7 @@
             first = await _receive_first(connection)
         match first:
             case Ok(Hello(mesh=mesh) as hello) if mesh == self._mesh:
+                connection.set_peer_data_centre(hello.data_centre)
                 await self._serve_node(connection, hello)
             case Ok(PeerHello(mesh=mesh) as hello) if mesh == self._mesh:
                 connection.count_in(self._peer_traffic)
--- a/packages/daemon/src/rhubarbhollow_daemon/metric_collection.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/metric_collection.py
@@ -97,6 +97,18 @@
             value,
             {"kind": kind, "direction": direction},
         )
+    for (message, is_remote), value in traffic.frame_bytes_out.items():
+        yield MetricSample(
+            "control_message_bytes_total",
+            "Bytes of sent messages by type and by whether they left the"
+            " data centre.",
+            value,
+            {
+                "kind": kind,
+                "message": message,
+                "remote": "true" if is_remote else "false",
+            },
+        )
 
 
 def _collect_route_metrics(
--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -105,7 +105,7 @@
         NodeCallObserver(burn, refused_call_log, clock, DecisionLog(clock)),
     )
     state.attach(call_node)
-    traffic = Traffic()
+    traffic = Traffic(data_centre)
     return NodeParts(
         settings=settings,
         version=own_version(),
--- a/packages/daemon/src/rhubarbhollow_daemon/peer_link.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/peer_link.py
@@ -18,6 +18,7 @@
     from random import Random
 
     from rhubarbhollow_daemon.messages import PeerHello
+    from rhubarbhollow_distribution.control_address import ControlAddress
     from rhubarbhollow_wire.traffic import Traffic
 
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
@@ -40,18 +41,14 @@
     def __init__(
         self,
         hello: PeerHello,
-        name: str,
-        host: str,
-        port: int,
+        address: ControlAddress,
         traffic: Traffic,
         random: Random,
         initial_messages: Callable[[], tuple[object, ...]] = tuple,
     ) -> None:
         self._initial_messages = initial_messages
         self._hello = hello
-        self._name = name
-        self._host = host
-        self._port = port
+        self._address = address
         self._traffic = traffic
         self._random = random
         self._outbox = Outbox()
@@ -89,11 +86,18 @@
     async def _run_once(self) -> bool:
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
-                stream = await anyio.connect_tcp(self._host, self._port)
+                stream = await anyio.connect_tcp(
+                    self._address.host, self._address.port
+                )
         except (OSError, TimeoutError):
             return False
         detect_lost_peer(stream)
-        connection = FrameConnection(stream, CODEC, self._traffic)
+        connection = FrameConnection(
+            stream,
+            CODEC,
+            self._traffic,
+            peer_data_centre=self._address.data_centre,
+        )
         try:
             with anyio.move_on_after(CONNECT_TIMEOUT_SECONDS):
                 opened = await connection.open()
@@ -104,12 +108,12 @@
                 self._generation += 1
             if not self._is_up:
                 return False
-            _log.info("peer_link_up", peer=self._name)
+            _log.info("peer_link_up", peer=self._address.name)
             await self._serve(connection)
             return True
         finally:
             if self._is_up:
-                _log.info("peer_link_down", peer=self._name)
+                _log.info("peer_link_down", peer=self._address.name)
             self._is_up = False
             await connection.close()
 
--- a/packages/daemon/src/rhubarbhollow_daemon/peer_links.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/peer_links.py
@@ -91,9 +91,7 @@
     def _add_link(self, address: ControlAddress) -> None:
         link = PeerLink(
             self._hello,
-            address.name,
-            address.host,
-            address.port,
+            address,
             self._traffic,
             self._random,
             self._build_initial_messages,
--- a/packages/daemon/src/rhubarbhollow_daemon/process.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/process.py
@@ -76,7 +76,7 @@
 
         node = build_node(settings, incarnation, clock, random)
     application = AdminApplication()
-    peer_traffic = Traffic()
+    peer_traffic = Traffic(settings.instance.data_centre)
     control: ControlParts | None = None
     if settings.control is not None:
         from rhubarbhollow_daemon.control_building import (  # noqa: PLC0415
@@ -120,7 +120,7 @@
         self._extension = extension
         self._documents: DocumentRelay | None = None
         self._peer_traffic = peer_traffic
-        self._served_traffic = Traffic()
+        self._served_traffic = Traffic(settings.instance.data_centre)
         self._admin = build_admin_server(application)
 
     async def run(self) -> None:
--- a/packages/daemon/src/rhubarbhollow_daemon/source_connection.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/source_connection.py
@@ -55,7 +55,9 @@
             stream = await anyio.connect_tcp(address.host, address.port)
     except (OSError, TimeoutError) as error:
         return Err(NotConnected(type(error).__name__))
-    connection = FrameConnection(stream, CODEC, traffic)
+    connection = FrameConnection(
+        stream, CODEC, traffic, peer_data_centre=address.data_centre
+    )
     outcome: Result[SourceConnection, NotConnected] = Err(
         NotConnected("no_welcome")
     )
--- a/packages/daemon/tests/test_peer_link.py
+++ b/packages/daemon/tests/test_peer_link.py
@@ -9,10 +9,12 @@
 from rhubarbhollow_daemon.codec import CODEC
 from rhubarbhollow_daemon.messages import EndpointsRequest, PeerHello
 from rhubarbhollow_daemon.peer_link import PeerLink
+from rhubarbhollow_distribution.control_address import ControlAddress
 from rhubarbhollow_wire.connection import FrameConnection
 from rhubarbhollow_wire.traffic import Traffic
 
 HELLO = PeerHello("m", "c1", 1, 0)
+ADDRESS = ControlAddress("c2", "temeke", "h", 1)
 OLD, NEW = EndpointsRequest("old"), EndpointsRequest("new")
 
 
@@ -21,7 +23,7 @@
 
     def __init__(self, monkeypatch):
         self.ends = []
-        self.link = PeerLink(HELLO, "c2", "h", 1, Traffic(), Random(1))
+        self.link = PeerLink(HELLO, ADDRESS, Traffic(), Random(1))
         monkeypatch.setattr(peer_link, "RECONNECT_MAX_SECONDS", 0)
         monkeypatch.setattr(peer_link.anyio, "connect_tcp", self._connect)
 
--- a/packages/wire/src/rhubarbhollow_wire/connection.py
+++ b/packages/wire/src/rhubarbhollow_wire/connection.py
@@ -45,11 +45,13 @@
         codec: MessageCodec,
         traffic: Traffic,
         *,
+        peer_data_centre: str = "",
         max_frame_bytes: int = MAX_FRAME_BYTES,
     ) -> None:
         self._stream = stream
         self._codec = codec
         self._traffic = traffic
+        self._peer_data_centre = peer_data_centre
         self._max_frame_bytes = max_frame_bytes
         self._buffer = bytearray()
 
@@ -57,6 +59,10 @@
         """Count subsequent bytes and messages in ``traffic``."""
         self._traffic = traffic
 
+    def set_peer_data_centre(self, data_centre: str) -> None:
+        """Count subsequent messages as sent to this data centre."""
+        self._peer_data_centre = data_centre
+
     async def open(self) -> Result[None, WireFault]:
         """Exchange prefaces, to reject other protocols early."""
         sent = await self._send_bytes(PREFACE)
@@ -76,7 +82,9 @@
             body = self._codec.encode(message)
             parts += _LENGTH.pack(len(body))
             parts += body
-        self._traffic.messages_out += len(messages)
+            self._traffic.count_frame(
+                message, _LENGTH.size + len(body), self._peer_data_centre
+            )
         return await self._send_bytes(bytes(parts))
 
     async def receive(self) -> Result[object, WireFault]:
--- a/packages/wire/tests/test_connection.py
+++ b/packages/wire/tests/test_connection.py
@@ -44,8 +44,8 @@
 def test_carries_messages_and_counts_bytes():
     async def scenario():
         left, right = connection_pair()
-        sent, received = Traffic(), Traffic()
-        sender = FrameConnection(left, CODEC, sent)
+        sent, received = Traffic("ilala"), Traffic("temeke")
+        sender = FrameConnection(left, CODEC, sent, peer_data_centre="temeke")
         receiver = FrameConnection(right, CODEC, received)
         async with anyio.create_task_group() as group:
             group.start_soon(sender.open)
@@ -55,6 +55,11 @@
         assert await receiver.receive() == Ok(ActiveReport(2))
         assert sent.bytes_out == received.bytes_in
         assert (sent.messages_out, received.messages_in) == (2, 2)
+        frames = sent.bytes_out - len(PREFACE)
+        assert sent.frame_bytes_out == {("ActiveReport", True): frames}
+        sender.set_peer_data_centre("ilala")
+        await sender.send(ActiveReport(3))
+        assert sent.frame_bytes_out[("ActiveReport", False)] == frames / 2
 
     anyio.run(scenario)
 
