--- a/packages/daemon/tests/test_graceful_shutdown.py
+++ b/packages/daemon/tests/test_graceful_shutdown.py
@@ -99,13 +99,13 @@
 def test_the_extension_is_notified_before_the_node_leaves():
     """Guard against leaving while the platform still sees it ready."""
     node = Node(0)
-    settings = SimpleNamespace(
-        drain=drain, instance=SimpleNamespace(data_centre="ilala")
-    )
     extension = SimpleNamespace(
         begin_leaving=lambda: node.steps.append("not ready")
     )
     drain = DrainSettings(spread=timedelta())
+    settings = SimpleNamespace(
+        drain=drain, instance=SimpleNamespace(data_centre="ilala")
+    )
     process = _Process(settings, node, None, None, None, extension)
     anyio.run(process._drain)
     assert node.steps == ["not ready", "leave", "withdraw", "drain"]
