Make durable what a restarted member recovers before it relies on it

Cause: a process that is killed between a write and its sync leaves names and entries that the next start reads. The member then answered others by them, and a power loss after that could take them away: an acknowledged release, or a vote, is forgotten.

Ruled out: reading only up to the position in the file of synced offsets; that file lags, and would drop entries that were acknowledged.

Change: opening a store syncs its folder before it is read and the last segment after; a folder without entries, its parent too. Earlier segments are synced before the next one is begun.

--- a/packages/replication/src/rhubarbhollow_replication/segments.py
+++ b/packages/replication/src/rhubarbhollow_replication/segments.py
@@ -121,6 +121,16 @@
         )
         self._disk.overwrite(self._folder / _SYNC_MARK_NAME, mark)
 
+    def sync_last(self) -> None:
+        """Make the last loaded segment durable; others were synced."""
+        if not self._segments:
+            return
+        file = self._disk.open(self._segments[-1].path)
+        try:
+            file.sync()
+        finally:
+            file.close()
+
     def drop_until(self, index: int) -> None:
         """Delete leading segments without records after ``index``.
 
--- a/packages/replication/src/rhubarbhollow_replication/store.py
+++ b/packages/replication/src/rhubarbhollow_replication/store.py
@@ -206,6 +206,9 @@
 def _recover(
     folder: Path, disk: Disk, segments: Segments
 ) -> RecoveredState | CorruptRecord:
+    # A process that was killed may have left names and entries that it
+    # had not synced. Others will rely on what is recovered here.
+    disk.sync_folder(folder)
     names = disk.names(folder)
     identity = _read_checksummed(folder / _IDENTITY_NAME, disk, names)
     if isinstance(identity, CorruptRecord):
@@ -219,6 +222,9 @@
     contents = segments.load()
     if isinstance(contents, CorruptRecord):
         return contents
+    if not contents:
+        disk.sync_folder(folder.parent)
+    segments.sync_last()
     entries = _replay(contents, snapshot)
     if entries is None:
         return CorruptRecord(str(folder), 0)
--- a/packages/replication/tests/fake_disk.py
+++ b/packages/replication/tests/fake_disk.py
@@ -114,10 +114,14 @@
         if not self.drops_sync:
             node.synced = node.content
 
-    def crash(self):
-        """Lose a random part of the unsynced data and clear faults."""
+    def clear_faults(self):
+        """Work again, with all data that was written."""
         self.is_full = self.fails_sync = False
         self.crash_after = None
+
+    def crash(self):
+        """Lose a random part of the unsynced data and clear faults."""
+        self.clear_faults()
         for path in sorted({*self.names_now, *self.names_synced}):
             if self.random.random() < 0.5:
                 self._copy_name(path, self.names_synced, self.names_now)
--- a/packages/replication/tests/seeded_run.py
+++ b/packages/replication/tests/seeded_run.py
@@ -122,6 +122,8 @@
         self.pending_write = None
         self.is_up = True
         self.is_damaged = False
+        # Whether the next crash spares what was written but not synced.
+        self.is_only_killed = False
         if recovered.snapshot:
             self.restore(recovered.snapshot)
 
@@ -139,7 +141,10 @@
 
     def crash(self):
         self.is_up = False
-        self.disk.crash()
+        if self.is_only_killed:
+            self.disk.clear_faults()
+        else:
+            self.disk.crash()
         self.down_until = self.run.time + self.random.choice((0.1, 1, 6))
 
     def restore(self, snapshot):
@@ -454,6 +459,13 @@
         member.disk.crash_after = run.random.randint(0, 12)
 
 
+def kill_in_write(run, member):
+    """Kill the process; its disk keeps what was not synced."""
+    if member.is_up:
+        member.is_only_killed = True
+        member.disk.crash_after = run.random.randint(0, 12)
+
+
 def crash_all(run, member):
     for other in run.members.values():
         crash(run, other)
@@ -545,6 +557,7 @@
 
 # Not among ``FAULTS``, so that the runs of those seeds stay the same.
 POWER_CYCLES = (power_cycle,) * 6
+KILLS = (*(kill_in_write,) * 6, crash_all, crash_all)
 
 
 def run_seed(
--- a/packages/replication/tests/test_seeded_run.py
+++ b/packages/replication/tests/test_seeded_run.py
@@ -11,6 +11,7 @@
 from seeded_run import (
     FAULTS,
     INITIAL,
+    KILLS,
     POWER_CYCLES,
     SPARES,
     Run,
@@ -47,6 +48,15 @@
     assert report.acknowledged > 100
 
 
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_what_a_killed_process_wrote_survives_a_later_power_loss(seed):
+    """Check that a restart trusts no write that is not durable."""
+    report = run_seed(seed, STEPS, KILLS)
+    assert report.is_settled
+    assert report.events["kill_in_write"] > 10
+    assert report.acknowledged > 100
+
+
 def test_runs_are_reproducible_and_inject_every_fault():
     """Check that a seed gives the same run, and that all faults occur.
 
--- a/packages/replication/tests/test_store.py
+++ b/packages/replication/tests/test_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from pathlib import Path
 from random import Random
 
@@ -95,6 +96,33 @@
     assert recovered_indexes(disk) == expected
 
 
+@pytest.mark.parametrize("operations", range(12))
+@pytest.mark.parametrize("seed", range(8))
+def test_what_a_restart_recovered_survives_a_power_loss(operations, seed):
+    """Check that no unsynced write of a killed process is trusted.
+
+    The member answers others by what it recovered, and a power loss may
+    follow at any time.
+    """
+    disk = filled_disk([entries(1, 2)])
+    disk.random = Random(seed)
+    store = open_store(disk).unwrap()
+    writes = [
+        entries(3, 5),
+        SaveVote(VoteState(4, "b", "store-b")),
+        SaveSnapshot(snapshot(2)),
+        entries(6, 6),
+    ]
+    disk.crash_after = operations
+    with suppress(CrashError):
+        for write in writes:
+            store.write([write])
+    disk.crash_after = None
+    trusted = open_store(disk).unwrap().recovered
+    disk.crash()
+    assert open_store(disk).unwrap().recovered == trusted
+
+
 @pytest.mark.parametrize(
     ("existing", "installed"),
     [
