Load what only operators and keyed calls use at their first request

Ruled out: garbage collection, which is off until the process serves.

Change: the admin port registers its handlers, with their documents and metrics, at its first request; the package's version is read when a status is asked for; codecs of claims are loaded by the first claim.

--- a/packages/calls/src/rhubarbhollow_calls/io_caller.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller.py
@@ -7,7 +7,6 @@
 from rhubarbhollow_calls.deadline import Deadline
 from rhubarbhollow_calls.http_limits import MAX_DEPTH
 from rhubarbhollow_calls.io_caller_exchange import CallerExchange
-from rhubarbhollow_calls.io_keyed import KeyedExchange
 from rhubarbhollow_calls.io_refusal_response import (
     encode_refusal,
     refusal_for_fault,
@@ -101,6 +100,12 @@
             return CallerExchange(
                 node, downstream, head, request_id, deadline, state, now
             )
+        # Loaded late: most nodes claim nothing, and callers wait for
+        # the start of the process.
+        from rhubarbhollow_calls.io_keyed import (  # noqa: PLC0415
+            KeyedExchange,
+        )
+
         return KeyedExchange(
             node,
             downstream,
--- a/packages/daemon/src/rhubarbhollow_daemon/claim_client.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/claim_client.py
@@ -8,7 +8,6 @@
 import anyio
 from result import Err, Ok, Result
 
-from rhubarbhollow_calls.claim_codec import decode_outcome, encode_command
 from rhubarbhollow_daemon.messages import ClaimAnswer, ClaimRequest
 
 if TYPE_CHECKING:
@@ -59,6 +58,13 @@
         Returns ``ClaimUnavailable`` if no outcome arrives within
         ``timeout_seconds``.
         """
+        # Loaded late: most nodes claim nothing, and callers wait for
+        # the start of the process.
+        from rhubarbhollow_calls.claim_codec import (  # noqa: PLC0415
+            decode_outcome,
+            encode_command,
+        )
+
         encoded = encode_command(command)
         with anyio.move_on_after(timeout_seconds):
             while True:
--- a/packages/daemon/src/rhubarbhollow_daemon/control_handlers.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_handlers.py
@@ -14,6 +14,7 @@
     answer_json,
     answer_problem,
 )
+from rhubarbhollow_daemon.own_version import own_version
 from rhubarbhollow_daemon.views import (
     MemberView,
     NodesView,
@@ -50,14 +51,12 @@
     def __init__(
         self,
         settings: Settings,
-        version: str,
         parts: ControlParts,
         relay: LeaderRelay,
         fleet: Fleet,
         burn: BurnCollection,
     ) -> None:
         self._settings = settings
-        self._version = version
         self._parts = parts
         self._relay = relay
         self._fleet = fleet
@@ -193,7 +192,7 @@
                 )
                 for member in replica.members
             ),
-            version=self._version,
+            version=own_version(),
         )
 
 
--- a/packages/daemon/src/rhubarbhollow_daemon/control_tasks.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_tasks.py
@@ -37,7 +37,6 @@
 
 def start_control(
     settings: Settings,
-    version: str,
     parts: ControlParts,
     application: AdminApplication,
     served_traffic: Traffic,
@@ -72,7 +71,7 @@
         instance.serve_node,
         dispatcher.dispatch,
     )
-    handlers = ControlHandlers(settings, version, parts, relay, fleet, burn)
+    handlers = ControlHandlers(settings, parts, relay, fleet, burn)
     handlers.register(application)
     _start_logs(parts, group)
     group.start_soon(instance.run)
--- a/packages/daemon/src/rhubarbhollow_daemon/http_server.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/http_server.py
@@ -58,6 +58,7 @@
 
     def __init__(self) -> None:
         self._routes: list[AdminRoute] = []
+        self._on_demand: list[Callable[[], None]] = []
 
     async def __call__(
         self,
@@ -91,6 +92,14 @@
         """Add a route; ``pattern`` is a regex of the full path."""
         self._routes.append(AdminRoute(method, re.compile(pattern), handler))
 
+    def add_on_demand(self, register: Callable[[], None]) -> None:
+        """Call ``register``, which adds routes, at the first request.
+
+        What only operators use is then not loaded at the start, for
+        which callers wait.
+        """
+        self._on_demand.append(register)
+
     async def _respond(
         self,
         scope: Mapping[str, Any],
@@ -123,6 +132,8 @@
             )
 
     async def _dispatch(self, request: HttpRequest) -> HttpResponse:
+        while self._on_demand:
+            self._on_demand.pop()()
         is_path_known = False
         for route in self._routes:
             match = route.pattern.fullmatch(request.path)
--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -19,7 +19,6 @@
 from rhubarbhollow_daemon.node_session import NodeSession
 from rhubarbhollow_daemon.node_state import NodeState
 from rhubarbhollow_daemon.outbox import Outbox
-from rhubarbhollow_daemon.own_version import own_version
 from rhubarbhollow_daemon.refused_call_log import RefusedCallLog
 from rhubarbhollow_distribution.endpoint_table import EndpointTable
 from rhubarbhollow_distribution.holder import ReleaseHolder
@@ -108,7 +107,6 @@
     traffic = Traffic(data_centre)
     return NodeParts(
         settings=settings,
-        version=own_version(),
         clock=clock,
         call_node=call_node,
         state=state,
--- a/packages/daemon/src/rhubarbhollow_daemon/node_handlers.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_handlers.py
@@ -13,6 +13,7 @@
     answer_json,
     answer_problem,
 )
+from rhubarbhollow_daemon.own_version import own_version
 from rhubarbhollow_daemon.views import (
     StatusView,
     UpstreamsView,
@@ -177,7 +178,7 @@
             nodes_known=0,
             nodes_in_force=0,
             members=(),
-            version=parts.version,
+            version=own_version(),
         )
 
     def _has_other_upstream(self, announcement: Announcement) -> bool:
--- a/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
@@ -25,7 +25,6 @@
     """Hold the parts of one node, built but not started."""
 
     settings: Settings
-    version: str
     clock: Clock
     call_node: CallNode
     state: NodeState
--- a/packages/daemon/src/rhubarbhollow_daemon/own_version.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/own_version.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
-from importlib.metadata import PackageNotFoundError, version
+from functools import cache
 
 
+@cache
 def own_version() -> str:
     """Return the version of the package, or "not installed"."""
+    # Loaded late, since callers wait for the start of the process.
+    from importlib.metadata import (  # noqa: PLC0415
+        PackageNotFoundError,
+        version,
+    )
+
     try:
         return version("rhubarbhollow-daemon")
     except PackageNotFoundError:
--- a/packages/daemon/src/rhubarbhollow_daemon/process.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/process.py
@@ -31,8 +31,6 @@
     collect_control_metrics,
     collect_node_metrics,
 )
-from rhubarbhollow_daemon.metrics import Metrics
-from rhubarbhollow_daemon.own_version import own_version
 from rhubarbhollow_daemon.process_handlers import ProcessHandlers
 from rhubarbhollow_wire.clock import SystemClock
 from rhubarbhollow_wire.traffic import Traffic
@@ -131,7 +129,7 @@
         async with anyio.create_task_group() as group:
             if self._control is not None:
                 self._start_control(self._control, group)
-            self._register_handlers()
+            self._application.add_on_demand(self._register_handlers)
             if self._node is not None:
                 group.start_soon(self._node.session.run)
                 group.start_soon(self._run_housekeeping, self._node)
@@ -177,7 +175,6 @@
         extension = self._extension
         self._documents = start_control(
             self._settings,
-            own_version(),
             parts,
             self._application,
             self._served_traffic,
@@ -195,6 +192,8 @@
         self._extension.start(host, group)
 
     def _register_handlers(self) -> None:
+        from rhubarbhollow_daemon.metrics import Metrics  # noqa: PLC0415
+
         metrics = Metrics(
             self._settings.instance.name,
             self._settings.instance.data_centre,
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -7,8 +7,6 @@
 
 NODE = (
     "rhubarbhollow_daemon.node_building",
-    "rhubarbhollow_daemon.node_handlers",
-    "rhubarbhollow_daemon.explain_handlers",
     "rhubarbhollow_platform.sidecar_extension",
 )
 CONTROL = (
@@ -19,12 +17,30 @@
 # only the product's own interface needs these, for manifests, settings
 # files and signatures
 UNUSED = ("jsonschema", "yaml", "cryptography")
+# Only the requests of operators and calls with a key need these.
+ON_DEMAND = (
+    "aioprometheus",
+    "importlib.metadata",
+    "rhubarbhollow_calls.claim_codec",
+    "rhubarbhollow_calls.io_keyed",
+    "rhubarbhollow_daemon.explain_handlers",
+    "rhubarbhollow_daemon.node_handlers",
+    "rhubarbhollow_daemon.views",
+)
 
 
 @pytest.mark.parametrize(
     ("parts", "absent"),
     [
-        (NODE, (*UNUSED, *CONTROL, "rhubarbhollow_replication.replica")),
+        (
+            NODE,
+            (
+                *UNUSED,
+                *ON_DEMAND,
+                *CONTROL,
+                "rhubarbhollow_replication.replica",
+            ),
+        ),
         (CONTROL, (*UNUSED, *NODE, "rhubarbhollow_calls.io_node")),
     ],
 )
