--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -89,6 +89,7 @@
         self.origin = self._settings.origin
         self._background: set[asyncio.Task[None]] = set()
         self._snapshot: Snapshot | None = None
+        self._has_snapshot = asyncio.Event()
         self._position = 0
         self._states: dict[str, RouteState] = {}
         self._budgets = RetryBudgets(clock)
@@ -123,6 +124,7 @@
         """
         known = self._states
         self._snapshot = snapshot
+        self._has_snapshot.set()
         self._position = snapshot.position
         # Most routes are idle here; their states are made at the first
         # call, so that a change costs no more than the routes in use.
@@ -137,6 +139,10 @@
             snapshot.position,
         )
 
+    async def wait_for_snapshot(self) -> None:
+        """Wait until the first release is in force here."""
+        await self._has_snapshot.wait()
+
     def set_local_upstream(self, upstream: LocalUpstream | None) -> None:
         """Replace or remove the local upstream.
 
--- a/packages/daemon/src/rhubarbhollow_daemon/process.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/process.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import signal
-import socket
 from dataclasses import asdict
 from random import SystemRandom
 from typing import TYPE_CHECKING, Final
@@ -19,6 +18,8 @@
 from result import Err, Ok, Result
 
 from rhubarbhollow_calls.io_garbage_collection import freeze_startup_objects
+from rhubarbhollow_daemon.bound_listener import bind_listener, open_listener
+from rhubarbhollow_daemon.caller_admission import accept_once_ready
 from rhubarbhollow_daemon.extension import Extension, ExtensionHost
 from rhubarbhollow_daemon.graceful_shutdown import leave_mesh
 from rhubarbhollow_daemon.http_response import answer_json
@@ -36,6 +37,7 @@
 from rhubarbhollow_wire.traffic import Traffic
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Iterator, Mapping
 
     from anyio.abc import TaskGroup
@@ -58,9 +60,11 @@
 async def run_process(
     settings: Settings,
     extension: Extension | None = None,
+    caller_socket: socket.socket | None = None,
 ) -> Result[None, StoreFault]:
     """Run the process until a signal ends it.
 
+    ``caller_socket`` is the listener for callers if it is open already.
     Return the fault if the control instance's store cannot be used.
     """
     clock = SystemClock()
@@ -93,7 +97,13 @@
             return built
         control = built.ok_value
     process = _Process(
-        settings, node, control, application, peer_traffic, extension
+        settings,
+        node,
+        control,
+        application,
+        peer_traffic,
+        extension,
+        caller_socket,
     )
     await process.run()
     return Ok(None)
@@ -110,7 +120,9 @@
         application: AdminApplication,
         peer_traffic: Traffic,
         extension: Extension | None = None,
+        caller_socket: socket.socket | None = None,
     ) -> None:
+        self._caller_socket = caller_socket
         self._settings = settings
         self._node = node
         self._control = control
@@ -134,6 +146,9 @@
                 group.start_soon(self._node.session.run)
                 group.start_soon(self._run_housekeeping, self._node)
                 group.start_soon(self._node.claims.abandon_lost_claims)
+                group.start_soon(
+                    accept_once_ready, servers[0], self._node.call_node
+                )
             group.start_soon(serve_admin, self._admin, admin_socket)
             self._start_extension(group)
             freeze_startup_objects()
@@ -155,17 +170,19 @@
         listen = self._settings.listen
         loop = asyncio.get_running_loop()
         call_node = self._node.call_node
-        return [
-            await loop.create_server(
-                factory,
-                sock=bind_listener(listen.host, port),
-                backlog=listen.backlog,
-            )
-            for factory, port in (
-                (call_node.caller_protocol_factory, listen.caller_port),
-                (call_node.peer_protocol_factory, listen.peer_port),
-            )
-        ]
+        callers = await loop.create_server(
+            call_node.caller_protocol_factory,
+            sock=self._caller_socket
+            or open_listener(listen.host, listen.caller_port),
+            backlog=listen.backlog,
+            start_serving=False,
+        )
+        peers = await loop.create_server(
+            call_node.peer_protocol_factory,
+            sock=bind_listener(listen.host, listen.peer_port),
+            backlog=listen.backlog,
+        )
+        return [callers, peers]
 
     def _start_control(self, parts: ControlParts, group: TaskGroup) -> None:
         from rhubarbhollow_daemon.control_tasks import (  # noqa: PLC0415
@@ -275,14 +292,5 @@
             await leave_mesh(node.call_node, node.upstreams, drain)
 
 
-def bind_listener(host: str, port: int) -> socket.socket:
-    """Return a bound IPv4 socket that is not listening yet."""
-    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    bound.bind((host, port))
-    bound.setblocking(False)
-    return bound
-
-
 def _status_document(handlers: NodeHandlers) -> dict[str, object]:
     return asdict(handlers.status())
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -55,3 +55,20 @@
     ).stdout.split()
     assert set(parts) <= set(loaded)
     assert set(absent).isdisjoint(loaded)
+
+
+def test_a_node_listens_for_callers_before_it_loads_the_program():
+    """Guard against callers that are refused for most of a start."""
+    loaded = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            "import sys, rhubarbhollow_platform.startup; print(*sys.modules)",
+        ],
+        check=True,
+        capture_output=True,
+        text=True,
+    ).stdout.split()
+    absent = {"asyncio", "anyio", "structlog", "uvicorn"}
+    assert absent.isdisjoint(loaded)
+    assert "rhubarbhollow_daemon.process" not in loaded
