Check the fields of a decoded resource without wording faults

Cause: a node that starts decodes the whole release, 150 ms of processor time for 2,400 routes, a third of a second at 0.43 of a core.

Change: a valid resource's fields are checked by one pass; faults are worded only for those that fail it. One JSON encoder serves all bodies.

Ruled out: LZMA for whole releases, 65 KB in place of 84 with the same time to decode; older processes could not read it.

--- a/packages/release/src/rhubarbhollow_release/codec.py
+++ b/packages/release/src/rhubarbhollow_release/codec.py
@@ -104,6 +104,16 @@
 }
 
 
+_ALL_CHECKS: Final[Mapping[ResourceKind, Mapping[str, checks.FieldCheck]]] = {
+    kind: {**_CHECKS[kind], **_OPTIONAL_CHECKS[kind]} for kind in ResourceKind
+}
+_ENCODER: Final = json.JSONEncoder(
+    allow_nan=False,
+    ensure_ascii=False,
+    separators=(",", ":"),
+    sort_keys=True,
+)
+
 _KINDS: Final[Mapping[type, ResourceKind]] = {
     Service: ResourceKind.SERVICE,
     Route: ResourceKind.ROUTE,
@@ -123,14 +133,7 @@
     Keys are sorted, there is no white space and characters outside
     ASCII are written as UTF-8.  Equal values give equal bytes.
     """
-    text = json.dumps(
-        value,
-        allow_nan=False,
-        ensure_ascii=False,
-        separators=(",", ":"),
-        sort_keys=True,
-    )
-    return text.encode()
+    return _ENCODER.encode(value).encode()
 
 
 def encode_item(item: Item) -> bytes:
@@ -147,14 +150,14 @@
 ) -> Result[Item, ManifestFaults]:
     """Decode a canonical body, rejecting any other encoding of it."""
     try:
-        value = json.loads(body)
+        value = json.loads(body.decode())
     except (ValueError, RecursionError) as error:
         return Err(single_fault("", FaultKind.SYNTAX, ascii(str(error))))
     if not isinstance(value, dict):
         return Err(single_fault("", FaultKind.WRONG_TYPE, "not a JSON object"))
-    faults = tuple(_check_fields(value, _CHECKS[kind], _OPTIONAL_CHECKS[kind]))
-    if faults:
-        return Err(ManifestFaults(faults))
+    if not _are_fields_valid(value, kind):
+        faults = _check_fields(value, _CHECKS[kind], _OPTIONAL_CHECKS[kind])
+        return Err(ManifestFaults(tuple(faults)))
     item = read_item(kind, value)
     if encode_item(item) != body:
         return Err(
@@ -181,6 +184,14 @@
             return Note(value["name"], value["text"])
 
 
+def _are_fields_valid(value: Mapping[str, object], kind: ResourceKind) -> bool:
+    """Return whether ``_check_fields`` would find no fault, fast."""
+    known = _ALL_CHECKS[kind]
+    if not _CHECKS[kind].keys() <= value.keys() <= known.keys():
+        return False
+    return all(known[field](member) for field, member in value.items())
+
+
 def _check_fields(
     value: Mapping[str, object],
     required: Mapping[str, checks.FieldCheck],
--- a/packages/release/tests/test_field_checks.py
+++ b/packages/release/tests/test_field_checks.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 from result import Ok
 
+from rhubarbhollow_release import codec
 from rhubarbhollow_release.codec import decode_item, encode_json
 from rhubarbhollow_release.manifest_fault import FaultKind
 from rhubarbhollow_release.resource_kind import ResourceKind
@@ -108,3 +109,21 @@
         json.dumps(dict(shuffled), separators=(",", ":")).encode(),
     ):
         assert isinstance(decode_item(kind, other), Ok) == (other == body)
+
+
+@given(
+    st.sampled_from(sorted(GOOD)),
+    st.dictionaries(st.sampled_from(("name", "rank", "other")), SCALARS),
+    st.booleans(),
+)
+def test_the_fast_check_agrees_with_the_one_that_words_faults(
+    kind, changed, is_short
+):
+    """Guard against a resource that only one of the two accepts."""
+    value = {**GOOD[kind], **changed}
+    if is_short:
+        value.popitem()
+    faults = codec._check_fields(
+        value, codec._CHECKS[kind], codec._OPTIONAL_CHECKS[kind]
+    )
+    assert codec._are_fields_valid(value, kind) is (not faults)
