Apply committed entries in slices, between which a member answers

Ruled out: links that were not up (all were, by the log), and the building of whole stages, 48 ms once.

Change: a replica applies for 20 ms at a time and handles messages and its clock in between. Until it has applied all that it took, its state counts as not fresh, so that no node starts from a part of it, and a leader activates nothing. It compacts only what is applied.

--- a/packages/daemon/src/rhubarbhollow_daemon/activation_coordinator.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/activation_coordinator.py
@@ -117,9 +117,10 @@
     def maybe_plan(self) -> int | None:
         """Return the position to activate now, or ``None``.
 
-        Always ``None`` on an instance that is not the leader.
+        Always ``None`` on an instance that is not the leader, or that
+        still applies what was accepted before it became the leader.
         """
-        if not self.is_leader:
+        if not self.is_leader or not self._replica.status.is_fresh:
             return None
         return self._planner.maybe_propose()
 
--- a/packages/replication/src/rhubarbhollow_replication/replica.py
+++ b/packages/replication/src/rhubarbhollow_replication/replica.py
@@ -7,6 +7,7 @@
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import anyio.to_thread
 import structlog
 from result import Err, Result
@@ -48,6 +49,9 @@
     from rhubarbhollow_wire.clock import Clock
 
 MAX_INBOX_MESSAGES: Final = 4096
+# Committed entries are applied for this long before messages are read
+# again; a round trip to a member that also applies takes several.
+APPLY_SLICE_SECONDS: Final = 0.02
 
 _log = structlog.get_logger()
 
@@ -81,6 +85,8 @@
         self._inbox: deque[PeerMessage] = deque(maxlen=MAX_INBOX_MESSAGES)
         self._requests: deque[Pending] = deque()
         self._tracker = RequestTracker()
+        # Committed entries and snapshots that are still to be applied.
+        self._backlog: deque[Entry | Snapshot] = deque()
         self._wake = anyio.Event()
         self._applied_index = 0
         self._callbacks: list[Callable[[int], None]] = []
@@ -97,12 +103,15 @@
         core = self._core
         is_failed = self._fault is not None
         now = self._clock.monotonic()
+        # What is committed but not applied is missing in the state that
+        # others read here.
+        is_current = not is_failed and not self._backlog
         return ReplicaStatus(
             role=Role.FAILED if is_failed else core.role,
             term=core.term,
             leader=None if is_failed else core.leader,
-            is_fresh=not is_failed and core.is_fresh(now),
-            confirmed_at=core.confirmed_at,
+            is_fresh=is_current and core.is_fresh(now),
+            confirmed_at=core.confirmed_at if is_current else None,
             commit_index=core.commit_index,
             applied_index=self._applied_index,
             members=self._member_statuses(now),
@@ -174,7 +183,10 @@
 
     async def _wait_for_work(self) -> None:
         remaining = self._core.deadline - self._clock.monotonic()
-        if not self._inbox and not self._requests:
+        if self._backlog:
+            # Let the connections deliver what arrived meanwhile.
+            await anyio.lowlevel.checkpoint()
+        elif not self._inbox and not self._requests:
             with anyio.move_on_after(max(0.0, remaining)):
                 await self._wake.wait()
         self._wake = anyio.Event()
@@ -235,11 +247,8 @@
 
     def _apply_committed(self) -> None:
         before = self._applied_index
-        for item in self._core.take_committed():
-            if isinstance(item, Snapshot):
-                self._restore(item)
-            else:
-                self._apply(item)
+        self._backlog.extend(self._core.take_committed())
+        self._apply_slice()
         now = self._clock.monotonic()
         self._tracker.settle(self._core, self._applied_index, now)
         self._log_role_change()
@@ -247,9 +256,26 @@
             return
         for callback in self._callbacks:
             callback(self._applied_index)
-        if self._core.needs_snapshot:
+        if self._core.needs_snapshot and not self._backlog:
             self._core.compact(self._machine.snapshot())
 
+    def _apply_slice(self) -> None:
+        """Apply a part of the backlog.
+
+        A member that restarts applies hundreds of changes. Applied at
+        once, they keep it from answering others for longer than an
+        election timeout, and a new leader loses its quorum.
+        """
+        until = self._clock.monotonic() + APPLY_SLICE_SECONDS
+        while self._backlog:
+            item = self._backlog.popleft()
+            if isinstance(item, Snapshot):
+                self._restore(item)
+            else:
+                self._apply(item)
+            if self._clock.monotonic() >= until:
+                return
+
     def _apply(self, entry: Entry) -> None:
         outcome: object = None
         if entry.kind is EntryKind.COMMAND:
--- a/packages/replication/tests/test_replica.py
+++ b/packages/replication/tests/test_replica.py
@@ -49,8 +49,10 @@
 
     def __init__(self):
         self.commands = []
+        self.on_apply = lambda: None
 
     def apply(self, index, payload):
+        self.on_apply()
         self.commands.append(payload.decode())
         return len(self.commands)
 
@@ -410,3 +412,66 @@
                 assert cluster.machines[name].commands == ["one", "two"]
 
     anyio.run(run)
+
+
+ENTRIES = 30
+
+
+async def restart_with_entries(folder, on_apply):
+    """Restart all members of a log whose entries take long to apply.
+
+    Together they take twice the election timeout. Return how often a
+    leader
+    was elected until all members have applied all and time has passed.
+    """
+    async with running(folder) as (first, _):
+        leader = await first.leader()
+        for number in range(ENTRIES):
+            await first.call(leader.propose, str(number).encode())
+        await first.wait_applied(ENTRIES)
+        before = leader.status.term
+    async with running(folder) as (second, _):
+
+        def apply():
+            second.clock.advance(0.02)
+            on_apply(second)
+
+        for machine in second.machines.values():
+            machine.on_apply = apply
+
+        await second.wait_applied(ENTRIES)
+        for _ in range(100):
+            await second.advance()
+        return (await second.leader()).status.term - before
+
+
+def test_a_leader_keeps_its_quorum_while_members_apply_entries(tmp_path):
+    """Check that members answer while they catch up after a restart."""
+
+    async def scenario():
+        elections = await restart_with_entries(tmp_path, lambda _: None)
+        assert elections == 1
+
+    anyio.run(scenario)
+
+
+def test_a_member_is_not_fresh_until_it_has_applied_what_it_took(tmp_path):
+    """Check that no state is taken for current that lacks entries.
+
+    A node that restarts would begin with an older release than before.
+    """
+    seen = []
+
+    def check(cluster):
+        for name, replica in cluster.replicas.items():
+            behind = ENTRIES - len(cluster.machines[name].commands)
+            if replica._backlog and behind > 0:
+                status = replica.status
+                seen.append((status.is_fresh, status.confirmed_at))
+
+    async def scenario():
+        await restart_with_entries(tmp_path, check)
+
+    anyio.run(scenario)
+    assert seen
+    assert set(seen) == {(False, None)}
