--- a/packages/replication/tests/test_replica.py
+++ b/packages/replication/tests/test_replica.py
@@ -421,8 +421,7 @@
     """Restart all members of a log whose entries take long to apply.
 
     Together they take twice the election timeout. Return how often a
-    leader
-    was elected until all members have applied all and time has passed.
+    leader was elected until all members had applied all.
     """
     async with running(folder) as (first, _):
         leader = await first.leader()
