Send replies before entries are applied

Change: a replica lets its connections take three turns of the event loop before it applies anything.

--- a/packages/replication/src/rhubarbhollow_replication/replica.py
+++ b/packages/replication/src/rhubarbhollow_replication/replica.py
@@ -52,6 +52,8 @@
 # Committed entries are applied for this long before messages are read
 # again; a round trip to a member that also applies takes several.
 APPLY_SLICE_SECONDS: Final = 0.02
+# Turns of the event loop from queueing a message to writing it.
+CONNECTION_TURNS: Final = 3
 
 _log = structlog.get_logger()
 
@@ -184,8 +186,7 @@
     async def _wait_for_work(self) -> None:
         remaining = self._core.deadline - self._clock.monotonic()
         if self._backlog:
-            # Let the connections deliver what arrived meanwhile.
-            await anyio.lowlevel.checkpoint()
+            await _yield_to_connections()
         elif not self._inbox and not self._requests:
             with anyio.move_on_after(max(0.0, remaining)):
                 await self._wake.wait()
@@ -229,6 +230,9 @@
                 return
             self._core.handle_synced()
             self._send_all(effects.sends_after_sync)
+            self._backlog.extend(self._core.take_committed())
+            if self._backlog:
+                await _yield_to_connections()
             self._apply_committed()
             if effects.is_empty:
                 return
@@ -247,7 +251,6 @@
 
     def _apply_committed(self) -> None:
         before = self._applied_index
-        self._backlog.extend(self._core.take_committed())
         self._apply_slice()
         now = self._clock.monotonic()
         self._tracker.settle(self._core, self._applied_index, now)
@@ -365,3 +368,13 @@
             term=current[1],
             leader=self._core.leader,
         )
+
+
+async def _yield_to_connections() -> None:
+    """Let the connections send what is queued and deliver what arrived.
+
+    An entry may take a few hundred milliseconds to apply, and until
+    then others would wait for replies that are only queued here.
+    """
+    for _ in range(CONNECTION_TURNS):
+        await anyio.lowlevel.checkpoint()
--- a/packages/replication/tests/test_replica.py
+++ b/packages/replication/tests/test_replica.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -474,3 +475,23 @@
     anyio.run(scenario)
     assert seen
     assert set(seen) == {(False, None)}
+
+
+def test_replies_are_sent_before_entries_are_applied(tmp_path):
+    """Check that a long entry does not hold back replies to others."""
+    queued, seen = [], []
+
+    def queue(message):
+        queued.append(message)
+        asyncio.get_running_loop().call_soon(queued.remove, message)
+
+    def check(cluster):
+        cluster.on_send = queue
+        seen.append(len(queued))
+
+    async def scenario():
+        await restart_with_entries(tmp_path, check)
+
+    anyio.run(scenario)
+    assert len(seen) == ENTRIES * len(NAMES)
+    assert not any(seen)
