Use no connection again that rested as long as one that was dropped

Cause: an upstream may forget idle connections without notice. Whatever is sent next on each of them is reset, and a non-idempotent call on it ends as outcome unknown, one for each connection that rested.

Ruled out: a fresh connection for each non-idempotent call, which costs every call a round trip at upstreams that forget nothing.

A break while a request runs says nothing.

--- a/packages/calls/src/rhubarbhollow_calls/io_client.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_client.py
@@ -77,6 +77,8 @@
     """
 
     __slots__ = (
+        "_begun_at",
+        "_has_received",
         "_has_responded",
         "_has_skipped",
         "_is_closing",
@@ -90,11 +92,13 @@
         "_pool",
         "_reader",
         "_request_id",
+        "_rested_seconds",
         "_skipped_bytes",
         "_transport",
         "_user",
         "idle_limit",
         "idle_ticks",
+        "released_at",
     )
 
     def __init__(self, pool: ConnectionPool) -> None:
@@ -114,6 +118,10 @@
         self._has_skipped = False
         self._skipped_bytes = 0
         self._request_id: bytes | None = None
+        self._has_received = False
+        self._rested_seconds = 0.0
+        self._begun_at = 0.0
+        self.released_at = 0.0
         self.idle_ticks = 0
         self.idle_limit: int | None = None
 
@@ -132,6 +140,9 @@
         if self._user is not None or self._is_closing:
             raise ConnectionInUse("the connection is in use or closing")
         self._user = user
+        self._begun_at = self._pool.now()
+        self._rested_seconds = self._begun_at - self.released_at
+        self._has_received = False
         self._is_request_whole = False
         self._is_response_whole = False
         self._request_id = request_id
@@ -184,6 +195,7 @@
         if self._user is None:
             self._close()
             return
+        self._has_received = True
         fault = self._reader.feed(data)
         if self._is_response_whole:
             self._finish(fault)
@@ -280,10 +292,17 @@
 
     def _break(self, cause: BreakCause) -> None:
         user, self._user = self._user, None
+        if user is not None and self._has_responded:
+            self._report_break()
         self._close()
         if user is not None:
             user.connection_broken(cause)
 
+    def _report_break(self) -> None:
+        """Report a break in use again, if no byte came since."""
+        if not self._has_received:
+            self._pool.note_break(self._rested_seconds, self._begun_at)
+
     def _close(self) -> None:
         if self._is_closing:
             return
--- a/packages/calls/src/rhubarbhollow_calls/io_local_port.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_port.py
@@ -75,6 +75,7 @@
             upstream.connections,
             settings.upstream_idle_seconds,
             settings,
+            clock,
             settings.dialect,
         )
         self.dialect = settings.dialect
--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -295,6 +295,7 @@
                 settings.peer_connections,
                 settings.peer_idle_seconds,
                 settings,
+                self.clock,
             )
         return pool
 
--- a/packages/calls/src/rhubarbhollow_calls/io_pool.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_pool.py
@@ -9,11 +9,13 @@
 
 from rhubarbhollow_calls.http_dialect import NATIVE_DIALECT
 from rhubarbhollow_calls.io_client import ClientConnection
+from rhubarbhollow_calls.reuse_limit import ReuseLimit
 from rhubarbhollow_wire.keepalive import KeepaliveLimits
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.http_dialect import Dialect
     from rhubarbhollow_calls.io_settings import CallSettings
+    from rhubarbhollow_wire.clock import Clock
 
 
 # With these limits a call to a machine that lost power or network
@@ -62,6 +64,7 @@
         limit: int,
         idle_seconds: int,
         settings: CallSettings,
+        clock: Clock,
         dialect: Dialect = NATIVE_DIALECT,
     ) -> None:
         self.dialect = dialect
@@ -76,6 +79,8 @@
         self._limit = limit
         self._idle_seconds = idle_seconds
         self._settings = settings
+        self._clock = clock
+        self._reuse = ReuseLimit()
         self._idle: list[ClientConnection] = []
         self._open: set[ClientConnection] = set()
         self._connecting: set[asyncio.Task[None]] = set()
@@ -94,8 +99,9 @@
 
     def acquire(self, waiter: ConnectionWaiter) -> None:
         """Give ``waiter`` a connection now or when one is available."""
-        if self._idle:
-            waiter.connection_ready(self._idle.pop())
+        connection = self._maybe_take_idle()
+        if connection is not None:
+            waiter.connection_ready(connection)
             return
         if self._is_closed:
             waiter.connection_failed(ConnectFault.POOL_CLOSED)
@@ -116,6 +122,7 @@
         if self._is_closed:
             connection.abort()
             return
+        connection.released_at = self._clock.monotonic()
         if self._waiters:
             self._waiters.popleft().connection_ready(connection)
             return
@@ -129,6 +136,15 @@
             self._idle.remove(connection)
         self._open_connection_if_needed()
 
+    def now(self) -> float:
+        """Return the time on this node's monotonic clock."""
+        return self._clock.monotonic()
+
+    def note_break(self, rested_seconds: float, begun_at: float) -> None:
+        """Record a connection in use again that broke unanswered."""
+        now = self._clock.monotonic()
+        self._reuse.record_break(rested_seconds, now - begun_at, now)
+
     def resize(self, limit: int) -> None:
         """Set another limit; surplus connections stay open."""
         self._limit = limit
@@ -158,6 +174,19 @@
             waiter = self._waiters.popleft()
             waiter.connection_failed(ConnectFault.POOL_CLOSED)
 
+    def _maybe_take_idle(self) -> ClientConnection | None:
+        """Return the connection that rested least, if usable."""
+        now = self._clock.monotonic()
+        if self._idle:
+            connection = self._idle.pop()
+            if self._reuse.may_reuse(now - connection.released_at, now):
+                return connection
+            # The others have rested for longer.
+            connection.abort()
+            for other in list(self._idle):
+                other.abort()
+        return None
+
     def _open_connection_if_needed(self) -> None:
         if self._is_closed or len(self._connecting) >= len(self._waiters):
             return
--- a/packages/calls/tests/test_io_lost_peer.py
+++ b/packages/calls/tests/test_io_lost_peer.py
@@ -11,6 +11,7 @@
 from rhubarbhollow_calls.io_client import ClientConnection
 from rhubarbhollow_calls.io_pool import ConnectionPool
 from rhubarbhollow_calls.io_settings import CallSettings
+from rhubarbhollow_wire.clock import SystemClock
 
 
 class User:
@@ -23,7 +24,7 @@
 
 def pool_to(port):
     settings = CallSettings(unacknowledged_ms=700)
-    return ConnectionPool("127.0.0.1", port, 4, 4, settings)
+    return ConnectionPool("127.0.0.1", port, 4, 4, settings, SystemClock())
 
 
 def test_a_connection_enables_detection_of_a_lost_peer():
--- a/packages/calls/tests/test_io_pool.py
+++ b/packages/calls/tests/test_io_pool.py
@@ -20,11 +20,11 @@
 )
 
 
-def pool_test(check, script=echo):
+def pool_test(check, script=echo, settings=SETTINGS):
     async def main():
         upstream = ScriptedUpstream(script)
         await upstream.start()
-        mesh = Mesh(settings=SETTINGS)
+        mesh = Mesh(settings=settings)
         await mesh.add_node("a")
         await mesh.add_node("b", upstream)
         nodes = [mesh.nodes[name].node for name in "ab"]
@@ -117,3 +117,45 @@
             assert ("connection" in answer.headers) == is_last
 
     pool_test(check)
+
+
+def forget_rested(rested):
+    """Return a script that resets the next request after a rest."""
+
+    async def script(request, writer):
+        if rested[0]:
+            rested[0] = False
+            writer.transport.abort()
+            return
+        await echo(request, writer)
+
+    return script
+
+
+def test_connections_that_the_upstream_forgets_are_used_once():
+    """Guard against a failure for each connection that rested."""
+    rested = [False]
+
+    async def check(mesh, upstream, a, b):
+        async def statuses(count):
+            clients = [await mesh.client("b") for _ in range(count)]
+            answers = await asyncio.gather(
+                *(client.get("/") for client in clients)
+            )
+            return [answer.status for answer in answers]
+
+        assert await statuses(4) == [200] * 4
+        before = upstream.opened
+        mesh.advance(0.8)
+        rested[0] = True
+        [status] = await statuses(1)
+        assert status != 200
+        mesh.advance(0.5)
+        assert await statuses(1) == [200]
+        # One of the two checked whether the upstream still listens.
+        assert upstream.opened == before + 2
+        mesh.advance(0.1)
+        assert await statuses(1) == [200]
+        assert upstream.opened == before + 2
+
+    pool_test(check, forget_rested(rested), CallSettings())
