Hold a whole release back while a node can get it in its data centre

After a herd of restarts an instance of the node's own data centre takes longer than half a second to welcome it, and an instance of another one then sends the whole release, 84 KB. That this is the cause was inferred from the sizes; no trace shows it.

Ruled out: a longer wait for every node, which would delay those whose instance is away.

Change: an instance tells whether the node's data centre has an instance that it has a link to; such a node's release is held back for 2 s, of one that is only known for 0.5 s as before.

--- a/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
@@ -105,7 +105,7 @@
             releases=parts.stages,
             endpoints=parts.store,
             clock=parts.clock,
-            has_local_source=lambda: parts.directory.serves(hello.data_centre),
+            local_source=lambda: parts.links.local_source(hello.data_centre),
         )
         link = NodeLink(hello, feed)
         with suppress(anyio.BrokenResourceError):
--- a/packages/daemon/src/rhubarbhollow_daemon/peer_links.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/peer_links.py
@@ -8,6 +8,7 @@
 
 from rhubarbhollow_daemon.log_group import LogGroup
 from rhubarbhollow_daemon.peer_link import PeerLink
+from rhubarbhollow_distribution.local_source import LocalSource
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -60,6 +61,20 @@
         """Return how many links are connected."""
         return sum(link.is_up for link in self._links.values())
 
+    def local_source(self, data_centre: str) -> LocalSource:
+        """Return what is known of the instances in a data centre."""
+        names = [
+            address.name
+            for address in self._directory.addresses
+            if address.data_centre == data_centre
+        ]
+        if not names:
+            return LocalSource.NONE
+        links = (self._links.get(name) for name in names)
+        if any(link is not None and link.is_up for link in links):
+            return LocalSource.REACHABLE
+        return LocalSource.KNOWN
+
     def send(self, name: str, message: object) -> None:
         """Queue a message for one control instance, if it is known."""
         link = self._links.get(name)
--- a/packages/distribution/src/rhubarbhollow_distribution/feed.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/feed.py
@@ -9,6 +9,7 @@
 from rhubarbhollow_distribution.control_heartbeat import ControlHeartbeat
 from rhubarbhollow_distribution.endpoint_feed import NEVER, EndpointFeed
 from rhubarbhollow_distribution.holder import MAX_STAGED_RELEASES
+from rhubarbhollow_distribution.local_source import LocalSource
 from rhubarbhollow_distribution.node_heartbeat import NodeHeartbeat
 from rhubarbhollow_distribution.stage_request import StageRequest
 from rhubarbhollow_distribution.staged_report import StagedReport
@@ -16,7 +17,7 @@
 from rhubarbhollow_release.difference import EMPTY_DIGEST
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from rhubarbhollow_distribution.control_message import ControlMessage
     from rhubarbhollow_distribution.endpoint_store import EndpointStore
@@ -31,8 +32,13 @@
 START_POLL_SECONDS: Final = 0.05
 # How long a node without a release has to go to an instance of its own
 # data centre, before it gets a whole release from another one.  A node
-# tries a local instance within 0.1 s once it knows one.
-LOCAL_START_SECONDS: Final = 0.5
+# tries a local instance within 0.1 s once it knows one; when hundreds
+# of nodes start at once, that instance may take a second to welcome it.
+LOCAL_START_SECONDS: Final[Mapping[LocalSource, float]] = {
+    LocalSource.NONE: 0.0,
+    LocalSource.KNOWN: 0.5,
+    LocalSource.REACHABLE: 2.0,
+}
 
 
 class NodeFeed:
@@ -44,9 +50,9 @@
     outstanding; it carries a single net difference from the content
     that the node holds to the latest release.
 
-    ``has_local_source`` tells whether an instance is known in the data
-    centre of a node from elsewhere; a whole release is then held back
-    for ``LOCAL_START_SECONDS``.
+    ``local_source`` tells what is known of the instances in the data
+    centre of a node from elsewhere; a whole release is held back for
+    ``LOCAL_START_SECONDS`` accordingly.
     """
 
     def __init__(
@@ -58,7 +64,7 @@
         releases: ReleaseSource,
         endpoints: EndpointStore,
         clock: Clock,
-        has_local_source: Callable[[], bool] = lambda: False,
+        local_source: Callable[[], LocalSource] = lambda: LocalSource.NONE,
     ) -> None:
         self._settings = settings
         self._releases = releases
@@ -66,11 +72,12 @@
         self._clock = clock
         now = clock.monotonic()
         self._has_release = hello.active_position > 0
-        self._has_local_source = has_local_source
+        self._local_source = local_source
+        self._hello_at = now
         is_own_data_centre = hello.data_centre == data_centre
-        self._local_start_until = now
-        if not self._has_release and not is_own_data_centre:
-            self._local_start_until += LOCAL_START_SECONDS
+        self._is_local_start_better = (
+            not self._has_release and not is_own_data_centre
+        )
         self._start_rule = StartRule(
             is_own_data_centre=is_own_data_centre,
             hello_at=now,
@@ -139,8 +146,9 @@
         times = [
             self._stage_sent_at + self._settings.stage_timeout_seconds,
             self._stage_ready_at(),
-            self._local_start_until,
         ]
+        if self._may_start_locally(now):
+            times.append(now + START_POLL_SECONDS)
         endpoints_at = self._endpoints.next_due()
         if endpoints_at is not None:
             times.append(endpoints_at)
@@ -212,7 +220,10 @@
 
     def _may_start_locally(self, now: float) -> bool:
         """Return whether the node may still get its release nearby."""
-        return now < self._local_start_until and self._has_local_source()
+        if not self._is_local_start_better:
+            return False
+        hold_seconds = LOCAL_START_SECONDS[self._local_source()]
+        return now < self._hello_at + hold_seconds
 
     def _stage_ready_at(self) -> float:
         return self._stage_sent_at + self._settings.coalescing_seconds
--- a/packages/distribution/tests/test_feed.py
+++ b/packages/distribution/tests/test_feed.py
@@ -27,6 +27,7 @@
     NodeFeed,
 )
 from rhubarbhollow_distribution.feed_settings import FeedSettings
+from rhubarbhollow_distribution.local_source import LocalSource
 from rhubarbhollow_distribution.node_heartbeat import NodeHeartbeat
 from rhubarbhollow_distribution.stage import Stage
 from rhubarbhollow_distribution.stage_request import StageRequest
@@ -39,7 +40,9 @@
 class FeedHarness:
     """Drive a feed, its inputs and the messages of its node."""
 
-    def __init__(self, hello, settings=QUICK, *, has_local_source=False):
+    def __init__(
+        self, hello, settings=QUICK, *, local_source=LocalSource.NONE
+    ):
         self.clock = ManualClock()
         self.releases = Releases()
         self.store = EndpointStore("own", 1, self.clock)
@@ -50,7 +53,7 @@
             releases=self.releases,
             endpoints=self.store,
             clock=self.clock,
-            has_local_source=lambda: has_local_source,
+            local_source=lambda: local_source,
         )
         self.feed = None
 
@@ -130,16 +133,22 @@
 
 
 @pytest.mark.parametrize(
-    ("holds", "data_centre", "has_local_source", "script"),
+    ("holds", "data_centre", "local_source", "script"),
     [
-        ((), "temeke", True, "send 0 = ; wait 0.5; send 0 = 4-0"),
-        ((), "temeke", False, "send 0 = 4-0"),
-        ((), "ilala", True, "send 0 = 4-0"),
-        ((3,), "temeke", True, "send 3 = 4-3"),
+        ((), "temeke", LocalSource.KNOWN, "send 0 = ; wait 0.5; send 0 = 4-0"),
+        (
+            (),
+            "temeke",
+            LocalSource.REACHABLE,
+            "send 0 = ; wait 1.9; send 0 = fresh; wait 0.1; send 0 = 4-0",
+        ),
+        ((), "temeke", LocalSource.NONE, "send 0 = 4-0"),
+        ((), "ilala", LocalSource.REACHABLE, "send 0 = 4-0"),
+        ((3,), "temeke", LocalSource.REACHABLE, "send 3 = 4-3"),
     ],
 )
 def test_a_whole_release_waits_for_a_node_that_has_a_local_source(
-    holds, data_centre, has_local_source, script
+    holds, data_centre, local_source, script
 ):
     """Guard against whole releases that cross data centres at a start.
 
@@ -149,17 +158,17 @@
     """
     harness = FeedHarness(
         hello_at(*holds, data_centre=data_centre),
-        has_local_source=has_local_source,
+        local_source=local_source,
     )
     play(harness, f"latest 4; {script}")
 
 
 def test_a_held_release_is_due_when_the_wait_ends():
     harness = FeedHarness(
-        hello_at(data_centre="temeke"), SLOW, has_local_source=True
+        hello_at(data_centre="temeke"), SLOW, local_source=LocalSource.KNOWN
     )
     play(harness, "latest 4; send 0 = ")
-    assert harness.feed.next_due() <= LOCAL_START_SECONDS
+    assert harness.feed.next_due() <= LOCAL_START_SECONDS[LocalSource.KNOWN]
 
 
 def test_isolated_instance_starts_no_remote_node():
