Keep a replica fresh while it applies what was just committed

Between taking entries and applying them a replica now yields, and a status read in that moment was not fresh, at each change.

Ruled out: load as the cause; it only makes the moment longer. A test with four commits at once fails on the code before.

Change: while entries are left to apply, the state counts as confirmed as of the last time when none were, and as fresh for a lease from then. After a start there is no such time, as before.

Measured: the new test and those of the replica.

--- a/packages/replication/src/rhubarbhollow_replication/replica.py
+++ b/packages/replication/src/rhubarbhollow_replication/replica.py
@@ -89,6 +89,7 @@
         self._tracker = RequestTracker()
         # Committed entries and snapshots that are still to be applied.
         self._backlog: deque[Entry | Snapshot] = deque()
+        self._confirmed_at: float | None = None
         self._wake = anyio.Event()
         self._applied_index = 0
         self._callbacks: list[Callable[[int], None]] = []
@@ -105,21 +106,36 @@
         core = self._core
         is_failed = self._fault is not None
         now = self._clock.monotonic()
-        # What is committed but not applied is missing in the state that
-        # others read here.
-        is_current = not is_failed and not self._backlog
+        confirmed_at = self._state_confirmed_at()
         return ReplicaStatus(
             role=Role.FAILED if is_failed else core.role,
             term=core.term,
             leader=None if is_failed else core.leader,
-            is_fresh=is_current and core.is_fresh(now),
-            confirmed_at=core.confirmed_at if is_current else None,
+            is_fresh=not is_failed and self._is_fresh(confirmed_at, now),
+            confirmed_at=confirmed_at,
             commit_index=core.commit_index,
             applied_index=self._applied_index,
             members=self._member_statuses(now),
             fault=self._fault,
         )
 
+    def _state_confirmed_at(self) -> float | None:
+        """Return when the applied state was last known to be complete.
+
+        Entries that are taken and not yet applied are missing in the
+        state that others read here, so the last time before counts.
+        """
+        if self._backlog:
+            return self._confirmed_at
+        return self._core.confirmed_at
+
+    def _is_fresh(self, confirmed_at: float | None, now: float) -> bool:
+        if not self._backlog:
+            return self._core.is_fresh(now)
+        if confirmed_at is None:
+            return False
+        return now < confirmed_at + self._settings.lease_seconds
+
     def on_applied(self, callback: Callable[[int], None]) -> None:
         """Call ``callback`` with the applied index when it advances."""
         self._callbacks.append(callback)
@@ -255,6 +271,8 @@
         now = self._clock.monotonic()
         self._tracker.settle(self._core, self._applied_index, now)
         self._log_role_change()
+        if not self._backlog:
+            self._confirmed_at = self._core.confirmed_at
         if self._applied_index == before:
             return
         for callback in self._callbacks:
--- a/packages/replication/tests/test_replica.py
+++ b/packages/replication/tests/test_replica.py
@@ -495,3 +495,34 @@
     anyio.run(scenario)
     assert len(seen) == ENTRIES * len(NAMES)
     assert not any(seen)
+
+
+def test_a_leader_stays_fresh_while_it_applies_new_entries(tmp_path):
+    """Check that usual commits do not suspend freshness.
+
+    Operators and nodes would see no leader at each change.
+    """
+    seen = []
+
+    async def scenario():
+        async with running(tmp_path) as (group, _):
+            leader = await group.leader()
+            await group.call(leader.propose, b"first")
+            await group.wait_applied(1)
+
+            def check():
+                group.clock.advance(0.03)
+                if leader._backlog:
+                    seen.append(leader.status.is_fresh)
+
+            name = leader.status.leader
+            group.machines[name].on_apply = check
+            async with anyio.create_task_group() as tasks:
+                for number in range(4):
+                    tasks.start_soon(leader.propose, str(number).encode())
+                await group.wait_applied(5)
+            assert leader.status.is_fresh
+
+    anyio.run(scenario)
+    assert seen
+    assert all(seen)
