Log the voters of the quorum log and those that a candidate lacks

A quorum that was lost and a quorum that elected nobody look alike.

Each member now logs members_changed when the configuration in force changes, and a candidate logs election_not_won with the voters that have not answered, once for each such set. log_voters and, on the leader, log_voters_alive are in the metrics, so that a voter that stays silent is seen before the next loss. No decision was changed.

--- a/packages/daemon/src/rhubarbhollow_daemon/metric_collection.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/metric_collection.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhollow_daemon.metric_sample import MetricSample
+from rhubarbhollow_replication.member import MemberRole
+from rhubarbhollow_replication.role import Role
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
@@ -12,6 +14,7 @@
     from rhubarbhollow_calls.io_counters import RouteCounters
     from rhubarbhollow_daemon.control_parts import ControlParts
     from rhubarbhollow_daemon.node_parts import NodeParts
+    from rhubarbhollow_replication.status import ReplicaStatus
     from rhubarbhollow_wire.traffic import Traffic
 
 
@@ -74,6 +77,7 @@
         "Whether a quorum confirmed this instance within its lease.",
         int(status.is_fresh),
     )
+    yield from _collect_voter_metrics(status)
     yield MetricSample(
         "control_nodes",
         "Nodes that are connected here.",
@@ -83,6 +87,21 @@
         yield from collect_traffic_metrics(kind, counted)
 
 
+def _collect_voter_metrics(status: ReplicaStatus) -> Iterator[MetricSample]:
+    """Yield how many voters the log has, and how many reply.
+
+    Only the leader knows which voters reply.
+    """
+    voters = [m for m in status.members if m.role is MemberRole.VOTER]
+    yield MetricSample("log_voters", "Voters of the quorum log.", len(voters))
+    if status.role is Role.LEADER:
+        yield MetricSample(
+            "log_voters_alive",
+            "Voters that reply to this leader of the quorum log.",
+            sum(voter.is_alive for voter in voters),
+        )
+
+
 def collect_traffic_metrics(
     kind: str, traffic: Traffic
 ) -> Iterable[MetricSample]:
--- a/packages/daemon/tests/test_metric_collection.py
+++ b/packages/daemon/tests/test_metric_collection.py
@@ -1,8 +1,14 @@
 """Samples of routes in the metrics of a node."""
 
 from rhubarbhollow_calls.io_counters import RouteCounters
-from rhubarbhollow_daemon.metric_collection import _collect_route_metrics
+from rhubarbhollow_daemon.metric_collection import (
+    _collect_route_metrics,
+    _collect_voter_metrics,
+)
 from rhubarbhollow_daemon.metrics import Metrics
+from rhubarbhollow_replication.member import MemberRole
+from rhubarbhollow_replication.role import Role
+from rhubarbhollow_replication.status import MemberStatus, ReplicaStatus
 
 
 def test_idle_routes_have_no_series():
@@ -25,3 +31,20 @@
     assert f"rhubarbhollow_calls_total{calls}" in text
     assert f"rhubarbhollow_call_retries_total{retries}" in text
     assert text.count("lookups") == 2
+
+
+def test_a_silent_voter_shows_in_the_metrics_of_the_leader():
+    """Guard against a quorum that shrinks without a trace."""
+    members = (
+        MemberStatus("a", MemberRole.VOTER, 5, is_alive=True),
+        MemberStatus("b", MemberRole.VOTER, 5, is_alive=False),
+        MemberStatus("c", MemberRole.LEARNER, 5, is_alive=True),
+    )
+
+    def sampled(role):
+        status = ReplicaStatus(role, 1, "a", True, 1.0, 5, 5, members, None)
+        samples = _collect_voter_metrics(status)
+        return {sample.name: sample.value for sample in samples}
+
+    assert sampled(Role.LEADER) == {"log_voters": 2, "log_voters_alive": 1}
+    assert sampled(Role.FOLLOWER) == {"log_voters": 2}
--- a/packages/replication/src/rhubarbhollow_replication/core.py
+++ b/packages/replication/src/rhubarbhollow_replication/core.py
@@ -167,6 +167,21 @@
         """The configuration in force."""
         return self._journal.configuration
 
+    @property
+    def missing_voters(self) -> tuple[str, ...]:
+        """The voters that have not granted the ongoing election.
+
+        It is empty if this replica is not a candidate.
+        """
+        if self._tally is None:
+            return ()
+        granted = self._tally.store_ids
+        return tuple(
+            voter.name
+            for voter in self.configuration.voters
+            if voter.name not in granted
+        )
+
     @property
     def deadline(self) -> float:
         """The time at which ``tick`` is next due."""
--- a/packages/replication/src/rhubarbhollow_replication/replica.py
+++ b/packages/replication/src/rhubarbhollow_replication/replica.py
@@ -96,6 +96,8 @@
         self._fault: StoreFault | None = None
         self._is_closed = False
         self._logged_role = (Role.FOLLOWER, 0)
+        self._logged_members = self._core.configuration
+        self._logged_missing: tuple[str, ...] = ()
         self._writer = anyio.CapacityLimiter(1)
         if recovered.snapshot is not None:
             self._restore(recovered.snapshot)
@@ -211,6 +213,8 @@
     def _process_queued(self) -> None:
         """Process everything queued, so that it shares one fsync."""
         now = self._clock.monotonic()
+        if now >= self._core.deadline:
+            self._log_election()
         self._core.tick(now)
         while self._inbox:
             self._core.handle(self._inbox.popleft(), now)
@@ -271,6 +275,7 @@
         now = self._clock.monotonic()
         self._tracker.settle(self._core, self._applied_index, now)
         self._log_role_change()
+        self._log_member_change()
         if not self._backlog:
             self._confirmed_at = self._core.confirmed_at
         if self._applied_index == before:
@@ -387,6 +392,48 @@
             leader=self._core.leader,
         )
 
+    def _log_member_change(self) -> None:
+        """Log the configuration in force when it has changed."""
+        current = self._core.configuration
+        if current == self._logged_members:
+            return
+        self._logged_members = current
+        voters = ",".join(voter.name for voter in current.voters)
+        learners = (m.name for m in current.members if not m.is_voter)
+        _log.info(
+            "members_changed",
+            log=self._settings.log_name,
+            replica=self._settings.name,
+            term=self._core.term,
+            commit_index=self._core.commit_index,
+            voters=voters,
+            learners=",".join(learners),
+        )
+
+    def _log_election(self) -> None:
+        """Log who did not vote in an election that was not won.
+
+        An election is repeated every few hundred milliseconds, so it is
+        logged only when other voters are missing than in the last one.
+        """
+        missing = self._core.missing_voters
+        if missing == self._logged_missing:
+            return
+        self._logged_missing = missing
+        if not missing:
+            return
+        configuration = self._core.configuration
+        _log.info(
+            "election_not_won",
+            log=self._settings.log_name,
+            replica=self._settings.name,
+            term=self._core.term,
+            last_index=self._core.last_index,
+            missing=",".join(missing),
+            voters=len(configuration.voters),
+            quorum=configuration.quorum_size,
+        )
+
 
 async def _yield_to_connections() -> None:
     """Let the connections send what is queued and deliver what arrived.
--- a/packages/replication/tests/test_replica.py
+++ b/packages/replication/tests/test_replica.py
@@ -369,6 +369,38 @@
     anyio.run(run)
 
 
+def test_the_log_tells_which_voters_a_candidate_lacks(tmp_path):
+    """Check that a lost quorum is explained, and only once."""
+
+    async def run():
+        async with running(tmp_path) as (cluster, tasks):
+            leader = await cluster.leader()
+            cluster.start(tasks, "d")
+            with capture_logs() as lines:
+                await cluster.call(leader.change_membership, AddLearner("d"))
+            changes = [
+                (line["voters"], line["learners"])
+                for line in lines
+                if line["event"] == "members_changed"
+            ]
+            assert set(changes) == {("a,b,c", "d")}
+            name = leader.status.leader
+            kept, silent = (n for n in NAMES if n != name)
+            cluster.stop(name)
+            cluster.stop(silent)
+            with capture_logs() as lines:
+                for _ in range(500):
+                    await cluster.advance()
+            missing = [
+                (line["replica"], line["missing"], line["quorum"])
+                for line in lines
+                if line["event"] == "election_not_won"
+            ]
+            assert missing == [(kept, ",".join(sorted((name, silent))), 2)]
+
+    anyio.run(run)
+
+
 @pytest.mark.parametrize("is_repaired", [False, True])
 def test_a_second_voter_is_lost_around_a_repair(tmp_path, is_repaired):
     """Check which losses a replacement of a voter survives.
