Test that a replaced instance hands its vote on before a disk is lost

A control instance is gone for good and an empty one starts at another address; 4 s after that, which is all that the users grant, another one loses its disk. In one case all instances are restarted in between, as in the incident, where the leader was killed.

--- a/tests/processes/test_platform_roles.py
+++ b/tests/processes/test_platform_roles.py
@@ -34,8 +34,11 @@
 class Platform:
     """Start and stop the roles' processes as the platform does."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(
+        self, folder: Path, control_hosts: tuple[str, ...] = HOSTS
+    ) -> None:
         self._folder = folder
+        self._control_hosts = control_hosts
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._started_hosts: set[str] = set()
 
@@ -53,7 +56,7 @@
         self._started_hosts.add(host)
 
     def _settings(self, host: str) -> dict[str, object]:
-        is_control_host = host in HOSTS
+        is_control_host = host in self._control_hosts
         ports = {"Control": f"{host}:{CONTROL_PORT}"}
         if not is_control_host:
             ports |= {
@@ -61,7 +64,7 @@
                 "Outbound": f"{host}:18147",
                 "Ready": f"{host}:18141",
             }
-        folder = self._folder / f"data-{host}"
+        folder = self.data_folder(host)
         return {
             "NodeName": host,
             "Ip": host,
@@ -75,6 +78,13 @@
             "Service": None if is_control_host else "desk",
         }
 
+    def data_folder(self, host: str) -> Path:
+        return self._folder / f"data-{host}"
+
+    def kill(self, host: str) -> None:
+        self.signal(host, signal.SIGKILL)
+        self.wait(host)
+
     def signal(self, host: str, number: int) -> None:
         self._processes[host].send_signal(number)
 
--- /dev/null
+++ b/tests/processes/test_replaced_instance.py
@@ -0,0 +1,79 @@
+"""A control instance that is replaced before another loses its disk."""
+
+from __future__ import annotations
+
+import shutil
+import signal
+import time
+
+import pytest
+
+from tests.processes.test_platform_roles import (
+    HOSTS,
+    Platform,
+    build_document,
+    get_configuration,
+    put_configuration,
+    send_request,
+    wait_for_result,
+)
+
+SUCCESSOR = "127.1.0.4"
+CONTROL_PORT = 18144
+# Another disk may be lost this long after the successor has started.
+CATCH_UP_SECONDS = 4.0
+# A change is acknowledged this long after a loss that must be borne.
+RECOVERY_SECONDS = 4.0
+
+
+@pytest.fixture
+def platform(tmp_path):
+    running = Platform(tmp_path, control_hosts=(*HOSTS, SUCCESSOR))
+    for host in HOSTS:
+        running.start(host)
+    yield running
+    running.stop()
+
+
+@pytest.mark.parametrize("is_core_restarted", [False, True])
+def test_losing_a_disk_after_an_instance_was_replaced_keeps_the_quorum(
+    platform, is_core_restarted
+):
+    first, second = build_document(2), build_document(7, "/b/")
+    wait_for_result(lambda: put_configuration(HOSTS[0], first, 0), 200)
+    platform.kill(HOSTS[0])
+    platform.start(SUCCESSOR, FirstStart=False)
+    wait_for_result(lambda: is_listening(SUCCESSOR), True)
+    started_at = time.monotonic()
+    if is_core_restarted:
+        restart_later(platform)
+        started_at = time.monotonic()
+    sleep_until(started_at + CATCH_UP_SECONDS)
+    platform.kill(HOSTS[1])
+    shutil.rmtree(platform.data_folder(HOSTS[1]))
+    deadline = time.monotonic() + RECOVERY_SECONDS
+    while put_configuration(SUCCESSOR, second, 2) != 200:
+        assert time.monotonic() < deadline
+        time.sleep(0.05)
+    assert get_configuration(HOSTS[2]) == second
+
+
+def restart_later(platform):
+    """Restart the remaining instances, which elects a leader anew."""
+    time.sleep(7.0)
+    for host in (HOSTS[1], HOSTS[2], SUCCESSOR):
+        platform.signal(host, signal.SIGKILL)
+    for host in (HOSTS[1], HOSTS[2], SUCCESSOR):
+        platform.wait(host)
+        platform.start(host)
+    for host in (HOSTS[1], HOSTS[2], SUCCESSOR):
+        wait_for_result(lambda host=host: is_listening(host), True)
+
+
+def is_listening(host):
+    path = "/rhubarbhollow/configuration"
+    return send_request("GET", host, CONTROL_PORT, path)[0] != 0
+
+
+def sleep_until(moment):
+    time.sleep(max(0.0, moment - time.monotonic()))
