Keep the replication out of nodes that collect metrics

Cause: the collection of the voters' metrics imported the roles of the log, and with them nodes without a log loaded that package at their start (test_a_process_loads_only_what_its_part_needs[parts0-absent0] failed, 1 failed and 361 passed). The status of a replica now tells its voters and whether it leads. The same files and the metrics' tests pass.

--- a/packages/daemon/src/rhubarbhollow_daemon/metric_collection.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/metric_collection.py
@@ -5,8 +5,6 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhollow_daemon.metric_sample import MetricSample
-from rhubarbhollow_replication.member import MemberRole
-from rhubarbhollow_replication.role import Role
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
@@ -92,9 +90,9 @@
 
     Only the leader knows which voters reply.
     """
-    voters = [m for m in status.members if m.role is MemberRole.VOTER]
+    voters = status.voters
     yield MetricSample("log_voters", "Voters of the quorum log.", len(voters))
-    if status.role is Role.LEADER:
+    if status.is_leader:
         yield MetricSample(
             "log_voters_alive",
             "Voters that reply to this leader of the quorum log.",
--- a/packages/replication/src/rhubarbhollow_replication/status.py
+++ b/packages/replication/src/rhubarbhollow_replication/status.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from rhubarbhollow_replication.member import MemberRole
+from rhubarbhollow_replication.role import Role
+
 if TYPE_CHECKING:
-    from rhubarbhollow_replication.member import MemberRole
-    from rhubarbhollow_replication.role import Role
     from rhubarbhollow_replication.store_fault import StoreFault
 
 
@@ -45,3 +46,13 @@
     applied_index: int
     members: tuple[MemberStatus, ...]
     fault: StoreFault | None
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads its term."""
+        return self.role is Role.LEADER
+
+    @property
+    def voters(self) -> tuple[MemberStatus, ...]:
+        """The members that count toward a quorum."""
+        return tuple(m for m in self.members if m.role is MemberRole.VOTER)
