Deny no route while a newer release may be in force

What callers saw in the incident: 404, which they don't retry, from nodes whose source had said for seconds that it can't confirm the latest release. The lost quorum was the cause; this is the other half of it: a node gave a final answer out of a state of which it knew that it may be outdated. Any later loss of the log would have denied the same calls.

A node answers 404 only if a source has reported within the silence timeout that it is fresh and neither it nor another node's call has named a later position. Otherwise the refusal is route_unconfirmed: 503, not run, and on the platform Retry-After as for a node that is starting.

--- a/packages/calls/src/rhubarbhollow_calls/io_caller.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller.py
@@ -135,6 +135,11 @@
                 RefusalKind.NO_RELEASE,
                 "no release is in force at this node",
             )
+        elif state is None and not self._node.is_release_current():
+            kind, detail = (
+                RefusalKind.ROUTE_UNCONFIRMED,
+                "no route matches, but a newer release may be in force",
+            )
         elif state is None:
             kind, detail = (
                 RefusalKind.NO_ROUTE,
--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -25,7 +25,7 @@
 from rhubarbhollow_calls.slot_ticket import Ticket
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine
 
     from rhubarbhollow_calls.call_priority import CallPriority
     from rhubarbhollow_calls.call_route import CallRoute
@@ -67,6 +67,7 @@
         claims: ClaimPort | None = None,
         observer: CallObserver | None = None,
         random: Random | None = None,
+        is_release_current: Callable[[], bool] | None = None,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -76,6 +77,7 @@
         self.local_port: LocalPort | None = None
         self.position_field_line = b""
         self.is_draining = False
+        self.is_release_current = is_release_current or _assume_current
         self._is_leaving = False
         self._random = random or Random()  # noqa: S311 - jitter
         self._observe_position = observe_position
@@ -368,3 +370,7 @@
 
 def _drop_message(message: QuarantineMessage) -> None:
     """Discard a quarantine message."""
+
+
+def _assume_current() -> bool:
+    return True
--- a/packages/calls/src/rhubarbhollow_calls/refusal.py
+++ b/packages/calls/src/rhubarbhollow_calls/refusal.py
@@ -34,6 +34,7 @@
 
     BAD_REQUEST = "bad_request"
     NO_ROUTE = "no_route"
+    ROUTE_UNCONFIRMED = "route_unconfirmed"
     NO_RELEASE = "no_release"
     NO_UPSTREAM = "no_upstream"
     UNREACHABLE = "unreachable"
@@ -55,6 +56,8 @@
 _STATUS: Final = {
     RefusalKind.BAD_REQUEST: 400,
     RefusalKind.NO_ROUTE: 404,
+    # Not 404, which would tell the client that it need not retry.
+    RefusalKind.ROUTE_UNCONFIRMED: 503,
     RefusalKind.NO_RELEASE: 503,
     RefusalKind.NO_UPSTREAM: 503,
     RefusalKind.UNREACHABLE: 503,
--- a/packages/calls/src/rhubarbhollow_calls/return_delay.py
+++ b/packages/calls/src/rhubarbhollow_calls/return_delay.py
@@ -2,8 +2,9 @@
 
 The loads that this answers: a service that is asked for more than its
 slots, where a caller should return while a response can still meet its
-objective; and a node or service that is just starting, where a caller
-that returns at once is refused again.
+objective; and a node or service that is just starting, or a node that
+waits for a release, where a caller that returns at once is refused
+again.
 """
 
 from __future__ import annotations
@@ -29,7 +30,11 @@
 JITTER_SHARE: Final = 0.5
 
 _STARTING_KINDS: Final = frozenset(
-    (RefusalKind.NO_RELEASE, RefusalKind.NO_UPSTREAM)
+    (
+        RefusalKind.NO_RELEASE,
+        RefusalKind.NO_UPSTREAM,
+        RefusalKind.ROUTE_UNCONFIRMED,
+    )
 )
 
 
--- a/packages/calls/tests/test_io_answers.py
+++ b/packages/calls/tests/test_io_answers.py
@@ -66,6 +66,23 @@
     mesh_test(script, check, entry=entry)
 
 
+def test_a_new_route_is_not_denied_by_a_node_that_may_lack_its_release():
+    async def check(mesh, upstream, client):
+        for member in mesh.nodes.values():
+            member.node.route = lambda host, target: None
+            member.node.is_release_current = lambda: False
+        client.send(b"GET /new HTTP/1.1\r\nhost:a\r\n\r\n")
+        answer = await client.read_answer()
+        assert answer.status == 503
+        assert answer.headers["rhubarbhollow-executed"] == "no"
+        for member in mesh.nodes.values():
+            member.node.is_release_current = lambda: True
+        client.send(b"GET /new HTTP/1.1\r\nhost:a\r\n\r\n")
+        assert (await client.read_answer()).status == 404
+
+    mesh_test(echo, check)
+
+
 def test_many_refused_requests_in_one_read_need_no_recursion():
     """Guard against exhausting the stack.
 
--- a/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
@@ -81,6 +81,7 @@
         self._heard_at = 0.0
         self._connected_at = 0.0
         self._stale_since: float | None = None
+        self._fresh_at: float | None = None
         self._behind_since: float | None = None
         self._observed_position = 0
         self._source_position = 0
@@ -98,6 +99,20 @@
         elapsed = self._clock.monotonic() - self._heard_at
         return self._current is not None and elapsed >= self._silence_seconds
 
+    def is_current(self, position: int) -> bool:
+        """Return whether ``position`` is known to be the latest one.
+
+        That holds if a source has reported within the silence timeout
+        that it is fresh, and neither it nor a call from another node
+        has named a later position.
+        """
+        if self._fresh_at is None:
+            return False
+        age = self._clock.monotonic() - self._fresh_at
+        if age >= self._silence_seconds:
+            return False
+        return max(self._source_position, self._observed_position) <= position
+
     def learn(self, addresses: Iterable[ControlAddress]) -> None:
         """Add control instances, or data centres of known ones."""
         for address in addresses:
@@ -209,6 +224,7 @@
         now = self._clock.monotonic()
         self._heard_at = now
         if heartbeat.is_fresh:
+            self._fresh_at = now
             self._stale_since = None
             self._is_on_trial = False
             self._reset_suspicions()
--- a/packages/distribution/tests/test_source_choice.py
+++ b/packages/distribution/tests/test_source_choice.py
@@ -292,3 +292,24 @@
 def test_chooser_without_addresses_is_a_programming_error():
     with pytest.raises(ValueError, match="control instance"):
         chooser_of(ManualClock(), controls=())
+
+
+def test_a_release_is_current_only_while_a_fresh_source_confirms_it():
+    clock = ManualClock()
+    chooser = chooser_of(clock)
+    chooser.note_connected(LOCAL_1)
+    assert not chooser.is_current(5)
+    beat(chooser)
+    assert chooser.is_current(5)
+    # A change of the source doesn't end what was confirmed just before.
+    chooser.note_connected(FAR_1)
+    clock.advance(SILENCE_SECONDS / 2)
+    assert chooser.is_current(5)
+    beat(chooser, is_fresh=False)
+    clock.advance(SILENCE_SECONDS / 2)
+    assert not chooser.is_current(5)
+    beat(chooser, latest=6)
+    assert not chooser.is_current(5)
+    assert chooser.is_current(6)
+    chooser.note_observed(7)
+    assert not chooser.is_current(6)
--- a/tests/processes/test_replaced_instance.py
+++ b/tests/processes/test_replaced_instance.py
@@ -10,10 +10,12 @@
 
 from tests.processes.test_platform_roles import (
     HOSTS,
+    NODE_HOSTS,
     Platform,
     build_document,
     get_configuration,
     put_configuration,
+    send_call,
     send_request,
     wait_for_result,
 )
@@ -77,3 +79,17 @@
 
 def sleep_until(moment):
     time.sleep(max(0.0, moment - time.monotonic()))
+
+
+def test_a_new_route_is_not_denied_while_the_log_has_no_quorum(platform):
+    platform.start(NODE_HOSTS[0])
+    document = build_document(2)
+    wait_for_result(lambda: put_configuration(HOSTS[0], document, 0), 200)
+    node = NODE_HOSTS[0]
+    wait_for_result(lambda: send_call(node, "/b/x")[0], 404)
+    for host in HOSTS[:2]:
+        platform.kill(host)
+    # The remaining instance can't tell whether a release was accepted.
+    time.sleep(CATCH_UP_SECONDS)
+    statuses = {send_call(node, "/b/x")[0] for _ in range(20)}
+    assert statuses == {503}
