Promote no learner that may have been lost with the voter

What callers would see: a data centre with a voter and a learner is cut off, and no change is accepted until it is back, though two of three voters are there.

Cause: a learner counts as alive for an election timeout after its last reply. Where the wait before a silent voter is replaced is hardly longer, as it is where little time lies between two losses, the learner was still alive when the voter was unresponsive. Its promotion is in force from the moment it is in the log, and two of four voters were then unreachable.

Evidence: test_a_learner_lost_with_a_voter_does_not_get_its_vote, with a wait of one election timeout and the learner silent one heartbeat after the voter, failed before: no leader 3 s later.

Why it works: the learner has to have replied in the latter half of the wait, so that both must have fallen silent half a wait apart. The wait is an election timeout at least, so that nobody is alive and unresponsive at once, and half of it is longer than a heartbeat. Promotions become rarer only; no rule of voting or commitment changes. All tests of the package pass.

--- a/packages/replication/src/rhubarbhollow_replication/leadership.py
+++ b/packages/replication/src/rhubarbhollow_replication/leadership.py
@@ -195,7 +195,11 @@
             wanted_voters=settings.voter_target,
             now=now,
             alive_seconds=settings.election_timeout_seconds,
-            unresponsive_seconds=settings.repair_after_seconds,
+            # No member may be both alive and unresponsive.
+            unresponsive_seconds=max(
+                settings.repair_after_seconds,
+                settings.election_timeout_seconds,
+            ),
         )
 
     def _repair(self, now: float) -> None:
--- a/packages/replication/src/rhubarbhollow_replication/membership_view.py
+++ b/packages/replication/src/rhubarbhollow_replication/membership_view.py
@@ -58,10 +58,19 @@
         return self.now - peer.last_contact_at >= self.unresponsive_seconds
 
     def is_caught_up(self, member: Member) -> bool:
-        """Return whether the member has every committed entry."""
+        """Return whether the member has every committed entry.
+
+        It must also have replied in the latter half of the time after
+        which a voter is unresponsive. A member that was lost together
+        with such a voter may still count as alive, and would take the
+        quorum with it if it were promoted.
+        """
         peer = self.peers.get(member.name)
         if peer is None or not self.is_alive(member):
             return False
+        silent_seconds = self.now - peer.last_contact_at
+        if silent_seconds >= self.unresponsive_seconds / 2:
+            return False
         return peer.match_index >= self.commit_index
 
     def has_other_store(self, member: Member) -> bool:
--- a/packages/replication/tests/test_core.py
+++ b/packages/replication/tests/test_core.py
@@ -654,6 +654,26 @@
     assert configurations == {cluster.cores[new].configuration}
 
 
+def test_a_learner_lost_with_a_voter_does_not_get_its_vote():
+    """Guard against a quorum that is lost with one data centre.
+
+    Promoted just after it was cut off, a learner made two of four
+    voters unreachable, where one of three had been.
+    """
+    cluster = Cluster((*NAMES, "d"), repair_after_seconds=TIMEOUT_SECONDS)
+    cluster.run(3)
+    name = cluster.leaders()[0]
+    leader = cluster.cores[name]
+    assert leader.change_membership(AddLearner("d"), cluster.now).is_ok()
+    cluster.run(1)
+    cluster.isolate(next(n for n in NAMES if n != name))
+    cluster.run(0.06)
+    cluster.isolate("d")
+    cluster.run(3)
+    assert cluster.leaders() == [name]
+    assert leader.has_lease(cluster.now)
+
+
 def test_lost_disk_is_repaired_under_constant_load():
     """Check that constant load does not postpone repairs.
 
