Test that members replaced one after another keep the quorum

Four members are lost for good, each one as long after the last successor was added as the next loss has to be borne; followers or leaders, with and without a restart of the leader between.

--- a/packages/replication/tests/test_core.py
+++ b/packages/replication/tests/test_core.py
@@ -169,6 +169,23 @@
             if name not in self.down and core.role is Role.LEADER
         ]
 
+    def replace_for_good(self, lost, successor):
+        """Stop a member and add an empty one once there is a leader."""
+        self.down.add(lost)
+        self.lose_disk(successor, 1)
+        self.run(1)
+        leader = self.cores[self.leaders()[0]]
+        change = leader.change_membership(AddLearner(successor), self.now)
+        assert change.is_ok()
+
+    def find_voter(self, *, is_leader):
+        leader = self.leaders()[0]
+        if is_leader:
+            return leader
+        voters = self.cores[leader].configuration.voters
+        names = (voter.name for voter in voters)
+        return next(n for n in names if n not in {leader} | self.down)
+
     def isolate(self, *names):
         others = set(self.cores) - set(names)
         self.cut_links |= {(name, other) for name in names for other in others}
@@ -674,6 +691,32 @@
     assert leader.has_lease(cluster.now)
 
 
+@pytest.mark.parametrize("is_leader_lost", [False, True])
+@pytest.mark.parametrize("is_leader_restarted", [False, True])
+def test_members_replaced_one_after_another_keep_the_quorum(
+    is_leader_lost, is_leader_restarted
+):
+    """Guard against voters that are gone when the next one is lost.
+
+    The wait is a quarter of the time between two losses.
+    """
+    seconds_between = 2.0
+    cluster = Cluster(repair_after_seconds=seconds_between / 4)
+    cluster.run(3)
+    for successor in ("d", "e", "f", "g"):
+        lost = cluster.find_voter(is_leader=is_leader_lost)
+        cluster.replace_for_good(lost, successor)
+        cluster.run(seconds_between - 1)
+        if is_leader_restarted:
+            cluster.restart(cluster.leaders()[0])
+            cluster.run(seconds_between)
+        leader = cluster.cores[cluster.leaders()[0]]
+        assert leader.has_lease(cluster.now)
+        voters = {v.name for v in leader.configuration.voters}
+        assert len(voters) == len(NAMES)
+        assert not voters & cluster.down
+
+
 def test_lost_disk_is_repaired_under_constant_load():
     """Check that constant load does not postpone repairs.
 
