Replace a silent voter after 5 s by default

What operators would see: with the default of 30 s (60 s where the log is used without the settings), a control instance lost for good keeps its vote until a leader has lasted that long. If another disk is lost before, no release is accepted any more.

A restart takes less than that on the machines measured, so that it costs no vote.

--- a/packages/daemon/src/rhubarbhollow_daemon/settings_control.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/settings_control.py
@@ -29,7 +29,7 @@
     heartbeat: timedelta = timedelta(milliseconds=150)
     staging_deadline: timedelta = timedelta(milliseconds=2000)
     snapshot_after_entries: int = 4096
-    repair_after: timedelta = timedelta(seconds=30)
+    repair_after: timedelta = timedelta(seconds=5)
     admission_per_second: float = 200.0
     may_form: bool = True
     keeps_claims: bool = True
--- a/packages/replication/src/rhubarbhollow_replication/settings.py
+++ b/packages/replication/src/rhubarbhollow_replication/settings.py
@@ -36,7 +36,7 @@
     snapshot_after_bytes: int = 8 * 1024 * 1024
     max_batch_bytes: int = 256 * 1024
     max_pending_proposals: int = 1024
-    repair_after_seconds: float = 60.0
+    repair_after_seconds: float = 5.0
     may_form_cluster: bool = True
     log_name: str = "log"
     wanted_voters: int = 0
--- a/packages/replication/tests/test_core.py
+++ b/packages/replication/tests/test_core.py
@@ -717,6 +717,20 @@
         assert not voters & cluster.down
 
 
+def test_the_default_wait_ends_although_the_leader_is_elected_anew():
+    """Guard against a quorum that a second loss ends 10 s later."""
+    cluster = Cluster()
+    cluster.run(3)
+    cluster.replace_for_good(cluster.find_voter(is_leader=False), "d")
+    cluster.run(3)
+    cluster.restart(cluster.leaders()[0])
+    cluster.run(6)
+    cluster.lose_disk(cluster.find_voter(is_leader=False), 2)
+    cluster.run(2)
+    leader = cluster.cores[cluster.leaders()[0]]
+    assert leader.has_lease(cluster.now)
+
+
 def test_lost_disk_is_repaired_under_constant_load():
     """Check that constant load does not postpone repairs.
 
