Leave a second local source at once if it is not fresh either

What callers would see: with two control instances of a data centre cut off from the quorum, while nodes reach all, the nodes there go on with an old release for several seconds.

Cause: the wait of 2 s for a source that is not fresh belongs to the connection, so it began anew with each local instance. With a return time of 2 s, as on the users' platform, the first instance was no longer suspected when the wait at the second ended, and the node went back.

Evidence: test_a_cut_off_data_centre_with_two_instances_costs_one_wait failed before.

Why it works: a local instance that replaces a source which was not fresh is on trial, as one is after a return. A remote one is not, so that an outage of the whole log costs a node one change per local instance more and not a round through all. Data centres with one control instance behave as before.

--- a/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
@@ -48,9 +48,9 @@
     doubles with each replacement, so that the node does not alternate
     between instances.
 
-    A local instance that replaced a fresh remote one is on trial until
-    it reports that it is fresh; if it is not, the node leaves it at
-    once.
+    A local instance that replaced a fresh remote one, or any that was
+    not fresh, is on trial until it reports that it is fresh; if it is
+    not, the node leaves it at once.
     """
 
     def __init__(
@@ -180,11 +180,9 @@
         previous = self._current
         if previous is not None and previous.address != address:
             self._suspect(previous, reason)
-        self._is_on_trial = (
-            reason is ChangeReason.PREFERS_LOCAL and self._stale_since is None
-        )
         candidate = self._candidates[address.name]
         candidate.note_welcome()
+        self._is_on_trial = self._begins_trial(candidate, reason)
         self._current = candidate
         self._failures = 0
         self._heard_at = now
@@ -274,6 +272,19 @@
             return ChangeReason.PREFERS_LOCAL
         return None
 
+    def _begins_trial(
+        self,
+        candidate: SourceCandidate,
+        reason: ChangeReason | None,
+    ) -> bool:
+        """Return whether the new source is on trial."""
+        if reason is ChangeReason.NOT_FRESH:
+            # The whole data centre may be cut off from the quorum.
+            return candidate.is_local
+        return (
+            reason is ChangeReason.PREFERS_LOCAL and self._stale_since is None
+        )
+
     def _return_soon(self) -> None:
         """Try a local instance that has just become known.
 
--- a/packages/distribution/tests/test_source_choice.py
+++ b/packages/distribution/tests/test_source_choice.py
@@ -223,6 +223,40 @@
     assert chooser.explain().suspects == ("local-1",)
 
 
+def test_a_cut_off_data_centre_with_two_instances_costs_one_wait():
+    """Guard against nodes that miss releases in a data centre cut off.
+
+    The wait began anew with each local instance, and with a short
+    return time the first was no longer suspected when it ended.
+    """
+    clock = ManualClock()
+    chooser = SourceChooser(
+        "ilala", CONTROLS, clock, random.Random(1), return_seconds=2.0
+    )
+    chooser.note_connected(LOCAL_1)
+    beat(chooser, is_fresh=False)
+    clock.advance(NOT_FRESH_SECONDS)
+    assert alternative_of(chooser) == ("local-2", ChangeReason.NOT_FRESH)
+    chooser.note_connected(LOCAL_2)
+    beat(chooser, is_fresh=False)
+    name, reason = alternative_of(chooser)
+    assert name.startswith("far-")
+    assert reason is ChangeReason.NOT_FRESH
+
+
+def test_a_remote_instance_that_is_not_fresh_costs_no_further_change():
+    """Without a leader anywhere, leaving it at once gains nothing."""
+    clock = ManualClock()
+    chooser = chooser_of(clock, controls=(LOCAL_1, FAR_1, FAR_2))
+    chooser.note_connected(LOCAL_1)
+    beat(chooser, is_fresh=False)
+    clock.advance(NOT_FRESH_SECONDS)
+    attempt = chooser.maybe_alternative()
+    chooser.note_connected(attempt.address)
+    beat(chooser, is_fresh=False)
+    assert alternative_of(chooser) is None
+
+
 @pytest.mark.parametrize("is_known", [False, True])
 def test_a_local_instance_that_becomes_known_is_tried_soon(is_known):
     """Guard against releases that cross data centres after a start.
