Test that a restart moves no second vote into a data centre

Four control instances in three data centres, three voters. One of them restarts within 2 s, in which the fourth gets its vote; then the data centre with two instances is lost. That is to be borne, but two of three voters were there.

Where each data centre has one control instance it can't happen.

--- a/tests/processes/test_replaced_instance.py
+++ b/tests/processes/test_replaced_instance.py
@@ -26,6 +26,7 @@
 CATCH_UP_SECONDS = 4.0
 # A change is acknowledged this long after a loss that must be borne.
 RECOVERY_SECONDS = 4.0
+RESTART_SECONDS = 2.0
 
 
 @pytest.fixture
@@ -60,6 +61,34 @@
     assert get_configuration(HOSTS[2]) == second
 
 
+def test_a_restart_moves_no_second_vote_into_a_data_centre(tmp_path):
+    """Guard against a data centre whose loss ends the quorum."""
+    first, second = build_document(2), build_document(7, "/b/")
+    zones = dict(zip(HOSTS, ("east", "north", "west"), strict=True))
+    zones[SUCCESSOR] = zones[HOSTS[0]]
+    platform = Platform(tmp_path, control_hosts=tuple(zones))
+    try:
+        for host in HOSTS:
+            platform.start(host, Zone=zones[host])
+        wait_for_result(lambda: put_configuration(HOSTS[0], first, 0), 200)
+        platform.start(SUCCESSOR, Zone=zones[SUCCESSOR], FirstStart=False)
+        wait_for_result(lambda: is_listening(SUCCESSOR), True)
+        time.sleep(CATCH_UP_SECONDS)
+        platform.kill(HOSTS[1])
+        time.sleep(RESTART_SECONDS)
+        platform.start(HOSTS[1], Zone=zones[HOSTS[1]])
+        wait_for_result(lambda: is_listening(HOSTS[1]), True)
+        time.sleep(CATCH_UP_SECONDS)
+        platform.kill(HOSTS[0])
+        platform.kill(SUCCESSOR)
+        deadline = time.monotonic() + RECOVERY_SECONDS
+        while put_configuration(HOSTS[2], second, 2) != 200:
+            assert time.monotonic() < deadline
+            time.sleep(0.05)
+    finally:
+        platform.stop()
+
+
 def restart_later(platform):
     """Restart the remaining instances, which elects a leader anew."""
     time.sleep(7.0)
