Accept no body of an interim response

Callers would see: an answer that belongs to nobody. An upstream that sends a response with a status below 100, or from 104 to 199 with a declared body, had the bytes after its head written to the caller, or to the calling node, without a head. Where these bytes look like a response they were taken for one: a 200, complete, with another body than the upstream's own.

Cause: ResponseReader counted every status below 200 as interim and dropped the head, but passed on what the parser gave it as body. The parser reads a body in any such response except 100 to 103 if the fields declare one, and up to the close if the status is below 100.

Change: body bytes and the end of a message count only between the head of a final response and its end; any other body is a fault and ends the connection, and a status below 100 is malformed. The caller gets a 502 whose outcome is unknown, and the next request of its connection its own answer.

--- a/packages/calls/src/rhubarbhollow_calls/http_response_reader.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_response_reader.py
@@ -21,6 +21,7 @@
     from rhubarbhollow_calls.http_fields import Field
     from rhubarbhollow_calls.http_response_head import ResponseHead
 
+_FIRST_STATUS: Final = 100
 _FIRST_FINAL_STATUS: Final = 200
 
 
@@ -53,7 +54,7 @@
         "_fields",
         "_is_expected",
         "_is_for_head",
-        "_is_interim",
+        "_is_in_response",
         "_is_until_close",
         "_parser",
         "_pending_bytes",
@@ -70,7 +71,8 @@
         self._pending_bytes = 0
         self._is_expected = False
         self._is_for_head = False
-        self._is_interim = False
+        # From the head of a final response to its end.
+        self._is_in_response = False
         self._is_until_close = False
 
     def expect(self, is_for_head: bool) -> None:
@@ -137,8 +139,11 @@
     def on_headers_complete(self) -> None:
         """Validate the head and pass it on, unless it is a 1xx."""
         status = self._parser.get_status_code()
-        self._is_interim = status < _FIRST_FINAL_STATUS
-        if self._is_interim:
+        if status < _FIRST_STATUS:
+            raise HttpFaultError(
+                HttpFaultKind.MALFORMED, "a status code below 100"
+            )
+        if status < _FIRST_FINAL_STATUS:
             return
         head = parse_response_head(
             status,
@@ -149,6 +154,7 @@
         )
         self._is_until_close = head.is_until_close
         self._pending_bytes = 0
+        self._is_in_response = True
         self._sink.response_started(head)
         if self._is_for_head:
             # The parser would wait for a body, which a response to HEAD
@@ -157,21 +163,26 @@
             self._end()
 
     def on_body(self, data: bytes) -> None:
-        """Pass on a part of the body."""
-        if not self._is_expected:
+        """Pass on a part of the body.
+
+        Raise ``HttpFaultError`` if the response has none: the parser
+        reads a body wherever the fields declare one.
+        """
+        if not self._is_in_response:
             raise HttpFaultError(
-                HttpFaultKind.UNEXPECTED, "a body in a response to HEAD"
+                HttpFaultKind.UNEXPECTED,
+                "a body in a response to HEAD or in an interim response",
             )
         self._pending_bytes = 0
         self._sink.response_data(data)
 
     def on_message_complete(self) -> None:
         """Pass on the end of a final response."""
-        if self._is_interim or not self._is_expected:
-            return
-        self._end()
+        if self._is_in_response:
+            self._end()
 
     def _end(self) -> None:
         self._is_expected = False
+        self._is_in_response = False
         self._pending_bytes = 0
         self._sink.response_ended()
--- a/packages/calls/tests/test_io_faulty_upstream.py
+++ b/packages/calls/tests/test_io_faulty_upstream.py
@@ -257,3 +257,52 @@
         upstream, check, settings, replace(DEFAULT_ROUTE, attempts=1),
         entry=entry,
     )  # fmt: skip
+
+
+STRAY = "HTTP/1.1 200 OK\r\n{id}\r\ncontent-length: 5\r\n\r\nstray"
+NOT_INTERIM = [
+    "HTTP/1.1 000 X\r\n\r\n",
+    "HTTP/1.1 099 X\r\n\r\n",
+    "HTTP/1.1 099 X\r\ncontent-length: {length}\r\n\r\n",
+    "HTTP/1.1 104 X\r\ncontent-length: {length}\r\n\r\n",
+    "HTTP/1.1 199 X\r\ntransfer-encoding: chunked\r\n\r\n{length:x}\r\n",
+]
+
+
+@DIALECTS
+@ENTRIES
+@pytest.mark.parametrize("start", NOT_INTERIM)
+@pytest.mark.parametrize("is_split", [False, True])
+def test_the_body_of_an_interim_answer_reaches_nobody(
+    entry, settings, field, start, is_split
+):
+    """Guard against body bytes sent to the caller without a head."""
+
+    async def script(request, writer):
+        line = f"{field}: {request.headers[field]}"
+        if request.target == "/next":
+            writer.write(encode_answer(b"fine", line))
+            return
+        body = STRAY.format(id=line)
+        head = start.format(length=len(body))
+        writer.write(head.encode())
+        if is_split:
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.write(body.encode())
+        writer.close()
+
+    upstream = ScriptedUpstream(script, echoes=False)
+
+    async def check(mesh, client):
+        calls = (
+            encode_call("POST", target, b"x", f"x-id: {i}")
+            for i, target in enumerate(("/faulty", "/next"))
+        )
+        client.send(b"".join(calls))
+        answer = await client.read_answer()
+        assert answer.status == 502
+        assert answer.headers["rhubarbhollow-executed"] == "unknown"
+        assert (await client.read_answer()).body == b"fine"
+
+    faulty_test(upstream, check, settings, WRITE, entry=entry)
