Skip no answer to another request where HEAD was sent

Callers would see: a call to HEAD that ends without any answer, so that the next answer of the connection takes its place; the body of an earlier answer written without a head; or the rest of an answer's body taken for the answer, as a complete 200.

Cause: a response with the id of another request is skipped, but its length was computed as if it answered the method of the request that waits. A copy of an answer before one to HEAD ended twice, once without a head, and its body went to the caller as it came. A copy of an answer to HEAD before one to GET took as many bytes of the next answer for its body as it declares.

Change: once a connection has carried a request to HEAD, a response with another id ends it. The length of such a response is unknown, so nothing behind it can be trusted. The waiting call gets a 502 whose outcome is unknown, or another attempt where it may be repeated. Connections without a request to HEAD skip such responses as before.

--- a/packages/calls/src/rhubarbhollow_calls/io_client.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_client.py
@@ -73,16 +73,18 @@
     A request with an id is matched by it.  The connection is kept only
     while the responses repeat the ids of their requests, and after the
     first one a response without an id is an error: it may be another
-    copy of an earlier one.
+    copy of an earlier one.  A response with another id is skipped only
+    if no request of the connection was to HEAD, since its length
+    depends on the method of its request.
     """
 
     __slots__ = (
         "_begun_at",
         "_has_received",
         "_has_responded",
+        "_has_sent_head",
         "_has_skipped",
         "_is_closing",
-        "_is_for_head",
         "_is_matched",
         "_is_reading_paused",
         "_is_request_whole",
@@ -113,8 +115,8 @@
         self._is_closing = False
         self._is_unmatched = False
         self._is_matched = False
-        self._is_for_head = False
         self._has_responded = False
+        self._has_sent_head = False
         self._has_skipped = False
         self._skipped_bytes = 0
         self._request_id: bytes | None = None
@@ -148,7 +150,7 @@
         self._request_id = request_id
         self._is_unmatched = False
         self._is_matched = False
-        self._is_for_head = is_for_head
+        self._has_sent_head = self._has_sent_head or is_for_head
         self._skipped_bytes = 0
         self._reader.expect(is_for_head)
         self.write(data)
@@ -242,6 +244,7 @@
             self.idle_limit = max(0, head.idle_seconds - 1)
         self._is_unmatched = not is_repeated and head.request_id is not None
         if self._is_unmatched:
+            self._check_length_is_known()
             return
         self._is_matched = True
         if self._user is not None:
@@ -260,7 +263,7 @@
         if self._is_unmatched:
             self._is_unmatched = False
             self._has_skipped = True
-            self._reader.expect(self._is_for_head)
+            self._reader.expect(is_for_head=False)
             return
         self._has_responded = True
         self._is_response_whole = True
@@ -272,6 +275,13 @@
                 "a response without an id on a connection in use again",
             )
 
+    def _check_length_is_known(self) -> None:
+        if self._has_sent_head:
+            raise HttpFaultError(
+                HttpFaultKind.UNEXPECTED,
+                "a response to another request, which may be to HEAD",
+            )
+
     def _is_skipping_too_much(self, size: int) -> bool:
         if self._is_matched:
             return False
--- a/packages/calls/tests/test_io_faulty_upstream.py
+++ b/packages/calls/tests/test_io_faulty_upstream.py
@@ -306,3 +306,125 @@
         assert (await client.read_answer()).body == b"fine"
 
     faulty_test(upstream, check, settings, WRITE, entry=entry)
+
+
+def encode_head_answer(target, line):
+    return encode_answer(target.encode(), line).removesuffix(target.encode())
+
+
+class HeadUpstream(ScriptedUpstream):
+    """Write a copy of the answer to ``/first`` before any later one.
+
+    The copy has ``body`` although the response to HEAD has none.
+    """
+
+    def __init__(self, field, head, body, *, is_split):
+        super().__init__(self._answer, echoes=False)
+        self._field = field
+        self._first_head = head
+        self._copied_body = body
+        self._is_split = is_split
+        self._copy = b""
+
+    async def _answer(self, request, writer):
+        line = f"{self._field}: {request.headers[self._field]}"
+        if request.target == "/first":
+            head = f"HTTP/1.1 {self._first_head}\r\n{line}\r\n\r\n"
+            self._copy = head.encode() + self._copied_body
+            body = b"" if request.method == "HEAD" else self._copied_body
+            writer.write(head.encode() + body)
+            return
+        copy, self._copy = self._copy, b""
+        own = encode_answer(request.target.encode(), line)
+        if request.method == "HEAD":
+            own = encode_head_answer(request.target, line)
+        if copy and self._is_split:
+            writer.write(copy)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+            writer.write(own)
+        else:
+            writer.write(copy + own)
+
+
+@DIALECTS
+@ENTRIES
+@pytest.mark.parametrize("is_split", [False, True])
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+@pytest.mark.parametrize(
+    ("head", "body"),
+    [
+        ("200 OK\r\ncontent-length: 0", b""),
+        ("200 OK\r\ncontent-length: 5", b"stray"),
+        ("204 No Content", b""),
+        ("304 Not Modified\r\ncontent-length: 5", b""),
+    ],
+)
+def test_a_copy_of_an_answer_before_one_to_head_reaches_nobody(
+    entry, settings, field, head, body, method, is_split
+):
+    """Guard against a call to HEAD that ends without any answer.
+
+    Whether the copy has a body depends on a request that is over.
+    """
+    upstream = HeadUpstream(field, head, body, is_split=is_split)
+
+    async def check(mesh, client):
+        await client.request(method, "/first", b"", "x-id: 1")
+        client.send(
+            encode_call("HEAD", "/second", b"", "x-id: 2")
+            + encode_call("POST", "/third", b"x", "x-id: 3")
+        )
+        second = await client.read_answer(is_for_head=True)
+        if second.status == 200:
+            length = second.headers["content-length"]
+            assert length == str(len("/second"))
+        else:
+            assert second.status == 502
+            assert second.headers["rhubarbhollow-executed"] == "unknown"
+        third = await client.read_answer()
+        assert (third.status, third.body) == (200, b"/third")
+
+    faulty_test(upstream, check, settings, WRITE, entry=entry)
+
+
+@DIALECTS
+@ENTRIES
+@pytest.mark.parametrize("is_split", [False, True])
+def test_a_copy_of_an_answer_to_head_takes_no_bytes_of_the_next(
+    entry, settings, field, is_split
+):
+    """Guard against a body that is read from its middle as an answer.
+
+    The copy declares a length as long as the head that follows it.
+    """
+
+    async def script(request, writer):
+        line = f"{field}: {request.headers[field]}"
+        own = encode_answer(STRAY.format(id=line).encode(), line)
+        length = own.index(b"\r\n\r\n") + 4
+        if request.method == "HEAD":
+            head = f"HTTP/1.1 200 OK\r\n{line}\r\ncontent-length: {length}"
+            copies.append(f"{head}\r\n\r\n".encode())
+            writer.write(copies[0])
+            return
+        if copies:
+            writer.write(copies.pop())
+        if is_split:
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.write(own)
+
+    copies = []
+    upstream = ScriptedUpstream(script, echoes=False)
+
+    async def check(mesh, client):
+        first = await client.request("HEAD", "/first", b"", "x-id: 1")
+        assert first.status == 200
+        second = await client.get("/second", "x-id: 2")
+        assert second.status == 502
+        third = await client.get("/third", "x-id: 3")
+        assert third.status == 200
+        assert third.body.endswith(b"\r\n\r\nstray")
+
+    faulty_test(upstream, check, settings, WRITE, entry=entry)
