--- a/tests/platform/test_heartbeat.py
+++ b/tests/platform/test_heartbeat.py
@@ -57,6 +57,17 @@
         ({"Sequence": True}, HeartbeatFaultKind.MALFORMED),
         ({"Address": "nowhere"}, HeartbeatFaultKind.MALFORMED),
         ({"born": "yesterday"}, HeartbeatFaultKind.MALFORMED),
+        ({"born": -1}, HeartbeatFaultKind.MALFORMED),
+        ({"born": 1 << 62}, HeartbeatFaultKind.MALFORMED),
+        ({"born": 10**400}, HeartbeatFaultKind.MALFORMED),
+        ({"Sequence": 10**30}, HeartbeatFaultKind.MALFORMED),
+        ({"Slots": 10**30}, HeartbeatFaultKind.MALFORMED),
+        ({"Address": "10.1.0.4:0"}, HeartbeatFaultKind.MALFORMED),
+        ({"Address": "10.1.0.4:65536"}, HeartbeatFaultKind.MALFORMED),
+        ({"Address": "10.1.0.4:-1"}, HeartbeatFaultKind.MALFORMED),
+        ({"Address": "10.1.0.4:8_0"}, HeartbeatFaultKind.MALFORMED),
+        ({"Address": "10.1.0.4:+80"}, HeartbeatFaultKind.MALFORMED),
+        ({"Address": f"10.1.0.4:{10**400}"}, HeartbeatFaultKind.MALFORMED),
         ({"Service": "other"}, HeartbeatFaultKind.OTHER_SERVICE),
         ({"Address": "10.9.9.9:8145"}, HeartbeatFaultKind.OTHER_ADDRESS),
     ],
@@ -74,6 +85,21 @@
     assert isinstance(read_heartbeat(body, "desk", "10.1.0.4"), Err)
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"Address": "10.1.0.4:1"},
+        {"Address": "10.1.0.4:65535"},
+        {"Sequence": (1 << 53) - 1},
+        {"born": 253_402_300_799_999},
+        {"born": 0},
+        {"Slots": 10_000},
+    ],
+)
+def test_the_largest_and_smallest_numbers_are_accepted(changes):
+    assert read(**changes).is_ok()
+
+
 def heartbeat(started_at_ms, sequence):
     return Heartbeat(
         service="desk",
--- /dev/null
+++ b/tests/processes/test_odd_entries.py
@@ -0,0 +1,183 @@
+"""Odd entries among good ones, on the ports of the platform's roles."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+import pytest
+
+from tests.processes.test_platform_roles import (
+    CONTROL_PORT,
+    Platform,
+    Upstream,
+    answer_with_target,
+    build_document,
+    put_configuration,
+    readiness_status,
+    send_call,
+    send_request,
+    wait_for_result,
+)
+
+CONTROL_HOSTS = ("127.1.2.1", "127.1.2.2", "127.1.2.3")
+NODE_HOSTS = ("127.1.2.11", "127.1.2.12")
+HOSTS = (*CONTROL_HOSTS, *NODE_HOSTS)
+BORN = 1_700_000_000_000
+NESTED = "[" * 100_000 + "]" * 100_000
+# Longer than a crash report takes to each process and back.
+SPREAD_SECONDS = 3.0
+
+
+def write_heartbeat(host, port, **changes):
+    value = {
+        "Service": "desk",
+        "Address": f"{host}:{port}",
+        "Zone": "east",
+        "Slots": 9,
+        "State": "ready",
+        "Sequence": 1,
+        "born": BORN,
+        **changes,
+    }
+    return json.dumps(value)
+
+
+def put_heartbeat(host, body, name="i-1"):
+    """Send a heartbeat's bytes and return the status."""
+    path = f"/rhubarbhollow/instances/{name}"
+    return send_request("PUT", host, CONTROL_PORT, path, body.encode())[0]
+
+
+@pytest.fixture
+def platform(tmp_path):
+    running = Platform(tmp_path, CONTROL_HOSTS)
+    for host in HOSTS:
+        running.start(host)
+    try:
+        first = build_document(2)
+        wait_for_result(
+            lambda: put_configuration(CONTROL_HOSTS[0], first, 0), 200
+        )
+        for host in NODE_HOSTS:
+            wait_for_result(lambda host=host: readiness_status(host), 200)
+        yield running
+        for host in HOSTS:
+            log = running.read_log(host)
+            assert "Traceback" not in log, (host, log[-3000:])
+            assert running.exit_status(host) is None, (host, log[-3000:])
+    finally:
+        running.stop()
+
+
+def run_with_upstream(script, check):
+    """Run a check in a thread beside a scripted upstream."""
+
+    async def serve():
+        upstream = Upstream(script)
+        await upstream.start(NODE_HOSTS[0])
+        await asyncio.to_thread(check, upstream)
+
+    asyncio.run(serve())
+
+
+ODD = {
+    "nested": lambda host, port: (
+        write_heartbeat(host, port)[:-1] + f', "x": {NESTED}}}'
+    ),
+    "port 0": lambda host, _: write_heartbeat(host, 0, Sequence=9),
+    "port -1": lambda host, _: write_heartbeat(host, -1, Sequence=9),
+    "port wraps": lambda host, port: write_heartbeat(
+        host, port + 65_536, Sequence=9
+    ),
+    "port huge": lambda host, _: write_heartbeat(host, 10**400, Sequence=9),
+    "born 64 bits": lambda host, port: write_heartbeat(
+        host, port, born=1 << 62
+    ),
+    "born huge": lambda host, port: write_heartbeat(host, port, born=10**400),
+    "born in microseconds": lambda host, port: write_heartbeat(
+        host, port, born=BORN * 1_000
+    ),
+    "born negative": lambda host, port: write_heartbeat(
+        host, port, born=-1, Sequence=9
+    ),
+    "sequence": lambda host, port: write_heartbeat(
+        host, port, Sequence=10**30
+    ),
+    "slots": lambda host, port: write_heartbeat(
+        host, port, Slots=10**30, Sequence=9
+    ),
+    "real": lambda host, port: write_heartbeat(host, port).replace(
+        '"Slots": 9', '"Slots": 1e999'
+    ),
+}
+
+
+def test_an_odd_heartbeat_leaves_the_good_one_in_use(platform):
+    """Guard against an odd heartbeat that unlists a good target."""
+
+    def check(upstream):
+        host, port = NODE_HOSTS[0], upstream.port
+        harmful = []
+        for number, (label, write) in enumerate(ODD.items(), 1):
+            good = write_heartbeat(host, port, Sequence=10 * number)
+            assert put_heartbeat(host, good) == 200
+            odd = write(host, port).replace(
+                '"Sequence": 9', f'"Sequence": {10 * number + 9}'
+            )
+            statuses = [
+                put_heartbeat(host, odd, name) for name in ("i-1", "i-2")
+            ]
+            answer = send_call(host)
+            if statuses != [400, 400] or answer != (200, b"/a/x"):
+                harmful.append((label, statuses, answer))
+        assert not harmful
+        wait_for_result(lambda: send_call(NODE_HOSTS[1]), (200, b"/a/x"))
+        # Later heartbeats still count.
+        draining = write_heartbeat(host, port, Sequence=900, State="draining")
+        assert put_heartbeat(host, draining) == 200
+        assert send_call(host)[0] == 503
+
+    run_with_upstream(answer_with_target, check)
+
+
+@pytest.mark.parametrize("born", [(1 << 62) + 1, 1 << 63, 10**30])
+def test_a_crash_after_an_odd_start_time_ends_no_process(platform, born):
+    """Guard against a crash report that no process can read."""
+
+    def check(upstream):
+        host = NODE_HOSTS[0]
+        for changes in ({}, {"born": born, "Sequence": 2}):
+            put_heartbeat(
+                host, write_heartbeat(host, upstream.port, **changes)
+            )
+        for node in NODE_HOSTS:
+            wait_for_result(lambda node=node: readiness_status(node), 200)
+        lost = platform.read_log(host).count("source_lost")
+        send_call(host)
+        time.sleep(SPREAD_SECONDS)
+        for running in HOSTS:
+            assert platform.exit_status(running) is None, running
+        # The report goes out once, not on one connection after another.
+        assert platform.read_log(host).count("source_lost") <= lost + 1
+        # Changes still reach the node.
+        second = build_document(7, "/b/")
+        wait_for_result(
+            lambda: put_configuration(CONTROL_HOSTS[0], second, 2), 200
+        )
+        for node in NODE_HOSTS:
+            wait_for_result(lambda node=node: send_call(node, "/a/x")[0], 404)
+
+    upstreams = []
+
+    async def crash(_, writer):
+        upstreams[0]._server.close()
+        for open_writer in list(upstreams[0]._writers):
+            open_writer.transport.abort()
+
+    def check_with(upstream):
+        upstreams.append(upstream)
+        check(upstream)
+
+    run_with_upstream(crash, check_with)
--- a/tests/processes/test_platform_roles.py
+++ b/tests/processes/test_platform_roles.py
@@ -71,7 +71,9 @@
             "Zone": "east",
             "ListenAddresses": ports,
             "InternalPortRange": [17380, 17395],
-            "Seeds": [f"{seed}:{CONTROL_PORT}" for seed in HOSTS],
+            "Seeds": [
+                f"{seed}:{CONTROL_PORT}" for seed in self._control_hosts
+            ],
             "FirstStart": host not in self._started_hosts,
             "DataDirectory": str(folder) if is_control_host else None,
             "HeartbeatIntervalS": 1.5,
@@ -88,6 +90,12 @@
     def signal(self, host: str, number: int) -> None:
         self._processes[host].send_signal(number)
 
+    def exit_status(self, host: str) -> int | None:
+        return self._processes[host].poll()
+
+    def read_log(self, host: str) -> str:
+        return (self._folder / f"{host}.log").read_text()
+
     def wait(self, host: str) -> int:
         return self._processes[host].wait(START_SECONDS)
 
