Refuse a heartbeat whose name cannot be a field

What would be seen: a heartbeat under a name with a line break was acknowledged in place of the good one, and the calls of the service got 503 until the next good heartbeat.

Cause: any text of the path without a slash was a name, and the name is written into each request for its upstream. A line break in it ends the field and begins another.

Evidence: test_an_odd_name_leaves_the_good_one_in_use, five processes at real sockets, failed before: status 200 for the line break, and 503 for the call that followed, refused by the upstream's node.

Why the fix works: a name is 1 to 255 visible ASCII characters, which any process can write and compare as they are; other names are refused where they enter, before the good entry is withdrawn.

--- a/tests/platform/test_heartbeat.py
+++ b/tests/platform/test_heartbeat.py
@@ -32,7 +32,8 @@
 def read(**changes):
     value = {**GOOD, **changes}
     value = {key: one for key, one in value.items() if one != "absent"}
-    return read_heartbeat(json.dumps(value).encode(), "desk", "10.1.0.4")
+    body = json.dumps(value).encode()
+    return read_heartbeat("i-1", body, "desk", "10.1.0.4")
 
 
 def test_a_heartbeat_becomes_an_announcement():
@@ -82,7 +83,27 @@
 @pytest.mark.parametrize("body", [b"", b"\xff\xfe", b"[]", b"[" * 100_000])
 def test_a_body_that_is_no_heartbeat_is_rejected(body):
     """Neither invalid UTF-8 nor deep nesting may raise."""
-    assert isinstance(read_heartbeat(body, "desk", "10.1.0.4"), Err)
+    assert isinstance(read_heartbeat("i-1", body, "desk", "10.1.0.4"), Err)
+
+
+@pytest.mark.parametrize(
+    ("name", "is_accepted"),
+    [
+        ("i-7f3a91c2", True),
+        ("i" * 255, True),
+        ("i" * 256, False),
+        ("", False),
+        ("i\r\nExpected-Instance: j", False),
+        ("i\n", False),
+        ("i 1", False),
+        ("i\0", False),
+        ("\ufffd", False),
+    ],
+)
+def test_a_name_that_cannot_be_a_field_is_rejected(name, is_accepted):
+    body = json.dumps(GOOD).encode()
+    result = read_heartbeat(name, body, "desk", "10.1.0.4")
+    assert result.is_ok() is is_accepted
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_hostile_bytes.py
+++ b/tests/platform/test_hostile_bytes.py
@@ -84,7 +84,7 @@
 def test_no_altered_heartbeat_raises(seed):
     random = Random(seed)
     results = [
-        read_heartbeat(alter(random, HEARTBEAT), "desk", "10.0.0.9")
+        read_heartbeat("i-1", alter(random, HEARTBEAT), "desk", "10.0.0.9")
         for _ in range(1_000)
     ]
     assert all(isinstance(one, Ok | Err) for one in results)
--- a/tests/processes/test_odd_entries.py
+++ b/tests/processes/test_odd_entries.py
@@ -142,6 +142,38 @@
     run_with_upstream(answer_with_target, check)
 
 
+ODD_NAMES = {
+    "line break": "i-1%0d%0aExpected-Instance:%20i-2",
+    "zero byte": "i-1%00",
+    "space": "%20i-1",
+    "no UTF-8": "i-1%ff",
+    "not ASCII": "i-%C3%A9",
+    "long": "i" * 9_000,
+}
+
+
+def test_an_odd_name_leaves_the_good_one_in_use(platform):
+    """Guard against a name that cannot be a field of a request."""
+
+    def check(upstream):
+        host, port = NODE_HOSTS[0], upstream.port
+        harmful = []
+        for number, (label, name) in enumerate(ODD_NAMES.items(), 1):
+            good = write_heartbeat(host, port, Sequence=10 * number)
+            assert put_heartbeat(host, good) == 200
+            for node in NODE_HOSTS:
+                wait_for_result(
+                    lambda node=node: send_call(node), (200, b"/a/x")
+                )
+            status = put_heartbeat(host, good, name)
+            answer = send_call(host)
+            if status != 400 or answer != (200, b"/a/x"):
+                harmful.append((label, status, answer))
+        assert not harmful
+
+    run_with_upstream(answer_with_target, check)
+
+
 @pytest.mark.parametrize("born", [(1 << 62) + 1, 1 << 63, 10**30])
 def test_a_crash_after_an_odd_start_time_ends_no_process(platform, born):
     """Guard against a crash report that no process can read."""
