--- a/tests/platform/test_boot_file.py
+++ b/tests/platform/test_boot_file.py
@@ -116,6 +116,16 @@
     assert fault.err_value.detail
 
 
+@pytest.mark.parametrize("key", ["New", "Seeds", "Bounds"])
+def test_deeply_nested_settings_are_refused_with_a_reason(key):
+    """Deep nesting must not raise in a process that reads the file."""
+    nested = "[" * 100_000 + "]" * 100_000
+    text = json.dumps(SIDECAR)[:-1] + f', "{key}": {nested}}}'
+    fault = decode_boot_file(text.encode())
+    assert isinstance(fault, Err)
+    assert fault.err_value.detail
+
+
 def test_a_missing_file_or_variable_is_a_fault(tmp_path):
     assert isinstance(find_boot_path({}), Err)
     assert isinstance(read_boot_file(tmp_path / "none"), Err)
--- a/tests/processes/test_odd_entries.py
+++ b/tests/processes/test_odd_entries.py
@@ -174,6 +174,30 @@
     run_with_upstream(answer_with_target, check)
 
 
+ODD_SETTINGS = {
+    "nested": {"more": f', "x": {NESTED}'},
+    "nested seeds": {"more": f', "Seeds": {NESTED}'},
+}
+# Longer than the files are polled at, and than a link needs to connect.
+RELOAD_SECONDS = 2.5
+
+
+@pytest.mark.parametrize("label", ODD_SETTINGS)
+def test_odd_settings_end_no_running_process(platform, label):
+    """Guard against one odd seed that ends all that read the list."""
+    for host in HOSTS:
+        platform.write_settings(host, **ODD_SETTINGS[label])
+    time.sleep(RELOAD_SECONDS)
+    for host in HOSTS:
+        assert platform.exit_status(host) is None, host
+    second = build_document(7, "/b/")
+    wait_for_result(
+        lambda: put_configuration(CONTROL_HOSTS[0], second, 2), 200
+    )
+    for node in NODE_HOSTS:
+        wait_for_result(lambda node=node: send_call(node)[0], 404)
+
+
 @pytest.mark.parametrize("born", [(1 << 62) + 1, 1 << 63, 10**30])
 def test_a_crash_after_an_odd_start_time_ends_no_process(platform, born):
     """Guard against a crash report that no process can read."""
--- a/tests/processes/test_platform_roles.py
+++ b/tests/processes/test_platform_roles.py
@@ -43,8 +43,7 @@
         self._started_hosts: set[str] = set()
 
     def start(self, host: str, **changes: object) -> None:
-        path = self._folder / f"{host}.json"
-        path.write_text(json.dumps({**self._settings(host), **changes}))
+        path = self.write_settings(host, **changes)
         environment = {**os.environ, "RHUBARBHOLLOW_BOOT": str(path)}
         log = (self._folder / f"{host}.log").open("ab")
         self._processes[host] = subprocess.Popen(
@@ -55,6 +54,15 @@
         )
         self._started_hosts.add(host)
 
+    def write_settings(
+        self, host: str, more: str = "", **changes: object
+    ) -> Path:
+        """Write a settings file; ``more`` is JSON for its end."""
+        path = self._folder / f"{host}.json"
+        text = json.dumps({**self._settings(host), **changes})
+        path.write_text(f"{text[:-1]}{more}}}")
+        return path
+
     def _settings(self, host: str) -> dict[str, object]:
         is_control_host = host in self._control_hosts
         ports = {"Control": f"{host}:{CONTROL_PORT}"}
