Leave an unusable seed out and use the others

What would be seen: one seed with a host that is no host name ended all processes that read the list, as soon as they connected to it. One entry that is no address, or a port out of range, had the whole list refused, so that a process did not learn the good seeds beside it. An interval too large to multiply ended the start with a traceback.

Cause: a seed was checked for a numeric port only, while addresses from other processes are checked in whole; resolving such a host raises an error that a link does not expect, and the process ends with the link.

Why the fix works: each seed passes the check for addresses from other processes or is left out and counted in the log; ports and intervals have ranges. Instances that initialize a log must agree on its members, so such a start still refuses a list with an unusable entry.

--- a/tests/platform/test_boot_file.py
+++ b/tests/platform/test_boot_file.py
@@ -9,6 +9,7 @@
 from rhubarbhollow_platform.boot_file import (
     decode_boot_file,
     find_boot_path,
+    find_formation_fault,
     read_boot_file,
 )
 from rhubarbhollow_platform.seed_watch import SeedWatcher
@@ -108,6 +109,13 @@
         {"Ip": 5},
         {"InternalPortRange": [1]},
         {"ListenAddresses": {"Control": "x"}},
+        {"ListenAddresses": {"Control": "10.1.0.38:65536"}},
+        {"ListenAddresses": {"Control": "10.1.0.38:0"}},
+        {"InternalPortRange": [7380, 10**400]},
+        {"HeartbeatIntervalS": 1e300},
+        {"HeartbeatIntervalS": 0},
+        {"Bounds": {"GracePeriodS": 1e300}},
+        {"Seeds": ["10.1.0.42:65536", "\u00e9:8144", 5]},
     ],
 )
 def test_unusable_settings_are_refused_with_a_reason(changes):
@@ -126,6 +134,37 @@
     assert fault.err_value.detail
 
 
+@pytest.mark.parametrize(
+    "odd",
+    [
+        *("", "nowhere", ":8144", "10.1.0.9:0", "10.1.0.9:65536"),
+        *(f"10.1.0.9:{10**400}", "\u00e9" * 70 + ":8144", "\0:8144"),
+        *(5, None, True, {}, [[]], "10.1.0.9:-1", "a b:8144"),
+    ],
+)
+def test_an_odd_seed_leaves_the_good_ones_in_use(odd):
+    boot = decode({**SIDECAR, "Seeds": [odd, "10.3.0.9:8144"]}).ok_value
+    assert boot.seed_hosts == ("10.3.0.9",)
+    controls = translate_sidecar(boot).controls
+    assert [one.host for one in controls] == ["10.3.0.9"]
+
+
+@pytest.mark.parametrize(
+    ("changes", "is_fault"),
+    [
+        ({}, True),
+        ({"FirstStart": False}, False),
+        ({"DataDirectory": None}, False),
+        ({"Seeds": ["10.1.0.42:8144"]}, False),
+    ],
+)
+def test_a_log_is_not_formed_without_an_odd_seed(changes, is_fault):
+    """Members that read different seeds must not form two logs."""
+    odd = {"Seeds": ["10.1.0.42:8144", "nowhere"]}
+    boot = decode({**CORE, **odd, **changes}).ok_value
+    assert (find_formation_fault(boot) is not None) is is_fault
+
+
 def test_a_missing_file_or_variable_is_a_fault(tmp_path):
     assert isinstance(find_boot_path({}), Err)
     assert isinstance(read_boot_file(tmp_path / "none"), Err)
--- a/tests/processes/test_odd_entries.py
+++ b/tests/processes/test_odd_entries.py
@@ -174,9 +174,18 @@
     run_with_upstream(answer_with_target, check)
 
 
+GOOD_SEED = f"{CONTROL_HOSTS[0]}:{CONTROL_PORT}"
 ODD_SETTINGS = {
     "nested": {"more": f', "x": {NESTED}'},
     "nested seeds": {"more": f', "Seeds": {NESTED}'},
+    "no text": {"Seeds": [GOOD_SEED, 5, None, {}]},
+    "long label": {"Seeds": [GOOD_SEED, f"{'a' * 70}:{CONTROL_PORT}"]},
+    "empty label": {"Seeds": [GOOD_SEED, f"a..b:{CONTROL_PORT}"]},
+    "not ASCII": {"Seeds": [GOOD_SEED, f"{'é' * 70}:{CONTROL_PORT}"]},
+    "zero byte": {"Seeds": [GOOD_SEED, f"\0:{CONTROL_PORT}"]},
+    "no host": {"Seeds": [GOOD_SEED, f":{CONTROL_PORT}"]},
+    "port": {"Seeds": [GOOD_SEED, f"127.1.2.99:{10**400}"]},
+    "times": {"HeartbeatIntervalS": 1e300, "Bounds": {"GracePeriodS": 1e300}},
 }
 # Longer than the files are polled at, and than a link needs to connect.
 RELOAD_SECONDS = 2.5
