--- a/tests/processes/test_odd_entries.py
+++ b/tests/processes/test_odd_entries.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import signal
 import time
 
 import pytest
@@ -174,6 +175,81 @@
     run_with_upstream(answer_with_target, check)
 
 
+def alter_document(version, old, new):
+    """Return a document's bytes with a part of its text replaced."""
+    text = json.dumps(build_document(version))
+    assert old in text
+    return text.replace(old, new).encode()
+
+
+def put_document(host, data, base):
+    """Submit a document's bytes and return the status."""
+    headers = [("If-Match", f"{base:08x}")]
+    path = "/rhubarbhollow/configuration"
+    return send_request("PUT", host, CONTROL_PORT, path, data, headers)[0]
+
+
+def read_document(host):
+    path = "/rhubarbhollow/configuration"
+    return send_request("GET", host, CONTROL_PORT, path)
+
+
+ODD_PARTS = {
+    "nested": ("[1]", NESTED),
+    "nested less": ("[1]", "[" * 900 + "]" * 900),
+    "nested prefix": ('"/a/"', NESTED),
+    "timeout": ('"TimeoutS": 5', '"TimeoutS": -1e308'),
+    "timeout above": ('"TimeoutS": 5', '"TimeoutS": 1e308'),
+    "timeout infinite": ('"TimeoutS": 5', '"TimeoutS": 1e999'),
+    "objective": ('"LatencyObjectiveS": 2', '"LatencyObjectiveS": -1e308'),
+    "attempts": ('"MaxAttempts": 2', f'"MaxAttempts": {10**400}'),
+    "attempts below": ('"MaxAttempts": 2', f'"MaxAttempts": -{10**400}'),
+    "rank": ('"Unknown": [1]', f'"Priority": {10**400}'),
+    "weight": (
+        '"Service": "desk", "TimeoutS"',
+        '"TrafficSplit": [{"Service": "desk", "Weight": 5e-324}], "TimeoutS"',
+    ),
+    "surrogate": ('"Name": "r"', '"Name": "\\ud800"'),
+    "surrogate kept": ("[1]", '"\\ud800"'),
+    "number kept": ("[1]", "9" * 5_000),
+    "duplicate": ('"Name": "r"', '"Name": "r", "Name": "s"'),
+    "duplicate host": ('"Host": ', '"Host": "other.example", "Host": '),
+    "host": ('"shop.example"', '"a..b:99999"'),
+    "not a number": ('"TimeoutS": 5', '"TimeoutS": NaN'),
+    "truth": ('"MaxAttempts": 2', '"MaxAttempts": true'),
+}
+
+
+def test_odd_documents_are_refused_or_read_by_all(platform):
+    """Guard against a document that is taken and then read by none."""
+    version, failed = 2, []
+    for label, part in ODD_PARTS.items():
+        host = CONTROL_HOSTS[version % 3]
+        data = alter_document(version + 1, *part)
+        status = put_document(host, data, version)
+        if status == 200:
+            version += 1
+            read = {read_document(other) for other in CONTROL_HOSTS}
+            if [code for code, _ in read] != [200]:
+                failed.append((label, read))
+        elif status != 400:
+            failed.append((label, status))
+    assert not failed
+    # All of it is read again at a start, and what follows is in force.
+    for host in HOSTS:
+        platform.signal(host, signal.SIGKILL)
+        platform.wait(host)
+        platform.start(host)
+    last = build_document(version + 1, "/b/")
+    wait_for_result(
+        lambda: put_configuration(CONTROL_HOSTS[0], last, version), 200
+    )
+    for host in NODE_HOSTS:
+        wait_for_result(lambda host=host: readiness_status(host), 200)
+        wait_for_result(lambda host=host: send_call(host)[0], 404)
+        wait_for_result(lambda host=host: send_call(host, "/b/x")[0], 503)
+
+
 GOOD_SEED = f"{CONTROL_HOSTS[0]}:{CONTROL_PORT}"
 ODD_SETTINGS = {
     "nested": {"more": f', "x": {NESTED}'},
