Refuse an announced address whose scope is no interface

What would be seen: an announcement with line breaks or a zero byte in the scope of an IPv6 address replaced the good one of the same name; calls there were refused as unreachable until the next good announcement.

Cause: the check of the address takes any text as its scope.

Why the fix works: a scope is the name of an interface, or the address is refused with the other faults of the announcement.

--- a/packages/distribution/src/rhubarbhollow_distribution/announcement.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/announcement.py
@@ -4,12 +4,13 @@
 
 import ipaddress
 import json
+import re
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import StrEnum
 from functools import cache
 from importlib.resources import files
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final
 
 from result import Err, Ok, Result
 
@@ -18,6 +19,10 @@
     from jsonschema.exceptions import ValidationError
 
 
+# The name of a network interface.
+_SCOPE: Final = re.compile("[A-Za-z0-9._-]{1,15}")
+
+
 class AnnouncementFaultKind(StrEnum):
     """Classify a validation error of an announcement field."""
 
@@ -126,10 +131,11 @@
     if not isinstance(value, str):
         return True
     try:
-        ipaddress.ip_address(value)
+        address = ipaddress.ip_address(value)
     except ValueError:
         return False
-    return True
+    scope = getattr(address, "scope_id", None)
+    return scope is None or _SCOPE.fullmatch(scope) is not None
 
 
 def _to_faults(
--- a/packages/distribution/tests/test_announcement.py
+++ b/packages/distribution/tests/test_announcement.py
@@ -41,6 +41,8 @@
     full = {**DOCUMENT, "state": "leaving", "load": 0.25, "host": "::1"}
     read = read_announcement(full).unwrap()
     assert (read.is_leaving, read.load, read.host) == (True, 0.25, "::1")
+    scoped = read_announcement({**DOCUMENT, "host": "fe80::1%eth0.1"})
+    assert scoped.unwrap().host == "fe80::1%eth0.1"
 
 
 @pytest.mark.parametrize(
@@ -54,6 +56,13 @@
         ({"name": "desk-1\n"}, {("name", "bad_value")}),
         ({"host": "desk.example"}, {("host", "bad_value")}),
         ({"host": 7}, {("host", "wrong_type")}),
+        ({"host": "::1%\r\n"}, {("host", "bad_value")}),
+        ({"host": "::1%\0"}, {("host", "bad_value")}),
+        ({"host": "::1%" + "x" * 16}, {("host", "bad_value")}),
+        ({"port": 65_536}, {("port", "out_of_range")}),
+        ({"slots": 10**400}, {("slots", "out_of_range")}),
+        ({"lease_seconds": 10**400}, {("lease_seconds", "out_of_range")}),
+        ({"lease_seconds": float("inf")}, {("lease_seconds", "out_of_range")}),
         ({"load": 1.5}, {("load", "out_of_range")}),
         (
             {"zone": 1, "x": 2, "slots": 0, "lease_seconds": 9e9, "port": {}},
