Refuse NaN in the body of a request

What would be seen: an announcement with NaN as its lease or load got 500 with a traceback in the log, where any other fault gets 400 or 422. The good announcement was still held.

Cause: the JSON parser takes NaN, which JSON does not have, and NaN passes a check of a range, since it is neither below nor above a bound.

Evidence: test_an_odd_announcement_leaves_the_good_one_in_use, a running mesh, failed before with 500 for both; its cases with nesting from 200 to 100,000 levels, with numbers of 400 and 5,000 digits, infinities and lone surrogates passed before. Three cases of test_a_body_that_is_no_json_object_is_refused failed before.

Why the fix works: the body is refused where it is parsed, for all handlers that read one.

--- a/packages/daemon/src/rhubarbhollow_daemon/http_request.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/http_request.py
@@ -4,7 +4,7 @@
 
 import json
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NoReturn
 from urllib.parse import parse_qs
 
 from result import Err, Ok, Result
@@ -42,9 +42,17 @@
     def json_object(self) -> Result[Mapping[str, object], InvalidJsonBody]:
         """Return the body as a JSON object, or why it is not one."""
         try:
-            document = json.loads(self.body)
+            document = json.loads(self.body, parse_constant=_refuse_constant)
         except (ValueError, RecursionError) as error:
             return Err(InvalidJsonBody(str(error)))
         if not isinstance(document, dict):
             return Err(InvalidJsonBody("the body is not a JSON object"))
         return Ok(document)
+
+
+def _refuse_constant(name: str) -> NoReturn:
+    """Refuse NaN and the infinities, which JSON does not have.
+
+    NaN would pass a check against any bound.
+    """
+    raise ValueError(f"{name} is not a JSON value")
--- a/packages/daemon/tests/test_http_server.py
+++ b/packages/daemon/tests/test_http_server.py
@@ -6,6 +6,7 @@
 import pytest
 
 from rhubarbhollow_daemon import http_server
+from rhubarbhollow_daemon.http_request import HttpRequest
 from rhubarbhollow_daemon.http_response import answer_json
 from rhubarbhollow_daemon.http_server import AdminApplication
 
@@ -99,3 +100,19 @@
     """Guard against errors for ASGI events such as lifespan."""
     application = AdminApplication()
     anyio.run(application, {"type": "lifespan"}, None, None)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        *(b"", b"[]", b"\xff", b"[" * 100_000, b'{"a": NaN}'),
+        *(
+            b'{"a": Infinity}',
+            b'{"a": -Infinity}',
+            b'{"a": %s}' % (b"9" * 9_999),
+        ),
+    ],
+)
+def test_a_body_that_is_no_json_object_is_refused(body):
+    """NaN must not pass, since it passes a check of any range."""
+    assert HttpRequest("POST", "/", "", body).json_object().is_err()
