Name three seeds at most in the settings of process tests

With four of them all four became initial members, so that the log waited for one that was not to start yet: the four tests of test_replaced_instance.py failed.

--- a/tests/processes/test_platform_roles.py
+++ b/tests/processes/test_platform_roles.py
@@ -26,6 +26,8 @@
 
 START_SECONDS = 60.0
 CONTROL_PORT = 18144
+# The settings of the platform name at most three control instances.
+SEED_COUNT = 3
 HOSTS = ("127.1.0.1", "127.1.0.2", "127.1.0.3")
 NODE_HOSTS = ("127.1.0.11", "127.1.0.12")
 HOST = "shop.example"
@@ -80,7 +82,8 @@
             "ListenAddresses": ports,
             "InternalPortRange": [17380, 17395],
             "Seeds": [
-                f"{seed}:{CONTROL_PORT}" for seed in self._control_hosts
+                f"{seed}:{CONTROL_PORT}"
+                for seed in self._control_hosts[:SEED_COUNT]
             ],
             "FirstStart": host not in self._started_hosts,
             "DataDirectory": str(folder) if is_control_host else None,
