Let the stop of a node take all of its time, and no more

Callers saw calls cut with no answer well before the end of a stop: where the spread ended early, since the upstream beside the node ran nothing, the budget began early and ended early with it. With the platform's figures a call was cut 4.5 s after the signal, with a second of the time left.

Cause: the budget was counted from the end of the spread. It was also counted in polls, so that each wake-up that came late prolonged it; on a busy machine the process could be killed before it had closed.

Fix: the end is fixed on the clock when the stop begins, and each wait ends there. The fake node of the old tests has a clock now; their assertions are as they were.

--- a/packages/daemon/src/rhubarbhollow_daemon/graceful_shutdown.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/graceful_shutdown.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, Final, Protocol
 
 import anyio
@@ -10,10 +9,10 @@
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
-    from datetime import timedelta
 
     from rhubarbhollow_calls.io_node import CallNode
     from rhubarbhollow_daemon.settings_drain import DrainSettings
+    from rhubarbhollow_wire.clock import Clock
 
 # Delays a step that ends early by at most 20 ms, which is short beside
 # the second that a restart takes.
@@ -42,21 +41,30 @@
     of the mesh lacks its slots once it is marked as leaving.  The node
     serves the calls that its upstream makes for ``drain.spread``, or
     with ``drain.is_spread_cut_short`` only until the upstream has no
-    call left to run.
+    call left to run.  What is left of the spread, calls in flight may
+    use; the end of the last step is fixed at the beginning, since many
+    waits that each end slightly late add up.
     """
     _log.info("drain_started", in_flight=call_node.in_flight)
+    clock = call_node.clock
+    total = drain.hold + drain.spread + drain.budget
+    ends_at = clock.monotonic() + total.total_seconds()
     call_node.begin_leaving()
     await sleep(drain.hold.total_seconds())
     upstreams.leave_all()
+    spread = drain.spread.total_seconds()
     if drain.is_spread_cut_short:
-        await _wait(
-            drain.spread, lambda: not _has_running_calls(call_node), sleep
+        await _wait_until(
+            clock.monotonic() + spread,
+            lambda: not _has_running_calls(call_node),
+            clock,
+            sleep,
         )
     else:
-        await sleep(drain.spread.total_seconds())
+        await sleep(spread)
     call_node.begin_drain()
-    is_complete = await _wait(
-        drain.budget, lambda: not call_node.in_flight, sleep
+    is_complete = await _wait_until(
+        ends_at, lambda: not call_node.in_flight, clock, sleep
     )
     _log.info(
         "drain_finished",
@@ -70,14 +78,19 @@
     return port is not None and not port.gate.is_idle
 
 
-async def _wait(
-    limit: timedelta,
+async def _wait_until(
+    ends_at: float,
     is_done: Callable[[], bool],
+    clock: Clock,
     sleep: Callable[[float], Awaitable[None]],
 ) -> bool:
-    """Poll until done; return whether that was within ``limit``."""
-    for _ in range(math.ceil(limit.total_seconds() / POLL_SECONDS)):
-        if is_done():
-            return True
-        await sleep(POLL_SECONDS)
-    return is_done()
+    """Poll until done or ``ends_at``, in monotonic seconds.
+
+    Return whether it is done.
+    """
+    while not is_done():
+        left = ends_at - clock.monotonic()
+        if left <= 0:
+            return False
+        await sleep(min(POLL_SECONDS, left))
+    return True
--- a/packages/daemon/src/rhubarbhollow_daemon/settings_drain.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/settings_drain.py
@@ -15,7 +15,8 @@
     nodes, so that none routes new calls here.  With
     ``is_spread_cut_short`` that step ends as soon as the upstream runs
     no call; nodes that still send calls get them refused as not run.
-    Calls in flight then have ``budget`` to finish.
+    Calls in flight then have ``budget`` to finish, and what is left of
+    the spread.
     """
 
     hold: timedelta = timedelta()
--- a/packages/daemon/tests/test_graceful_shutdown.py
+++ b/packages/daemon/tests/test_graceful_shutdown.py
@@ -14,16 +14,25 @@
 
 
 class Node:
-    """A fake node and upstream; each poll ends process call."""
+    """A fake node and upstream; each poll ends process call.
 
-    def __init__(self, in_flight, polls_until_idle=0):
+    Each wait ends ``late`` seconds after its time.
+    """
+
+    def __init__(self, in_flight, polls_until_idle=0, late=0.0):
         self.steps = []
+        self.clock = self
+        self.now = 0.0
+        self._late = late
         self.call_node = self.upstreams = self
         self.local_port = SimpleNamespace(gate=self)
         self._polls_until_idle = polls_until_idle
         self._in_flight = in_flight
         self._is_draining = False
 
+    def monotonic(self):
+        return self.now
+
     @property
     def in_flight(self):
         if self._is_draining and self._in_flight > 0:
@@ -48,6 +57,8 @@
     async def sleep(self, seconds):
         if self.steps[-1] != "drain":
             self.steps.append(seconds)
+        # Rounded, so that equal waits add up without an error.
+        self.now = round(self.now + seconds + self._late, 6)
         await anyio.lowlevel.checkpoint()
 
 
@@ -96,6 +107,21 @@
     assert node.steps == ["leave", 0.0, "withdraw", *waits, "drain"]
 
 
+@pytest.mark.parametrize("polls_until_idle", [0, 10, 10_000])
+@pytest.mark.parametrize("late", [0.0, 0.01])
+def test_a_drain_takes_all_of_its_time_and_no_more(polls_until_idle, late):
+    """Guard against calls cut early, or by the kill after the grace."""
+    node = Node(10_000, polls_until_idle, late)
+    drain = DrainSettings(
+        hold=timedelta(seconds=2),
+        spread=timedelta(seconds=1),
+        budget=timedelta(seconds=2),
+        is_spread_cut_short=True,
+    )
+    run_leave_mesh(node, drain)
+    assert 5 <= node.now <= 5 + late
+
+
 def test_the_extension_is_notified_before_the_node_leaves():
     """Guard against leaving while the platform still sees it ready."""
     node = Node(0)
--- /dev/null
+++ b/packages/daemon/tests/test_stop_with_calls.py
@@ -0,0 +1,122 @@
+"""Calls that run, wait or arrive while their node stops."""
+
+import asyncio
+from dataclasses import replace
+from datetime import timedelta
+from types import SimpleNamespace
+
+from tests.standin.http_client import encode_call
+from tests.standin.mesh import DEFAULT_ROUTE, Mesh, run, wait_until
+from tests.standin.scripted_upstream import (
+    ScriptedUpstream,
+    echo,
+)
+
+from rhubarbhollow_daemon.graceful_shutdown import leave_mesh
+from rhubarbhollow_daemon.settings_drain import DrainSettings
+
+DRAIN = DrainSettings(
+    hold=timedelta(seconds=2.1),
+    spread=timedelta(seconds=0.8),
+    budget=timedelta(seconds=2.6),
+    is_spread_cut_short=True,
+)
+END = 5.5
+# Its calls may run beyond the end of any drain that has begun.
+LONG = replace(DEFAULT_ROUTE, is_idempotent=False, timeout_ms=9_000)
+
+
+class Stop:
+    """A mesh of which a node stops, with events at set seconds.
+
+    Node a has no upstream, and nodes b and c have one each.
+    """
+
+    def __init__(self, route, script):
+        self.mesh = Mesh(route)
+        self.held, self.other = (
+            ScriptedUpstream(script),
+            ScriptedUpstream(echo),
+        )
+        self._events = {}
+
+    async def __aenter__(self):
+        await self.held.start()
+        await self.other.start()
+        await self.mesh.add_node("a")
+        await self.mesh.add_node("b", self.held)
+        return self
+
+    async def __aexit__(self, *_):
+        await self.mesh.close()
+
+    async def add_other(self):
+        await self.mesh.add_node("c", self.other)
+
+    def at(self, seconds, event):
+        self._events[seconds] = event
+
+    async def play(self, name, *, is_all_played=True):
+        """Stop node ``name`` and close it; return the seconds taken."""
+        node = self.mesh.nodes[name].node
+        began = self.mesh.clock.monotonic()
+
+        async def sleep(seconds):
+            end = self.mesh.clock.monotonic() + seconds
+            for at in sorted(self._events):
+                if began + at <= end:
+                    event = self._events.pop(at)
+                    self.advance_to(began + at)
+                    await event()
+            self.advance_to(end)
+            await asyncio.sleep(0)
+
+        def leave_all():
+            if node.local_port is not None:
+                upstream = replace(node.local_port.upstream, is_leaving=True)
+                node.set_local_upstream(upstream)
+
+        upstreams = SimpleNamespace(leave_all=leave_all)
+        await leave_mesh(node, upstreams, DRAIN, sleep)
+        node.close()
+        assert not (is_all_played and self._events)
+        return self.mesh.clock.monotonic() - began
+
+    def advance_to(self, at):
+        now = self.mesh.clock.monotonic()
+        if at > now:
+            self.mesh.advance(at - now)
+
+
+async def send(stop, entry, target, *lines):
+    """Send a request on a new connection, without its response."""
+    client = await stop.mesh.client(entry)
+    client.send(encode_call("POST", target, b"x", *lines))
+    return client
+
+
+def test_a_short_spread_does_not_shorten_the_time_of_running_calls():
+    """Guard against calls cut though there was time left to stop."""
+    release = asyncio.Event()
+
+    async def script(request, writer):
+        await release.wait()
+        await echo(request, writer)
+
+    async def main():
+        async with Stop(LONG, script) as stop:
+            client = await send(stop, "a", "/1")
+            await wait_until(lambda: stop.held.requests)
+
+            async def answer():
+                release.set()
+                await wait_until(
+                    lambda: not stop.mesh.nodes["a"].node.in_flight
+                )
+
+            stop.at(5.2, answer)
+            seconds = await stop.play("a")
+            assert (await client.read_answer()).body == b"POST /1 x"
+            assert 5.2 <= seconds <= END
+
+    run(main())
