Stop a node only when its answers have been sent

A caller that reads slowly, or sits behind a slow link, saw an answer that broke off: the call had ended for the node, which counted no call in flight, closed at once and dropped the rest of the answer from its buffer.

Evidence: the new test, at a socket with small buffers, failed on the code before (the body was incomplete) and passed three times in a row after.

Fix: the last step of a stop ends when no call is in flight and no connection has unsent data, or at its end as before.

--- a/packages/calls/src/rhubarbhollow_calls/io_listener.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_listener.py
@@ -82,6 +82,14 @@
         """Return whether a call is in flight or queued."""
         return bool(self._calls) or bool(self._queue)
 
+    @property
+    def has_unsent_data(self) -> bool:
+        """Return whether a part of a response has not been sent."""
+        transport = self._transport
+        return transport is not None and bool(
+            transport.get_write_buffer_size()
+        )
+
     # Called by the calls.
 
     def is_last_response(self, call: PipelinedCall) -> bool:
--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -112,6 +112,13 @@
         """Return the number of calls in flight and background tasks."""
         return len(self.sweep) + len(self._background)
 
+    @property
+    def has_unfinished_work(self) -> bool:
+        """Return whether a call is in flight or a response unsent."""
+        return bool(self.in_flight) or any(
+            connection.has_unsent_data for connection in self._connections
+        )
+
     @property
     def route_states(self) -> tuple[RouteState, ...]:
         """Return the states of the routes in force that were used."""
--- a/packages/daemon/src/rhubarbhollow_daemon/graceful_shutdown.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/graceful_shutdown.py
@@ -64,7 +64,7 @@
         await sleep(spread)
     call_node.begin_drain()
     is_complete = await _wait_until(
-        ends_at, lambda: not call_node.in_flight, clock, sleep
+        ends_at, lambda: not call_node.has_unfinished_work, clock, sleep
     )
     _log.info(
         "drain_finished",
--- a/packages/daemon/tests/test_graceful_shutdown.py
+++ b/packages/daemon/tests/test_graceful_shutdown.py
@@ -39,6 +39,10 @@
             self._in_flight -= 1
         return self._in_flight
 
+    @property
+    def has_unfinished_work(self):
+        return bool(self.in_flight)
+
     @property
     def is_idle(self):
         self._polls_until_idle -= 1
--- a/packages/daemon/tests/test_stop_with_calls.py
+++ b/packages/daemon/tests/test_stop_with_calls.py
@@ -1,6 +1,8 @@
 """Calls that run, wait or arrive while their node stops."""
 
 import asyncio
+import contextlib
+import socket
 from dataclasses import replace
 from datetime import timedelta
 from types import SimpleNamespace
@@ -10,6 +12,7 @@
 from tests.standin.scripted_upstream import (
     ScriptedUpstream,
     echo,
+    encode_answer,
 )
 
 from rhubarbhollow_daemon.graceful_shutdown import leave_mesh
@@ -120,3 +123,59 @@
             assert 5.2 <= seconds <= END
 
     run(main())
+
+
+def test_an_answer_on_its_way_to_a_slow_caller_is_not_truncated():
+    """Guard against a stop that drops the unsent rest of an answer."""
+    body = b"x" * 60_000
+
+    async def script(request, writer):
+        writer.write(encode_answer(body))
+
+    async def main():
+        async with Stop(LONG, script) as stop:
+            node = stop.mesh.nodes["b"].node
+            caller = await connect_slowly(stop.mesh.nodes["b"])
+            caller.sendall(encode_call("POST", "/1", b"x"))
+            await wait_until(lambda: stop.held.requests)
+            await wait_until(lambda: not node.in_flight)
+            [connection] = node._connections
+            unsent = connection._transport.get_write_buffer_size
+            assert unsent() > 20_000
+            reading = None
+
+            async def begin_reading():
+                nonlocal reading
+                reading = asyncio.create_task(read_all(caller))
+                await wait_until(lambda: not unsent())
+
+            stop.at(3.5, begin_reading)
+            await stop.play("b", is_all_played=False)
+            received = await (reading or read_all(caller))
+            caller.close()
+            assert received.endswith(body)
+
+    run(main())
+
+
+async def connect_slowly(mesh_node):
+    """Connect a caller with small buffers on both sides."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    caller.connect(("127.0.0.1", mesh_node.caller_port))
+    caller.setblocking(False)
+    connections = mesh_node.node._connections
+    await wait_until(lambda: connections)
+    [connection] = connections
+    accepted = connection._transport.get_extra_info("socket")
+    accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+    return caller
+
+
+async def read_all(caller):
+    """Return what arrives until the connection is closed or reset."""
+    loop, received = asyncio.get_running_loop(), bytearray()
+    with contextlib.suppress(ConnectionError):
+        while data := await loop.sock_recv(caller, 65_536):
+            received.extend(data)
+    return received
