Answer the calls that still run when a node stops

Callers whose call was still running, or still waiting, at the end of a stop saw their connection reset; those whose request had never been sent to an upstream could not know that it had not run.

Cause: the end of the drain closed all connections and cancelled their calls without a word.

Fix: at the end each call in flight ends as at its deadline: 502, outcome unknown, if its request may have been sent, 503, not run, otherwise; an answer that had begun is broken off. Then the answers have 200 ms to leave. This does not replace an answer that comes in time, since it happens only once the whole time of the stop has passed.

--- a/packages/calls/src/rhubarbhollow_calls/io_deadline_sweep.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_deadline_sweep.py
@@ -18,6 +18,10 @@
         """End the call, since its deadline has passed."""
         ...
 
+    def stop(self) -> None:
+        """End the call, since the process stops."""
+        ...
+
 
 class DeadlineSweep:
     """Expire calls with one timer, set to the earliest known deadline.
@@ -49,6 +53,11 @@
         """Remove a call; the timer stays as it is."""
         self._calls.discard(call)
 
+    def stop_all(self) -> None:
+        """End every call in flight, since the process stops."""
+        for call in tuple(self._calls):
+            call.stop()
+
     def run(self) -> None:
         """Expire overdue calls and set the timer for the others."""
         now = self._clock.monotonic()
--- a/packages/calls/src/rhubarbhollow_calls/io_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_exchange.py
@@ -145,14 +145,13 @@
 
     def expire(self) -> None:
         """End the call, since its deadline has passed."""
-        if self._is_over:
-            return
-        refusal = self._deadline_refusal()
-        self._cancel_attempt()
-        if self._is_responding and not self._take_back_response():
-            self._abort()
-        else:
-            self._refuse(refusal)
+        if not self._is_over:
+            self._end_with(self._deadline_refusal())
+
+    def stop(self) -> None:
+        """End the call, since the process stops."""
+        if not self._is_over:
+            self._end_with(self._stop_refusal())
 
     # Called by the attempt.
 
@@ -328,19 +327,41 @@
     ) -> None:
         self._refuse(Refusal.not_run(kind, NeverWritten(stage), detail))
 
+    def _end_with(self, refusal: Refusal) -> None:
+        self._cancel_attempt()
+        if self._is_responding and not self._take_back_response():
+            self._abort()
+        else:
+            self._refuse(refusal)
+
     def _deadline_refusal(self) -> Refusal:
         if self._is_written():
             return Refusal.unknown(
                 RefusalKind.DEADLINE, "no complete response by the deadline"
             )
-        stage = UnwrittenStage.ROUTING
-        if self._attempt is not None:
-            stage = self._attempt.stage
         detail = "the request was not sent to the upstream by the deadline"
         return Refusal.not_run(
-            RefusalKind.DEADLINE, NeverWritten(stage), detail
+            RefusalKind.DEADLINE, NeverWritten(self._stage), detail
         )
 
+    def _stop_refusal(self) -> Refusal:
+        if self._is_written():
+            return Refusal.unknown(
+                RefusalKind.OUTCOME_UNKNOWN,
+                "no complete response before this node stopped",
+            )
+        detail = "this node stops before the request could be sent"
+        return Refusal.not_run(
+            RefusalKind.DRAINING, NeverWritten(self._stage), detail
+        )
+
+    @property
+    def _stage(self) -> UnwrittenStage:
+        """Return the stage that the unwritten request has reached."""
+        if self._attempt is None:
+            return UnwrittenStage.ROUTING
+        return self._attempt.stage
+
     def _cancel_attempt(self) -> None:
         attempt, self._attempt = self._attempt, None
         if attempt is None:
--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -199,6 +199,13 @@
         for connection in self._connections:
             connection.begin_drain()
 
+    def end_calls(self) -> None:
+        """Answer the calls in flight, since the process stops.
+
+        Whether they have run is unknown, unless they were not sent.
+        """
+        self.sweep.stop_all()
+
     def close(self) -> None:
         """Close all connections and cancel the calls in flight."""
         for connection in list(self._connections):
--- a/packages/daemon/src/rhubarbhollow_daemon/graceful_shutdown.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/graceful_shutdown.py
@@ -17,6 +17,9 @@
 # Delays a step that ends early by at most 20 ms, which is short beside
 # the second that a restart takes.
 POLL_SECONDS: Final = 0.02
+# Time for the last answers to leave this process; several round trips
+# between two data centres.
+LAST_ANSWER_SECONDS: Final = 0.2
 
 _log = structlog.get_logger()
 
@@ -43,7 +46,8 @@
     with ``drain.is_spread_cut_short`` only until the upstream has no
     call left to run.  What is left of the spread, calls in flight may
     use; the end of the last step is fixed at the beginning, since many
-    waits that each end slightly late add up.
+    waits that each end slightly late add up.  Calls that are then still
+    in flight are answered, which takes ``LAST_ANSWER_SECONDS`` at most.
     """
     _log.info("drain_started", in_flight=call_node.in_flight)
     clock = call_node.clock
@@ -71,6 +75,15 @@
         is_complete=is_complete,
         in_flight=call_node.in_flight,
     )
+    if is_complete:
+        return
+    call_node.end_calls()
+    await _wait_until(
+        clock.monotonic() + LAST_ANSWER_SECONDS,
+        lambda: not call_node.has_unfinished_work,
+        clock,
+        sleep,
+    )
 
 
 def _has_running_calls(call_node: CallNode) -> bool:
--- a/packages/daemon/tests/test_graceful_shutdown.py
+++ b/packages/daemon/tests/test_graceful_shutdown.py
@@ -8,7 +8,11 @@
 import pytest
 from structlog.testing import capture_logs
 
-from rhubarbhollow_daemon.graceful_shutdown import POLL_SECONDS, leave_mesh
+from rhubarbhollow_daemon.graceful_shutdown import (
+    LAST_ANSWER_SECONDS,
+    POLL_SECONDS,
+    leave_mesh,
+)
 from rhubarbhollow_daemon.process import _Process
 from rhubarbhollow_daemon.settings_drain import DrainSettings
 
@@ -54,6 +58,9 @@
     def begin_leaving(self):
         self.steps.append("leave")
 
+    def end_calls(self):
+        self.ended_at = self.now
+
     def begin_drain(self):
         self.steps.append("drain")
         self._is_draining = True
@@ -123,7 +130,8 @@
         is_spread_cut_short=True,
     )
     run_leave_mesh(node, drain)
-    assert 5 <= node.now <= 5 + late
+    assert 5 <= node.ended_at <= 5 + late
+    assert node.now <= node.ended_at + LAST_ANSWER_SECONDS + late
 
 
 def test_the_extension_is_notified_before_the_node_leaves():
--- a/packages/daemon/tests/test_stop_with_calls.py
+++ b/packages/daemon/tests/test_stop_with_calls.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 from types import SimpleNamespace
 
+import pytest
 from tests.standin.http_client import encode_call
 from tests.standin.mesh import DEFAULT_ROUTE, Mesh, run, wait_until
 from tests.standin.scripted_upstream import (
@@ -27,6 +28,7 @@
 END = 5.5
 # Its calls may run beyond the end of any drain that has begun.
 LONG = replace(DEFAULT_ROUTE, is_idempotent=False, timeout_ms=9_000)
+EXECUTED = "rhubarbhollow-executed"
 
 
 class Stop:
@@ -98,6 +100,10 @@
     return client
 
 
+async def never(request, writer):
+    await asyncio.Event().wait()
+
+
 def test_a_short_spread_does_not_shorten_the_time_of_running_calls():
     """Guard against calls cut though there was time left to stop."""
     release = asyncio.Event()
@@ -125,6 +131,61 @@
     run(main())
 
 
+@pytest.mark.parametrize("entry", ["a", "b"])
+def test_a_call_still_running_at_the_end_gets_an_answer(entry):
+    """Guard against callers that are cut off without an answer."""
+
+    async def main():
+        async with Stop(LONG, never) as stop:
+            client = await send(stop, entry, "/1")
+            await wait_until(lambda: stop.held.requests)
+            seconds = await stop.play(entry)
+            answer = await client.read_answer()
+            assert (answer.status, answer.headers[EXECUTED]) == (
+                502,
+                "unknown",
+            )
+            assert answer.headers["connection"] == "close"
+            assert END - 0.05 <= seconds <= END + 0.3
+
+    run(main())
+
+
+def test_another_node_learns_of_a_call_still_running_at_the_end():
+    """Guard against a remote caller cut off with the stopping node."""
+
+    async def main():
+        async with Stop(LONG, never) as stop:
+            client = await send(stop, "a", "/1")
+            await wait_until(lambda: stop.held.requests)
+            await stop.play("b")
+            answer = await client.read_answer()
+            assert (answer.status, answer.headers[EXECUTED]) == (
+                502,
+                "unknown",
+            )
+
+    run(main())
+
+
+def test_a_call_that_waits_at_the_end_is_refused_as_not_run():
+    """Guard against a waiting call cut, or reported as perhaps run."""
+
+    async def main():
+        async with Stop(LONG, never) as stop:
+            client = await stop.mesh.client("b")
+            head = b"POST /1 HTTP/1.1\r\nhost: m\r\ncontent-length: 9\r\n\r\n"
+            client.send(head + b"half")
+            node = stop.mesh.nodes["b"].node
+            await wait_until(lambda: node.in_flight)
+            await stop.play("b")
+            answer = await client.read_answer()
+            assert (answer.status, answer.headers[EXECUTED]) == (503, "no")
+            assert not stop.held.requests
+
+    run(main())
+
+
 def test_an_answer_on_its_way_to_a_slow_caller_is_not_truncated():
     """Guard against a stop that drops the unsent rest of an answer."""
     body = b"x" * 60_000
