Take no call that cannot end before its node stops

Callers that came while a node stopped had their calls taken and passed on with all of their time, though the process would end sooner: a call with a deadline of 9 s, sent 2 s after the signal, was told 9 s at its upstream and was cut at the end of the stop, also where it may not be repeated. The same held for calls from other nodes, for calls queued behind a running one, for calls whose key was claimed late, and for second attempts.

Cause: a stopping node compared no deadline with its own end.

A call that is not expected to end in time is refused at once as not run (503, and Connection: close from the caller port); its caller's node tries another upstream. Calls that are taken pass on no more time than is left, so that an upstream answers before its node ends. An attempt that failed is not repeated late.

The tests of begin_leaving pass the new argument; their assertions are as they were. Not covered: a body that arrives in pieces on its way to another node's upstream; that attempt began with the head, and is told the time that is left.

--- a/packages/calls/src/rhubarbhollow_calls/io_caller.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller.py
@@ -60,6 +60,15 @@
         if mesh.timeout_ms is not None:
             timeout_ms = min(timeout_ms, mesh.timeout_ms)
         deadline = Deadline.after_ms(timeout_ms, now)
+        if not node.can_end(deadline, state.route.latency_seconds):
+            return RefusedExchange(
+                node,
+                downstream,
+                head,
+                request_id,
+                RefusalKind.DRAINING,
+                "this node stops before the call can end",
+            )
         exchange = self._make_exchange(
             downstream, head, request_id, deadline, state, now
         )
--- a/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
@@ -8,7 +8,6 @@
 from rhubarbhollow_calls import http_names as names
 from rhubarbhollow_calls.call_profile import CallProfile
 from rhubarbhollow_calls.call_result import CallResult
-from rhubarbhollow_calls.deadline import Deadline, format_deadline
 from rhubarbhollow_calls.http_hop import Hop, encode_hop
 from rhubarbhollow_calls.io_attempt import AttemptFailure
 from rhubarbhollow_calls.io_exchange import Exchange
@@ -25,6 +24,7 @@
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.backlog import Backlog
+    from rhubarbhollow_calls.deadline import Deadline
     from rhubarbhollow_calls.endpoint import Endpoint
     from rhubarbhollow_calls.http_request_head import RequestHead
     from rhubarbhollow_calls.http_response_head import ResponseHead
@@ -111,7 +111,7 @@
 
     def next_hop_field_lines(self) -> bytes:
         """Return the header field lines for the upstream's node."""
-        left = format_deadline(self._deadline, self._node.clock.monotonic())
+        left = self._node.format_time_left(self._deadline)
         objective_ms = self._objective_left_ms()
         if self._node.dialect.is_foreign:
             return self._encode_hop(int(left), objective_ms)
@@ -340,8 +340,14 @@
             cut_attempts=self._cut_attempts,
             is_offered=is_offered,
             unoffered_attempts=self._unoffered_attempts,
+            can_end_before_stop=self._can_end(),
         )
 
+    def _can_end(self) -> bool:
+        """Return whether an attempt made now can end in time."""
+        objective = self._state.route.latency_seconds
+        return self._node.can_end(self._deadline, objective)
+
     def _give_up(self) -> None:
         if self._failure is not None:
             self._refuse(self._failure.refusal)
--- a/packages/calls/src/rhubarbhollow_calls/io_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_exchange.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from rhubarbhollow_calls.deadline import Deadline, format_deadline
 from rhubarbhollow_calls.http_body import CHUNKED_BODY, NO_BODY
 from rhubarbhollow_calls.http_encoding import (
     CLOSE_LINE,
@@ -22,6 +21,7 @@
 from rhubarbhollow_calls.refusal import Refusal, RefusalKind
 
 if TYPE_CHECKING:
+    from rhubarbhollow_calls.deadline import Deadline
     from rhubarbhollow_calls.http_body import Body
     from rhubarbhollow_calls.http_fault import HttpFault
     from rhubarbhollow_calls.http_request_head import RequestHead
@@ -164,7 +164,7 @@
         dialect = self._node.dialect
         if not dialect.is_foreign:
             return self.next_hop_field_lines()
-        left = format_deadline(self._deadline, self._node.clock.monotonic())
+        left = self._node.format_time_left(self._deadline)
         return b"%b: %b\r\n%b: %b\r\n%b: %b\r\n" % (
             dialect.time_limit,
             left,
--- a/packages/calls/src/rhubarbhollow_calls/io_keyed.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_keyed.py
@@ -150,6 +150,11 @@
     def _run_claimed(self) -> None:
         if self._is_over:
             self._settle_claim()
+        elif not self._can_end():
+            self._refuse_unclaimed(
+                RefusalKind.DRAINING,
+                "this node stops before the call can end",
+            )
         else:
             self._start_attempt()
 
--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from http import HTTPStatus
 from random import Random
 from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_calls import http_names as names
+from rhubarbhollow_calls.deadline import format_deadline
 from rhubarbhollow_calls.io_caller import CallerPort
 from rhubarbhollow_calls.io_counters import NodeCounters
 from rhubarbhollow_calls.io_deadline_sweep import DeadlineSweep
@@ -23,6 +25,10 @@
 from rhubarbhollow_calls.retry_budgets import RetryBudgets
 from rhubarbhollow_calls.return_delay import return_delay
 from rhubarbhollow_calls.slot_ticket import Ticket
+from rhubarbhollow_calls.stop_admission import (
+    bound_by_stop,
+    can_end_before_stop,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -79,6 +85,7 @@
         self.is_draining = False
         self.is_release_current = is_release_current or _assume_current
         self._is_leaving = False
+        self._stops_at = math.inf
         self._random = random or Random()  # noqa: S311 - jitter
         self._observe_position = observe_position
         self._settings = settings or CallSettings()
@@ -185,9 +192,14 @@
         """Return a protocol for a connection to the peer port."""
         return ListenerConnection(self._peer_port)
 
-    def begin_leaving(self) -> None:
-        """Ask callers to reconnect elsewhere; still serve new calls."""
+    def begin_leaving(self, stops_at: float) -> None:
+        """Ask callers to reconnect elsewhere; still serve new calls.
+
+        Calls that are not expected to end before ``stops_at``, in
+        monotonic seconds, are refused as not run.
+        """
         self._is_leaving = True
+        self._stops_at = stops_at
         for connection in self._connections:
             connection.begin_drain()
 
@@ -229,6 +241,22 @@
 
     # Called by the ports and the exchanges.
 
+    def can_end(
+        self, deadline: Deadline, objective_seconds: float | None
+    ) -> bool:
+        """Return whether a call started now can end before the stop."""
+        now = self.clock.monotonic()
+        return can_end_before_stop(
+            self._stops_at - now,
+            deadline.expires_at - now,
+            objective_seconds,
+        )
+
+    def format_time_left(self, deadline: Deadline) -> bytes:
+        """Encode the next hop's budget in milliseconds, as of now."""
+        deadline = bound_by_stop(deadline, self._stops_at)
+        return format_deadline(deadline, self.clock.monotonic())
+
     def status_of(self, refusal: Refusal) -> int:
         """Return the HTTP status of a refusal in the node's dialect."""
         if self.dialect.is_foreign:
@@ -333,6 +361,7 @@
         objective; without one the call may wait until its deadline.
         """
         call_id = self.next_call_id()
+        deadline = bound_by_stop(deadline, self._stops_at)
         route = None if state is None else state.route
         if route is None or objective_left_ms is None:
             return Ticket(priority, deadline.expires_at, call_id)
--- a/packages/calls/src/rhubarbhollow_calls/io_peer.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_peer.py
@@ -6,7 +6,7 @@
 
 from rhubarbhollow_calls import http_names as names
 from rhubarbhollow_calls.call_priority import CallPriority
-from rhubarbhollow_calls.deadline import Deadline, format_deadline
+from rhubarbhollow_calls.deadline import Deadline
 from rhubarbhollow_calls.io_exchange import Exchange
 from rhubarbhollow_calls.io_local_attempt import LocalAttempt
 from rhubarbhollow_calls.io_refusal_response import (
@@ -54,6 +54,13 @@
             )
             return
         state = self._node.find_route_state(mesh.route.decode("latin-1"))
+        objective = None if state is None else state.route.latency_seconds
+        if not self._node.can_end(self._deadline, objective):
+            self._refuse_admission(
+                RefusalKind.DRAINING,
+                "this node stops before the call can end",
+            )
+            return
         priority = _PRIORITIES.get(mesh.priority, CallPriority.BULK)
         if not mesh.priority and state is not None:
             priority = state.route.priority
@@ -69,7 +76,7 @@
     def next_hop_field_lines(self) -> bytes:
         """Return the header field lines for the local upstream."""
         mesh = self._head.mesh
-        left = format_deadline(self._deadline, self._node.clock.monotonic())
+        left = self._node.format_time_left(self._deadline)
         return b"%b: %d\r\n%b: %b\r\n%b: %b\r\n%b: %d\r\n%b: %b\r\n" % (
             names.POSITION,
             mesh.position or 0,
--- a/packages/calls/src/rhubarbhollow_calls/retry_decision.py
+++ b/packages/calls/src/rhubarbhollow_calls/retry_decision.py
@@ -35,6 +35,7 @@
     ATTEMPTS = "attempts"
     CUT_TWICE = "cut_twice"
     BUDGET = "budget"
+    STOPPING = "stopping"
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +54,8 @@
     the call before its upstream saw it. ``unoffered_attempts`` counts
     such attempts. They put no load on an upstream, so they use neither
     an attempt of the route nor a token, but have a limit of their own.
+    ``can_end_before_stop`` is false while this node stops and a further
+    attempt would be cut at the end of the process.
     """
 
     executed: Executed
@@ -70,6 +73,7 @@
     cut_attempts: int = 0
     is_offered: bool = True
     unoffered_attempts: int = 0
+    can_end_before_stop: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +120,7 @@
         (not is_safe, GiveUpReason.MAY_HAVE_RUN),
         (not attempt.is_body_kept, GiveUpReason.BODY_NOT_KEPT),
         (attempt.remaining_ms <= 0, GiveUpReason.DEADLINE),
+        (not attempt.can_end_before_stop, GiveUpReason.STOPPING),
         (
             attempt.attempts_made >= attempt.attempts_allowed,
             GiveUpReason.ATTEMPTS,
--- a/packages/calls/tests/test_io_dialect.py
+++ b/packages/calls/tests/test_io_dialect.py
@@ -144,7 +144,7 @@
     async def main():
         mesh, _upstream = await two_nodes(answer_with_id)
         client = await mesh.client("b")
-        mesh.nodes["b"].node.begin_leaving()
+        mesh.nodes["b"].node.begin_leaving(mesh.clock.monotonic() + 60)
         answer = await client.request("GET", "/a", b"", "x-id: 9")
         assert answer.status == 200
         assert answer.headers["connection"] == "close"
--- a/packages/calls/tests/test_retry_decision.py
+++ b/packages/calls/tests/test_retry_decision.py
@@ -56,6 +56,7 @@
         ({"is_body_kept": False}, GiveUpReason.BODY_NOT_KEPT),
         ({"is_cancelled": True}, GiveUpReason.CANCELLED),
         ({"remaining_ms": 0}, GiveUpReason.DEADLINE),
+        ({"can_end_before_stop": False}, GiveUpReason.STOPPING),
         ({"attempts_made": ATTEMPTS}, GiveUpReason.ATTEMPTS),
         ({"cut_attempts": 1}, None),
         ({"cut_attempts": 2}, GiveUpReason.CUT_TWICE),
--- a/packages/daemon/src/rhubarbhollow_daemon/graceful_shutdown.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/graceful_shutdown.py
@@ -53,7 +53,7 @@
     clock = call_node.clock
     total = drain.hold + drain.spread + drain.budget
     ends_at = clock.monotonic() + total.total_seconds()
-    call_node.begin_leaving()
+    call_node.begin_leaving(ends_at)
     await sleep(drain.hold.total_seconds())
     upstreams.leave_all()
     spread = drain.spread.total_seconds()
--- a/packages/daemon/tests/test_graceful_shutdown.py
+++ b/packages/daemon/tests/test_graceful_shutdown.py
@@ -55,7 +55,7 @@
     def leave_all(self):
         self.steps.append("withdraw")
 
-    def begin_leaving(self):
+    def begin_leaving(self, stops_at):
         self.steps.append("leave")
 
     def end_calls(self):
