Take no call later than 3 s after the platform's signal

The platform does not count a call that is cut at the end of the grace if it was sent within 3 s of the signal. A node took new calls for 3.1 s where its upstream kept it busy.

--- a/tests/platform/test_boot_file.py
+++ b/tests/platform/test_boot_file.py
@@ -68,6 +68,15 @@
     assert drain.hold.total_seconds() > 2
 
 
+def test_no_call_is_taken_that_may_not_be_cut_at_the_end():
+    """Guard against calls that the platform counts as lost."""
+    drain = translate_sidecar(decode(SIDECAR).ok_value).drain
+    taken_until = drain.hold + drain.spread
+    assert taken_until.total_seconds() < 3
+    # A call may be cut in the last sixth of 6 s.
+    assert 5 < (taken_until + drain.budget).total_seconds() < 5.75
+
+
 @pytest.mark.parametrize("is_first", [True, False])
 def test_only_a_first_start_may_initialize_a_log(is_first):
     """A restart with an empty disk must not start a second log."""
--- a/tests/processes/test_platform_roles.py
+++ b/tests/processes/test_platform_roles.py
@@ -290,3 +290,96 @@
         assert platform.wait(NODE_HOSTS[1]) == 0
 
     asyncio.run(serve_upstream())
+
+
+def build_unsafe_document(**objectives):
+    """Return a document with an unsafe route for each objective."""
+    rules = [
+        {
+            "Name": name,
+            "Kind": "unsafe",
+            "LatencyObjectiveS": objective,
+            "Match": {"PathPrefix": f"/{name}/"},
+            "Action": {"Service": "desk", "TimeoutS": 30, "MaxAttempts": 2},
+        }
+        for name, objective in objectives.items()
+    ]
+    listeners = [{"Host": HOST, "RuleTables": rules}]
+    return {**build_document(2), "Listeners": listeners}
+
+
+def post_call(host, path):
+    """Return the status of a call, or 0 if it was cut."""
+    headers = [
+        ("Host", HOST),
+        ("Request-Id", path),
+        ("Deadline-Milliseconds", "25000"),
+    ]
+    with contextlib.suppress(httpcore.NetworkError, httpcore.ProtocolError):
+        return httpcore.request(
+            "POST",
+            f"http://{host}:18147{path}",
+            headers=headers,
+            content=b"x",
+            extensions={"timeout": {"connect": 5.0, "read": START_SECONDS}},
+        ).status
+    return 0
+
+
+@pytest.mark.parametrize("stopped", NODE_HOSTS)
+def test_every_call_of_a_stopping_node_gets_an_answer(platform, stopped):
+    """Guard against unsafe calls that are taken only to be cut."""
+    document = build_unsafe_document(short=0.5, long=4)
+
+    async def answer_some(request, writer):
+        if request.target.endswith("ready"):
+            await answer_with_target(request, writer)
+        else:
+            await asyncio.Event().wait()
+
+    async def main():
+        upstream = Upstream(answer_some)
+        await upstream.start(NODE_HOSTS[0])
+        port = upstream.port
+
+        def call(path):
+            return asyncio.create_task(
+                asyncio.to_thread(post_call, stopped, path)
+            )
+
+        def prepare():
+            wait_for_result(
+                lambda: put_configuration(HOSTS[0], document, 0), 200
+            )
+            wait_for_result(
+                lambda: send_heartbeat(NODE_HOSTS[0], port, 1), 200
+            )
+            wait_for_result(lambda: post_call(stopped, "/long/ready"), 200)
+
+        await asyncio.to_thread(prepare)
+        running = call("/long/running")
+        async with upstream.changed:
+            await upstream.changed.wait_for(
+                lambda: has_request(upstream, "/long/running")
+            )
+        platform.signal(stopped, signal.SIGTERM)
+        await asyncio.to_thread(
+            wait_for_result, lambda: readiness_status(stopped) == 200, False
+        )
+        taken, refused = call("/short/late"), call("/long/late")
+        assert await refused == 503
+        assert await running == 502
+        # Another node ends a call at the deadline that it was told.
+        assert await taken in (502, 504)
+        assert await asyncio.to_thread(platform.wait, stopped) == 0
+        assert not has_request(upstream, "/long/late")
+        [late] = [
+            each for each in upstream.requests if each.target == "/short/late"
+        ]
+        assert int(late.headers["deadline-milliseconds"]) < 5_500
+
+    asyncio.run(main())
+
+
+def has_request(upstream, target):
+    return any(each.target == target for each in upstream.requests)
