Spread the votes over the data centres

What callers would see: a data centre is lost, which is to be borne, and no change is accepted until it is back, though the other data centres have most control instances.

Cause: with more control instances than data centres a repair gave the vote to the first learner by name. A restart that took longer than the wait was enough; the instance that came back stayed a learner, and two of three votes stayed in one data centre.

Why it works: the learner in the emptiest place is promoted first, and while all voters reply a vote moves to a place that has two voters less, by promotion and then demotion as for a silent voter. Each move makes the places more equal, so that moves end (test_votes_stop_moving_once_they_are_spread).

Where each data centre has one control instance nothing changes.

--- a/packages/daemon/src/rhubarbhollow_daemon/control_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_building.py
@@ -85,7 +85,9 @@
     links = PeerLinks(hello, directory, traffic, random)
     machine = ReleaseMachine(settings.mesh, settings.trusted)
     replica = Replica(
-        settings=_replica_settings(name, control, LogGroup.RELEASES),
+        settings=_replica_settings(
+            name, control, LogGroup.RELEASES, directory
+        ),
         store=opened.ok_value,
         machine=machine,
         clock=clock,
@@ -170,7 +172,7 @@
     links = PeerLinks(hello, directory, traffic, random)
     machine = ClaimMachine()
     replica = Replica(
-        settings=_replica_settings(name, control, LogGroup.CLAIMS),
+        settings=_replica_settings(name, control, LogGroup.CLAIMS, directory),
         store=opened.ok_value,
         machine=machine,
         clock=clock,
@@ -198,6 +200,7 @@
     name: str,
     control: ControlSettings,
     group: LogGroup,
+    directory: ControlDirectory,
 ) -> ReplicaSettings:
     return ReplicaSettings(
         name=name,
@@ -211,6 +214,7 @@
         wanted_voters=control.wanted_voters,
         repair_after_seconds=control.repair_after.total_seconds(),
         log_name=group.name.lower(),
+        place_of=directory.data_centre_of,
     )
 
 
--- a/packages/distribution/src/rhubarbhollow_distribution/control_directory.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/control_directory.py
@@ -67,6 +67,11 @@
             for address in self._by_name.values()
         )
 
+    def data_centre_of(self, name: str) -> str:
+        """Return the data centre of an instance, if it is known."""
+        address = self._by_name.get(name)
+        return address.data_centre if address else UNKNOWN_DATA_CENTRE
+
     def watch(self, watcher: Callable[[], None]) -> None:
         """Register ``watcher`` to be called after each change."""
         self._watchers.append(watcher)
--- a/packages/replication/src/rhubarbhollow_replication/leadership.py
+++ b/packages/replication/src/rhubarbhollow_replication/leadership.py
@@ -200,6 +200,7 @@
                 settings.repair_after_seconds,
                 settings.election_timeout_seconds,
             ),
+            place_of=settings.place_of,
         )
 
     def _repair(self, now: float) -> None:
--- a/packages/replication/src/rhubarbhollow_replication/membership_view.py
+++ b/packages/replication/src/rhubarbhollow_replication/membership_view.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from rhubarbhollow_replication.settings import no_place
+
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from rhubarbhollow_replication.configuration import Configuration
     from rhubarbhollow_replication.member import Member
@@ -30,6 +32,7 @@
     now: float
     alive_seconds: float
     unresponsive_seconds: float
+    place_of: Callable[[str], str] = no_place
 
     def is_alive(self, member: Member) -> bool:
         """Return whether the member recently replied from its store.
@@ -73,6 +76,20 @@
             return False
         return peer.match_index >= self.commit_index
 
+    def count_neighbours(self, member: Member) -> int:
+        """Return how many other voters share the member's place.
+
+        Voters that are about to be replaced are not counted.
+        """
+        place = self.place_of(member.name)
+        if not place:
+            return 0
+        return sum(
+            self.place_of(voter.name) == place
+            for voter in self.configuration.voters
+            if voter != member and not self.is_unresponsive(voter)
+        )
+
     def has_other_store(self, member: Member) -> bool:
         """Return whether the member replied from a different store."""
         peer = self.peers.get(member.name)
--- a/packages/replication/src/rhubarbhollow_replication/plan.py
+++ b/packages/replication/src/rhubarbhollow_replication/plan.py
@@ -40,10 +40,12 @@
     to it, and then the voter is demoted. While both are voters, the old
     one still counts toward a quorum if it returns, even if another
     member is lost meanwhile. If it were demoted first, it would not.
+    The same two steps spread the voters over the places.
     """
     if not view.wanted_voters:
         return _rebind_lost_store(view)
-    wanted = view.wanted_voters + _has_unresponsive_voter(view)
+    is_one_more_wanted = _has_unresponsive_voter(view) or _is_crowded(view)
+    wanted = view.wanted_voters + is_one_more_wanted
     return (
         _rebind_lost_store(view)
         or _promote_missing_voter(view, wanted)
@@ -112,14 +114,41 @@
     return any(view.is_unresponsive(v) for v in view.configuration.voters)
 
 
+def _is_crowded(view: MembershipView) -> bool:
+    """Return whether a learner's place has two voters less.
+
+    Nothing is moved while a voter is silent.
+    """
+    voters = view.configuration.voters
+    if not all(view.is_alive(voter) for voter in voters):
+        return False
+    crowd = max(
+        (view.count_neighbours(v) for v in voters if v.name != view.leader),
+        default=0,
+    )
+    return any(
+        view.count_neighbours(learner) < crowd
+        for learner in _list_caught_up(view)
+        if view.place_of(learner.name)
+    )
+
+
+def _list_caught_up(view: MembershipView) -> list[Member]:
+    """Return the learners to promote, from the emptiest place first."""
+    learners = (
+        member
+        for member in view.configuration.members
+        if not member.is_voter and view.is_caught_up(member)
+    )
+    return sorted(learners, key=view.count_neighbours)
+
+
 def _promote_missing_voter(
     view: MembershipView, wanted: int
 ) -> Configuration | None:
     if len(view.configuration.voters) >= wanted:
         return None
-    for member in view.configuration.members:
-        if member.is_voter or not view.is_caught_up(member):
-            continue
+    for member in _list_caught_up(view):
         proposed = view.configuration.with_member(_as_voter(member))
         if view.is_quorum_alive(proposed):
             return proposed
@@ -127,17 +156,23 @@
 
 
 def _demote_surplus_voter(view: MembershipView) -> Configuration | None:
-    """Demote the voter with the oldest contact if one is surplus."""
+    """Demote a voter if one is surplus.
+
+    It is the silent one with the oldest contact, or else one from the
+    most crowded place.
+    """
     voters = view.configuration.voters
     if len(voters) <= view.wanted_voters:
         return None
     others = (v for v in voters if v.name in view.peers)
-    least_recent = min(
-        others, key=lambda v: view.peers[v.name].last_contact_at
-    )
-    learner = Member(
-        least_recent.name, least_recent.store_id, MemberRole.LEARNER
-    )
+
+    def rank(voter: Member) -> tuple[bool, int, float]:
+        is_alive = view.is_alive(voter)
+        crowd = view.count_neighbours(voter) if is_alive else 0
+        return is_alive, -crowd, view.peers[voter.name].last_contact_at
+
+    surplus = min(others, key=rank)
+    learner = Member(surplus.name, surplus.store_id, MemberRole.LEARNER)
     proposed = view.configuration.with_member(learner)
     return proposed if view.is_quorum_alive(proposed) else None
 
--- a/packages/replication/src/rhubarbhollow_replication/settings.py
+++ b/packages/replication/src/rhubarbhollow_replication/settings.py
@@ -3,10 +3,19 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 MS_PER_SECOND = 1000
 
 
+def no_place(name: str) -> str:  # noqa: ARG001
+    """Return that the place of a member is unknown."""
+    return ""
+
+
 @dataclass(frozen=True, slots=True)
 class ReplicaSettings:
     """The name, initial members and limits of a replica.
@@ -24,7 +33,8 @@
     ``wanted_voters`` is the number of voters that repairs aim for. If
     it is 0, the number of ``initial_members`` is used; if that is 0 as
     well, the number is unknown and repairs only rebind members that
-    lost their store.
+    lost their store. ``place_of`` returns the place of a member, all
+    members of which may be lost at once, or ``""`` if it is unknown.
     """
 
     name: str
@@ -40,6 +50,7 @@
     may_form_cluster: bool = True
     log_name: str = "log"
     wanted_voters: int = 0
+    place_of: Callable[[str], str] = no_place
 
     def __post_init__(self) -> None:
         if self.heartbeat_ms * 2 > self.election_timeout_ms:
--- a/packages/replication/tests/test_core.py
+++ b/packages/replication/tests/test_core.py
@@ -731,6 +731,30 @@
     assert leader.has_lease(cluster.now)
 
 
+def test_votes_stop_moving_once_they_are_spread():
+    """Guard against votes that go round between the places."""
+    places = {"a": "1", "d": "1", "b": "2", "e": "2", "c": "3"}
+    cluster = Cluster(
+        (*NAMES, "d", "e"), repair_after_seconds=0.5, place_of=places.get
+    )
+    cluster.run(3)
+    for spare in ("d", "e"):
+        leader = cluster.cores[cluster.leaders()[0]]
+        leader.change_membership(AddLearner(spare), cluster.now)
+        cluster.run(1)
+    for name in "cabcdec":
+        cluster.down.add(name)
+        cluster.run(2)
+        cluster.restart(name)
+        cluster.run(2)
+        leader = cluster.cores[cluster.leaders()[0]]
+        voters = leader.configuration.voters
+        assert {places[v.name] for v in voters} == {"1", "2", "3"}
+        last_index = leader.last_index
+        cluster.run(2)
+        assert leader.last_index == last_index
+
+
 def test_lost_disk_is_repaired_under_constant_load():
     """Check that constant load does not postpone repairs.
 
--- a/packages/replication/tests/test_plan.py
+++ b/packages/replication/tests/test_plan.py
@@ -191,3 +191,39 @@
     """
     settings = ReplicaSettings("a", members, wanted_voters=wanted)
     assert settings.voter_target == target
+
+
+@pytest.mark.parametrize(
+    ("before", "peers", "after"),
+    [
+        # A learner alone in its place gets the vote of one of two.
+        ("a1 (b1) c1 x1", "b1 c1 x1", "a1 b1 c1 x1"),
+        ("a1 b1 c1 x1", "b1 c1 x1", "a1 b1 c1 (x1)"),
+        ("a1 b1 c1 (x1)", "b1 c1 x1", None),
+        # The leader keeps its own vote.
+        ("a1 (b1) c1 z1", "b1 c1 z1", "a1 b1 c1 z1"),
+        ("a1 b1 c1 z1", "b1 c1 z1", "a1 b1 (c1) z1"),
+        # One voter more or less in a place is no reason.
+        ("a1 b1 c1 w1 x1 (y1)", "b1 c1 w1 x1 y1", None),
+        # Nothing is moved while a voter or the learner is silent.
+        ("a1 (b1) c1 x1", "b1 c1-2 x1", None),
+        ("a1 (b1) c1 x1", "b1-2 c1 x1", None),
+        ("a1 (b1) c1 x1", "b1< c1 x1", None),
+        # A silent voter is demoted before one from a crowded place.
+        ("a1 b1 c1 x1", "b1 c1-2 x1", "a1 b1 (c1) x1"),
+        # The vote of a silent voter goes to the emptiest place.
+        ("a1 b1 c1 (x1) (y1)", "b1-70 c1 x1 y1", "a1 b1 c1 (x1) y1"),
+        ("a1 b1 c1 (x1)", "b1-70 c1 x1", "a1 b1 c1 x1"),
+    ],
+)
+def test_votes_are_spread_over_the_places(before, peers, after):
+    """Check the repairs that keep the loss of a place harmless."""
+    places = {"a": "1", "x": "1", "b": "2", "y": "2", "c": "3", "z": "3"}
+    wanted = 5 if "w" in before else 3
+    spread = replace(
+        view(before, peers),
+        place_of=lambda name: places.get(name, ""),
+        wanted_voters=wanted,
+    )
+    planned = plan_repair(spread)
+    assert planned == (members(after) if after else None)
