Merge only usable endpoint records of the node itself

What would be seen: one odd record of one node reached every process. With a host that cannot be resolved, calls of its service waited for their time limit and got 504; with an unknown state, each list of the upstreams was answered with 500. A record in the name of another node took that node's upstream off all lists, and with a large number in it that node could not join again after a start: the incarnation that it was to use was one that it cannot decode in the welcome.

Cause: addresses of control instances were checked where they enter, endpoint records were not, neither from nodes nor from other instances, and a node could report records of others.

Why the fix works: a record is checked whole where it enters a control instance, from a node or from another instance, and once more at a node, which may follow an instance of another version; the rest of its message is used. Incarnations stay far enough below the largest number of the wire for a higher one to be assigned. A node's records name itself.

--- a/packages/daemon/src/rhubarbhollow_daemon/endpoint_exchange.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/endpoint_exchange.py
@@ -4,8 +4,13 @@
 
 from typing import TYPE_CHECKING, Final
 
+import structlog
+
 from rhubarbhollow_daemon.node_messages import EndpointsRequest
-from rhubarbhollow_distribution.endpoint_change import EndpointChange
+from rhubarbhollow_distribution.endpoint_change import (
+    EndpointChange,
+    leave_out_unusable,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -20,6 +25,8 @@
 PEER_TIMEOUT_SECONDS: Final = 3.0
 NEVER: Final = float("inf")
 
+_log = structlog.get_logger()
+
 
 class EndpointExchange:
     """Send this instance's endpoint records to peers and merge theirs.
@@ -95,16 +102,19 @@
         """Merge a change to the records that ``control`` owns.
 
         Requests the full list instead if the change does not follow
-        the version received last.
+        the version received last.  Unusable records are left out.
         """
+        usable = leave_out_unusable(change)
+        if usable is not change:
+            _log.warning("endpoint_records_refused", peer=control)
         self._last_received_at[control] = self._clock.monotonic()
         if change.is_full:
-            self._store.replace_all(change.records, control)
+            self._store.replace_all(usable.records, control)
         elif self._received_versions.get(control) == (
             change.source,
             change.base_version,
         ):
-            self._store.merge(change.records, control)
+            self._store.merge(usable.records, control)
         else:
             self._links.send(control, EndpointsRequest(self._own_name))
             return
--- a/packages/daemon/src/rhubarbhollow_daemon/node_connections.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_connections.py
@@ -11,6 +11,7 @@
 from rhubarbhollow_daemon.node_messages import EndpointsRequest
 from rhubarbhollow_distribution.active_report import ActiveReport
 from rhubarbhollow_distribution.admission import Admitted, Queued
+from rhubarbhollow_distribution.endpoint_record import is_usable
 from rhubarbhollow_distribution.endpoint_report import EndpointReport
 from rhubarbhollow_distribution.node_heartbeat import NodeHeartbeat
 from rhubarbhollow_distribution.redirect import Redirect, RedirectReason
@@ -111,7 +112,7 @@
             return
         match message:
             case EndpointReport():
-                self._merge(message)
+                self._merge(link.hello.node, message)
                 self._register.accept(link.hello.node, message)
             case (
                 ActiveReport() | NodeHeartbeat() | StageRequest()
@@ -278,8 +279,20 @@
             for message in self._relay.recent():
                 link.send(message)
 
-    def _merge(self, report: EndpointReport) -> None:
-        changed = self._store.merge(report.records, self._welcome.control)
+    def _merge(self, node: str, report: EndpointReport) -> None:
+        """Merge the usable records that a node reports of itself."""
+        records = tuple(
+            record
+            for record in report.records
+            if record.node == node and is_usable(record)
+        )
+        if len(records) < len(report.records):
+            _log.warning(
+                "endpoint_records_refused",
+                node=node,
+                count=len(report.records) - len(records),
+            )
+        changed = self._store.merge(records, self._welcome.control)
         self._exchange.publish(changed)
 
     def _end_lease(self, name: str) -> None:
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -28,7 +28,10 @@
 from rhubarbhollow_distribution.control_address import is_usable
 from rhubarbhollow_distribution.control_heartbeat import ControlHeartbeat
 from rhubarbhollow_distribution.control_list import ControlList
-from rhubarbhollow_distribution.endpoint_change import EndpointChange
+from rhubarbhollow_distribution.endpoint_change import (
+    EndpointChange,
+    leave_out_unusable,
+)
 from rhubarbhollow_distribution.hello import Hello
 from rhubarbhollow_distribution.position_check import PositionCheck
 from rhubarbhollow_distribution.stage import Stage
@@ -253,7 +256,10 @@
         )
 
     def _change_endpoints(self, change: EndpointChange) -> None:
-        match self._endpoints.apply(change):
+        usable = leave_out_unusable(change)
+        if usable is not change:
+            _log.warning("endpoint_records_refused", source=change.source)
+        match self._endpoints.apply(usable):
             case Ok(changed):
                 self._view.update(changed)
             case Err(fault):
--- a/packages/daemon/tests/test_endpoint_exchange.py
+++ b/packages/daemon/tests/test_endpoint_exchange.py
@@ -8,6 +8,7 @@
     EndpointExchange,
 )
 from rhubarbhollow_daemon.node_messages import EndpointsRequest
+from rhubarbhollow_distribution.endpoint_change import EndpointChange
 from rhubarbhollow_distribution.endpoint_pacer import EndpointPacer
 from rhubarbhollow_distribution.endpoint_record import EndpointRecord
 from rhubarbhollow_distribution.endpoint_store import EndpointStore
@@ -151,3 +152,23 @@
         mesh.step(loss=0.0)
     mesh.instances["c1"].exchange.tick()
     assert all(not message.records for message in link.queue)
+
+
+def test_an_odd_record_of_a_peer_leaves_the_others_in_use():
+    """One odd record must cost neither the others nor the full list."""
+    mesh = Mesh(1)
+    receiver = mesh.instances["c1"]
+    receiver.by_name["c2"].toggle()
+    good = EndpointRecord("u", "desk", "n1", "", "::1", 1, 9, 1, -1, 1, 1)
+    odd = replace(good, name="v", peer_port=1 << 30)
+    changes = [
+        EndpointChange("c2/1", 0, 1, (odd, good), is_full=True),
+        EndpointChange("c2/1", 1, 2, (odd,), is_full=False),
+        EndpointChange(
+            "c2/1", 2, 3, (odd, replace(good, sequence=2)), is_full=False
+        ),
+    ]
+    for change in changes:
+        receiver.exchange.receive("c2", change)
+    assert receiver.store.records == (replace(good, sequence=2),)
+    assert not receiver.by_name["c2"].queue
--- a/packages/daemon/tests/test_node_connections.py
+++ b/packages/daemon/tests/test_node_connections.py
@@ -154,6 +154,29 @@
     assert not new.is_ended
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"peer_port": 65_536},
+        {"peer_host": "a..b"},
+        {"state": 99},
+        {"incarnation": 1 << 62},
+        # A node tells of itself only.
+        {"node": "n2"},
+        {"node": "n2", "incarnation": 1 << 60},
+    ],
+)
+def test_an_odd_record_leaves_the_others_of_its_report(changes):
+    """An odd record must not reach a process that uses it."""
+    harness = Harness()
+    link = harness.join()
+    good = replace(RECORD, name="good", sequence=2)
+    odd = replace(RECORD, name="odd", sequence=3, **changes)
+    report = EndpointReport((odd, good))
+    harness.nodes.handle_message(link, report, VIEW)
+    assert harness.store.records == (RECORD, good)
+
+
 def test_a_node_that_misses_endpoint_changes_is_disconnected():
     """Guard against a node whose endpoint table stays outdated.
 
--- a/packages/daemon/tests/test_node_state.py
+++ b/packages/daemon/tests/test_node_state.py
@@ -1,5 +1,6 @@
 """Dispatch of control messages in a node and the responses to them."""
 
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -18,6 +19,7 @@
 from rhubarbhollow_distribution.active_report import ActiveReport
 from rhubarbhollow_distribution.control_heartbeat import ControlHeartbeat
 from rhubarbhollow_distribution.endpoint_change import EndpointChange
+from rhubarbhollow_distribution.endpoint_record import EndpointRecord
 from rhubarbhollow_distribution.endpoint_table import NeedsEndpoints
 from rhubarbhollow_distribution.stage import Stage
 from rhubarbhollow_distribution.stage_fault import (
@@ -101,6 +103,16 @@
     assert (name, message) in parts.calls
 
 
+def test_an_odd_endpoint_record_is_left_out_of_its_change():
+    """A call must not meet an address that it cannot connect to."""
+    good = EndpointRecord("u", "desk", "n2", "", "::1", 1, 9, 1, -1, 1, 1)
+    odd = replace(good, name="v", peer_host="a..b")
+    parts = Parts(Ok(()))
+    change = replace(CHANGE, records=(odd, good))
+    state_of(parts).handle_message(change)
+    assert ("apply", replace(CHANGE, records=(good,))) in parts.calls
+
+
 def test_no_routes_are_installed_without_an_active_release():
     """Guard against errors before the first release is active."""
     parts = Parts(SimpleNamespace())
--- a/packages/distribution/src/rhubarbhollow_distribution/endpoint_change.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/endpoint_change.py
@@ -1,8 +1,11 @@
 """The message that updates a node's endpoint table."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from rhubarbhollow_distribution.endpoint_record import EndpointRecord
+from rhubarbhollow_distribution.endpoint_record import (
+    EndpointRecord,
+    is_usable,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,3 +23,11 @@
     version: int
     records: tuple[EndpointRecord, ...]
     is_full: bool
+
+
+def leave_out_unusable(change: EndpointChange) -> EndpointChange:
+    """Return the change without the records that cannot be used."""
+    records = tuple(filter(is_usable, change.records))
+    if len(records) == len(change.records):
+        return change
+    return replace(change, records=records)
--- a/packages/distribution/src/rhubarbhollow_distribution/endpoint_record.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/endpoint_record.py
@@ -2,9 +2,21 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, replace
 from enum import IntEnum
-from typing import TypeAlias
+from typing import Final, TypeAlias
+
+from rhubarbhollow_distribution.control_address import MAX_PORT, is_host
+
+MAX_SLOTS: Final = 10_000
+MAX_LOAD_PERCENT: Final = 100
+# Half of what the wire carries, so that a higher incarnation than that
+# of any record can be assigned.
+MAX_ORDER: Final = 1 << 61
+MAX_TEXT_CHARACTERS: Final = 255
+# Visible ASCII characters, since the name is a field of each call.
+_NAME: Final = re.compile(f"[!-~]{{1,{MAX_TEXT_CHARACTERS}}}")
 
 EndpointKey: TypeAlias = tuple[str, str]
 
@@ -57,3 +69,23 @@
     def to_tombstone(self) -> EndpointRecord:
         """Return a tombstone of the same order."""
         return replace(self, state=int(EndpointState.GONE))
+
+
+def is_usable(record: EndpointRecord) -> bool:
+    """Return whether a record from another process can be used."""
+    texts = (record.service, record.node, record.data_centre)
+    numbers = (
+        (record.peer_port, 1, MAX_PORT),
+        (record.slots, 1, MAX_SLOTS),
+        (record.state, min(EndpointState), max(EndpointState)),
+        # A negative load is one that is not known.
+        (record.load_percent, -1, MAX_LOAD_PERCENT),
+        (record.incarnation, 0, MAX_ORDER),
+        (record.sequence, 0, MAX_ORDER),
+    )
+    return (
+        bool(_NAME.fullmatch(record.name))
+        and is_host(record.peer_host)
+        and all(len(text) <= MAX_TEXT_CHARACTERS for text in texts)
+        and all(low <= number <= high for number, low, high in numbers)
+    )
