Refuse a connection to a host that cannot be resolved

What would be seen: a call to an upstream whose node has such a host waited for its time limit, got 504, and kept its place among the waiters. No other node was tried.

Cause: a host with an empty or a long part raises ValueError, which the task that connects did not expect; it ended without a word to the waiter.

Why the fix works: every error of a connection attempt now reaches the waiter as a refusal that proves that nothing was written, so the call goes on to another upstream.

--- a/packages/calls/src/rhubarbhollow_calls/io_pool.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_pool.py
@@ -24,6 +24,10 @@
 KEEPALIVE_INTERVAL_SECONDS: Final = 1
 KEEPALIVE_PROBES: Final = 1
 
+# A host or a port that no socket can have raises one of the latter two.
+# A waiter must hear of any of them, or it waits for its time limit.
+_CONNECT_ERRORS: Final = (OSError, ValueError, OverflowError)
+
 
 class ConnectFault(Enum):
     """Name the reason why no connection was available.
@@ -206,7 +210,7 @@
                 )
         except TimeoutError:
             fault = ConnectFault.TIMED_OUT
-        except OSError:
+        except _CONNECT_ERRORS:
             fault = ConnectFault.REFUSED
         finally:
             task = asyncio.current_task()
--- a/packages/calls/tests/test_io_pool.py
+++ b/packages/calls/tests/test_io_pool.py
@@ -1,6 +1,7 @@
 """Connection reuse, idle timeouts and limits."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from tests.standin.http_client import encode_call
@@ -77,6 +78,23 @@
     pool_test(check)
 
 
+@pytest.mark.parametrize("host", ["a..b", "a" * 64, "\u00e9" * 64, "\0"])
+def test_a_host_that_cannot_be_resolved_is_refused_at_once(host):
+    """Guard against a call that waits for a connection in vain."""
+
+    async def check(mesh, upstream, a, b):
+        good = mesh.endpoints["desk-b"]
+        mesh.endpoints["desk-b"] = replace(good, peer_host=host)
+        mesh._publish_endpoints()
+        client = await mesh.client("a")
+        answer = await client.get("/")
+        assert answer.headers["rhubarbhollow-refusal"] == "unreachable"
+        assert answer.headers["rhubarbhollow-executed"] == "no"
+        assert not upstream.requests
+
+    pool_test(check)
+
+
 def test_calls_wait_for_connections_up_to_a_limit():
     """Guard against an unbounded queue when the pool is exhausted."""
 
