Confirm a release by all that a fresh source sends

What callers would see: 404 for a route of an accepted release for up to the silence timeout after their node changed its source, since the new source had not named the position yet; and 503 in place of 404 from a node in a healthy mesh whose source sends changes all the time.

Cause: the position that a source had named was forgotten with it. A source sends no heartbeat while it has other messages, so that a series of changes 0.2 to 0.39 s apart kept the node without a confirmation.

Why it works: a source tells at once that it is no longer fresh, so that any message of one that has not told so confirms; a report that it isn't fresh ends what was confirmed. The highest position that any source has named is kept. is_release_current is is_release_confirmed now, after what it says.

--- a/packages/calls/src/rhubarbhollow_calls/io_caller.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller.py
@@ -144,7 +144,7 @@
                 RefusalKind.NO_RELEASE,
                 "no release is in force at this node",
             )
-        elif state is None and not self._node.is_release_current():
+        elif state is None and not self._node.is_release_confirmed():
             kind, detail = (
                 RefusalKind.ROUTE_UNCONFIRMED,
                 "no route matches, but a newer release may be in force",
--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -73,7 +73,7 @@
         claims: ClaimPort | None = None,
         observer: CallObserver | None = None,
         random: Random | None = None,
-        is_release_current: Callable[[], bool] | None = None,
+        is_release_confirmed: Callable[[], bool] | None = None,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -83,7 +83,7 @@
         self.local_port: LocalPort | None = None
         self.position_field_line = b""
         self.is_draining = False
-        self.is_release_current = is_release_current or _assume_current
+        self.is_release_confirmed = is_release_confirmed or _assume_confirmed
         self._is_leaving = False
         self._stops_at = math.inf
         self._random = random or Random()  # noqa: S311 - jitter
@@ -415,5 +415,5 @@
     """Discard a quarantine message."""
 
 
-def _assume_current() -> bool:
+def _assume_confirmed() -> bool:
     return True
--- a/packages/calls/tests/test_io_answers.py
+++ b/packages/calls/tests/test_io_answers.py
@@ -70,13 +70,13 @@
     async def check(mesh, upstream, client):
         for member in mesh.nodes.values():
             member.node.route = lambda host, target: None
-            member.node.is_release_current = lambda: False
+            member.node.is_release_confirmed = lambda: False
         client.send(b"GET /new HTTP/1.1\r\nhost:a\r\n\r\n")
         answer = await client.read_answer()
         assert answer.status == 503
         assert answer.headers["rhubarbhollow-executed"] == "no"
         for member in mesh.nodes.values():
-            member.node.is_release_current = lambda: True
+            member.node.is_release_confirmed = lambda: True
         client.send(b"GET /new HTTP/1.1\r\nhost:a\r\n\r\n")
         assert (await client.read_answer()).status == 404
 
--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -102,7 +102,7 @@
         outbox.put,
         claims,
         NodeCallObserver(burn, refused_call_log, clock, DecisionLog(clock)),
-        is_release_current=state.is_release_current,
+        is_release_confirmed=state.is_release_confirmed,
     )
     state.attach(call_node)
     traffic = Traffic(data_centre)
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -114,12 +114,9 @@
         """Return the messages on requests that crash upstreams."""
         return self._quarantine.messages()
 
-    def is_release_current(self) -> bool:
-        """Return whether no later release is in force elsewhere.
-
-        It is false while that is not known.
-        """
-        return self._chooser.is_current(self._holder.active_position)
+    def is_release_confirmed(self) -> bool:
+        """Return whether no later release may be in force elsewhere."""
+        return self._chooser.is_confirmed(self._holder.active_position)
 
     def attach(self, call_node: CallNode) -> None:
         """Install releases in ``call_node`` from now on."""
--- a/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
@@ -85,6 +85,8 @@
         self._behind_since: float | None = None
         self._observed_position = 0
         self._source_position = 0
+        # The highest position that any source has named.
+        self._named_position = 0
         self._alternative_at = 0.0
         self._is_on_trial = False
 
@@ -99,19 +101,19 @@
         elapsed = self._clock.monotonic() - self._heard_at
         return self._current is not None and elapsed >= self._silence_seconds
 
-    def is_current(self, position: int) -> bool:
+    def is_confirmed(self, position: int) -> bool:
         """Return whether ``position`` is known to be the latest one.
 
-        That holds if a source has reported within the silence timeout
-        that it is fresh, and neither it nor a call from another node
-        has named a later position.
+        That holds if a source was heard within the silence timeout and
+        has not reported that it isn't fresh, and no source and no call
+        from another node has named a later position.
         """
         if self._fresh_at is None:
             return False
         age = self._clock.monotonic() - self._fresh_at
         if age >= self._silence_seconds:
             return False
-        return max(self._source_position, self._observed_position) <= position
+        return max(self._named_position, self._observed_position) <= position
 
     def learn(self, addresses: Iterable[ControlAddress]) -> None:
         """Add control instances, or data centres of known ones."""
@@ -214,8 +216,14 @@
             self.note_failed(lost.address)
 
     def note_message(self) -> None:
-        """Record the time of a message from the source."""
+        """Record the time of a message from the source.
+
+        A source reports at once that it is no longer fresh, and sends
+        no heartbeat while it has other messages to send.
+        """
         self._heard_at = self._clock.monotonic()
+        if self._stale_since is None:
+            self._fresh_at = self._heard_at
 
     def note_heartbeat(self, heartbeat: ControlHeartbeat) -> None:
         """Record the freshness and position reported by the source."""
@@ -226,12 +234,15 @@
             self._stale_since = None
             self._is_on_trial = False
             self._reset_suspicions()
-        elif self._stale_since is None:
-            self._stale_since = now
+        else:
+            self._fresh_at = None
+            if self._stale_since is None:
+                self._stale_since = now
         self.note_source_position(heartbeat.latest_position)
 
     def note_source_position(self, position: int) -> None:
         """Record a position that the source has offered."""
+        self._named_position = max(self._named_position, position)
         self._source_position = max(self._source_position, position)
         self._compare_positions()
 
--- a/packages/distribution/tests/test_source_choice.py
+++ b/packages/distribution/tests/test_source_choice.py
@@ -328,22 +328,40 @@
         chooser_of(ManualClock(), controls=())
 
 
-def test_a_release_is_current_only_while_a_fresh_source_confirms_it():
+def test_a_release_is_confirmed_only_by_a_fresh_source():
     clock = ManualClock()
     chooser = chooser_of(clock)
     chooser.note_connected(LOCAL_1)
-    assert not chooser.is_current(5)
+    assert not chooser.is_confirmed(5)
     beat(chooser)
-    assert chooser.is_current(5)
-    # A change of the source doesn't end what was confirmed just before.
-    chooser.note_connected(FAR_1)
-    clock.advance(SILENCE_SECONDS / 2)
-    assert chooser.is_current(5)
+    assert chooser.is_confirmed(5)
+    clock.advance(SILENCE_SECONDS)
+    assert not chooser.is_confirmed(5)
+    # A source that sends changes all the time sends no heartbeat.
+    chooser.note_message()
+    assert chooser.is_confirmed(5)
+    chooser.note_observed(6)
+    assert not chooser.is_confirmed(5)
+    assert chooser.is_confirmed(6)
+
+
+def test_a_source_that_is_not_fresh_confirms_nothing():
+    chooser = chooser_of(ManualClock())
+    chooser.note_connected(LOCAL_1)
+    beat(chooser)
+    # What was queued before the report confirms nothing after it.
+    chooser.note_message()
     beat(chooser, is_fresh=False)
-    clock.advance(SILENCE_SECONDS / 2)
-    assert not chooser.is_current(5)
+    chooser.note_message()
+    assert not chooser.is_confirmed(5)
+    beat(chooser)
+    assert chooser.is_confirmed(5)
+
+
+def test_a_change_of_the_source_forgets_no_accepted_release():
+    chooser = chooser_of(ManualClock())
+    chooser.note_connected(LOCAL_1)
     beat(chooser, latest=6)
-    assert not chooser.is_current(5)
-    assert chooser.is_current(6)
-    chooser.note_observed(7)
-    assert not chooser.is_current(6)
+    chooser.note_connected(FAR_1)
+    chooser.note_message()
+    assert not chooser.is_confirmed(5)
