Test the loss of leader and follower around restarts, and planned stops

It now restarts at once and 7 s after the removal, and loses the leader as well as a follower. The test of routes that aren't denied also checks the kind of the refusal and that 404 returns; another one accepts nothing but 503 before 404.

Each run has a network of its own now.

--- a/tests/processes/test_odd_entries.py
+++ b/tests/processes/test_odd_entries.py
@@ -11,6 +11,7 @@
 
 from tests.processes.test_platform_roles import (
     CONTROL_PORT,
+    NETWORK,
     Platform,
     Upstream,
     answer_with_target,
@@ -22,8 +23,8 @@
     wait_for_result,
 )
 
-CONTROL_HOSTS = ("127.1.2.1", "127.1.2.2", "127.1.2.3")
-NODE_HOSTS = ("127.1.2.11", "127.1.2.12")
+CONTROL_HOSTS = (f"{NETWORK}.2.1", f"{NETWORK}.2.2", f"{NETWORK}.2.3")
+NODE_HOSTS = (f"{NETWORK}.2.11", f"{NETWORK}.2.12")
 HOSTS = (*CONTROL_HOSTS, *NODE_HOSTS)
 BORN = 1_700_000_000_000
 NESTED = "[" * 100_000 + "]" * 100_000
@@ -260,7 +261,7 @@
     "not ASCII": {"Seeds": [GOOD_SEED, f"{'é' * 70}:{CONTROL_PORT}"]},
     "zero byte": {"Seeds": [GOOD_SEED, f"\0:{CONTROL_PORT}"]},
     "no host": {"Seeds": [GOOD_SEED, f":{CONTROL_PORT}"]},
-    "port": {"Seeds": [GOOD_SEED, f"127.1.2.99:{10**400}"]},
+    "port": {"Seeds": [GOOD_SEED, f"{NETWORK}.2.99:{10**400}"]},
     "times": {"HeartbeatIntervalS": 1e300, "Bounds": {"GracePeriodS": 1e300}},
 }
 # Longer than the files are polled at, and than a link needs to connect.
--- a/tests/processes/test_platform_roles.py
+++ b/tests/processes/test_platform_roles.py
@@ -28,8 +28,10 @@
 CONTROL_PORT = 18144
 # The settings of the platform name at most three control instances.
 SEED_COUNT = 3
-HOSTS = ("127.1.0.1", "127.1.0.2", "127.1.0.3")
-NODE_HOSTS = ("127.1.0.11", "127.1.0.12")
+# Test runs side by side use the same ports, so each has a network.
+NETWORK = f"127.{1 + os.getpid() % 250}"
+HOSTS = (f"{NETWORK}.0.1", f"{NETWORK}.0.2", f"{NETWORK}.0.3")
+NODE_HOSTS = (f"{NETWORK}.0.11", f"{NETWORK}.0.12")
 HOST = "shop.example"
 
 
@@ -135,12 +137,16 @@
     return 0, b""
 
 
-def wait_for_result(query, expected):
-    """Repeat a query until it returns the expected result."""
+def wait_for_result(query, expected, waits_for=None):
+    """Repeat a query until it returns the expected result.
+
+    With ``waits_for`` only that may be returned before.
+    """
     deadline = time.monotonic() + START_SECONDS
     answer = query()
     while answer != expected:
         assert time.monotonic() < deadline, answer
+        assert waits_for in (None, answer), answer
         time.sleep(0.05)
         answer = query()
 
@@ -269,7 +275,9 @@
             wait_for_result(lambda host=host: send_call(host), (200, b"/a/x"))
         # Until a control instance confirms its release, a node answers
         # 503 for a path without a route.
-        wait_for_result(lambda: send_call(NODE_HOSTS[1], "/b/x")[0], 404)
+        wait_for_result(
+            lambda: send_call(NODE_HOSTS[1], "/b/x")[0], 404, waits_for=503
+        )
         # The change is accepted while one control instance is down, and
         # that instance catches up after its restart.
         platform.signal(HOSTS[0], signal.SIGKILL)
--- a/tests/processes/test_replaced_instance.py
+++ b/tests/processes/test_replaced_instance.py
@@ -10,6 +10,7 @@
 
 from tests.processes.test_platform_roles import (
     HOSTS,
+    NETWORK,
     NODE_HOSTS,
     Platform,
     build_document,
@@ -20,7 +21,7 @@
     wait_for_result,
 )
 
-SUCCESSOR = "127.1.0.4"
+SUCCESSOR = f"{NETWORK}.0.4"
 CONTROL_PORT = 18144
 # Another disk may be lost this long after the successor has started.
 CATCH_UP_SECONDS = 4.0
@@ -38,27 +39,51 @@
     running.stop()
 
 
-@pytest.mark.parametrize("is_core_restarted", [False, True])
+@pytest.mark.parametrize("is_leader_lost", [False, True])
+@pytest.mark.parametrize("restart_seconds", [None, 0.0, 7.0])
 def test_losing_a_disk_after_an_instance_was_replaced_keeps_the_quorum(
-    platform, is_core_restarted
+    platform, restart_seconds, is_leader_lost
 ):
     first, second = build_document(2), build_document(7, "/b/")
     wait_for_result(lambda: put_configuration(HOSTS[0], first, 0), 200)
     platform.kill(HOSTS[0])
+    removed_at = time.monotonic()
     platform.start(SUCCESSOR, FirstStart=False)
     wait_for_result(lambda: is_listening(SUCCESSOR), True)
-    started_at = time.monotonic()
-    if is_core_restarted:
-        restart_later(platform)
-        started_at = time.monotonic()
-    sleep_until(started_at + CATCH_UP_SECONDS)
+    if restart_seconds is not None:
+        # All that was counted until now begins anew with the leader.
+        sleep_until(removed_at + restart_seconds)
+        restart_core(platform)
+    time.sleep(CATCH_UP_SECONDS)
+    leader, *others = sort_leader_first(platform)
+    lost, kept = (leader, others[0]) if is_leader_lost else (others[0], leader)
+    platform.kill(lost)
+    shutil.rmtree(platform.data_folder(lost))
+    deadline = time.monotonic() + RECOVERY_SECONDS
+    while put_configuration(kept, second, 2) != 200:
+        assert time.monotonic() < deadline
+        time.sleep(0.05)
+    wait_for_result(lambda: get_configuration(kept), second)
+
+
+@pytest.mark.parametrize("wait_seconds", [0.0, 2.5])
+def test_a_planned_replacement_leaves_a_quorum_for_the_next_loss(
+    platform, wait_seconds
+):
+    first, second = build_document(2), build_document(7, "/b/")
+    wait_for_result(lambda: put_configuration(HOSTS[0], first, 0), 200)
+    platform.start(SUCCESSOR, FirstStart=False)
+    wait_for_result(lambda: get_configuration(SUCCESSOR), first)
+    time.sleep(CATCH_UP_SECONDS)
+    platform.signal(HOSTS[0], signal.SIGTERM)
+    platform.wait(HOSTS[0])
+    time.sleep(wait_seconds)
     platform.kill(HOSTS[1])
     shutil.rmtree(platform.data_folder(HOSTS[1]))
     deadline = time.monotonic() + RECOVERY_SECONDS
     while put_configuration(SUCCESSOR, second, 2) != 200:
         assert time.monotonic() < deadline
         time.sleep(0.05)
-    assert get_configuration(HOSTS[2]) == second
 
 
 def test_a_restart_moves_no_second_vote_into_a_data_centre(tmp_path):
@@ -89,18 +114,30 @@
         platform.stop()
 
 
-def restart_later(platform):
+def restart_core(platform):
     """Restart the remaining instances, which elects a leader anew."""
-    time.sleep(7.0)
-    for host in (HOSTS[1], HOSTS[2], SUCCESSOR):
+    hosts = (HOSTS[1], HOSTS[2], SUCCESSOR)
+    for host in hosts:
         platform.signal(host, signal.SIGKILL)
-    for host in (HOSTS[1], HOSTS[2], SUCCESSOR):
+    for host in hosts:
         platform.wait(host)
         platform.start(host)
-    for host in (HOSTS[1], HOSTS[2], SUCCESSOR):
+    for host in hosts:
         wait_for_result(lambda host=host: is_listening(host), True)
 
 
+def sort_leader_first(platform):
+    """Return the hosts that are left, the leader first."""
+
+    def is_leader(host):
+        log = platform.read_log(host)
+        changes = [x for x in log.splitlines() if "event=role_changed" in x]
+        return bool(changes) and "role=leader" in changes[-1]
+
+    hosts = (HOSTS[1], HOSTS[2], SUCCESSOR)
+    return sorted(hosts, key=is_leader, reverse=True)
+
+
 def is_listening(host):
     path = "/rhubarbhollow/configuration"
     return send_request("GET", host, CONTROL_PORT, path)[0] != 0
@@ -120,5 +157,10 @@
         platform.kill(host)
     # The remaining instance can't tell whether a release was accepted.
     time.sleep(CATCH_UP_SECONDS)
-    statuses = {send_call(node, "/b/x")[0] for _ in range(20)}
-    assert statuses == {503}
+    for _ in range(20):
+        status, body = send_call(node, "/b/x")
+        assert status == 503
+        assert b"route_unconfirmed" in body
+    for host in HOSTS[:2]:
+        platform.start(host)
+    wait_for_result(lambda: send_call(node, "/b/x")[0], 404)
