Drop a message that cannot be sent, not its connection

What would be seen: one value beyond the range of its field, in any message, ended the process that was to send it; one beyond what receivers accept, or a message above the size of a frame, ended its connection, and the next one as soon as it was sent again.

Cause: an error of the codec ended the task that sends, and with it the process. The codec encoded integers that it refuses to decode, and a sender did not look at the size that a receiver refuses.

Why the fix works: what a sender cannot encode, or a receiver would refuse, is left out of the batch, counted and logged; the messages beside it are sent and the connection stays. The protocols repeat what matters, and a message that cannot be sent would fail on each connection.

--- a/packages/daemon/src/rhubarbhollow_daemon/outbox.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/outbox.py
@@ -5,6 +5,10 @@
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import structlog
+from result import Err
+
+from rhubarbhollow_wire.faults import FrameTooLarge, UnencodableMessage
 
 if TYPE_CHECKING:
     from rhubarbhollow_wire.connection import FrameConnection
@@ -12,6 +16,8 @@
 OUTBOX_MESSAGES: Final = 4_096
 BATCH_MESSAGES: Final = 64
 
+_log = structlog.get_logger()
+
 
 class Outbox:
     """Queue messages from any task for the one task that sends them.
@@ -45,7 +51,11 @@
             pass
 
     async def pump(self, connection: FrameConnection) -> None:
-        """Send queued messages in batches until a send fails."""
+        """Send queued messages in batches until a send fails.
+
+        A message that cannot be sent costs only itself: it would fail
+        on the next connection too.
+        """
         while True:
             batch = [await self._receiver.receive()]
             while len(batch) < BATCH_MESSAGES:
@@ -54,8 +64,12 @@
                     break
                 batch.append(message)
             sent = await connection.send(*batch)
-            if sent.is_err():
-                return
+            match sent:
+                case Err(UnencodableMessage() | FrameTooLarge() as fault):
+                    self._dropped += 1
+                    _log.error("message_not_sent", fault=repr(fault))
+                case Err():
+                    return
 
     def _maybe_next(self) -> object | None:
         try:
--- a/packages/daemon/tests/test_outbox.py
+++ b/packages/daemon/tests/test_outbox.py
@@ -3,7 +3,11 @@
 from result import Err, Ok
 
 from rhubarbhollow_daemon.outbox import BATCH_MESSAGES, Outbox
-from rhubarbhollow_wire.faults import ConnectionEnded
+from rhubarbhollow_wire.faults import (
+    ConnectionEnded,
+    FrameTooLarge,
+    UnencodableMessage,
+)
 
 
 class Connection:
@@ -42,6 +46,34 @@
     assert connection.sent == [tuple(range(min(limit, count)))]
 
 
+@pytest.mark.parametrize(
+    "fault",
+    [UnencodableMessage("CrashReport", "OverflowError"), FrameTooLarge(9, 8)],
+)
+def test_a_message_that_cannot_be_sent_leaves_the_pump_running(fault):
+    """One odd value must end neither the connection nor the process."""
+
+    class Choosy(Connection):
+        async def send(self, *messages):
+            if messages == ("odd",):
+                return Err(fault)
+            return await super().send(*messages)
+
+    outbox, connection = Outbox(), Choosy(1)
+
+    async def run():
+        async with anyio.create_task_group() as group:
+            group.start_soon(outbox.pump, connection)
+            for message in ("odd", "good"):
+                outbox.put(message)
+                await anyio.wait_all_tasks_blocked()
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert connection.sent == [("good",)]
+    assert outbox.dropped == 1
+
+
 def test_failed_connection_ends_the_pump():
     """The pump must return, and not drop the rest, on a failed send.
 
--- a/packages/wire/src/rhubarbhollow_wire/codec.py
+++ b/packages/wire/src/rhubarbhollow_wire/codec.py
@@ -16,6 +16,7 @@
 from rhubarbhollow_wire.faults import (
     MissingField,
     UndecodableFrame,
+    UnencodableMessage,
     UnexpectedFrame,
     WireFault,
 )
@@ -29,7 +30,15 @@
 # Bounds positions, terms and ids, so that sums of them still fit the 64
 # bits of the wire.
 MAX_INTEGER: Final = 1 << 62
+_WIRE_MAX_INTEGER: Final = 1 << 63
 
+_ENCODE_ERRORS: Final = (
+    TException,
+    ValueError,
+    TypeError,
+    OverflowError,
+    struct.error,
+)
 _DECODE_ERRORS: Final = (
     TException,
     EOFError,
@@ -80,15 +89,35 @@
             self._frame_fields[message_type] = frame_field
             self._message_types[frame_field] = message_type
 
-    def encode(self, message: object) -> bytes:
-        """Encode a message as the bytes of a frame."""
+    def encode(
+        self, message: object, max_integer: int = _WIRE_MAX_INTEGER
+    ) -> bytes:
+        """Encode a message as the bytes of a frame.
+
+        Raise one of several errors if a value cannot be encoded, or
+        ``OverflowError`` if an integer is beyond ``max_integer``.
+        """
         frame = ttypes.Frame()
         frame_field = self._frame_fields[type(message)]
-        setattr(frame, frame_field, self._to_struct(message))
+        setattr(frame, frame_field, self._to_struct(message, max_integer))
         buffer = TMemoryBuffer()
         frame.write(self._factory.getProtocol(buffer))
         return bytes(buffer.getvalue())
 
+    def try_encode(self, message: object) -> Result[bytes, WireFault]:
+        """Encode a message that ``decode`` accepts, or return why not.
+
+        A receiver closes the connection at one that it cannot decode.
+        """
+        try:
+            return Ok(self.encode(message, MAX_INTEGER))
+        except _ENCODE_ERRORS as error:
+            return Err(
+                UnencodableMessage(
+                    type(message).__name__, type(error).__name__
+                )
+            )
+
     def decode(self, data: bytes) -> Result[object, WireFault]:
         """Decode the single message of a frame."""
         frame = ttypes.Frame()
@@ -120,21 +149,23 @@
             self._schemas[message_type] = schema
         return schema
 
-    def _to_struct(self, message: object) -> object:
+    def _to_struct(self, message: object, max_integer: int) -> object:
         schema = self._schema_of(type(message))
         values = {
-            wire_name: self._to_wire(getattr(message, name))
+            wire_name: self._to_wire(getattr(message, name), max_integer)
             for name, wire_name, _ in schema.fields
         }
         return schema.struct(**values)
 
-    def _to_wire(self, value: object) -> object:
+    def _to_wire(self, value: object, max_integer: int) -> object:
         if isinstance(value, tuple):
-            return [self._to_wire(item) for item in value]
+            return [self._to_wire(item, max_integer) for item in value]
         if is_dataclass(value):
-            return self._to_struct(value)
+            return self._to_struct(value, max_integer)
         if isinstance(value, IntEnum):
             return int(value)
+        if isinstance(value, int) and abs(value) > max_integer:
+            raise OverflowError(f"{value:#x} is beyond {max_integer:#x}")
         return value
 
     def _from_struct(self, message_type: type, body: object) -> object:
--- a/packages/wire/src/rhubarbhollow_wire/connection.py
+++ b/packages/wire/src/rhubarbhollow_wire/connection.py
@@ -76,16 +76,30 @@
         return Ok(None)
 
     async def send(self, *messages: object) -> Result[None, WireFault]:
-        """Encode messages and send their frames in a single write."""
+        """Encode messages and send their frames in a single write.
+
+        A message that cannot be encoded, or that the other side would
+        refuse for its size, is left out and returned as the fault; the
+        others are sent, and the connection remains usable.
+        """
         parts = bytearray()
+        fault: Result[None, WireFault] = Ok(None)
         for message in messages:
-            body = self._codec.encode(message)
+            encoded = self._codec.try_encode(message)
+            if isinstance(encoded, Err):
+                fault = encoded
+                continue
+            body = encoded.ok_value
+            if len(body) > self._max_frame_bytes:
+                fault = Err(FrameTooLarge(len(body), self._max_frame_bytes))
+                continue
             parts += _LENGTH.pack(len(body))
             parts += body
             self._traffic.count_frame(
                 message, _LENGTH.size + len(body), self._peer_data_centre
             )
-        return await self._send_bytes(bytes(parts))
+        sent = await self._send_bytes(bytes(parts))
+        return fault if sent.is_ok() else sent
 
     async def receive(self) -> Result[object, WireFault]:
         """Return the next message.
--- a/packages/wire/src/rhubarbhollow_wire/faults.py
+++ b/packages/wire/src/rhubarbhollow_wire/faults.py
@@ -30,6 +30,17 @@
     cause: str
 
 
+@dataclass(frozen=True, slots=True)
+class UnencodableMessage:
+    """A message to be sent has a value that the schema cannot hold.
+
+    ``cause`` is the name of the exception that encoding raised.
+    """
+
+    message: str
+    cause: str
+
+
 @dataclass(frozen=True, slots=True)
 class UnexpectedFrame:
     """A frame contains no message, several, or an unknown type."""
@@ -59,6 +70,7 @@
     FrameTooLarge
     | WrongPreface
     | UndecodableFrame
+    | UnencodableMessage
     | UnexpectedFrame
     | MissingField
     | ConnectionEnded
--- a/packages/wire/tests/test_connection.py
+++ b/packages/wire/tests/test_connection.py
@@ -6,12 +6,13 @@
 from anyio.streams.stapled import StapledObjectStream
 from result import Err, Ok
 
-from rhubarbhollow_wire.codec import MessageCodec
+from rhubarbhollow_wire.codec import MAX_INTEGER, MessageCodec
 from rhubarbhollow_wire.connection import PREFACE, FrameConnection
 from rhubarbhollow_wire.faults import (
     ConnectionEnded,
     FrameTooLarge,
     UndecodableFrame,
+    UnencodableMessage,
     WrongPreface,
 )
 from rhubarbhollow_wire.traffic import Traffic
@@ -64,6 +65,50 @@
     anyio.run(scenario)
 
 
+@pytest.mark.parametrize(
+    ("odd", "fault"),
+    [
+        # The receiver would refuse this one and close the connection.
+        (MAX_INTEGER + 1, UnencodableMessage("ActiveReport", "OverflowError")),
+        (1 << 63, UnencodableMessage("ActiveReport", "OverflowError")),
+        (-(10**400), UnencodableMessage("ActiveReport", "OverflowError")),
+        ("x", UnencodableMessage("ActiveReport", "TypeError")),
+    ],
+)
+def test_a_message_that_cannot_be_encoded_costs_only_itself(odd, fault):
+    """The messages beside it must arrive, and the connection stay."""
+
+    async def scenario():
+        left, right = connection_pair()
+        sender = FrameConnection(left, CODEC, Traffic())
+        receiver = FrameConnection(right, CODEC, Traffic())
+        batch = (ActiveReport(1), ActiveReport(odd), ActiveReport(2))
+        assert await sender.send(*batch) == Err(fault)
+        assert await sender.send(ActiveReport(3)) == Ok(None)
+        for position in (1, 2, 3):
+            received = await receiver.receive()
+            assert received == Ok(ActiveReport(position))
+
+    anyio.run(scenario)
+
+
+def test_a_message_above_the_limit_costs_only_itself():
+    """It must not end a connection that the next attempt ends again."""
+
+    async def scenario():
+        left, right = connection_pair()
+        size = len(CODEC.encode(ActiveReport(1)))
+        sender = FrameConnection(left, CODEC, Traffic(), max_frame_bytes=size)
+        receiver = FrameConnection(right, CODEC, Traffic())
+        large = ActiveReport(1 << 60)
+        sent = await sender.send(large, ActiveReport(2))
+        fault = FrameTooLarge(len(CODEC.encode(large)), size)
+        assert sent == Err(fault)
+        assert await receiver.receive() == Ok(ActiveReport(2))
+
+    anyio.run(scenario)
+
+
 @pytest.mark.parametrize(
     ("chunks", "fault"),
     [
