--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,10 +1,9 @@
-"""A target withdraws after its node's restart; a late beat follows.
+"""A node freezes for a second while changes come in quick succession.
 
-The node beside the target is stopped and started again on its own. The
-target then sends DELETE, which the node acknowledges. A heartbeat that
-the target sent before arrives late. The target goes on serving for some
-seconds, as the pages allow. No request may reach it later than
-``DrainPeriodS`` after the acknowledgement.
+An operator sends each change when the one before is acknowledged. The
+last one drops a route. Once the node is in touch again, and the last
+change was acknowledged ``ConfigPropagationS`` ago, no request on the
+dropped route may run.
 """
 
 from __future__ import annotations
@@ -25,116 +24,112 @@
 from target import Target  # noqa: E402
 
 SERVICE = "desk"
+SIDECARS = 4
+CHANGES = 300
+FREEZES_AFTER_S = 0.5
+FROZEN_S = 1.0
+REQUESTS = 40
+REQUEST_GAP_S = 0.1
+DEADLINE_MS = 1200
 BEAT_S = 1.5
-# The heartbeat arrives this long after it was sent.
-LATE_S = 2.5
-# The target serves for so long after its DELETE was acknowledged.
-SERVES_ON_S = 8.0
-CLIENT_GAP_S = 0.05
-DEADLINE_MS = 800
-RESTART_S = 1.0
+ROUNDS = 2
 
 
 class Case:
-    """Play the case and count the requests that came too late."""
+    """Play the case and count what ran on a dropped route."""
 
     def __init__(self, mesh: Mesh, record: Record) -> None:
         self.mesh = mesh
         self.record = record
-        self.sent_at: dict[str, float] = {}
+        self.version = 0
+        self.broken = 0
 
     async def run(self) -> int:
-        """Return how many requests reached the target too late."""
+        """Return how many requests ran on a route that was dropped."""
         mesh, record = self.mesh, self.record
-        beside = mesh.add_sidecar(1, SERVICE, 28145)
-        other = mesh.add_sidecar(2, SERVICE, 28145)
-        target = Target(beside, "i-7f3a91c2", SERVICE, note=record.note)
+        hosts = [
+            mesh.add_sidecar(1 + number % 3, SERVICE, 28145)
+            for number in range(SIDECARS)
+        ]
+        target = Target(hosts[0], "i-7f3a91c2", SERVICE, note=record.note)
         await target.start()
-        for host in (*mesh.cores, beside, other):
-            mesh.start(host)
-        rule = operator.build_rule("lookup", SERVICE, "safe", 0.5, 0.8)
-        document = operator.build_configuration(2, SERVICE, [rule])
-        await operator.order(mesh.cores, document, 0)
-        record.note("configuration 00000002 is acknowledged")
-        for host in (beside, other):
+        for each in (*mesh.cores, *hosts):
+            mesh.start(each)
+        await self._change("route-0")
+        for host in hosts:
             await operator.wait_ready(host)
-        await self._beat(target, target.beat_body())
-        await asyncio.sleep(BEAT_S)
-        await self._beat(target, target.beat_body())
-        await asyncio.sleep(0.5)
+        beats = asyncio.create_task(self._beat(target))
+        await asyncio.sleep(BOUNDS["ContactWindowS"])
+        for number in range(ROUNDS):
+            await self._play_round(number, hosts[1 + number])
+            if self.broken:
+                break
+        beats.cancel()
+        target.stop()
+        record.note(f"{self.broken} requests ran on a dropped route")
+        return self.broken
+
+    async def _play_round(self, number: int, frozen: str) -> None:
+        old, new = f"route-{number}", f"route-{number + 1}"
+        began_at = time.monotonic()
+        storm = asyncio.create_task(self._storm(old))
+        await asyncio.sleep(FREEZES_AFTER_S)
         if is_trouble():
-            await self._restart(beside)
-        # Sent now, but it arrives late.
-        late_beat = target.beat_body()
-        late = asyncio.create_task(self._beat_late(target, late_beat))
-        await asyncio.sleep(0.1)
-        answer = await target.send("DELETE")
-        acked_at = time.monotonic()
-        record.note(f"target sends DELETE: {answer.status}")
-        if answer.status != 200:
-            raise TimeoutError("the DELETE was not acknowledged")
-        until = acked_at + SERVES_ON_S
-        await asyncio.gather(
-            *(self._send_requests(host, until) for host in (beside, other))
+            self.mesh.send_signal(frozen, signal.SIGSTOP)
+            self.record.note(f"{frozen} freezes")
+            await asyncio.sleep(FROZEN_S)
+            self.mesh.send_signal(frozen, signal.SIGCONT)
+            self.record.note(f"{frozen} wakes")
+        await storm
+        seconds = time.monotonic() - began_at
+        self.record.note(f"{CHANGES} changes in {seconds:.2f} s")
+        await self._change(new)
+        # The node woke before the storm ended.
+        await asyncio.sleep(
+            BOUNDS["ContactWindowS"] + BOUNDS["ConfigPropagationS"]
         )
-        await late
-        target.stop()
-        bound = acked_at + BOUNDS["DrainPeriodS"]
-        too_late = [run for run in target.runs if run.at > bound]
-        for run in too_late[:5]:
-            record.note(
-                f"BROKEN: {run.request_id} reached the target"
-                f" {run.at - acked_at:.3f} s after the acknowledgement"
-            )
-        # Only machines in touch count: one that was started again is,
-        # once ``ContactWindowS`` has passed.
-        in_touch = acked_at + BOUNDS["ContactWindowS"]
-        counted = [run for run in too_late if run.at > in_touch]
-        record.note(
-            f"{len(too_late)} requests came too late, {len(counted)} of them"
-            " with all machines in touch"
+        for count in range(REQUESTS):
+            for route in (old, new):
+                await self._send(frozen, route, count)
+            await asyncio.sleep(REQUEST_GAP_S)
+
+    async def _send(self, host: str, route: str, count: int) -> None:
+        request_id = f"{route}-{count}"
+        fields = (
+            ("Host", operator.HOST),
+            ("Request-Id", request_id),
+            ("Deadline-Milliseconds", str(DEADLINE_MS)),
         )
-        return len(counted)
-
-    async def _restart(self, host: str) -> None:
-        self.mesh.send_signal(host, signal.SIGTERM)
-        self.record.note(f"{host} gets SIGTERM")
-        until = time.monotonic() + BOUNDS["GracePeriodS"]
-        while self.mesh.exit_status(host) is None:
-            if time.monotonic() > until:
-                self.mesh.kill(host)
-            await asyncio.sleep(0.02)
-        self.record.note(f"{host} has ended")
-        await asyncio.sleep(RESTART_S)
-        self.mesh.start(host)
-        await operator.wait_ready(host)
-        self.record.note(f"{host} is started again and ready")
-
-    async def _beat(self, target: Target, body: bytes) -> None:
-        answer = await target.send("PUT", body)
-        self.record.note(f"heartbeat {body.decode()}: {answer.status}")
-
-    async def _beat_late(self, target: Target, body: bytes) -> None:
-        await asyncio.sleep(LATE_S)
-        await self._beat(target, body)
-
-    async def _send_requests(self, host: str, until: float) -> None:
-        number = 0
-        while time.monotonic() < until:
-            number += 1
-            request_id = f"{host}-{number}"
-            fields = (
-                ("Host", operator.HOST),
-                ("Request-Id", request_id),
-                ("Deadline-Milliseconds", str(DEADLINE_MS)),
-            )
-            answer = await request(
-                "GET", host, OUTBOUND_PORT, f"/lookup/{number}", b"", fields
-            )
-            self.record.note(
-                f"client at {host}: {request_id}: {answer.status}"
-            )
-            await asyncio.sleep(CLIENT_GAP_S)
+        path = f"/{route}/{count}"
+        answer = await request("GET", host, OUTBOUND_PORT, path, b"", fields)
+        self.record.note(f"request {request_id} at {host}: {answer.status}")
+        is_dropped = route != self.route
+        if is_dropped and answer.status == 200:
+            self.broken += 1
+            self.record.note(f"BROKEN: {request_id} ran on a dropped route")
+
+    async def _storm(self, route: str) -> None:
+        for _ in range(CHANGES):
+            await self._change(route)
+
+    async def _change(self, route: str) -> None:
+        """Send the next version, with this route, until it is in."""
+        base, self.version = self.version, self.version + 1
+        self.route = route
+        # The time-out of a second route changes with each version.
+        timeout_s = 1 + self.version % 50
+        rules = [
+            operator.build_rule(route, SERVICE, "safe", 0.5, 1.2),
+            operator.build_rule("other", SERVICE, "safe", 0.5, timeout_s),
+        ]
+        document = operator.build_configuration(self.version, SERVICE, rules)
+        await operator.order(self.mesh.cores, document, base)
+        self.record.note(f"version {self.version:08x} is acknowledged")
+
+    async def _beat(self, target: Target) -> None:
+        while True:
+            await target.send("PUT", target.beat_body())
+            await asyncio.sleep(BEAT_S)
 
 
 def main() -> int:
