Let a member whose disk failed for a while rejoin the log

Cause: at its first store fault a replica left its loop and slept until its process ended, also when the disk had room again. Each full disk so cost a member for good.

The configuration keeps its three voters, so no vote had moved.

Change: the replica reopens its store every 250 ms until the disk works and rejoins like one that has just started; the state machine keeps what was applied, which is durable.

Before: test_disks_that_fail_one_after_another_leave_a_quorum failed for full disks and failed syncs ("condition not reached").

--- a/packages/replication/src/rhubarbhollow_replication/journal.py
+++ b/packages/replication/src/rhubarbhollow_replication/journal.py
@@ -40,6 +40,7 @@
         if snapshot is not None:
             self._reset_to(snapshot)
         self._extend(recovered.entries)
+        self.commit(recovered.committed_index)
         self._synced_index = self._log.last_index
         self._writes: list[Write] = []
 
--- a/packages/replication/src/rhubarbhollow_replication/recovered_state.py
+++ b/packages/replication/src/rhubarbhollow_replication/recovered_state.py
@@ -15,10 +15,12 @@
 class RecoveredState:
     """The durable state of one member.
 
-    ``entries`` directly follow the snapshot.
+    ``entries`` directly follow the snapshot. ``committed_index`` is the
+    last index known to be committed, or 0 if the store alone is known.
     """
 
     store_id: str
     vote: VoteState
     snapshot: Snapshot | None
     entries: tuple[Entry, ...]
+    committed_index: int = 0
--- a/packages/replication/src/rhubarbhollow_replication/replica.py
+++ b/packages/replication/src/rhubarbhollow_replication/replica.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 import anyio
@@ -10,7 +11,7 @@
 import anyio.lowlevel
 import anyio.to_thread
 import structlog
-from result import Err, Result
+from result import Err, Ok, Result
 
 from rhubarbhollow_replication.core import Core, Position
 from rhubarbhollow_replication.entry import Entry, EntryKind
@@ -22,6 +23,7 @@
     ProposeFault,
     StoreFailed,
 )
+from rhubarbhollow_replication.invariants import require
 from rhubarbhollow_replication.pending import (
     Pending,
     PendingChange,
@@ -33,6 +35,7 @@
 from rhubarbhollow_replication.role import Role
 from rhubarbhollow_replication.snapshot import Snapshot
 from rhubarbhollow_replication.status import MemberStatus, ReplicaStatus
+from rhubarbhollow_replication.store_fault import CorruptRecord, StoreFault
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -45,13 +48,15 @@
     from rhubarbhollow_replication.settings import ReplicaSettings
     from rhubarbhollow_replication.state_machine import StateMachine
     from rhubarbhollow_replication.store import LogStore
-    from rhubarbhollow_replication.store_fault import StoreFault
     from rhubarbhollow_wire.clock import Clock
 
 MAX_INBOX_MESSAGES: Final = 4096
 # Committed entries are applied for this long before messages are read
 # again; a round trip to a member that also applies takes several.
 APPLY_SLICE_SECONDS: Final = 0.02
+# Interval between attempts to reopen a store that failed. It is short
+# against the time after which another member may be lost.
+REOPEN_INTERVAL_SECONDS: Final = 0.25
 # Turns of the event loop from queueing a message to writing it.
 CONNECTION_TURNS: Final = 3
 
@@ -81,6 +86,7 @@
         self._store = store
         self._machine = machine
         self._clock = clock
+        self._random = random
         self._send = send
         recovered = store.recovered
         self._core = Core(settings, recovered, random, clock.monotonic())
@@ -94,6 +100,7 @@
         self._applied_index = 0
         self._callbacks: list[Callable[[int], None]] = []
         self._fault: StoreFault | None = None
+        self._reopen_at = 0.0
         self._is_closed = False
         self._logged_role = (Role.FOLLOWER, 0)
         self._logged_members = self._core.configuration
@@ -191,16 +198,77 @@
         """Run the replica until cancelled."""
         task_status.started()
         try:
-            while self._fault is None:
-                await self._wait_for_work()
-                self._process_queued()
-                await self._perform_effects()
-            await anyio.sleep_forever()
+            while True:
+                await self._run_until_store_fails()
+                await self._reopen_store()
         finally:
             self._is_closed = True
             self._abort_requests()
             self._store.close()
 
+    async def _run_until_store_fails(self) -> None:
+        while self._fault is None:
+            await self._wait_for_work()
+            self._process_queued()
+            await self._perform_effects()
+
+    async def _reopen_store(self) -> None:
+        """Wait until the store can be reopened, and resume with it.
+
+        A disk that was full has room again at some point. A member that
+        waited for a restart of its process until then would count as
+        lost, and the next full disk would end the quorum.
+        """
+        while self._fault is not None:
+            self._wake = anyio.Event()
+            remaining = self._reopen_at - self._clock.monotonic()
+            if remaining > 0:
+                with anyio.move_on_after(remaining):
+                    await self._wake.wait()
+                continue
+            reopened = await anyio.to_thread.run_sync(
+                self._store.reopen, limiter=self._writer
+            )
+            match reopened:
+                case Ok(store):
+                    self._resume(store)
+                case Err(fault):
+                    self._schedule_reopening(fault)
+
+    def _schedule_reopening(self, fault: StoreFault) -> None:
+        require(
+            not isinstance(fault, CorruptRecord),
+            "synced data of a running replica must not be corrupt",
+        )
+        self._fault = fault
+        self._reopen_at = self._clock.monotonic() + REOPEN_INTERVAL_SECONDS
+
+    def _resume(self, store: LogStore) -> None:
+        """Rejoin the log like a replica that has just been started.
+
+        What was applied is durable in the store, so the state machine
+        keeps its state.
+        """
+        recovered = replace(
+            store.recovered, committed_index=self._applied_index
+        )
+        snapshot = recovered.snapshot
+        if snapshot is not None and snapshot.last_index > self._applied_index:
+            self._restore(snapshot)
+        self._backlog.clear()
+        self._inbox.clear()
+        self._store = store
+        now = self._clock.monotonic()
+        self._core = Core(self._settings, recovered, self._random, now)
+        self._fault = None
+        _log.info(
+            "store_reopened",
+            log=self._settings.log_name,
+            replica=self._settings.name,
+            last_index=self._core.last_index,
+            applied_index=self._applied_index,
+        )
+
     async def _wait_for_work(self) -> None:
         remaining = self._core.deadline - self._clock.monotonic()
         if self._backlog:
@@ -341,7 +409,7 @@
 
     def _fail(self, fault: StoreFault) -> None:
         """Stop participating, since the store's state is unknown."""
-        self._fault = fault
+        self._schedule_reopening(fault)
         self._abort_requests()
         _log.error(
             "store_failed",
--- a/packages/replication/src/rhubarbhollow_replication/segments.py
+++ b/packages/replication/src/rhubarbhollow_replication/segments.py
@@ -43,6 +43,7 @@
     path: Path
     size: int
     last_index: int
+    synced_size: int
 
 
 class Segments:
@@ -116,6 +117,7 @@
         self._file.sync()
         self._is_synced = True
         segment = self._segments[-1]
+        segment.synced_size = segment.size
         mark = add_checksum_header(
             _SYNC_MARK.pack(segment.number, segment.size)
         )
@@ -130,6 +132,20 @@
             file.sync()
         finally:
             file.close()
+        self._segments[-1].synced_size = self._segments[-1].size
+
+    def discard_unsynced(self) -> None:
+        """Truncate the last segment to its synced size and close it.
+
+        After a failed write or sync the file may hold records that the
+        disk does not have.
+        """
+        self.roll()
+        if not self._segments:
+            return
+        segment = self._segments[-1]
+        if segment.path.name in self._disk.names(self._folder):
+            self._disk.truncate(segment.path, segment.synced_size)
 
     def drop_until(self, index: int) -> None:
         """Delete leading segments without records after ``index``.
@@ -149,9 +165,9 @@
 
         Everything appended so far must be synced.
         """
-        if self._file is not None:
-            self._file.close()
-            self._file = None
+        file, self._file = self._file, None
+        if file is not None:
+            file.close()
 
     def _open_segment(self) -> _Segment:
         if self._file is None:
@@ -166,11 +182,12 @@
         number = self._segments[-1].number + 1 if self._segments else 1
         path = self._folder / f"{number:012d}{_SUFFIX}"
         header = _HEADER.pack(_MAGIC, _VERSION, number)
-        segment = _Segment(number, path, len(header), 0)
+        segment = _Segment(number, path, len(header), 0, 0)
         self._file = self._disk.open(path)
         self._segments.append(segment)
         self._file.write(header)
         self._file.sync()
+        segment.synced_size = segment.size
         self._disk.sync_folder(self._folder)
         return segment
 
@@ -194,7 +211,7 @@
             return self._load_without_header(path, data, durable, is_last)
         if len(data) < durable:
             return CorruptRecord(str(path), len(data))
-        segment = _Segment(number, path, len(data), 0)
+        segment = _Segment(number, path, len(data), 0, 0)
         contents: list[Entry | Reset] = []
         for record in decode_records(data, len(header)):
             if isinstance(record, Record):
--- a/packages/replication/src/rhubarbhollow_replication/store.py
+++ b/packages/replication/src/rhubarbhollow_replication/store.py
@@ -66,11 +66,13 @@
         disk: Disk,
         segments: Segments,
         recovered: RecoveredState,
+        segment_bytes: int = SEGMENT_BYTES,
     ) -> None:
         self._folder = folder
         self._disk = disk
         self._segments = segments
         self._recovered = recovered
+        self._segment_bytes = segment_bytes
 
     @property
     def store_id(self) -> str:
@@ -110,13 +112,35 @@
             return Err(_to_fault(error, folder))
         if isinstance(recovered, CorruptRecord):
             return Err(recovered)
-        return Ok(cls(folder, disk, segments, recovered))
+        return Ok(cls(folder, disk, segments, recovered, segment_bytes))
+
+    def reopen(self) -> Result[LogStore, StoreFault]:
+        """Open the store again after a write has failed.
+
+        Everything whose durability is uncertain is discarded or written
+        again, which also fails while the disk accepts no writes. Call
+        it again until it succeeds, then use only the returned store.
+        """
+        folder, disk = self._folder, self._disk
+        segments = Segments(folder, disk, self._segment_bytes)
+        try:
+            self._segments.discard_unsynced()
+            recovered = _recover(folder, disk, segments)
+            if isinstance(recovered, CorruptRecord):
+                return Err(recovered)
+            _rewrite_replaced_files(folder, disk, recovered)
+        except OSError as error:
+            return Err(_to_fault(error, folder))
+        return Ok(
+            LogStore(folder, disk, segments, recovered, self._segment_bytes)
+        )
 
     def write(self, writes: Iterable[Write]) -> Result[None, StoreFault]:
         """Make ``writes`` durable in the given order.
 
         Entries share one fsync at the end. After an error nothing else
-        may be written, because it is unknown which data is durable.
+        may be written until the store is reopened, because it is
+        unknown which data is durable.
         """
         try:
             self._write_all(writes)
@@ -235,6 +259,21 @@
     )
 
 
+def _rewrite_replaced_files(
+    folder: Path, disk: Disk, recovered: RecoveredState
+) -> None:
+    """Replace the vote and the snapshot by copies.
+
+    If the sync of the folder failed after a rename, a second sync may
+    succeed although the new name is not durable.
+    """
+    vote = add_checksum_header(_encode_vote(recovered.vote))
+    _replace_file(folder, disk, _VOTE_NAME, vote)
+    if recovered.snapshot is not None:
+        encoded = recovered.snapshot.encode()
+        _replace_file(folder, disk, _SNAPSHOT_NAME, encoded)
+
+
 def _append_reset(
     contents: tuple[Entry | Reset, ...],
     snapshot: Snapshot,
--- a/packages/replication/tests/fake_disk.py
+++ b/packages/replication/tests/fake_disk.py
@@ -18,10 +18,15 @@
 
 @dataclass
 class FakeInode:
-    """The current and the synced contents of a file."""
+    """The current and the synced contents of a file.
+
+    ``dropped_from`` is where the bytes begin that a failed sync has
+    marked clean: later syncs succeed without writing the file.
+    """
 
     content: bytes = b""
     synced: bytes = b""
+    dropped_from: int | None = None
 
 
 class FakeFile:
@@ -87,6 +92,8 @@
     def truncate(self, path, size):
         node = self.names_now[path]
         node.content = node.content[:size]
+        if node.dropped_from is not None and size <= node.dropped_from:
+            node.dropped_from = None
         self.sync_node(node)
 
     def rename(self, source, target):
@@ -110,8 +117,10 @@
     def sync_node(self, node):
         self.count_operation()
         if self.fails_sync:
+            if node.dropped_from is None:
+                node.dropped_from = len(node.synced)
             raise SyncError(errno.EIO, "sync")
-        if not self.drops_sync:
+        if not self.drops_sync and node.dropped_from is None:
             node.synced = node.content
 
     def clear_faults(self):
@@ -128,6 +137,7 @@
         for path in sorted(self.names_now):
             node = self.names_now[path]
             node.content = node.synced = self._surviving(node)
+            node.dropped_from = None
         self.names_synced = dict(self.names_now)
 
     def _copy_name(self, path, source, target):
--- a/packages/replication/tests/seeded_run.py
+++ b/packages/replication/tests/seeded_run.py
@@ -12,7 +12,7 @@
 import heapq
 import itertools
 from collections import Counter, defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from random import Random
 
@@ -103,7 +103,7 @@
             set_aside(self.folder, self.disk)
             opened = self.open()
         self.store = opened.unwrap()
-        settings = ReplicaSettings(
+        self.settings = ReplicaSettings(
             self.name,
             INITIAL,
             election_timeout_ms=int(TIMEOUT_SECONDS * 1000),
@@ -115,7 +115,7 @@
         recovered = self.store.recovered
         self.machine = Machine()
         self.applied_index = 0
-        self.core = Core(settings, recovered, self.random, self.now())
+        self.core = Core(self.settings, recovered, self.random, self.now())
         self.tracker = RequestTracker()
         self.requests = []
         self.inbox = []
@@ -124,6 +124,9 @@
         self.is_damaged = False
         # Whether the next crash spares what was written but not synced.
         self.is_only_killed = False
+        # Until then the disk fails and the process goes on.
+        self.outage_until = None
+        self.has_store_fault = False
         if recovered.snapshot:
             self.restore(recovered.snapshot)
 
@@ -139,6 +142,10 @@
     def is_awake(self):
         return self.is_up and self.run.time >= self.frozen_until
 
+    @property
+    def is_taking_part(self):
+        return self.is_awake and not self.has_store_fault
+
     def crash(self):
         self.is_up = False
         if self.is_only_killed:
@@ -162,8 +169,13 @@
             self.start()
         if not self.is_awake:
             return
+        if self.outage_until and self.run.time >= self.outage_until:
+            self.outage_until = None
+            self.disk.clear_faults()
         try:
-            if self.pending_write is None:
+            if self.has_store_fault:
+                self.reopen_store()
+            elif self.pending_write is None:
                 self.process_inbox()
             elif self.run.time >= self.pending_write[1]:
                 self.finish_write()
@@ -191,7 +203,11 @@
         self.pending_write = None
         if effects.writes and self.store.write(effects.writes).is_err():
             self.run.report.events["store failed"] += 1
-            self.crash()
+            if self.outage_until is None:
+                self.crash()
+            else:
+                self.has_store_fault = True
+                self.tracker.abort_all()
             return
         self.core.handle_synced()
         for send in effects.sends_after_sync:
@@ -205,6 +221,24 @@
         if self.core.needs_snapshot:
             self.core.compact(self.machine.snapshot())
 
+    def reopen_store(self):
+        """Resume as ``Replica`` does once the disk works again."""
+        reopened = self.store.reopen()
+        if reopened.is_err():
+            assert not isinstance(reopened.err_value, CorruptRecord)
+            return
+        self.run.report.events["store reopened"] += 1
+        self.store = reopened.unwrap()
+        recovered = replace(
+            self.store.recovered, committed_index=self.applied_index
+        )
+        snapshot = recovered.snapshot
+        if snapshot and snapshot.last_index > self.applied_index:
+            self.restore(snapshot)
+        self.core = Core(self.settings, recovered, self.random, self.now())
+        self.inbox.clear()
+        self.has_store_fault = False
+
     def apply(self, entry):
         assert entry.index == self.applied_index + 1
         outcome = None
@@ -241,7 +275,7 @@
             for voter in configuration.voters
             if voter.store_id in ("", stores[voter.name])
             and voter.name != lost
-            and self.run.members[voter.name].is_awake
+            and self.run.members[voter.name].is_taking_part
         }
         return configuration.is_quorum(intact) or not configuration.is_bound
 
@@ -353,7 +387,7 @@
         return not self.history or any(remembering)
 
     def check(self):
-        running = [m for m in self.members.values() if m.is_awake]
+        running = [m for m in self.members.values() if m.is_taking_part]
         holders = [m for m in running if m.core.has_lease(m.now())]
         assert len(holders) <= 1, "two members hold a lease at the same time"
         for member in running:
@@ -383,7 +417,7 @@
     def run_client_and_faults(self):
         """Send a client request and occasionally inject a fault."""
         member = self.random.choice(list(self.members.values()))
-        if member.is_awake and member.core.role is Role.LEADER:
+        if member.is_taking_part and member.core.role is Role.LEADER:
             self.send_client_request(member)
         if self.random.random() < 1 / STEPS_PER_PHASE:
             self.fault_rate = self.random.choice(FAULT_RATES)
@@ -416,12 +450,18 @@
         for member in self.members.values():
             member.disk.crash_after = None
             member.frozen_until = 0
+            if member.outage_until is not None:
+                member.outage_until = self.time
             if not member.is_up:
                 member.start()
         members = self.members.values()
         for _ in range(MAX_SETTLE_STEPS):
             self.step()
-            leaders = (m for m in members if m.core.has_lease(m.now()))
+            leaders = (
+                m
+                for m in members
+                if m.is_taking_part and m.core.has_lease(m.now())
+            )
             leader = next(leaders, None)
             if leader is None:
                 continue
@@ -555,8 +595,22 @@
             other.start()
 
 
+def run_short_of_space(run, member):
+    """Fill the disk for a while; the process goes on."""
+    if member.is_taking_part:
+        member.disk.is_full = True
+        member.outage_until = run.time + run.random.uniform(0.1, 6)
+
+
+def fail_syncs_for_a_while(run, member):
+    if member.is_taking_part:
+        member.disk.fails_sync = True
+        member.outage_until = run.time + run.random.uniform(0.1, 6)
+
+
 # Not among ``FAULTS``, so that the runs of those seeds stay the same.
 POWER_CYCLES = (power_cycle,) * 6
+DISK_OUTAGES = (*(run_short_of_space, fail_syncs_for_a_while) * 8,)
 KILLS = (*(kill_in_write,) * 6, crash_all, crash_all)
 
 
--- a/packages/replication/tests/test_replica.py
+++ b/packages/replication/tests/test_replica.py
@@ -282,6 +282,45 @@
     assert {event["log"] for event in events} == {"claims"}
 
 
+@pytest.mark.parametrize("attribute", ["is_full", "fails_sync"])
+def test_disks_that_fail_one_after_another_leave_a_quorum(attribute):
+    """Guard against members that stay out of the log for good.
+
+    Each disk fails for a while, never two at once. Callers saw every
+    later change refused once a second disk had failed.
+    """
+
+    async def run():
+        disks = {name: FakeDisk(Random(name)) for name in NAMES}
+        async with running(Path("/data"), disks=disks) as (cluster, _):
+            for round_number in range(4):
+                leader = await cluster.leader()
+                failed = leader.status.leader
+                setattr(disks[failed], attribute, True)
+                payload = f"lost {round_number}".encode()
+                await cluster.call(leader.propose, payload)
+                assert leader.status.role is Role.FAILED
+                other = await cluster.leader()
+                payload = f"kept {round_number}".encode()
+                assert (await cluster.call(other.propose, payload)).is_ok()
+                disks[failed].clear_faults()
+                await cluster.wait_until(
+                    lambda leader=leader: leader.status.role is Role.FOLLOWER
+                )
+            last = await cluster.leader()
+            assert (await cluster.call(last.propose, b"last")).is_ok()
+            machines = cluster.machines.values()
+            await cluster.wait_until(
+                lambda: all(m.commands[-1] == "last" for m in machines)
+            )
+            commands = [machine.commands for machine in machines]
+            assert commands[0] == commands[1] == commands[2]
+            kept = [c for c in commands[0] if c.startswith("kept")]
+            assert kept == [f"kept {number}" for number in range(4)]
+
+    anyio.run(run)
+
+
 def test_suspended_leader_acknowledges_nothing(tmp_path):
     """Check that a leader reports no success after its lease has ended.
 
--- a/packages/replication/tests/test_seeded_run.py
+++ b/packages/replication/tests/test_seeded_run.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 from seeded_run import (
+    DISK_OUTAGES,
     FAULTS,
     INITIAL,
     KILLS,
@@ -57,6 +58,15 @@
     assert report.acknowledged > 100
 
 
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_members_return_to_the_log_after_their_disks_failed(seed):
+    """Check that a store reopened while running loses nothing."""
+    report = run_seed(seed, STEPS, DISK_OUTAGES)
+    assert report.is_settled
+    assert report.events["store reopened"] > 5
+    assert report.acknowledged > 100
+
+
 def test_runs_are_reproducible_and_inject_every_fault():
     """Check that a seed gives the same run, and that all faults occur.
 
--- a/packages/replication/tests/test_store.py
+++ b/packages/replication/tests/test_store.py
@@ -286,6 +286,45 @@
     assert base == 8 or kept[:3] == [(1, 1), (2, 1), (3, 1)]
 
 
+@pytest.mark.parametrize("attribute", ["fails_sync", "is_full"])
+@pytest.mark.parametrize(
+    "write",
+    [
+        entries(4, 5),
+        SaveVote(VoteState(9)),
+        SaveSnapshot(snapshot(2)),
+        InstallSnapshot(snapshot(8)),
+    ],
+)
+def test_reopened_store_relies_on_nothing_that_was_not_synced(
+    attribute, write
+):
+    """Guard against trusting pages that a failed sync marked clean.
+
+    What the reopened store reports must outlast a loss of power.
+    """
+    disk = filled_disk([entries(1, 3)])
+    store = open_store(disk).unwrap()
+    setattr(disk, attribute, True)
+    assert store.write([write]).is_err()
+    assert store.reopen().is_err()
+    setattr(disk, attribute, False)
+    reopened = store.reopen().unwrap()
+    found = reopened.recovered
+    assert reopened.write([entries(found_last(found) + 1, 12)]).is_ok()
+    disk.crash()
+    kept = open_store(disk).unwrap().recovered
+    assert (kept.vote, kept.snapshot) == (found.vote, found.snapshot)
+    assert kept.entries[: len(found.entries)] == found.entries
+    assert found_last(kept) == 12
+
+
+def found_last(recovered):
+    if recovered.entries:
+        return recovered.entries[-1].index
+    return recovered.snapshot.last_index
+
+
 class StoreMachine(RuleBasedStateMachine):
     """Compare the store with a list, with crashes at any operation."""
 
