Remember a withdrawal that comes before the first heartbeat

Cause: the tracker of heartbeats marked a withdrawal on the process that it had seen last. After a start it has seen none, so the order was acknowledged and forgotten, and a heartbeat of before counted as new.

Heartbeats of that name are late unless their process started after the withdrawal; the time since then is monotonic, so that a jump of the time of day does not change the answer.

--- a/tests/platform/test_heartbeat.py
+++ b/tests/platform/test_heartbeat.py
@@ -1,6 +1,7 @@
 """Decoding and ordering of an upstream's heartbeats."""
 
 import json
+from datetime import UTC, datetime, timedelta
 
 import pytest
 from result import Err
@@ -12,9 +13,11 @@
 )
 from rhubarbhollow_platform.heartbeat_fault import HeartbeatFaultKind
 from rhubarbhollow_platform.heartbeat_order import (
+    WITHDRAWAL_MEMORY,
     HeartbeatOrder,
     HeartbeatTracker,
 )
+from rhubarbhollow_wire.clock import ManualClock
 
 GOOD = {
     "Service": "desk",
@@ -156,7 +159,7 @@
     Retries and reordering deliver heartbeats late: after a newer one,
     after those of the next process, or after the withdrawal.
     """
-    tracker = HeartbeatTracker()
+    tracker = HeartbeatTracker(ManualClock())
     last = None
     for name, started_at_ms, sequence in calls:
         if name == "withdraw":
@@ -164,3 +167,76 @@
             continue
         last = tracker.observe(name, heartbeat(started_at_ms, sequence))
     assert last is order
+
+
+class StepClock(ManualClock):
+    """A clock whose time of day may jump."""
+
+    def __init__(self):
+        super().__init__(datetime(2026, 1, 1, tzinfo=UTC))
+        self.step = timedelta()
+
+    def utc(self):
+        return super().utc() + self.step
+
+    def now_ms(self):
+        return round(self.utc().timestamp() * 1000)
+
+
+@pytest.mark.parametrize("step_seconds", [-5, 0, 5])
+def test_a_withdrawal_after_a_restart_is_not_undone_by_a_late_heartbeat(
+    step_seconds,
+):
+    """Guard against calls to an upstream that a restarted node forgot.
+
+    The node has not seen the upstream since its start, acknowledges its
+    withdrawal, and then gets a heartbeat that was sent before.
+    """
+    clock = StepClock()
+    started_at_ms = clock.now_ms()
+    clock.advance(20)
+    tracker = HeartbeatTracker(clock)
+    tracker.mark_withdrawn("a")
+    clock.step = timedelta(seconds=step_seconds)
+    for sequence in range(5):
+        clock.advance(1)
+        late = heartbeat(started_at_ms, sequence)
+        assert tracker.observe("a", late) is HeartbeatOrder.LATE
+        assert tracker.observe("a", heartbeat(None, sequence)) is (
+            HeartbeatOrder.LATE
+        )
+
+
+@pytest.mark.parametrize("step_seconds", [-5, 0, 5])
+def test_a_process_that_starts_after_the_withdrawal_is_listed(step_seconds):
+    clock = StepClock()
+    tracker = HeartbeatTracker(clock)
+    tracker.mark_withdrawn("a")
+    clock.step = timedelta(seconds=step_seconds)
+    clock.advance(0.1)
+    started = heartbeat(clock.now_ms(), 1)
+    assert tracker.observe("a", started) is HeartbeatOrder.NEW
+    other = heartbeat(clock.now_ms() - 60_000, 1)
+    other_tracker = HeartbeatTracker(clock)
+    other_tracker.mark_withdrawn("b")
+    assert other_tracker.observe("a", other) is HeartbeatOrder.NEW
+
+
+def test_a_process_that_seems_older_is_listed_after_a_while():
+    """Guard against an upstream kept away by a wrong time of day."""
+    clock = StepClock()
+    started_at_ms = clock.now_ms()
+    clock.advance(1)
+    tracker = HeartbeatTracker(clock)
+    tracker.mark_withdrawn("a")
+    clock.advance(WITHDRAWAL_MEMORY.total_seconds() + 1)
+    assert tracker.observe("a", heartbeat(started_at_ms, 9)) is (
+        HeartbeatOrder.NEW
+    )
+
+
+def test_withdrawals_of_many_unseen_names_are_bounded():
+    tracker = HeartbeatTracker(ManualClock())
+    for number in range(1000):
+        tracker.mark_withdrawn(f"i-{number}")
+    assert len(tracker._withdrawn_at) <= 16
