Test that a body without end is not kept

Cause: another operator's upstream sent bytes without end until its caller closed; the calling machine kept them and ran out of memory. Heads, garbage and skipped answers had tests here, bodies had none.

Change: tests only, on both dialects and over one and two hops: chunks, a body without a length, one that is too long to end, a chunk size without end, and surplus after a whole answer, to a caller that reads nothing.

--- a/packages/calls/tests/test_io_faulty_upstream.py
+++ b/packages/calls/tests/test_io_faulty_upstream.py
@@ -259,6 +259,96 @@
     )  # fmt: skip
 
 
+async def endless_chunks(writer, line):
+    writer.write(CHUNKED + line + b"\r\n\r\n")
+    while True:
+        yield b"%x\r\n%b\r\n" % (len(PIECE), PIECE)
+
+
+async def endless_unframed_body(writer, line):
+    writer.write(b"HTTP/1.1 200 OK\r\n" + line + b"\r\n\r\n")
+    while True:
+        yield PIECE
+
+
+async def endless_counted_body(writer, line):
+    length = b"content-length: 9000000000000000\r\n"
+    writer.write(b"HTTP/1.1 200 OK\r\n" + length + line + b"\r\n\r\n")
+    while True:
+        yield PIECE
+
+
+async def endless_chunk_size(writer, line):
+    writer.write(CHUNKED + line + b"\r\n\r\n")
+    while True:
+        yield b"0" * len(PIECE)
+
+
+async def endless_surplus(writer, line):
+    writer.write(encode_answer(b"whole", line.decode()))
+    while True:
+        yield PIECE
+
+
+@DIALECTS
+@ENTRIES
+@pytest.mark.parametrize(
+    "source",
+    [
+        endless_chunks,
+        endless_unframed_body,
+        endless_counted_body,
+        endless_chunk_size,
+        endless_surplus,
+    ],
+)
+def test_a_body_without_end_is_not_kept(entry, settings, field, source):
+    """Guard against a node that runs out of memory by one upstream.
+
+    The caller reads nothing of the body. The node stops reading, or
+    ends the connection, until the caller closes; then it serves others.
+    """
+    sent = 0
+    is_ended = asyncio.Event()
+
+    async def script(request, writer):
+        nonlocal sent
+        line = f"{field}: {request.headers[field]}"
+        if request.target == "/next":
+            writer.write(encode_answer(b"fine", line))
+            return
+        try:
+            async for data in source(writer, line.encode()):
+                sent += len(data)
+                writer.write(data)
+                await writer.drain()
+                await asyncio.sleep(0)
+        finally:
+            is_ended.set()
+
+    upstream = ScriptedUpstream(script, echoes=False)
+
+    async def check(mesh, client):
+        client.send(encode_call("GET", "/endless", b"", "x-id: 1"))
+        await wait_until(lambda: sent)
+        before = -1
+        while before != sent and not is_ended.is_set():
+            before = sent
+            await asyncio.sleep(0.2)
+            # What was sent lies in the buffers of sockets.
+            assert sent < 24_000_000
+        client.close()
+        await asyncio.wait_for(is_ended.wait(), 5)
+        second = await mesh.client(entry)
+        assert (await second.get("/next", "x-id: 2")).body == b"fine"
+        second.close()
+
+    faulty_test(
+        upstream, check, settings, replace(DEFAULT_ROUTE, attempts=1),
+        entry=entry,
+    )  # fmt: skip
+
+
 STRAY = "HTTP/1.1 200 OK\r\n{id}\r\ncontent-length: 5\r\n\r\nstray"
 NOT_INTERIM = [
     "HTTP/1.1 000 X\r\n\r\n",
