Let a node that is full of newer releases take the one in force

Cause: the node held 8 staged releases, all above the one that came into force. It refused that one as StagingFull, and only an activation makes room.

Evidence: the refusals in its log name positions above the refused one and repeat, so its source offers what it lacks.

Change: to stage a release below the highest one it holds, a node discards an older one, which will not be activated any more, or else its newest. The bound of 8 stays.

--- a/packages/distribution/src/rhubarbhollow_distribution/holder.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/holder.py
@@ -173,7 +173,8 @@
         held = self._held_at(message.position)
         if held is not None:
             return _confirm_held(held, message)
-        if len(self._staged) >= MAX_STAGED_RELEASES:
+        is_full = len(self._staged) >= MAX_STAGED_RELEASES
+        if is_full and message.position > self.staged_position:
             return Err(StagingFull(self.staged_positions))
         base = self._find_base(message.base_digest)
         if base is None and message.base_digest not in _NO_BASE:
@@ -189,8 +190,22 @@
             release.position > self._active_position,
             "a staged position is above the active position",
         )
+        self._make_room(release.position)
         self._staged[release.position] = release
 
+    def _make_room(self, position: int) -> None:
+        """Discard a staged release if there are too many for another.
+
+        A release below one that is held is sent only if it is in force
+        elsewhere. Older ones will then not be activated any more. If
+        there is none, the newest one is the last to be activated.
+        """
+        if len(self._staged) < MAX_STAGED_RELEASES:
+            return
+        oldest = min(self._staged)
+        discarded = oldest if oldest < position else max(self._staged)
+        del self._staged[discarded]
+
     def _swap(self, release: HeldRelease) -> Activated:
         previous = self._active_position
         check_invariant(
--- a/packages/distribution/src/rhubarbhollow_distribution/stage_fault.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/stage_fault.py
@@ -43,8 +43,8 @@
 class StagingFull:
     """Error: the maximum number of releases is already staged.
 
-    The node cannot discard one of them, since it has promised to keep
-    every staged release (see ``StagedReport``).
+    The node discards none of them for a newer release, since it has
+    promised to keep every staged release (see ``StagedReport``).
     """
 
     staged_positions: tuple[int, ...]
--- a/packages/distribution/tests/test_holder.py
+++ b/packages/distribution/tests/test_holder.py
@@ -168,6 +168,31 @@
     assert holder.stage(stage_at(90)).unwrap().position == 90
 
 
+@pytest.mark.parametrize(
+    ("staged", "discarded"),
+    [
+        (range(20, 20 + MAX_STAGED_RELEASES), 19 + MAX_STAGED_RELEASES),
+        ((11, *range(20, 19 + MAX_STAGED_RELEASES)), 11),
+    ],
+)
+def test_a_release_in_force_is_staged_although_newer_ones_fill_the_node(
+    staged, discarded
+):
+    """Guard against a node that stays at an old release for good.
+
+    While it was frozen the others went on, so it holds only releases
+    above the one that is in force.
+    """
+    holder = holder_at(ManualClock(), 6, active=6)
+    for position in staged:
+        holder.stage(stage_at(position)).unwrap()
+    assert holder.stage(stage_at(15)).unwrap().position == 15
+    assert len(holder.staged_positions) == MAX_STAGED_RELEASES
+    assert discarded not in holder.staged_positions
+    assert holder.activate(15, digest_at(15)).unwrap() == Activated(15, 6)
+    assert holder.active_position == 15
+
+
 @pytest.mark.parametrize(
     ("position", "content", "expected"),
     [
