--- a/tests/processes/test_platform_roles.py
+++ b/tests/processes/test_platform_roles.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from pathlib import Path
+    from typing import BinaryIO
 
 START_SECONDS = 60.0
 CONTROL_PORT = 18144
@@ -49,15 +50,26 @@
     def start(self, host: str, **changes: object) -> None:
         path = self.write_settings(host, **changes)
         environment = {**os.environ, "RHUBARBHOLLOW_BOOT": str(path)}
-        log = (self._folder / f"{host}.log").open("ab")
+        log = self.open_log(host)
         self._processes[host] = subprocess.Popen(
             [sys.executable, "-m", "rhubarbhollow_platform"],
             env=environment,
             stdout=log,
             stderr=log,
         )
+        log.close()
         self._started_hosts.add(host)
 
+    def open_log(self, host: str) -> BinaryIO:
+        """Open what a process writes its log to."""
+        return self.log_path(host).open("ab")
+
+    def log_path(self, host: str) -> Path:
+        return self._folder / f"{host}.log"
+
+    def process_id(self, host: str) -> int:
+        return self._processes[host].pid
+
     def write_settings(
         self, host: str, more: str = "", **changes: object
     ) -> Path:
@@ -107,7 +119,7 @@
         return self._processes[host].poll()
 
     def read_log(self, host: str) -> str:
-        return (self._folder / f"{host}.log").read_text()
+        return self.log_path(host).read_text()
 
     def wait(self, host: str) -> int:
         return self._processes[host].wait(START_SECONDS)
