--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := wire release replication distribution calls daemon cli
+PACKAGES := wire release replication distribution tenants quota admission placement \
+	rollout calls daemon cli
 MEMBERS := $(PACKAGES:%=packages/%) platform
 SEED ?= 1
 MINUTES ?= 1
--- /dev/null
+++ b/packages/admission/src/rhubarbhollow_admission/__init__.py
@@ -0,0 +1,1 @@
+"""Order and refusal of calls under overload."""
--- /dev/null
+++ b/packages/placement/src/rhubarbhollow_placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of an upstream by its speed and load."""
--- /dev/null
+++ b/packages/quota/src/rhubarbhollow_quota/__init__.py
@@ -0,0 +1,1 @@
+"""Rate quotas shared by all nodes."""
--- /dev/null
+++ b/packages/rollout/src/rhubarbhollow_rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Gradual rollouts of a service's version."""
--- /dev/null
+++ b/packages/tenants/src/rhubarbhollow_tenants/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants of a mesh and their keys."""
