Read long bodies of waiting requests, so that a client's close is seen

Callers saw: nothing, since they had left; but requests with a body over 64 KiB were sent to their upstream long after their client had closed.

Cause: the connection was paused at 64 KiB until the request was sent, and a paused connection does not show the close behind its data.

Bodies are now read up to 4 MiB each and 32 MiB at a node while they wait; only above that the connection pauses as before.

--- a/packages/calls/src/rhubarbhollow_calls/http_limits.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_limits.py
@@ -13,6 +13,10 @@
 MAX_DEPTH: Final = 32
 # Longest request body that is kept for another attempt.
 MAX_REPLAY_BYTES: Final = 65_536
+# Longest request body that is read whole while its request waits, and
+# the bytes of all such bodies at one node. A node has 200 MB.
+MAX_WAITING_BODY_BYTES: Final = 4_194_304
+MAX_WAITING_BODIES_BYTES: Final = 33_554_432
 # Bytes discarded on a closing connection before it is aborted.
 MAX_DISCARDED_BYTES: Final = 262_144
 # Bytes of responses to other requests that an attempt skips before its
--- a/packages/calls/src/rhubarbhollow_calls/io_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_exchange.py
@@ -60,6 +60,7 @@
         "_node",
         "_pending_head",
         "_request_id",
+        "_reserved_bytes",
         "_slot_held_seconds",
         "_status",
         "expires_at",
@@ -88,6 +89,8 @@
         self._may_have_run = False
         self._is_responding = False
         self._is_request_paused = False
+        # Bytes of the body that count toward the node's budget.
+        self._reserved_bytes = 0
         self._is_over = False
         self.expires_at = deadline.expires_at
 
@@ -105,7 +108,7 @@
         if self._attempt is not None:
             self._attempt.request_data(data)
         if self._body.is_full and not self._is_written():
-            self.pause_request()
+            self._reserve_body(len(data))
 
     def request_ended(self) -> None:
         """Forward the end of the request."""
@@ -225,6 +228,7 @@
 
     def resume_request(self) -> None:
         """Continue to read the request."""
+        self._release_body()
         if self._is_request_paused:
             self._is_request_paused = False
             self._downstream.resume_request()
@@ -376,8 +380,20 @@
         self._count_aborted()
         self._downstream.abort()
 
+    def _reserve_body(self, size: int) -> None:
+        """Keep more of a long body, or pause if the budget is spent."""
+        if self._node.body_budget.reserve(size, self._body.size):
+            self._reserved_bytes += size
+        else:
+            self.pause_request()
+
+    def _release_body(self) -> None:
+        self._node.body_budget.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+
     def _finish(self) -> None:
         if self._is_over:
             raise EndedTwice(f"call {self._request_id!r} ended twice")
         self._is_over = True
+        self._release_body()
         self._node.call_ended(self)
--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_calls import http_names as names
+from rhubarbhollow_calls.body_budget import BodyBudget
 from rhubarbhollow_calls.deadline import format_deadline
 from rhubarbhollow_calls.io_caller import CallerPort
 from rhubarbhollow_calls.io_counters import NodeCounters
@@ -80,6 +81,7 @@
         self.selector = selector
         self.clock = clock
         self.counters = NodeCounters()
+        self.body_budget = BodyBudget()
         self.local_port: LocalPort | None = None
         self.position_field_line = b""
         self.is_draining = False
--- a/packages/calls/tests/test_io_edges.py
+++ b/packages/calls/tests/test_io_edges.py
@@ -11,8 +11,10 @@
     encode_answer,
 )
 
+from rhubarbhollow_calls import body_budget
 from rhubarbhollow_calls.call_priority import CallPriority
 from rhubarbhollow_calls.http_dialect import NATIVE_DIALECT
+from rhubarbhollow_calls.http_limits import MAX_REPLAY_BYTES
 from rhubarbhollow_calls.io_listener import ListenerConnection
 from rhubarbhollow_calls.io_local_attempt import LocalAttempt
 from rhubarbhollow_calls.io_local_port import LocalPort
@@ -103,11 +105,14 @@
     pair_test(echo, check)
 
 
-def test_a_connection_resumes_reading_after_a_refused_call():
+def test_a_connection_resumes_reading_after_a_refused_call(monkeypatch):
     """Guard against a connection that stays paused for ever.
 
-    A full body buffer pauses reading until the call is refused.
+    A spent body budget pauses reading until the call is refused.
     """
+    monkeypatch.setattr(
+        body_budget, "MAX_WAITING_BODY_BYTES", MAX_REPLAY_BYTES
+    )
 
     async def check(mesh, upstream):
         node = mesh.nodes["b"].node
--- a/packages/calls/tests/test_io_failures.py
+++ b/packages/calls/tests/test_io_failures.py
@@ -218,6 +218,41 @@
     run(main())
 
 
+@pytest.mark.parametrize("entry", ["a", "b"])
+def test_a_client_that_leaves_behind_a_long_body_leaves_the_queue(entry):
+    """Guard against running requests of clients that have left.
+
+    While the body was not read to its end, the close behind it was not
+    seen, and the request was sent once a slot became free.
+    """
+
+    async def script(request, writer):
+        await release.wait()
+        await echo(request, writer)
+
+    async def main():
+        async with Setup(NON_IDEMPOTENT, script=script, only_b=True) as setup:
+            mesh = setup.mesh
+            gate = mesh.nodes["b"].node.local_port.gate
+            gate.resize(1)
+            [first] = await start_calls(setup, "/1", entry=entry)
+            await wait_until(lambda: setup.failing.requests)
+            leaving = await mesh.client(entry)
+            body = b"x" * (2 * MAX_REPLAY_BYTES)
+            leaving.send(encode_call("POST", "/2", body))
+            await wait_until(lambda: gate.waiting == 1)
+            leaving.close()
+            await wait_until(lambda: gate.waiting == 0)
+            budgets = [each.node.body_budget for each in mesh.nodes.values()]
+            assert [budget.used for budget in budgets] == [0] * len(budgets)
+            release.set()
+            assert (await first.read_answer()).status == 200
+            assert len(setup.failing.requests) == 1
+
+    release = asyncio.Event()
+    run(main())
+
+
 def test_a_body_above_the_replay_limit_is_not_retried():
     async def main():
         async with Setup(IDEMPOTENT, script=close_without_answer) as setup:
