--- a/packages/calls/src/rhubarbhollow_calls/call_route.py
+++ b/packages/calls/src/rhubarbhollow_calls/call_route.py
@@ -19,7 +19,8 @@
     when none of ``service`` can be chosen. ``splits`` pairs services
     with weights above 0 and takes precedence over ``service``.
     ``rank`` orders waiting calls, 0 first. ``latency_seconds`` is the
-    latency objective, or ``None`` without one.
+    latency objective, or ``None`` without one. Calls of a public route
+    need no key of a tenant.
     """
 
     name: str
@@ -35,3 +36,4 @@
     splits: tuple[tuple[str, float], ...] = ()
     rank: int = 0
     latency_seconds: float | None = None
+    is_public: bool = False
--- a/packages/calls/src/rhubarbhollow_calls/http_dialect.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_dialect.py
@@ -17,7 +17,8 @@
     the remaining milliseconds; ``upstream`` names the only instance
     that may run the request; ``origin`` names the service beside the
     caller's node; ``not_run`` marks a refusal that an upstream sent
-    before it ran any of the request.
+    before it ran any of the request. ``credential`` holds the key of a
+    caller's tenant, and ``tenant`` tells upstreams its name.
 
     ``is_foreign`` is true for the names of another system. Upstreams
     of such a system repeat request IDs, may end a response by closing
@@ -30,6 +31,8 @@
     upstream: bytes = names.UPSTREAM
     origin: bytes = names.ORIGIN
     not_run: bytes = names.NOT_RUN
+    credential: bytes = names.CREDENTIAL
+    tenant: bytes = names.TENANT
     is_foreign: bool = False
 
     @property
@@ -44,6 +47,16 @@
             return frozenset()
         return frozenset((self.time_limit, self.upstream, self.origin))
 
+    @property
+    def guarded(self) -> frozenset[bytes]:
+        """Return the fields that are forwarded without tenants only.
+
+        The native ones are never forwarded, like all native fields.
+        """
+        if not self.is_foreign:
+            return frozenset()
+        return frozenset((self.credential, self.tenant))
+
     @property
     def forwarded(self) -> frozenset[bytes]:
         """Return the additional fields to read and forward."""
--- a/packages/calls/src/rhubarbhollow_calls/http_mesh_fields.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_mesh_fields.py
@@ -37,6 +37,8 @@
     upstream: bytes = b""
     origin: bytes = b""
     objective_ms: int | None = None
+    tenant: bytes = b""
+    fingerprint: bytes = b""
 
 
 NO_MESH_FIELDS: Final = MeshFields()
@@ -82,6 +84,8 @@
         values.get(names.UPSTREAM, b""),
         values.get(names.ORIGIN, b""),
         _optional_integer(values, names.OBJECTIVE_MS),
+        values.get(names.TENANT, b""),
+        values.get(names.KEY_FINGERPRINT, b""),
     )
 
 
@@ -95,6 +99,8 @@
         upstream=hop.instance,
         origin=hop.origin,
         objective_ms=hop.objective_ms,
+        tenant=hop.tenant,
+        fingerprint=hop.fingerprint,
     )
 
 
--- a/packages/calls/src/rhubarbhollow_calls/http_names.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_names.py
@@ -16,6 +16,10 @@
 ATTEMPT: Final = b"rhubarbhollow-attempt"
 UPSTREAM: Final = b"rhubarbhollow-upstream"
 ORIGIN: Final = b"rhubarbhollow-origin"
+CREDENTIAL: Final = b"rhubarbhollow-credential"
+TENANT: Final = b"rhubarbhollow-tenant"
+# Sent between nodes only.
+KEY_FINGERPRINT: Final = b"rhubarbhollow-key-fingerprint"
 OBJECTIVE_MS: Final = b"rhubarbhollow-objective-ms"
 # Holds all metadata that a node sends to the next with a call.
 HOP: Final = b"rhubarbhollow-hop"
--- a/packages/calls/src/rhubarbhollow_calls/http_request_head.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_request_head.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from rhubarbhollow_calls import http_names as names
@@ -36,23 +36,34 @@
 
     ``fields`` holds the field lines that are forwarded unchanged, each
     ended by CRLF. ``host`` is in lower case and has no port.
+    ``credential`` is the key that the caller sent, or empty.
+    ``unguarded_fields`` are the ``fields`` without the key and without
+    the name of a tenant, which only nodes may set. Neither is printed.
     """
 
     method: bytes
     target: bytes
     host: bytes
-    fields: bytes
+    fields: bytes = field(repr=False)
     body: Body
     mesh: MeshFields
     idempotency_key: bytes | None
     is_keep_alive: bool
     is_continue_expected: bool
+    credential: bytes = field(default=b"", repr=False)
+    unguarded_fields: bytes = field(default=b"", repr=False)
 
     @property
     def path(self) -> bytes:
         """Return the target without its query."""
         return self.target.partition(b"?")[0]
 
+    def without_guarded(self) -> RequestHead:
+        """Return the head as a release with tenants forwards it."""
+        if self.unguarded_fields is self.fields:
+            return self
+        return replace(self, fields=self.unguarded_fields)
+
 
 def parse_request_head(
     method: bytes,
@@ -68,6 +79,13 @@
     """
     _check_target(method, target)
     block, values = split_fields(fields, dialect.dropped, dialect.forwarded)
+    guarded = dialect.guarded
+    open_block = block
+    credential = values.get(dialect.credential, b"")
+    if guarded and any(name in guarded for name, _ in fields):
+        credential = _join_values(fields, dialect.credential)
+        rest = [pair for pair in fields if pair[0] not in guarded]
+        open_block, _ = split_fields(rest, dialect.dropped, dialect.forwarded)
     host = values.get(names.HOST)
     if not host:
         raise HttpFaultError(
@@ -89,9 +107,20 @@
         values.get(names.IDEMPOTENCY_KEY),
         is_keep_alive,
         is_continue_expected,
+        credential,
+        open_block,
     )
 
 
+def _join_values(fields: Sequence[Field], name: bytes) -> bytes:
+    """Return the values of a field as one list (RFC 9110, 5.3).
+
+    Two keys are thus no key: it must not depend on the reader which one
+    counts.
+    """
+    return b", ".join(value for key, value in fields if key == name)
+
+
 def _check_target(method: bytes, target: bytes) -> None:
     if method == b"CONNECT":
         raise HttpFaultError(
--- a/packages/calls/src/rhubarbhollow_calls/io_attempt.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_attempt.py
@@ -34,11 +34,14 @@
     ``refusal`` is sent to the caller if no other attempt follows,
     ``result`` is recorded for the upstream, and ``backlog`` holds the
     expected waits that the upstream's node reported, or is ``None``.
+    ``position`` is that of the release in force at that node, if it
+    refused the request.
     """
 
     refusal: Refusal
     result: CallResult
     backlog: Backlog | None = None
+    position: int | None = None
 
 
 class AttemptOwner(Protocol):
@@ -52,6 +55,10 @@
         """Return the header field lines for the upstream, as of now."""
         ...
 
+    def is_key_held(self) -> bool:
+        """Return whether the release in force holds the call's key."""
+        ...
+
     def response_started(self, head: ResponseHead) -> None:
         """Handle the head of a response that is not a refusal."""
         ...
--- a/packages/calls/src/rhubarbhollow_calls/io_caller.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller.py
@@ -23,6 +23,7 @@
     from rhubarbhollow_calls.io_listener import ListenerConnection
     from rhubarbhollow_calls.io_node import CallNode
     from rhubarbhollow_calls.io_route_state import RouteState
+    from rhubarbhollow_tenants.identity import Identity
 
 
 class CallerPort:
@@ -55,6 +56,18 @@
         state = node.route(head.host, head.target)
         if state is None or mesh.depth >= MAX_DEPTH or node.is_draining:
             return self._open_refused(head, downstream, request_id, state)
+        identity = None
+        tenants = node.tenants
+        if not tenants.is_empty:
+            if not state.route.is_public:
+                # An empty field is no key.
+                key = head.credential
+                identity = tenants.identify(key) if key else None
+                if identity is None:
+                    return self._open_unauthenticated(
+                        head, downstream, request_id
+                    )
+            head = head.without_guarded()
         now = node.clock.monotonic()
         timeout_ms = state.route.timeout_ms
         if mesh.timeout_ms is not None:
@@ -70,7 +83,7 @@
                 "this node stops before the call can end",
             )
         exchange = self._make_exchange(
-            downstream, head, request_id, deadline, state, now
+            downstream, head, request_id, deadline, state, now, identity
         )
         node.call_began(exchange)
         return exchange
@@ -102,12 +115,20 @@
         deadline: Deadline,
         state: RouteState,
         now: float,
+        identity: Identity | None,
     ) -> CallerExchange:
         node = self._node
         key = head.idempotency_key
         if state.route.is_idempotent or not key or node.claims is None:
             return CallerExchange(
-                node, downstream, head, request_id, deadline, state, now
+                node,
+                downstream,
+                head,
+                request_id,
+                deadline,
+                state,
+                now,
+                identity,
             )
         # Loaded late: most nodes claim nothing, and callers wait for
         # the start of the process.
@@ -125,6 +146,29 @@
             now,
             node.claims,
             key,
+            identity,
+        )
+
+    def _open_unauthenticated(
+        self, head: RequestHead, downstream: Downstream, request_id: bytes
+    ) -> Exchange:
+        """Refuse a call whose key the release in force does not hold.
+
+        A release that this node does not have yet may hold it.
+        """
+        if self._node.is_release_confirmed():
+            kind, detail = (
+                RefusalKind.KEY_UNKNOWN,
+                "the request has no key of a tenant",
+            )
+        else:
+            kind, detail = (
+                RefusalKind.KEY_UNCONFIRMED,
+                "the key is unknown, but a newer release may be in force",
+            )
+        self._node.counters.keys_refused[kind] += 1
+        return RefusedExchange(
+            self._node, downstream, head, request_id, kind, detail
         )
 
     def _open_refused(
--- a/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_calls import http_names as names
@@ -32,6 +33,7 @@
     from rhubarbhollow_calls.io_downstream import Downstream
     from rhubarbhollow_calls.io_node import CallNode
     from rhubarbhollow_calls.io_route_state import RouteState
+    from rhubarbhollow_tenants.identity import Identity
 
 # Time past the deadline in which the upstream's node can still report
 # whether a call that timed out was run.
@@ -87,8 +89,11 @@
         deadline: Deadline,
         state: RouteState,
         now: float,
+        identity: Identity | None = None,
     ) -> None:
-        super().__init__(node, downstream, head, request_id, deadline)
+        super().__init__(
+            node, downstream, head, request_id, deadline, identity
+        )
         self._state = state
         self._began_at = now
         self._attempt_started_at = now
@@ -111,10 +116,22 @@
 
     def next_hop_field_lines(self) -> bytes:
         """Return the header field lines for the upstream's node."""
+        if self._node.dialect.is_foreign:
+            return self._encode_hop()
+        lines = self._native_field_lines()
+        identity = self._identity
+        if identity is None:
+            return lines
+        return lines + b"%b: %b\r\n%b: %b\r\n" % (
+            names.TENANT,
+            identity.name,
+            names.KEY_FINGERPRINT,
+            identity.fingerprint,
+        )
+
+    def _native_field_lines(self) -> bytes:
         left = self._node.format_time_left(self._deadline)
         objective_ms = self._objective_left_ms()
-        if self._node.dialect.is_foreign:
-            return self._encode_hop(int(left), objective_ms)
         lines = b"%b%b: %b\r\n%b: %d\r\n%b: %b\r\n%b: %b\r\n" % (
             self._state.request_field_lines,
             names.TIMEOUT_MS,
@@ -130,7 +147,10 @@
             return lines
         return lines + b"%b: %d\r\n" % (names.OBJECTIVE_MS, objective_ms)
 
-    def _encode_hop(self, left_ms: int, objective_ms: int | None) -> bytes:
+    def _encode_hop(self) -> bytes:
+        left_ms = int(self._node.format_time_left(self._deadline))
+        objective_ms = self._objective_left_ms()
+        identity = self._identity
         endpoint = self._endpoint
         instance = b"" if endpoint is None else endpoint.instance.encode()
         hop = Hop(
@@ -141,6 +161,8 @@
             self._state.route.name.encode(),
             instance,
             self._node.origin,
+            b"" if identity is None else identity.name,
+            b"" if identity is None else identity.fingerprint,
         )
         # The request id is forwarded in the caller's own field.
         return b"%b: %b\r\n" % (names.HOP, encode_hop(hop))
@@ -219,6 +241,7 @@
             self._deadline,
             self._state,
             self._objective_left_ms(),
+            self._tenant(),
         )
         name = route.name.encode()
         return LocalAttempt(self, self._head, self._body, port, ticket, name)
@@ -274,6 +297,10 @@
         if failure.refusal.kind is RefusalKind.QUARANTINED:
             self._refuse(failure.refusal)
             return
+        if failure.refusal.kind is RefusalKind.KEY_WITHDRAWN:
+            self._node.observe_peer_position(failure.position)
+            self._refuse_withdrawn(failure.refusal)
+            return
         decision = decide_retry(
             self._make_attempt_view(failure, is_offered=is_offered)
         )
@@ -297,6 +324,20 @@
             case _:
                 self._refuse(failure.refusal)
 
+    def _refuse_withdrawn(self, refusal: Refusal) -> None:
+        """Refuse a call whose key a later release no longer holds.
+
+        If this node has that release, the caller's key is not valid.
+        Otherwise this node is behind, and the caller may come back.
+        """
+        node = self._node
+        if not self.is_key_held() and node.is_release_confirmed():
+            refusal = replace(refusal, kind=RefusalKind.KEY_UNKNOWN)
+        node.counters.keys_refused[refusal.kind] += 1
+        if self._identity is not None:
+            node.counters.count_withdrawn(self._identity.name.decode())
+        self._refuse(refusal)
+
     def _count_broken_attempt(self) -> None:
         """Count a broken connection, twice for a suspected request.
 
--- a/packages/calls/src/rhubarbhollow_calls/io_counters.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_counters.py
@@ -5,6 +5,8 @@
 from bisect import bisect_left
 from typing import Final
 
+from rhubarbhollow_calls.refusal import RefusalKind
+
 LATENCY_BOUNDS_SECONDS: Final = (
     0.001,
     0.0025,
@@ -20,6 +22,16 @@
     5.0,
 )
 
+KEY_REFUSALS: Final = (
+    RefusalKind.KEY_UNKNOWN,
+    RefusalKind.KEY_UNCONFIRMED,
+    RefusalKind.KEY_WITHDRAWN,
+)
+
+# Bounds the metric series of a node whose tenants change often.
+MAX_COUNTED_TENANTS: Final = 256
+OTHER_TENANTS: Final = "other"
+
 
 class RouteCounters:
     """Count the outcomes of one route's calls, monotonically.
@@ -65,10 +77,29 @@
 
 
 class NodeCounters:
-    """Count calls that are not attributed to a route."""
+    """Count calls that are not attributed to a route.
 
-    __slots__ = ("malformed", "unrouted")
+    ``keys_refused`` counts calls by the kind of their refusal, for the
+    kinds that say that a key is not valid here, and ``keys_withdrawn``
+    by tenant those whose key was revoked on the way.
+    """
+
+    __slots__ = ("keys_refused", "keys_withdrawn", "malformed", "unrouted")
 
     def __init__(self) -> None:
         self.malformed = 0
         self.unrouted = 0
+        self.keys_refused: dict[RefusalKind, int] = dict.fromkeys(
+            KEY_REFUSALS, 0
+        )
+        self.keys_withdrawn: dict[str, int] = {}
+
+    def count_withdrawn(self, tenant: str) -> None:
+        """Count a call whose key was revoked on the way.
+
+        Tenants beyond the limit are counted together.
+        """
+        counts = self.keys_withdrawn
+        if tenant not in counts and len(counts) >= MAX_COUNTED_TENANTS:
+            tenant = OTHER_TENANTS
+        counts[tenant] = counts.get(tenant, 0) + 1
--- a/packages/calls/src/rhubarbhollow_calls/io_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_exchange.py
@@ -30,6 +30,8 @@
     from rhubarbhollow_calls.io_downstream import Downstream
     from rhubarbhollow_calls.io_local_upstream import LocalUpstream
     from rhubarbhollow_calls.io_node import CallNode
+    from rhubarbhollow_tenants.identity import Identity
+    from rhubarbhollow_tenants.tenant import Tenant
 
 
 class EndedTwice(InvariantViolation):
@@ -53,6 +55,7 @@
         "_downstream",
         "_framing",
         "_head",
+        "_identity",
         "_is_over",
         "_is_request_paused",
         "_is_responding",
@@ -72,12 +75,14 @@
         head: RequestHead,
         request_id: bytes,
         deadline: Deadline,
+        identity: Identity | None = None,
     ) -> None:
         self._node = node
         self._downstream = downstream
         self._head = head
         self._request_id = request_id
         self._deadline = deadline
+        self._identity = identity
         self._body = RequestBody()
         self._attempt: Attempt | None = None
         self._framing: Body = NO_BODY
@@ -162,17 +167,31 @@
     def upstream_field_lines(self, upstream: LocalUpstream) -> bytes:
         """Return the header field lines for the upstream, as of now."""
         dialect = self._node.dialect
-        if not dialect.is_foreign:
-            return self.next_hop_field_lines()
-        left = self._node.format_time_left(self._deadline)
-        return b"%b: %b\r\n%b: %b\r\n%b: %b\r\n" % (
-            dialect.time_limit,
-            left,
-            dialect.upstream,
-            upstream.instance.encode(),
-            dialect.origin,
-            self._origin(),
-        )
+        if dialect.is_foreign:
+            lines = b"%b: %b\r\n%b: %b\r\n%b: %b\r\n" % (
+                dialect.time_limit,
+                self._node.format_time_left(self._deadline),
+                dialect.upstream,
+                upstream.instance.encode(),
+                dialect.origin,
+                self._origin(),
+            )
+        else:
+            lines = self._native_field_lines()
+        if self._identity is None:
+            return lines
+        return lines + b"%b: %b\r\n" % (dialect.tenant, self._identity.name)
+
+    def is_key_held(self) -> bool:
+        """Return whether the release in force holds the call's key.
+
+        A release without tenants serves everyone.
+        """
+        tenants = self._node.tenants
+        identity = self._identity
+        if identity is None or tenants.is_empty:
+            return True
+        return tenants.holds_identity(identity)
 
     def response_started(self, head: ResponseHead) -> None:
         """Buffer the response head until body data or the end follows.
@@ -231,6 +250,16 @@
 
     # Implemented or used by subclasses.
 
+    def _tenant(self) -> Tenant | None:
+        """Return the call's tenant as of the release in force."""
+        if self._identity is None:
+            return None
+        return self._node.tenants.tenant_of(self._identity)
+
+    def _native_field_lines(self) -> bytes:
+        """Return the native header field lines for an upstream."""
+        raise NotImplementedError
+
     def _response_field_lines(self, head: ResponseHead) -> bytes:
         raise NotImplementedError
 
--- a/packages/calls/src/rhubarbhollow_calls/io_keyed.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_keyed.py
@@ -38,6 +38,7 @@
     from rhubarbhollow_calls.io_downstream import Downstream
     from rhubarbhollow_calls.io_node import CallNode
     from rhubarbhollow_calls.io_route_state import RouteState
+    from rhubarbhollow_tenants.identity import Identity
 
 # Includes the name of the route, which prefixes the caller's key.
 MAX_KEY_BYTES: Final = 255
@@ -71,14 +72,19 @@
         now: float,
         claims: ClaimPort,
         key: bytes,
+        identity: Identity | None = None,
     ) -> None:
         super().__init__(
-            node, downstream, head, request_id, deadline, state, now
+            node, downstream, head, request_id, deadline, state, now, identity
         )
         self._claims = claims
         # A caller's keys are unique only among its own requests, so the
-        # route name separates them from those of other routes.
+        # route name separates them from those of other routes, and the
+        # tenant's name from those of other tenants: they must not get
+        # each other's answers.
         self._key = b"%b/%b" % (state.route.name.encode(), key)
+        if identity is not None:
+            self._key = b"%b/%b" % (identity.name, self._key)
         self._claim_id: int | None = None
         self._response_head: ResponseHead | None = None
         self._is_response_whole = False
--- a/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
@@ -125,12 +125,21 @@
     # Called by the local port.
 
     def slot_granted(self) -> None:
-        """Acquire a connection, unless the quarantine forbids it."""
+        """Acquire a connection, unless the call may no longer run.
+
+        Its key may have been revoked, or the request be in quarantine.
+        """
         if self._is_over:
             self._port.release_slot()
             return
         self._has_slot = True
         self._granted_at = self._port.now()
+        if not self._owner.is_key_held():
+            self._fail_unwritten(
+                RefusalKind.KEY_WITHDRAWN,
+                "the key was revoked before the request could run",
+            )
+            return
         quarantine = self._port.quarantine
         if quarantine is None or self._may_start(quarantine):
             self._acquire(self._port.pool)
--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -29,6 +29,7 @@
     bound_by_stop,
     can_end_before_stop,
 )
+from rhubarbhollow_tenants.directory import NO_TENANTS
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -47,6 +48,8 @@
     from rhubarbhollow_calls.quarantine_message import QuarantineMessage
     from rhubarbhollow_calls.refusal import Refusal
     from rhubarbhollow_calls.upstream_selector import UpstreamSelector
+    from rhubarbhollow_tenants.directory import TenantDirectory
+    from rhubarbhollow_tenants.tenant import Tenant
     from rhubarbhollow_wire.clock import Clock
 
 
@@ -114,6 +117,11 @@
         """Return the release in force here, or ``None``."""
         return self._snapshot
 
+    @property
+    def tenants(self) -> TenantDirectory:
+        """Return the tenants of the release in force here."""
+        return NO_TENANTS if self._snapshot is None else self._snapshot.tenants
+
     @property
     def in_flight(self) -> int:
         """Return the number of calls in flight and background tasks."""
@@ -354,6 +362,7 @@
         deadline: Deadline,
         state: RouteState | None,
         objective_left_ms: int | None,
+        tenant: Tenant | None = None,
     ) -> Ticket:
         """Return a call's ticket for a slot of the local upstream.
 
@@ -362,9 +371,15 @@
         """
         call_id = self.next_call_id()
         deadline = bound_by_stop(deadline, self._stops_at)
+        tenant_priority = 0 if tenant is None else tenant.priority
         route = None if state is None else state.route
         if route is None or objective_left_ms is None:
-            return Ticket(priority, deadline.expires_at, call_id)
+            return Ticket(
+                priority,
+                deadline.expires_at,
+                call_id,
+                tenant_priority=tenant_priority,
+            )
         objective = route.latency_seconds or 0.0
         left = objective_left_ms / MS_PER_SECOND
         return Ticket(
@@ -374,6 +389,7 @@
             rank=route.rank,
             objective_ms=round(objective * MS_PER_SECOND),
             start_by=self.clock.monotonic() + left,
+            tenant_priority=tenant_priority,
         )
 
     def next_call_id(self) -> int:
--- a/packages/calls/src/rhubarbhollow_calls/io_peer.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_peer.py
@@ -16,6 +16,7 @@
 from rhubarbhollow_calls.not_run_proof import UnwrittenStage
 from rhubarbhollow_calls.refusal import RefusalKind
 from rhubarbhollow_calls.slot_report import SlotReport, encode_report
+from rhubarbhollow_tenants.identity import Identity
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.http_dialect import Dialect
@@ -26,6 +27,7 @@
     from rhubarbhollow_calls.io_listener import ListenerConnection
     from rhubarbhollow_calls.io_local_port import LocalPort
     from rhubarbhollow_calls.io_node import CallNode
+    from rhubarbhollow_calls.io_route_state import RouteState
 
 _PRIORITIES: Final = {
     priority.name.lower().encode(): priority for priority in CallPriority
@@ -37,6 +39,22 @@
 
     __slots__ = ()
 
+    def __init__(
+        self,
+        node: CallNode,
+        downstream: Downstream,
+        head: RequestHead,
+        request_id: bytes,
+        deadline: Deadline,
+    ) -> None:
+        mesh = head.mesh
+        identity = None
+        if mesh.tenant:
+            identity = Identity(mesh.tenant, mesh.fingerprint)
+        super().__init__(
+            node, downstream, head, request_id, deadline, identity
+        )
+
     def start(self) -> None:
         """Admit the call, if it is meant for the local upstream."""
         mesh = self._head.mesh
@@ -54,6 +72,15 @@
             )
             return
         state = self._node.find_route_state(mesh.route.decode("latin-1"))
+        tenants = self._node.tenants
+        if not tenants.is_empty and not self._is_authenticated(state):
+            self._refuse_admission(
+                RefusalKind.KEY_WITHDRAWN,
+                "the release in force here does not hold the key",
+            )
+            return
+        if self._identity is not None or not tenants.is_empty:
+            self._head = self._head.without_guarded()
         objective = None if state is None else state.route.latency_seconds
         if not self._node.can_end(self._deadline, objective):
             self._refuse_admission(
@@ -65,7 +92,11 @@
         if not mesh.priority and state is not None:
             priority = state.route.priority
         ticket = self._node.make_ticket(
-            priority, self._deadline, state, mesh.objective_ms
+            priority,
+            self._deadline,
+            state,
+            mesh.objective_ms,
+            self._tenant(),
         )
         self._begin(
             LocalAttempt(
@@ -75,6 +106,9 @@
 
     def next_hop_field_lines(self) -> bytes:
         """Return the header field lines for the local upstream."""
+        return self._native_field_lines()
+
+    def _native_field_lines(self) -> bytes:
         mesh = self._head.mesh
         left = self._node.format_time_left(self._deadline)
         return b"%b: %d\r\n%b: %b\r\n%b: %b\r\n%b: %d\r\n%b: %b\r\n" % (
@@ -90,6 +124,16 @@
             self._request_id,
         )
 
+    def _is_authenticated(self, state: RouteState | None) -> bool:
+        """Return whether the call may run by the release in force.
+
+        A call without a tenant may only be to a public route: the node
+        that sent it may have had a release without tenants.
+        """
+        if self._identity is None:
+            return state is not None and state.route.is_public
+        return self.is_key_held()
+
     def _is_for(self, port: LocalPort) -> bool:
         upstream = self._head.mesh.upstream
         if self._node.dialect.is_foreign:
--- a/packages/calls/src/rhubarbhollow_calls/io_refused_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_refused_exchange.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhollow_calls.deadline import Deadline
+from rhubarbhollow_calls.io_counters import KEY_REFUSALS
 from rhubarbhollow_calls.io_exchange import Exchange
 from rhubarbhollow_calls.not_run_proof import UnwrittenStage
 
@@ -46,7 +47,8 @@
         return self._node.position_field_line
 
     def _count_refusal(self, refusal: Refusal) -> None:
-        self._node.counters.unrouted += 1
+        if refusal.kind not in KEY_REFUSALS:
+            self._node.counters.unrouted += 1
         snapshot = self._node.snapshot
         self._node.observer.call_not_begun(
             self._request_id,
--- a/packages/calls/src/rhubarbhollow_calls/io_remote_attempt.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_remote_attempt.py
@@ -67,6 +67,6 @@
             backlog = None if head.slots is None else head.slots.backlog
             if kind is RefusalKind.QUEUE_FULL and backlog is not None:
                 result = CallResult.BUSY
-            return AttemptFailure(refusal, result, backlog)
+            return AttemptFailure(refusal, result, backlog, head.position)
         refusal = Refusal.unknown(kind, detail)
         return AttemptFailure(refusal, CallResult.BROKEN)
--- a/packages/calls/src/rhubarbhollow_calls/io_snapshot.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_snapshot.py
@@ -5,13 +5,16 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from rhubarbhollow_tenants.directory import NO_TENANTS
+
 if TYPE_CHECKING:
     from rhubarbhollow_calls.route_table import RouteTable
+    from rhubarbhollow_tenants.directory import TenantDirectory
 
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """Hold a release's routes and the position where it took effect.
+    """Hold a release's routes and tenants, and its position.
 
     A node replaces the whole snapshot; a call keeps the one on which it
     began.
@@ -19,3 +22,4 @@
 
     position: int
     route_table: RouteTable
+    tenants: TenantDirectory = NO_TENANTS
--- a/packages/calls/src/rhubarbhollow_calls/refusal.py
+++ b/packages/calls/src/rhubarbhollow_calls/refusal.py
@@ -51,6 +51,9 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     HEADERS_TOO_LARGE = "headers_too_large"
     BODY_TOO_LARGE = "body_too_large"
+    KEY_UNKNOWN = "key_unknown"
+    KEY_UNCONFIRMED = "key_unconfirmed"
+    KEY_WITHDRAWN = "key_withdrawn"
 
 
 _STATUS: Final = {
@@ -75,6 +78,10 @@
     RefusalKind.OUTCOME_UNKNOWN: 502,
     RefusalKind.HEADERS_TOO_LARGE: 431,
     RefusalKind.BODY_TOO_LARGE: 413,
+    RefusalKind.KEY_UNKNOWN: 401,
+    # Not 401, which would tell the client that its key is not valid.
+    RefusalKind.KEY_UNCONFIRMED: 503,
+    RefusalKind.KEY_WITHDRAWN: 503,
 }
 
 _TITLE: Final = {
--- a/packages/calls/src/rhubarbhollow_calls/refusal_status.py
+++ b/packages/calls/src/rhubarbhollow_calls/refusal_status.py
@@ -17,6 +17,7 @@
         RefusalKind.NO_ROUTE,
         RefusalKind.HEADERS_TOO_LARGE,
         RefusalKind.BODY_TOO_LARGE,
+        RefusalKind.KEY_UNKNOWN,
     )
 )
 
--- a/packages/calls/src/rhubarbhollow_calls/return_delay.py
+++ b/packages/calls/src/rhubarbhollow_calls/return_delay.py
@@ -31,6 +31,9 @@
 
 _STARTING_KINDS: Final = frozenset(
     (
+        # A node that is behind has caught up by then.
+        RefusalKind.KEY_UNCONFIRMED,
+        RefusalKind.KEY_WITHDRAWN,
         RefusalKind.NO_RELEASE,
         RefusalKind.NO_UPSTREAM,
         RefusalKind.ROUTE_UNCONFIRMED,
--- a/packages/calls/src/rhubarbhollow_calls/slot_ticket.py
+++ b/packages/calls/src/rhubarbhollow_calls/slot_ticket.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from rhubarbhollow_calls.call_priority import CallPriority
 
-Lane: TypeAlias = tuple[int, int, int]
+Lane: TypeAlias = tuple[int, int, int, int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,8 +17,10 @@
     """Request a slot before ``deadline``, in monotonic seconds.
 
     ``call_id`` is unique among the calls of one node. Within a priority
-    the lower ``rank`` is served first, and within a rank the lower
-    ``objective_ms``, which is 0 for a route without an objective.
+    the lower ``tenant_priority`` is served first, within that the lower
+    ``rank``, and within a rank the lower ``objective_ms``, which is 0
+    for a route without an objective. ``tenant_priority`` is 0 for a
+    call without a tenant.
     ``service_seconds`` is the expected time in the slot, or 0 if it is
     unknown. A call that starts after ``start_by``, in monotonic
     seconds, is expected to miss its objective, or its deadline if it is
@@ -32,11 +34,17 @@
     objective_ms: int = 0
     service_seconds: float = 0.0
     start_by: float = math.inf
+    tenant_priority: int = 0
 
     @property
     def lane(self) -> Lane:
         """Return the lane to wait in; lower is served first."""
-        return (int(self.priority), self.rank, self.objective_ms)
+        return (
+            int(self.priority),
+            self.tenant_priority,
+            self.rank,
+            self.objective_ms,
+        )
 
     @property
     def cost(self) -> float:
--- a/packages/daemon/src/rhubarbhollow_daemon/metric_collection.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/metric_collection.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
 
-    from rhubarbhollow_calls.io_counters import RouteCounters
+    from rhubarbhollow_calls.io_counters import NodeCounters, RouteCounters
     from rhubarbhollow_daemon.control_parts import ControlParts
     from rhubarbhollow_daemon.node_parts import NodeParts
     from rhubarbhollow_replication.status import ReplicaStatus
@@ -50,6 +50,7 @@
         "Calls that no route matched.",
         call_node.counters.unrouted,
     )
+    yield from _collect_key_metrics(call_node.counters)
     for state in call_node.route_states:
         yield from _collect_route_metrics(state.route.name, state.counters)
     yield from collect_traffic_metrics("node", parts.traffic)
@@ -128,6 +129,24 @@
         )
 
 
+def _collect_key_metrics(counters: NodeCounters) -> Iterable[MetricSample]:
+    for kind, value in counters.keys_refused.items():
+        yield MetricSample(
+            "calls_key_refused_total",
+            "Calls refused for their key, by the kind of the refusal.",
+            value,
+            {"kind": kind.value},
+        )
+    for tenant, value in counters.keys_withdrawn.items():
+        yield MetricSample(
+            "calls_key_withdrawn_total",
+            "Calls by tenant whose key was revoked on the way, once there"
+            " was one.",
+            value,
+            {"tenant": tenant},
+        )
+
+
 def _collect_route_metrics(
     name: str, counters: RouteCounters
 ) -> Iterable[MetricSample]:
--- a/packages/daemon/src/rhubarbhollow_daemon/route_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/route_building.py
@@ -10,6 +10,8 @@
 from rhubarbhollow_calls.route_table import RouteTable
 from rhubarbhollow_release.priority import Priority
 from rhubarbhollow_release.retry_policy import RetryPolicy
+from rhubarbhollow_tenants.directory import NO_TENANTS, TenantDirectory
+from rhubarbhollow_tenants.tenant import Tenant
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
@@ -18,6 +20,7 @@
     from rhubarbhollow_release.manifest import Manifest
     from rhubarbhollow_release.route import Route
     from rhubarbhollow_release.service import Service
+    from rhubarbhollow_release.tenant_entry import TenantEntry
 
 MS_PER_SECOND: Final = 1000
 # The policy of routes that name none: a single attempt.
@@ -34,6 +37,7 @@
     def __init__(self) -> None:
         self._manifest: Manifest | None = None
         self._table = RouteTable(0, ())
+        self._tenants = NO_TENANTS
 
     def build(self, release: HeldRelease) -> Snapshot:
         """Return the route table of a release with its position."""
@@ -44,8 +48,12 @@
         else:
             routes = _build_routes(manifest, manifest.routes)
             self._table = RouteTable(position, routes)
+        if previous is None or previous.tenants != manifest.tenants:
+            self._tenants = TenantDirectory(
+                map(_build_tenant, manifest.tenants)
+            )
         self._manifest = manifest
-        return Snapshot(position, self._table)
+        return Snapshot(position, self._table, self._tenants)
 
     def _change_table(
         self, previous: Manifest, manifest: Manifest, position: int
@@ -118,6 +126,17 @@
             if route.latency_ms is None
             else route.latency_ms / MS_PER_SECOND
         ),
+        is_public=route.is_public,
+    )
+
+
+def _build_tenant(entry: TenantEntry) -> Tenant:
+    return Tenant(
+        name=entry.display_name,
+        priority=entry.priority,
+        rate=entry.rate,
+        burst=entry.burst,
+        key_digests=tuple(map(bytes.fromhex, entry.key_digests)),
     )
 
 
--- a/packages/distribution/src/rhubarbhollow_distribution/stage.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/stage.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,4 +21,4 @@
     base_digest: bytes
     digest: bytes
     approval_document: bytes
-    difference: bytes
+    difference: bytes = field(repr=False)
--- a/packages/release/src/rhubarbhollow_release/assembly.py
+++ b/packages/release/src/rhubarbhollow_release/assembly.py
@@ -10,6 +10,7 @@
 from rhubarbhollow_release.retry_policy import RetryPolicy
 from rhubarbhollow_release.route import Route
 from rhubarbhollow_release.service import Service
+from rhubarbhollow_release.tenant_entry import TenantEntry
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -32,4 +33,5 @@
         routes=tuple(i for i in ordered if isinstance(i, Route)),
         notes=tuple(i for i in ordered if isinstance(i, Note)),
         retry_policies=tuple(i for i in ordered if isinstance(i, RetryPolicy)),
+        tenants=tuple(i for i in ordered if isinstance(i, TenantEntry)),
     )
--- a/packages/release/src/rhubarbhollow_release/canonical.py
+++ b/packages/release/src/rhubarbhollow_release/canonical.py
@@ -29,8 +29,13 @@
     ResourceKind.RETRY_POLICY: "retry_policies",
     ResourceKind.ROUTE: "routes",
     ResourceKind.SERVICE: "services",
+    ResourceKind.TENANT: "tenants",
 }
 
+# Sections that are omitted if empty: most manifests have neither, and
+# the digests of releases from before a section existed must not change.
+_OMITTED_IF_EMPTY: Final = frozenset((ResourceKind.NOTE, ResourceKind.TENANT))
+
 
 def canonical_bytes(manifest: Manifest) -> bytes:
     """Return the canonical bytes of a manifest."""
@@ -39,6 +44,7 @@
         ResourceKind.RETRY_POLICY: _bodies_of(manifest.retry_policies),
         ResourceKind.ROUTE: _bodies_of(manifest.routes),
         ResourceKind.SERVICE: _bodies_of(manifest.services),
+        ResourceKind.TENANT: _bodies_of(manifest.tenants),
     }
     return join_bodies(manifest.header, bodies)
 
@@ -74,8 +80,7 @@
 ) -> Iterator[bytes]:
     yield b'{"format":%d,"mesh":%s' % (header.format, encode_json(header.mesh))
     for kind, section in SECTIONS.items():
-        # Most manifests have no notes: an empty section is omitted.
-        if bodies[kind] or kind is not ResourceKind.NOTE:
+        if bodies[kind] or kind not in _OMITTED_IF_EMPTY:
             yield b',"%s":[' % section.encode()
             yield b",".join(bodies[kind])
             yield b"]"
--- a/packages/release/src/rhubarbhollow_release/closure.py
+++ b/packages/release/src/rhubarbhollow_release/closure.py
@@ -1,8 +1,9 @@
 """Referential integrity checks of a manifest's resources.
 
 A manifest is closed if every reference resolves within it, no two
-resources of a kind share a name, no two routes match the same calls and
-neither dependencies nor fallbacks form a cycle.
+resources of a kind share a name, no two routes match the same calls, no
+two tenants share a key and neither dependencies nor fallbacks form a
+cycle.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 from rhubarbhollow_release.resource_kind import ResourceKind
 from rhubarbhollow_release.route import Route
 from rhubarbhollow_release.service import Service
+from rhubarbhollow_release.tenant_entry import TenantEntry
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping, Sequence
@@ -50,11 +52,12 @@
     )
 
     def find_faults(self) -> Iterator[ManifestFault]:
-        """Yield faults of items, then duplicate matches and cycles."""
+        """Yield faults of items, then duplicates, then cycles."""
         counts = {kind: self._count(kind) for kind in ResourceKind}
         for placed in self.placed:
             yield from _check_item(placed, counts)
         yield from _find_duplicate_matches(self.placed)
+        yield from _find_shared_keys(self.placed)
         yield from self._find_cycles()
 
     def _count(self, kind: ResourceKind) -> Counter[str]:
@@ -116,11 +119,19 @@
     }
     if any(len(names[kind]) != len(by_kind[kind]) for kind in ResourceKind):
         return False
-    return _are_routes_closed(by_kind[ResourceKind.ROUTE], names) and (
-        _are_services_closed(by_kind[ResourceKind.SERVICE])
+    return (
+        _are_routes_closed(by_kind[ResourceKind.ROUTE], names)
+        and _are_services_closed(by_kind[ResourceKind.SERVICE])
+        and not shares_keys(by_kind[ResourceKind.TENANT])
     )
 
 
+def shares_keys(items: Iterable[Item]) -> bool:
+    """Return whether two of the tenants among the items share a key."""
+    placed = (PlacedItem("", item) for item in items)
+    return any(True for _ in _find_shared_keys(placed))
+
+
 def _are_routes_closed(
     routes: Sequence[Item],
     names: Mapping[ResourceKind, set[str]],
@@ -191,6 +202,32 @@
         first_routes.setdefault(match_, route.name)
 
 
+def _find_shared_keys(
+    items: Iterable[PlacedItem],
+) -> Iterator[ManifestFault]:
+    """Yield the tenants with a key of another one.
+
+    The fault names the other tenant and not the key: the digest of a
+    weak key gives it away.
+    """
+    owners: dict[str, str] = {}
+    for placed in items:
+        tenant = placed.item
+        if not isinstance(tenant, TenantEntry):
+            continue
+        shared = {
+            owners[digest] for digest in tenant.key_digests if digest in owners
+        }
+        for owner in sorted(shared):
+            yield ManifestFault(
+                f"{placed.path}/key_digests",
+                FaultKind.SHARED_KEY,
+                f"shares a key with tenant {owner}",
+            )
+        for digest in tenant.key_digests:
+            owners.setdefault(digest, tenant.name)
+
+
 def _check_service(
     path: str,
     service: Service,
--- a/packages/release/src/rhubarbhollow_release/codec.py
+++ b/packages/release/src/rhubarbhollow_release/codec.py
@@ -22,11 +22,12 @@
 from rhubarbhollow_release.route import Route
 from rhubarbhollow_release.service import Service
 from rhubarbhollow_release.split import Split
+from rhubarbhollow_release.tenant_entry import TenantEntry
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-Item: TypeAlias = Service | Route | RetryPolicy | Note
+Item: TypeAlias = Service | Route | RetryPolicy | Note | TenantEntry
 
 _OBJECTIVES_CHECKS: Final[Mapping[str, checks.FieldCheck]] = {
     "availability": checks.is_objective_ratio,
@@ -69,10 +70,17 @@
     ResourceKind.ROUTE: {
         "annotation": checks.is_annotation,
         "latency_ms": checks.is_timeout_ms,
+        "public": checks.is_flag,
         "rank": checks.is_rank,
         "splits": _is_splits,
     },
     ResourceKind.SERVICE: {"annotation": checks.is_annotation},
+    ResourceKind.TENANT: {
+        "annotation": checks.is_annotation,
+        "burst": checks.is_rate,
+        "rate": checks.is_rate,
+        "title": checks.is_title,
+    },
 }
 
 _CHECKS: Final[Mapping[ResourceKind, Mapping[str, checks.FieldCheck]]] = {
@@ -101,6 +109,11 @@
         "fallback": checks.optional(checks.is_name),
         "objectives": checks.optional(_is_objectives),
     },
+    ResourceKind.TENANT: {
+        "name": checks.is_name,
+        "key_digests": checks.is_key_digest_list,
+        "priority": checks.is_rank,
+    },
 }
 
 
@@ -119,6 +132,7 @@
     Route: ResourceKind.ROUTE,
     RetryPolicy: ResourceKind.RETRY_POLICY,
     Note: ResourceKind.NOTE,
+    TenantEntry: ResourceKind.TENANT,
 }
 
 
@@ -139,8 +153,9 @@
 def encode_item(item: Item) -> bytes:
     """Encode an item as its canonical body.
 
-    All fields are present, except that an annotation, latency, rank or
-    list of splits is omitted if the item has none.
+    All fields are present, except that an annotation, latency, rank,
+    list of splits, rate, burst or title is omitted if the item has
+    none, and ``public`` if it is false.
     """
     return encode_json(_to_json(item))
 
@@ -182,6 +197,8 @@
             return _read_retry_policy(value)
         case ResourceKind.NOTE:
             return Note(value["name"], value["text"])
+        case ResourceKind.TENANT:
+            return _read_tenant(value)
 
 
 def _are_fields_valid(value: Mapping[str, object], kind: ResourceKind) -> bool:
@@ -241,6 +258,7 @@
                 **_without_none(
                     annotation=item.annotation or None,
                     latency_ms=item.latency_ms,
+                    public=item.is_public or None,
                     rank=item.rank,
                     splits=_splits_to_json(item.splits),
                 ),
@@ -253,6 +271,18 @@
             }
         case Note():
             return {"name": item.name, "text": item.text}
+        case TenantEntry():
+            return {
+                "name": item.name,
+                "key_digests": sorted(item.key_digests),
+                "priority": item.priority,
+                **_without_none(
+                    annotation=item.annotation or None,
+                    burst=float(item.burst) or None,
+                    rate=float(item.rate) or None,
+                    title=item.title or None,
+                ),
+            }
 
 
 def _without_none(**values: object) -> dict[str, object]:
@@ -318,6 +348,7 @@
         ),
         rank=value.get("rank"),
         latency_ms=value.get("latency_ms"),
+        is_public=value.get("public", False),
         annotation=value.get("annotation", ""),
     )
 
@@ -328,3 +359,15 @@
         attempts=value["attempts"],
         budget_ratio=float(value["budget_ratio"]),
     )
+
+
+def _read_tenant(value: Mapping[str, Any]) -> TenantEntry:
+    return TenantEntry(
+        name=value["name"],
+        key_digests=tuple(sorted(value.get("key_digests", ()))),
+        priority=value.get("priority", 0),
+        rate=float(value.get("rate", 0)),
+        burst=float(value.get("burst", 0)),
+        title=value.get("title", ""),
+        annotation=value.get("annotation", ""),
+    )
--- a/packages/release/src/rhubarbhollow_release/command.py
+++ b/packages/release/src/rhubarbhollow_release/command.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import struct
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import TYPE_CHECKING, Final, TypeAlias
 
@@ -34,7 +34,7 @@
     """
 
     base_digest: bytes
-    difference: bytes
+    difference: bytes = field(repr=False)
     approval: Approval
 
 
--- a/packages/release/src/rhubarbhollow_release/difference_join.py
+++ b/packages/release/src/rhubarbhollow_release/difference_join.py
@@ -14,11 +14,13 @@
 
 from result import Ok, Result
 
+from rhubarbhollow_release.closure import shares_keys
 from rhubarbhollow_release.manifest import MANIFEST_FORMAT, Manifest
 from rhubarbhollow_release.note import Note
 from rhubarbhollow_release.resource_kind import ResourceKind
 from rhubarbhollow_release.resource_set import ResourceSet, join_resources
 from rhubarbhollow_release.route import Route
+from rhubarbhollow_release.tenant_entry import TenantEntry
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -27,11 +29,13 @@
     from rhubarbhollow_release.difference import Difference
     from rhubarbhollow_release.manifest_fault import ManifestFaults
 
-_I = TypeVar("_I", Note, Route)
+_I = TypeVar("_I", Note, Route, TenantEntry)
 
 _name_of: Final = attrgetter("name")
 # Other resources can't refer to these kinds.
-_UNREFERENCED: Final = frozenset((ResourceKind.NOTE, ResourceKind.ROUTE))
+_UNREFERENCED: Final = frozenset(
+    (ResourceKind.NOTE, ResourceKind.ROUTE, ResourceKind.TENANT)
+)
 
 
 def join_difference(
@@ -76,6 +80,13 @@
         [key.name for key in removed if key.kind is ResourceKind.NOTE],
         [item for item in items if isinstance(item, Note)],
     )
+    tenants = _change(
+        base.tenants,
+        [key.name for key in removed if key.kind is ResourceKind.TENANT],
+        [item for item in items if isinstance(item, TenantEntry)],
+    )
+    if shares_keys(tenants):
+        return None
     return replace(
         base,
         format=header.format,
@@ -83,6 +94,7 @@
         version=header.version,
         routes=tuple(changed),
         notes=tuple(notes),
+        tenants=tuple(tenants),
     )
 
 
--- a/packages/release/src/rhubarbhollow_release/field_checks.py
+++ b/packages/release/src/rhubarbhollow_release/field_checks.py
@@ -23,6 +23,9 @@
 MAX_WEIGHT: Final = 1_000_000_000
 MAX_RANK: Final = 1_000
 MAX_ANNOTATION_CHARACTERS: Final = 1 << 20
+MAX_KEYS: Final = 64
+MAX_RATE: Final = 1_000_000_000
+MAX_TITLE_CHARACTERS: Final = 128
 
 _NAME: Final = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
 _HOST: Final = re.compile(
@@ -30,6 +33,12 @@
 )
 _PREFIX: Final = re.compile(r'/[!"$-.0-;=@-~/]*')
 
+_DIGEST: Final = re.compile("[0-9a-f]{64}")
+# Titles are sent in header fields, one of which uses semicolons.
+_TITLE: Final = re.compile(
+    r"[!-:<-~\u00a1-\ud7ff]([ -:<-~\u00a1-\ud7ff]*[!-:<-~\u00a1-\ud7ff])?"
+)
+
 
 def is_name(value: object) -> bool:
     """Return whether a value is a valid mesh or resource name."""
@@ -114,6 +123,33 @@
     )
 
 
+def is_key_digest_list(value: object) -> bool:
+    """Return whether a value is a list of distinct SHA-256 digests."""
+    return (
+        isinstance(value, list)
+        and len(value) <= MAX_KEYS
+        and all(
+            isinstance(digest, str) and _DIGEST.fullmatch(digest)
+            for digest in value
+        )
+        and len(set(value)) == len(value)
+    )
+
+
+def is_rate(value: object) -> bool:
+    """Return whether a value is a rate or a burst, 0 for no limit."""
+    return type(value) in {int, float} and 0 <= value <= MAX_RATE  # type: ignore[operator]
+
+
+def is_title(value: object) -> bool:
+    """Return whether a value is a name that a header field can hold."""
+    return (
+        isinstance(value, str)
+        and len(value) <= MAX_TITLE_CHARACTERS
+        and bool(_TITLE.fullmatch(value))
+    )
+
+
 def optional(check: FieldCheck) -> FieldCheck:
     """Return a check that also accepts ``None``."""
     return lambda value: value is None or check(value)
--- a/packages/release/src/rhubarbhollow_release/manifest.py
+++ b/packages/release/src/rhubarbhollow_release/manifest.py
@@ -12,6 +12,7 @@
     from rhubarbhollow_release.retry_policy import RetryPolicy
     from rhubarbhollow_release.route import Route
     from rhubarbhollow_release.service import Service
+    from rhubarbhollow_release.tenant_entry import TenantEntry
 
 MANIFEST_FORMAT: Final = 1
 
@@ -31,6 +32,7 @@
     routes: tuple[Route, ...] = ()
     retry_policies: tuple[RetryPolicy, ...] = ()
     notes: tuple[Note, ...] = ()
+    tenants: tuple[TenantEntry, ...] = ()
 
     @property
     def header(self) -> ManifestHeader:
--- a/packages/release/src/rhubarbhollow_release/manifest_fault.py
+++ b/packages/release/src/rhubarbhollow_release/manifest_fault.py
@@ -29,6 +29,7 @@
     BAD_VALUE = "bad_value"
     DUPLICATE_NAME = "duplicate_name"
     DUPLICATE_MATCH = "duplicate_match"
+    SHARED_KEY = "shared_key"
     MISSING_REFERENCE = "missing_reference"
     CYCLE = "cycle"
     NOT_CANONICAL = "not_canonical"
--- a/packages/release/src/rhubarbhollow_release/resource.py
+++ b/packages/release/src/rhubarbhollow_release/resource.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import cached_property
 from typing import TYPE_CHECKING
 
@@ -23,12 +23,13 @@
     """Store the canonical JSON body of a resource, its kind and name.
 
     Successive resource sets share the objects of unchanged resources,
-    so a body is decoded once for all releases that contain it.
+    so a body is decoded once for all releases that contain it.  No body
+    is printed, since that of a tenant may hold keys.
     """
 
     kind: ResourceKind
     name: str
-    body: bytes
+    body: bytes = field(repr=False)
 
     @cached_property
     def key(self) -> ResourceKey:
--- a/packages/release/src/rhubarbhollow_release/resource_kind.py
+++ b/packages/release/src/rhubarbhollow_release/resource_kind.py
@@ -12,3 +12,4 @@
     RETRY_POLICY = "retry_policy"
     ROUTE = "route"
     SERVICE = "service"
+    TENANT = "tenant"
--- a/packages/release/src/rhubarbhollow_release/resource_set.py
+++ b/packages/release/src/rhubarbhollow_release/resource_set.py
@@ -75,6 +75,7 @@
         *manifest.retry_policies,
         *manifest.routes,
         *manifest.services,
+        *manifest.tenants,
     )
     resources = sorted(map(resource_of, items), key=lambda each: each.key)
     return ResourceSet(manifest.header, tuple(resources))
--- a/packages/release/src/rhubarbhollow_release/retained_release.py
+++ b/packages/release/src/rhubarbhollow_release/retained_release.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import cached_property
 from typing import TYPE_CHECKING
 
@@ -22,7 +22,7 @@
     """
 
     release: Release
-    difference: bytes
+    difference: bytes = field(repr=False)
 
     @cached_property
     def full_difference(self) -> bytes:
--- a/packages/release/src/rhubarbhollow_release/route.py
+++ b/packages/release/src/rhubarbhollow_release/route.py
@@ -21,8 +21,9 @@
     ``splits``, if any, distribute the calls among services in place of
     ``service``, which then names one of them.  ``rank`` orders queued
     calls, 0 first; ``priority`` orders the calls of routes without a
-    rank.  ``latency_ms`` is the latency objective of its calls.  Nodes
-    do not interpret ``annotation``.
+    rank.  ``latency_ms`` is the latency objective of its calls.  A
+    public route needs no key of a tenant.  Nodes do not interpret
+    ``annotation``.
     """
 
     name: str
@@ -36,6 +37,7 @@
     splits: tuple[Split, ...] = ()
     rank: int | None = None
     latency_ms: int | None = None
+    is_public: bool = False
     annotation: str = ""
 
     @property
--- a/packages/release/src/rhubarbhollow_release/schema.py
+++ b/packages/release/src/rhubarbhollow_release/schema.py
@@ -7,12 +7,14 @@
 from importlib.resources import files
 from typing import TYPE_CHECKING, Any, Final, cast
 
+from rhubarbhollow_release.canonical import SECTIONS
 from rhubarbhollow_release.manifest_fault import (
     FaultKind,
     ManifestFault,
     limit_faults,
     pointer_to,
 )
+from rhubarbhollow_release.resource_kind import ResourceKind
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
@@ -113,6 +115,11 @@
             yield _fault(error, path, _describe(error))
 
 
+def _is_in_tenant(error: ValidationError) -> bool:
+    path = error.absolute_path
+    return bool(path) and path[0] == SECTIONS[ResourceKind.TENANT]
+
+
 def _fault(error: ValidationError, path: str, detail: str) -> ManifestFault:
     kind = _KINDS.get(str(error.validator), FaultKind.BAD_VALUE)
     return ManifestFault(path, kind, detail)
@@ -120,6 +127,7 @@
 
 def _describe(error: ValidationError) -> str:
     rule = f"{error.validator} {error.validator_value}"
-    if isinstance(error.instance, dict | list):
+    if isinstance(error.instance, dict | list) or _is_in_tenant(error):
+        # What stands in place of a digest may be the key itself.
         return f"{rule}: {type(error.instance).__name__}"
     return f"{rule}: {ascii(error.instance)[:MAX_DETAIL_CHARACTERS]}"
--- a/packages/release/tests/test_field_checks.py
+++ b/packages/release/tests/test_field_checks.py
@@ -19,6 +19,10 @@
     st.sampled_from([0, 1, 10, 11, 600_000, 600_001, 0.0, 0.5, 1.0, 2.0, -1]),
     st.sampled_from(["*", "h.example:1", "/", "/a b", "/a?", "/é", "bulk"]),
     st.lists(NAMES, max_size=3),
+    st.sampled_from([["f" * 64], ["f" * 64] * 2, ["F" * 64], ["0" * 63]]),
+    st.sampled_from(
+        ["a;b", " a", "a ", "S\u1ea1ch L\u1ecdc", "a\x7f", 1e9, 1e10]
+    ),
     st.text(max_size=3),
 )
 OBJECTIVES = st.fixed_dictionaries(
@@ -42,6 +46,7 @@
         "idempotent": False,
         "rank": 2,
         "latency_ms": 500,
+        "public": True,
         "annotation": "x",
         "splits": [{"service": "b", "weight": 1.0}],
     },
@@ -51,6 +56,15 @@
         "attempts": 1,
         "budget_ratio": 0.5,
     },
+    ResourceKind.TENANT: {
+        "name": "a",
+        "key_digests": ["0" * 64],
+        "priority": 0,
+        "rate": 224.5,
+        "burst": 5.0,
+        "title": "An Archive",
+        "annotation": "x",
+    },
 }
 
 
--- a/packages/release/tests/test_is_closed.py
+++ b/packages/release/tests/test_is_closed.py
@@ -10,6 +10,7 @@
 from rhubarbhollow_release.route import Route
 from rhubarbhollow_release.service import Service
 from rhubarbhollow_release.split import Split
+from rhubarbhollow_release.tenant_entry import TenantEntry
 
 NAMES = st.sampled_from(["a", "b", "c"])
 OBJECTIVES = st.sampled_from(
@@ -37,6 +38,11 @@
     ),
     st.builds(RetryPolicy, NAMES, st.just(1), st.just(0.1)),
     st.builds(Note, NAMES, st.just("t")),
+    st.builds(
+        TenantEntry,
+        NAMES,
+        st.lists(st.sampled_from(["0" * 64, "1" * 64]), max_size=2).map(tuple),
+    ),
 )
 
 
--- a/tests/standin/mesh.py
+++ b/tests/standin/mesh.py
@@ -22,6 +22,7 @@
 from rhubarbhollow_calls.quarantine import Quarantine
 from rhubarbhollow_calls.route_table import RouteTable
 from rhubarbhollow_calls.upstream_selector import UpstreamSelector
+from rhubarbhollow_tenants.directory import NO_TENANTS
 from rhubarbhollow_wire.clock import ManualClock
 from tests.standin.http_client import FAIL_SAFE_SECONDS, HttpClient
 
@@ -30,6 +31,7 @@
 
     from rhubarbhollow_calls.io_claim_port import ClaimPort
     from rhubarbhollow_calls.quarantine_message import QuarantineMessage
+    from rhubarbhollow_tenants.directory import TenantDirectory
     from tests.standin.scripted_upstream import ScriptedUpstream
 
 _FOREVER = itertools.repeat(None)
@@ -68,9 +70,15 @@
     positions: list[int] = field(default_factory=list)
     check: PositionCheck = PositionCheck.BEHIND
 
+    staged: Snapshot | None = None
+    is_confirmed: bool = True
+
     def observe(self, position: int) -> PositionCheck:
-        """Record a position that a message carried."""
+        """Record a position, and install the release staged for it."""
         self.positions.append(position)
+        if self.staged is not None and self.staged.position == position:
+            self.node.install(self.staged)
+            return PositionCheck.ACTIVATED
         return self.check
 
 
@@ -83,6 +91,7 @@
         settings: CallSettings | None = None,
         position: int = 7,
         claims: ClaimPort | None = None,
+        tenants: TenantDirectory = NO_TENANTS,
     ) -> None:
         self.clock = ManualClock()
         self.nodes: dict[str, MeshNode] = {}
@@ -91,7 +100,7 @@
         self._claims = claims
         self._settings = settings or CallSettings()
         self._snapshot = Snapshot(
-            position, RouteTable(position, routes or (DEFAULT_ROUTE,))
+            position, RouteTable(position, routes or (DEFAULT_ROUTE,)), tenants
         )
 
     async def add_node(
@@ -101,6 +110,7 @@
         service: str = "desk",
         slots: int = 9,
         connections: int = 110,
+        has_release: bool = True,
     ) -> MeshNode:
         selector = UpstreamSelector("here", self.clock, random.Random(5))
         quarantine = Quarantine(self.clock)
@@ -111,8 +121,10 @@
         node = CallNode(
             name, "here", selector, self.clock, observe, self._settings,
             quarantine, self.published.append, self._claims,
+            is_release_confirmed=lambda: self.nodes[name].is_confirmed,
         )  # fmt: skip
-        node.install(self._snapshot)
+        if has_release:
+            node.install(self._snapshot)
         loop = asyncio.get_running_loop()
         caller = await loop.create_server(
             node.caller_protocol_factory, "127.0.0.1", 0
