Change tenants' keys by command and keep keys out of what is shown

Cause: an operator had to compute digests by hand, the canonical form of a release (GET /v1/releases/N/manifest) shows the annotations of tenants and with them the keys of the platform's documents, and refusals for a key had no metric.

Change: `rhubarbhollow tenant add-key | rotate-key | remove-key` edit a manifest; keys come from the standard input or go to a new file of mode 0600. Releases whose tenants have annotations are not shown (403 `holds_keys`). A 401 has the challenge that RFC 9110 asks for.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -100,9 +100,10 @@
 
 
 @main.command("change-cost")
-def change_cost() -> None:
+@click.option("--tenants", default=0, help="Tenants, one of which changes.")
+def change_cost(tenants: int = 0) -> None:
     """Measure the cost of one change to a large configuration."""
-    for step, spent_ms in run_change_cost().items():
+    for step, spent_ms in run_change_cost(tenants).items():
         click.echo(f"{step:15} {spent_ms:8.2f} ms")
 
 
--- a/bench/change_cost.py
+++ b/bench/change_cost.py
@@ -1,8 +1,8 @@
 """Processor time of one configuration change on leader and node.
 
 Run as ``python -m bench change-cost``. Each change alters one route of
-a large configuration; the figure of a step is the lowest processor
-time over all changes.
+a large configuration, or a key of one tenant if it has tenants; the
+figure of a step is the lowest processor time over all changes.
 """
 
 from __future__ import annotations
@@ -39,6 +39,7 @@
 ROUTES: Final = 2_400
 CHANGES: Final = 10
 MS_PER_SECOND: Final = 1000
+LOOKUPS: Final = 1_000
 TRUSTED_KEYS: Final = {CHANNEL_KEY_ID: OperatorChannel()}
 
 
@@ -57,7 +58,7 @@
         return result
 
 
-def run_change_cost() -> dict[str, float]:
+def run_change_cost(tenants: int = 0) -> dict[str, float]:
     """Return the processor time of each step in milliseconds."""
     format_ = ConfigurationFormat(MESH)
     ledger = ReleaseLedger(MESH, TRUSTED_KEYS)
@@ -66,7 +67,8 @@
     node = _build_node()
     timer = _StepTimer()
     for version in range(1, CHANGES + 1):
-        previous = _apply_change(version, format_, ledger, previous, timer)
+        document = _build_document(version, tenants)
+        previous = _apply_change(document, format_, ledger, previous, timer)
         snapshot = timer.run("node: route table", builder.build, previous)
         timer.run("node: install", node.install, snapshot)
         if version == 1:
@@ -74,6 +76,12 @@
             # resource is decoded.
             timer.best_ms.clear()
     best = timer.best_ms
+    if tenants:
+        identify = snapshot.tenants.identify
+        timer.run(
+            f"node: {LOOKUPS} keys",
+            lambda: [identify(b"key-1-0") for _ in range(LOOKUPS)],
+        )
     node_ms = sum(
         spent for step, spent in best.items() if step.startswith("node")
     )
@@ -90,15 +98,14 @@
 
 
 def _apply_change(
-    version: int,
+    document: bytes,
     format_: ConfigurationFormat,
     ledger: ReleaseLedger,
     previous: HeldRelease | None,
     timer: _StepTimer,
 ) -> HeldRelease:
-    target = timer.run(
-        "decode", format_.read, _build_document(version)
-    ).unwrap()
+    target = timer.run("decode", format_.read, document).unwrap()
+    version = target.header.version
     digest = timer.run("digest", lambda: target.digest)
     approval = approve_by_channel(MESH, version, digest)
     planned = timer.run("plan", ledger.plan_resources, target, approval)
@@ -113,12 +120,20 @@
     return opened.unwrap()
 
 
-def _build_document(version: int) -> bytes:
+def _build_document(version: int, tenants: int) -> bytes:
     rules = [
-        _build_rule(n, version if n == version else 0) for n in range(ROUTES)
+        _build_rule(n, version if n == version and not tenants else 0)
+        for n in range(ROUTES)
     ]
+    members = {
+        "Tenants": [
+            _build_tenant(n, version if n == version else 0)
+            for n in range(tenants)
+        ]
+    }
     return json.dumps(
         {
+            **(members if tenants else {}),
             "Version": f"{version:08x}",
             "Limits": {"MaxHeaderBytes": 16384, "IdleTimeoutS": 15},
             "Listeners": [{"Host": "h.example", "RuleTables": rules}],
@@ -128,6 +143,16 @@
     ).encode()
 
 
+def _build_tenant(number: int, change: int) -> dict[str, object]:
+    return {
+        "Name": f"tenant-{number}",
+        "ApiKeys": [f"key-{number}-{change}", f"other-{number}"],
+        "Priority": number % 2,
+        "RatePerS": 5 + number,
+        "Burst": 5 + number,
+    }
+
+
 def _build_rule(number: int, change: int) -> dict[str, object]:
     return {
         "Name": f"r-{number:07x}",
--- a/packages/calls/src/rhubarbhollow_calls/io_refusal_response.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_refusal_response.py
@@ -19,6 +19,8 @@
 if TYPE_CHECKING:
     from rhubarbhollow_calls.http_fault import HttpFault
 
+# RFC 9110, section 15.5.2, requires a challenge in a 401.
+_CHALLENGE_LINE: Final = b"www-authenticate: Key\r\n"
 _KINDS: Final = {
     HttpFaultKind.HEAD_TOO_LARGE: RefusalKind.HEADERS_TOO_LARGE,
 }
@@ -53,6 +55,8 @@
     document = problem_bytes(refusal, request_id.decode("latin-1"))
     if status is not None and status != refusal.status:
         document = _replace_status(document, status)
+    if refusal.kind is RefusalKind.KEY_UNKNOWN:
+        extra_field_lines += _CHALLENGE_LINE
     if retry_after_seconds is not None:
         extra_field_lines += b"%b: %.3f\r\n" % (
             names.RETRY_AFTER,
--- a/packages/cli/src/rhubarbhollow_cli/failure.py
+++ b/packages/cli/src/rhubarbhollow_cli/failure.py
@@ -24,6 +24,7 @@
 from rhubarbhollow_cli.output import OutputFormat
 from rhubarbhollow_cli.problem import Problem
 from rhubarbhollow_cli.table import format_cell, format_table
+from rhubarbhollow_cli.tenant_keys import TenantFault
 from rhubarbhollow_release.approval_fault import ApprovalFault
 from rhubarbhollow_release.keys import KeyFault
 from rhubarbhollow_release.manifest_fault import ManifestFaults
@@ -38,6 +39,7 @@
     | ApprovalFault
     | KeyFault
     | NotConfirmed
+    | TenantFault
 )
 
 
@@ -76,6 +78,8 @@
             return ExitCode.UNKNOWN
         case InputFault() | ManifestFaults() | ApprovalFault() | KeyFault():
             return ExitCode.BAD_INPUT
+        case TenantFault():
+            return ExitCode.BAD_INPUT
 
 
 def _exit_code_of_status(status: int) -> ExitCode:
@@ -108,7 +112,10 @@
                 f"accepted at position {position}, "
                 "but not seen in force on all nodes before the deadline"
             )
-        case InputFault(name=name, detail=detail):
+        case (
+            InputFault(name=name, detail=detail)
+            | TenantFault(tenant=name, detail=detail)
+        ):
             return f"{name}: {detail}"
         case ManifestFaults(faults=faults):
             return f"the manifest is invalid; faults: {len(faults)}"
@@ -150,7 +157,7 @@
             return {"kind": "manifest_invalid", "faults": rows}
         case InputFault(kind=kind) | ApprovalFault(kind=kind):
             return {"kind": kind.value}
-        case KeyFault(kind=kind):
+        case KeyFault(kind=kind) | TenantFault(kind=kind):
             return {"kind": kind.value}
 
 
--- a/packages/cli/src/rhubarbhollow_cli/main.py
+++ b/packages/cli/src/rhubarbhollow_cli/main.py
@@ -22,6 +22,7 @@
 from rhubarbhollow_cli.logs import configure_logs
 from rhubarbhollow_cli.report import report
 from rhubarbhollow_cli.submit import submit
+from rhubarbhollow_cli.tenant import tenant
 from rhubarbhollow_cli.validate import validate
 from rhubarbhollow_cli.version import version
 from rhubarbhollow_cli.withdraw import withdraw
@@ -56,6 +57,7 @@
     report,
     status,
     submit,
+    tenant,
     upstreams,
     validate,
     version,
--- a/packages/cli/src/rhubarbhollow_cli/manifest_file.py
+++ b/packages/cli/src/rhubarbhollow_cli/manifest_file.py
@@ -42,6 +42,7 @@
             "services": len(manifest.services),
             "routes": len(manifest.routes),
             "retry_policies": len(manifest.retry_policies),
+            "tenants": len(manifest.tenants),
         }
 
 
--- a/packages/daemon/src/rhubarbhollow_daemon/call_observer.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/call_observer.py
@@ -28,6 +28,7 @@
         RefusalKind.BODY_TOO_LARGE,
         RefusalKind.HEADERS_TOO_LARGE,
         RefusalKind.KEY_CONFLICT,
+        RefusalKind.KEY_UNKNOWN,
     }
 )
 
--- a/packages/daemon/src/rhubarbhollow_daemon/control_handlers.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_handlers.py
@@ -22,7 +22,9 @@
     ReleaseView,
     StatusView,
 )
+from rhubarbhollow_release.resource_kind import ResourceKind
 from rhubarbhollow_release.resource_set import join_resources
+from rhubarbhollow_release.tenant_entry import TenantEntry
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -35,6 +37,7 @@
     from rhubarbhollow_daemon.leader_relay import LeaderRelay
     from rhubarbhollow_daemon.settings import Settings
     from rhubarbhollow_release.manifest_fault import ManifestFaults
+    from rhubarbhollow_release.resource import Resource
 
 
 class UnjoinableReleaseError(Exception):
@@ -115,6 +118,12 @@
                 HTTPStatus.NOT_FOUND,
                 f"no manifest is retained for position {position}",
             )
+        if any(map(_may_hold_keys, resources.resources)):
+            return answer_problem(
+                "holds_keys",
+                HTTPStatus.FORBIDDEN,
+                "the annotations of tenants may hold keys and are not shown",
+            )
         return HttpResponse(HTTPStatus.OK, resources.canonical())
 
     async def list_nodes(
@@ -200,3 +209,11 @@
     if position == active_position:
         return "in_force"
     return "accepted" if position > active_position else "past"
+
+
+def _may_hold_keys(resource: Resource) -> bool:
+    """Return whether a resource's annotation may hold keys."""
+    if resource.kind is not ResourceKind.TENANT:
+        return False
+    item = resource.item.unwrap()
+    return isinstance(item, TenantEntry) and bool(item.annotation)
--- a/packages/daemon/src/rhubarbhollow_daemon/http_request.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/http_request.py
@@ -24,14 +24,15 @@
 class HttpRequest:
     """Hold a complete request.
 
-    The server bounds the size of the body. ``query`` is the raw query
+    The server bounds the size of the body, which is not printed: it may
+    hold keys. ``query`` is the raw query
     string; the names in ``headers`` are in lower case.
     """
 
     method: str
     path: str
     query: str
-    body: bytes
+    body: bytes = field(repr=False)
     headers: Mapping[str, str] = field(default_factory=dict)
 
     def query_parameter(self, name: str) -> str | None:
--- a/packages/daemon/src/rhubarbhollow_daemon/metric_collection.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/metric_collection.py
@@ -50,7 +50,7 @@
         "Calls that no route matched.",
         call_node.counters.unrouted,
     )
-    yield from _collect_key_metrics(call_node.counters)
+    yield from collect_key_metrics(call_node.counters)
     for state in call_node.route_states:
         yield from _collect_route_metrics(state.route.name, state.counters)
     yield from collect_traffic_metrics("node", parts.traffic)
@@ -129,7 +129,8 @@
         )
 
 
-def _collect_key_metrics(counters: NodeCounters) -> Iterable[MetricSample]:
+def collect_key_metrics(counters: NodeCounters) -> Iterable[MetricSample]:
+    """Yield how many calls were refused for their key."""
     for kind, value in counters.keys_refused.items():
         yield MetricSample(
             "calls_key_refused_total",
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -250,6 +250,7 @@
             position=active.position,
             version=active.version,
             digest=active.digest.hex(),
+            tenants=len(active.manifest.tenants),
         )
 
     def _change_endpoints(self, change: EndpointChange) -> None:
