Form the log after a kill of all members at the first start

Cause: the initial members and the right to form the log came from FirstStart alone, which is false at the next start, and were kept on no disk. Until the log was formed it needed the vote of every initial member.

Change: the first start makes a durable record of the initial members in the store's folder, before the program is loaded. A folder with the record is formatted with a known store id, so that the first configuration is bound and a majority forms the log. An empty disk of a later start has another id and no vote.

The own interface keeps unanimity: nothing there tells a first start from one after a lost disk.

--- a/packages/daemon/src/rhubarbhollow_daemon/control_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_building.py
@@ -11,6 +11,10 @@
 from rhubarbhollow_daemon.claim_machine import ClaimMachine
 from rhubarbhollow_daemon.claim_service import ClaimService
 from rhubarbhollow_daemon.control_parts import ClaimParts, ControlParts
+from rhubarbhollow_daemon.data_folder import (
+    CLAIMS_FOLDER_NAME,
+    LOG_FOLDER_NAME,
+)
 from rhubarbhollow_daemon.endpoint_exchange import EndpointExchange
 from rhubarbhollow_daemon.floor_file import FloorFile
 from rhubarbhollow_daemon.log_group import LogGroup
@@ -42,8 +46,6 @@
     from rhubarbhollow_wire.clock import Clock
     from rhubarbhollow_wire.traffic import Traffic
 
-LOG_FOLDER_NAME: Final = "log"
-CLAIMS_FOLDER_NAME: Final = "claims"
 MAX_WAITING_NODES: Final = 1_024
 
 _log = structlog.get_logger()
--- a/packages/replication/src/rhubarbhollow_replication/configuration.py
+++ b/packages/replication/src/rhubarbhollow_replication/configuration.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhollow_replication.member import (
+    FOUNDING_STORE_ID,
     UNBOUND_STORE_ID,
     Member,
     MemberRole,
@@ -118,5 +119,17 @@
     )
 
 
+def founding_configuration(names: Iterable[str]) -> Configuration:
+    """Return the configuration of the members that may form the log.
+
+    It is bound to their founding stores. A store that replaced one of
+    them has another ID and no vote, so a majority suffices from the
+    first election on.
+    """
+    return _sorted_by_name(
+        Member(name, FOUNDING_STORE_ID, MemberRole.VOTER) for name in names
+    )
+
+
 def _sorted_by_name(members: Iterable[Member]) -> Configuration:
     return Configuration(tuple(sorted(members, key=lambda m: m.name)))
--- a/packages/replication/src/rhubarbhollow_replication/core.py
+++ b/packages/replication/src/rhubarbhollow_replication/core.py
@@ -12,6 +12,7 @@
 from rhubarbhollow_replication.chunk import SnapshotChunk, SnapshotReply
 from rhubarbhollow_replication.configuration import (
     Configuration,
+    founding_configuration,
     initial_configuration,
 )
 from rhubarbhollow_replication.effects import Effects
@@ -96,7 +97,11 @@
         self._settings = settings
         self._random = random
         self._store_id = recovered.store_id
-        initial = initial_configuration(settings.initial_members)
+        initial = (
+            founding_configuration(recovered.founders)
+            if recovered.founders
+            else initial_configuration(settings.initial_members)
+        )
         self._journal = Journal(recovered, initial)
         self._outbox = Outbox()
         self._term_state = TermState(
@@ -595,7 +600,7 @@
             now,
         )
         self._leadership = leadership
-        if self.configuration.is_bound:
+        if self.configuration.is_bound and self.last_index > 0:
             leadership.append(EntryKind.NOOP, b"", now)
             return
         bound = self.configuration.bind(tally.store_ids)
--- a/packages/replication/src/rhubarbhollow_replication/member.py
+++ b/packages/replication/src/rhubarbhollow_replication/member.py
@@ -8,6 +8,11 @@
 # Store ID of a member whose store is not known yet.
 UNBOUND_STORE_ID = ""
 
+# ID of every store that was formatted with a record of the initial
+# members. A member has one such store in its life, so the ID and the
+# member's name identify it before the log exists.
+FOUNDING_STORE_ID = "founding"
+
 
 class MemberRole(Enum):
     """The role of a member; only voters count toward a quorum."""
--- a/packages/replication/src/rhubarbhollow_replication/recovered_state.py
+++ b/packages/replication/src/rhubarbhollow_replication/recovered_state.py
@@ -17,6 +17,8 @@
 
     ``entries`` directly follow the snapshot. ``committed_index`` is the
     last index known to be committed, or 0 if the store alone is known.
+    ``founders`` are the initial members of the log if this store may
+    form it.
     """
 
     store_id: str
@@ -24,3 +26,4 @@
     snapshot: Snapshot | None
     entries: tuple[Entry, ...]
     committed_index: int = 0
+    founders: tuple[str, ...] = ()
--- a/packages/replication/src/rhubarbhollow_replication/settings.py
+++ b/packages/replication/src/rhubarbhollow_replication/settings.py
@@ -26,7 +26,8 @@
     ``may_form_cluster`` allows the initial members to start a new log
     if all their stores are empty. If it is disabled after the first
     start, a second log cannot be started even if all members lose
-    their disks at once.
+    their disks at once. Neither is used by a store that was formatted
+    with a record of the initial members (``formation.py``).
     ``max_clock_drift_ratio`` bounds how much faster one member's clock
     runs than another's, as a fraction of elapsed time. ``log_name``
     identifies the replicated log in log events of the process.
--- a/packages/replication/src/rhubarbhollow_replication/store.py
+++ b/packages/replication/src/rhubarbhollow_replication/store.py
@@ -11,6 +11,13 @@
 from result import Err, Ok, Result
 
 from rhubarbhollow_replication.disk import Disk, OsDisk, SyncError
+from rhubarbhollow_replication.formation import (
+    FORMATION_NAME,
+    IDENTITY_NAME,
+    read_formation,
+    set_aside_prefix,
+)
+from rhubarbhollow_replication.member import FOUNDING_STORE_ID
 from rhubarbhollow_replication.record import (
     CorruptBytes,
     Reset,
@@ -18,6 +25,7 @@
     strip_checksum_header,
 )
 from rhubarbhollow_replication.recovered_state import RecoveredState
+from rhubarbhollow_replication.replaced_file import replace_file
 from rhubarbhollow_replication.segments import SEGMENT_BYTES, Segments
 from rhubarbhollow_replication.snapshot import Snapshot, decode_snapshot
 from rhubarbhollow_replication.store_fault import (
@@ -45,19 +53,18 @@
 _log = structlog.get_logger()
 
 STORE_ID_BITS: Final = 64
-_IDENTITY_NAME: Final = "store"
 _VOTE_NAME: Final = "vote"
 _SNAPSHOT_NAME: Final = "snapshot"
-_TEMPORARY_SUFFIX: Final = ".new"
 
 
 class LogStore:
     """Durable votes, log entries and the latest snapshot.
 
-    A folder is formatted once with a random store ID, which is written
-    last. A folder with neither an ID nor segments has therefore never
-    been used for a vote or an acknowledged entry. A folder with
-    segments but no ID is corrupt.
+    A folder is formatted once with a store ID, which is written last.
+    It is random, or that of all founding stores if the right to form
+    the log has been recorded in the folder. A folder with neither an ID
+    nor segments has therefore never been used for a vote or an
+    acknowledged entry. A folder with segments but no ID is corrupt.
     """
 
     def __init__(
@@ -103,7 +110,7 @@
         segments = Segments(folder, disk, segment_bytes)
         try:
             disk.make_folder(folder)
-            if _IDENTITY_NAME not in disk.names(folder):
+            if IDENTITY_NAME not in disk.names(folder):
                 fault = _format(folder, disk, source)
                 if fault is not None:
                     return Err(fault)
@@ -161,7 +168,7 @@
                     is_dirty = True
                 case SaveVote(state):
                     body = _encode_vote(state)
-                    _replace_file(
+                    replace_file(
                         self._folder,
                         self._disk,
                         _VOTE_NAME,
@@ -177,7 +184,7 @@
 
     def _save_snapshot(self, snapshot: Snapshot, is_installed: bool) -> None:
         encoded = snapshot.encode()
-        _replace_file(self._folder, self._disk, _SNAPSHOT_NAME, encoded)
+        replace_file(self._folder, self._disk, _SNAPSHOT_NAME, encoded)
         if is_installed:
             reset = Reset(snapshot.last_index, snapshot.last_term)
             self._segments.append((reset,))
@@ -195,10 +202,9 @@
     """
     disk = disk or OsDisk()
     siblings = disk.names(folder.parent)
-    number = sum(
-        name.startswith(f"{folder.name}.corrupt") for name in siblings
-    )
-    target = folder.with_name(f"{folder.name}.corrupt-{number + 1}")
+    prefix = set_aside_prefix(folder)
+    number = sum(name.startswith(prefix) for name in siblings)
+    target = folder.with_name(f"{prefix}-{number + 1}")
     disk.rename(folder, target)
     disk.sync_folder(folder.parent)
     _log.error("store_set_aside", folder=str(folder), target=str(target))
@@ -212,16 +218,22 @@
     if any(name.endswith(".log") for name in leftovers):
         # Segments are created only after the store ID is written, so
         # a folder with segments has lost its ID.
-        return CorruptRecord(str(folder / _IDENTITY_NAME), 0)
-    _replace_file(
-        folder,
-        disk,
-        _VOTE_NAME,
-        add_checksum_header(_encode_vote(VoteState())),
-    )
+        return CorruptRecord(str(folder / IDENTITY_NAME), 0)
+    founders = read_formation(folder, disk)
+    if isinstance(founders, CorruptBytes):
+        return CorruptRecord(str(folder / FORMATION_NAME), founders.offset)
+    unused_vote = add_checksum_header(_encode_vote(VoteState()))
+    has_vote = _VOTE_NAME in leftovers
+    if founders and has_vote and disk.read(folder / _VOTE_NAME) != unused_vote:
+        # A founding store must not be formatted twice: its ID would not
+        # tell that the first one's vote was lost.
+        return CorruptRecord(str(folder / IDENTITY_NAME), 0)
+    replace_file(folder, disk, _VOTE_NAME, unused_vote)
     store_id = f"{source.getrandbits(STORE_ID_BITS):016x}"
-    _replace_file(
-        folder, disk, _IDENTITY_NAME, add_checksum_header(store_id.encode())
+    if founders:
+        store_id = FOUNDING_STORE_ID
+    replace_file(
+        folder, disk, IDENTITY_NAME, add_checksum_header(store_id.encode())
     )
     disk.sync_folder(folder.parent)
     return None
@@ -234,12 +246,15 @@
     # had not synced. Others will rely on what is recovered here.
     disk.sync_folder(folder)
     names = disk.names(folder)
-    identity = _read_checksummed(folder / _IDENTITY_NAME, disk, names)
+    identity = _read_checksummed(folder / IDENTITY_NAME, disk, names)
     if isinstance(identity, CorruptRecord):
         return identity
     vote = _read_checksummed(folder / _VOTE_NAME, disk, names)
     if isinstance(vote, CorruptRecord):
         return vote
+    founders = read_formation(folder, disk)
+    if isinstance(founders, CorruptBytes):
+        return CorruptRecord(str(folder / FORMATION_NAME), founders.offset)
     snapshot = _read_snapshot(folder / _SNAPSHOT_NAME, disk, names)
     if isinstance(snapshot, CorruptRecord):
         return snapshot
@@ -255,7 +270,11 @@
     if snapshot is not None and not entries:
         _append_reset(contents, snapshot, segments)
     return RecoveredState(
-        identity.decode(), _decode_vote(vote), snapshot, tuple(entries)
+        identity.decode(),
+        _decode_vote(vote),
+        snapshot,
+        tuple(entries),
+        founders=founders,
     )
 
 
@@ -268,10 +287,10 @@
     succeed although the new name is not durable.
     """
     vote = add_checksum_header(_encode_vote(recovered.vote))
-    _replace_file(folder, disk, _VOTE_NAME, vote)
+    replace_file(folder, disk, _VOTE_NAME, vote)
     if recovered.snapshot is not None:
         encoded = recovered.snapshot.encode()
-        _replace_file(folder, disk, _SNAPSHOT_NAME, encoded)
+        replace_file(folder, disk, _SNAPSHOT_NAME, encoded)
 
 
 def _append_reset(
@@ -341,21 +360,6 @@
     return snapshot
 
 
-def _replace_file(folder: Path, disk: Disk, name: str, data: bytes) -> None:
-    """Replace a file atomically: a crash leaves the old or the new."""
-    temporary = folder / (name + _TEMPORARY_SUFFIX)
-    if temporary.name in disk.names(folder):
-        disk.remove(temporary)
-    file = disk.open(temporary)
-    try:
-        file.write(data)
-        file.sync()
-    finally:
-        file.close()
-    disk.rename(temporary, folder / name)
-    disk.sync_folder(folder)
-
-
 def _encode_vote(state: VoteState) -> bytes:
     row = [state.term, state.candidate, state.candidate_store_id]
     return json.dumps(row).encode()
--- a/packages/replication/tests/seeded_run.py
+++ b/packages/replication/tests/seeded_run.py
@@ -21,6 +21,7 @@
 
 from rhubarbhollow_replication.core import Core, Position
 from rhubarbhollow_replication.entry import EntryKind
+from rhubarbhollow_replication.formation import record_formation
 from rhubarbhollow_replication.membership_change import (
     AddLearner,
     RemoveMember,
@@ -41,6 +42,7 @@
 MAX_SETTLE_STEPS = 6000
 FINAL_COMMAND = b"last"
 STEPS_PER_PHASE = 400
+SMALL_FILES = ("store", "vote", "snapshot", "formation")
 FAULT_RATES = (0.0, 0.002, 0.005, 0.02)
 
 
@@ -89,6 +91,8 @@
         self.is_up = self.is_damaged = False
         self.frozen_until = 0.0
         self.core = None
+        if run.is_founded and name in INITIAL:
+            record_formation(self.folder, INITIAL, self.disk)
         self.start()
 
     def now(self):
@@ -105,7 +109,9 @@
         self.store = opened.unwrap()
         self.settings = ReplicaSettings(
             self.name,
-            INITIAL,
+            () if self.run.is_founded else INITIAL,
+            may_form_cluster=not self.run.is_founded,
+            wanted_voters=len(INITIAL),
             election_timeout_ms=int(TIMEOUT_SECONDS * 1000),
             heartbeat_ms=60,
             snapshot_after_entries=20,
@@ -278,7 +284,8 @@
     def has_quorum_without(self, lost):
         """Return whether a quorum remains if a disk is lost.
 
-        Always true while this member's configuration is unbound.
+        Always true while this member's configuration is unbound or
+        unknown.
         """
         configuration = self.core.configuration
         stores = {m.name: m.core.store_id for m in self.run.members.values()}
@@ -289,11 +296,13 @@
             and voter.name != lost
             and self.run.members[voter.name].is_taking_part
         }
-        return configuration.is_quorum(intact) or not configuration.is_bound
+        is_known = bool(configuration.voters) and configuration.is_bound
+        return configuration.is_quorum(intact) or not is_known
 
 
 class Run:
-    def __init__(self, seed, steps, faults=()):
+    def __init__(self, seed, steps, faults=(), *, is_founded=False):
+        self.is_founded = is_founded
         self.faults = FAULTS + faults
         self.report = RunReport(seed, steps)
         self.random = Random(seed)
@@ -315,7 +324,7 @@
         message = send.message
         match message:
             case VoteReply(is_granted=True, is_probe=False):
-                vote = self.votes[message.store_id, message.term]
+                vote = self.votes[member.name, message.store_id, message.term]
                 vote.add(send.to)
                 assert len(vote) == 1, "a store voted twice in the same term"
         loss = 0.0 if self.is_calm else 0.05
@@ -539,7 +548,7 @@
     crash(run, member)
     paths = [p for p in member.disk.names_now if p.parent == member.folder]
     logs = sorted(p for p in paths if p.suffix == ".log")[:-1]
-    known = [p for p in paths if p.name in ("store", "vote", "snapshot")]
+    known = [p for p in paths if p.name in SMALL_FILES]
     path = run.random.choice(sorted([*logs, *known]))
     size = len(member.disk.read(path))
     member.is_damaged = True
@@ -630,14 +639,23 @@
 POWER_CYCLES = (power_cycle,) * 6
 DISK_OUTAGES = (*(run_short_of_space, fail_syncs_for_a_while) * 8,)
 PLANNED_STOPS = (*(stop_as_planned,) * 20, crash_all)
+LOST_DISKS = (lose_disk,) * 8
 KILLS = (*(kill_in_write,) * 6, crash_all, crash_all)
 
 
 def run_seed(
-    seed: int, steps: int, faults: tuple[object, ...] = ()
+    seed: int,
+    steps: int,
+    faults: tuple[object, ...] = (),
+    *,
+    is_founded: bool = False,
 ) -> RunReport:
-    """Run ``steps`` with faults, then require convergence."""
-    run = Run(seed, steps, faults)
+    """Run ``steps`` with faults, then require convergence.
+
+    ``is_founded`` starts the initial members with a durable record of
+    who they are and without the right to form the log by settings.
+    """
+    run = Run(seed, steps, faults, is_founded=is_founded)
     for _ in range(steps):
         run.step()
         run.run_client_and_faults()
--- a/packages/replication/tests/test_core.py
+++ b/packages/replication/tests/test_core.py
@@ -18,7 +18,11 @@
 )
 from rhubarbhollow_replication.invariants import InvariantViolation
 from rhubarbhollow_replication.leave import LeaveRequest
-from rhubarbhollow_replication.member import Member, MemberRole
+from rhubarbhollow_replication.member import (
+    FOUNDING_STORE_ID,
+    Member,
+    MemberRole,
+)
 from rhubarbhollow_replication.membership_change import (
     AddLearner,
     RemoveMember,
@@ -41,8 +45,12 @@
 )
 
 
-def settings_of(name, **options):
-    return ReplicaSettings(name, NAMES, 300, 60, **options)
+def settings_of(name, members=NAMES, **options):
+    return ReplicaSettings(name, members, 300, 60, **options)
+
+
+# Settings of a start that is not the first one.
+RESTARTED = {"members": (), "may_form_cluster": False, "wanted_voters": 3}
 
 
 def core_with(
@@ -113,6 +121,13 @@
         for name in names:
             self.lose_disk(name, 1)
 
+    def found(self, name):
+        """Give a member the disk of a first start that was killed."""
+        self.durable[name] = RecoveredState(
+            FOUNDING_STORE_ID, VoteState(), None, (), founders=NAMES
+        )
+        self.restart(name)
+
     def lose_disk(self, name, generation):
         recovered = RecoveredState(
             f"{name}{generation}", VoteState(), None, ()
@@ -160,7 +175,7 @@
             case SaveEntries(added):
                 entries = (*entries[: added[0].index - 1], *added)
         self.durable[name] = RecoveredState(
-            state.store_id, vote, None, entries
+            state.store_id, vote, None, entries, founders=state.founders
         )
 
     def leaders(self):
@@ -224,6 +239,61 @@
     assert [reply.is_granted for reply in answers(voter, 5.0)] == [True]
 
 
+def test_killed_founders_form_the_log_at_a_later_start():
+    """Guard against members that are killed before the log is formed.
+
+    Their later starts have no right to form it by their settings.
+    """
+    cluster = Cluster(**RESTARTED)
+    for name in NAMES:
+        cluster.found(name)
+    cluster.run(3)
+    leader = cluster.cores[cluster.leaders()[0]]
+    assert [m.name for m in leader.configuration.voters] == list(NAMES)
+    assert leader.last_index == 1
+    assert {core.commit_index for core in cluster.cores.values()} == {1}
+
+
+def test_founders_form_the_log_without_one_that_is_replaced():
+    """Guard against a log that one lost member keeps from forming."""
+    cluster = Cluster(**RESTARTED, repair_after_seconds=0.6)
+    for name in NAMES:
+        cluster.found(name)
+    cluster.replace_for_good("c", "d")
+    cluster.run(5)
+    leader = cluster.cores[cluster.leaders()[0]]
+    assert [m.name for m in leader.configuration.voters] == ["a", "b", "d"]
+    leader.propose(b"kept", cluster.now)
+    cluster.run(1)
+    assert cluster.cores["d"].commit_index == leader.commit_index
+
+
+def test_an_empty_disk_forms_no_second_log_with_a_founder():
+    """Guard against a second log after the loss of one disk.
+
+    An entry is committed by two founders, one of which loses its disk.
+    The third has an empty log, and must not be elected with its vote.
+    """
+    cluster = Cluster(**RESTARTED)
+    for name in NAMES:
+        cluster.found(name)
+    cluster.isolate("c")
+    cluster.run(3)
+    holder = cluster.leaders()[0]
+    lost = "b" if holder == "a" else "a"
+    assert cluster.cores[lost].commit_index == 1
+    cluster.down = {holder}
+    cluster.lose_disk(lost, 2)
+    cluster.cut_links.clear()
+    cluster.run(10)
+    assert cluster.leaders() == []
+    cluster.restart(holder)
+    cluster.run(5)
+    assert len(cluster.leaders()) == 1
+    rejoined = cluster.cores[holder].configuration.find(lost)
+    assert rejoined == Member(lost, f"{lost}2", MemberRole.VOTER)
+
+
 def test_empty_store_does_not_elect_a_leader_without_committed_data():
     """Check that a member with a lost disk does not lose a commit.
 
--- a/packages/replication/tests/test_seeded_run.py
+++ b/packages/replication/tests/test_seeded_run.py
@@ -13,6 +13,7 @@
     FAULTS,
     INITIAL,
     KILLS,
+    LOST_DISKS,
     PLANNED_STOPS,
     POWER_CYCLES,
     SPARES,
@@ -77,6 +78,19 @@
     assert report.acknowledged > 100
 
 
+@pytest.mark.parametrize("seed", range(1, 5))
+@pytest.mark.parametrize("faults", [LOST_DISKS, KILLS])
+def test_a_log_that_founders_form_loses_nothing(seed, faults):
+    """Check that a majority of recorded members forms one log.
+
+    Their later starts form it by the record on their disks alone.
+    """
+    report = run_seed(seed, STEPS, faults, is_founded=True)
+    assert report.is_settled
+    assert report.acknowledged > 100
+    assert report.events["disk lost"] > 0 or faults is KILLS
+
+
 def test_runs_are_reproducible_and_inject_every_fault():
     """Check that a seed gives the same run, and that all faults occur.
 
--- a/packages/replication/tests/test_store.py
+++ b/packages/replication/tests/test_store.py
@@ -15,6 +15,8 @@
 
 from rhubarbhollow_replication.configuration import initial_configuration
 from rhubarbhollow_replication.entry import Entry, EntryKind
+from rhubarbhollow_replication.formation import record_formation
+from rhubarbhollow_replication.member import FOUNDING_STORE_ID
 from rhubarbhollow_replication.snapshot import Snapshot
 from rhubarbhollow_replication.store import LogStore, set_aside
 from rhubarbhollow_replication.store_fault import (
@@ -412,3 +414,47 @@
     derandomize=True, max_examples=60, stateful_step_count=25, deadline=None
 )
 TestStoreMachine = StoreMachine.TestCase
+
+
+def test_the_right_to_form_the_log_outlasts_a_crash_at_any_operation():
+    """Guard against a first start whose kill leaves no right to form.
+
+    Once the record has been made, every later start has it, and the
+    store has the one ID that a founding store may have.
+    """
+    members = ("a", "b", "c")
+    for operations in range(60):
+        disk = FakeDisk(Random(operations))
+        record_formation(FOLDER, members, disk)
+        disk.crash_after = operations
+        with suppress(CrashError):
+            open_store(disk).unwrap().write([entries(1, 2)])
+        disk.crash()
+        state = open_store(disk).unwrap().recovered
+        assert state.founders == members
+        assert state.store_id == FOUNDING_STORE_ID
+
+
+def test_a_store_that_was_set_aside_leaves_no_right_to_form(tmp_path):
+    """Guard against a second log: the lost store may have voted."""
+    folder = tmp_path / "log"
+    record_formation(folder, ("a", "b", "c"))
+    store = LogStore.open(folder).unwrap()
+    assert store.write([SaveVote(VoteState(3, "a", "x"))]) == Ok(None)
+    (folder / "store").unlink()
+    opened = LogStore.open(folder)
+    assert isinstance(opened.err_value, CorruptRecord)
+    set_aside(folder)
+    record_formation(folder, ("a", "b", "c"))
+    state = LogStore.open(folder).unwrap().recovered
+    assert state.founders == ()
+    assert state.store_id != FOUNDING_STORE_ID
+
+
+def test_a_store_of_a_later_start_has_no_right_to_form():
+    """Guard against a second log after the loss of a disk."""
+    disk = FakeDisk(Random(1))
+    store_id = open_store(disk).unwrap().store_id
+    record_formation(FOLDER, ("a", "b", "c"), disk)
+    state = open_store(disk).unwrap().recovered
+    assert (state.store_id, state.founders) == (store_id, ())
--- a/tests/processes/test_replaced_instance.py
+++ b/tests/processes/test_replaced_instance.py
@@ -28,6 +28,8 @@
 # A change is acknowledged this long after a loss that must be borne.
 RECOVERY_SECONDS = 4.0
 RESTART_SECONDS = 2.0
+# Within this time instances start and have not formed their log.
+FIRST_START_SECONDS = 0.6
 
 
 @pytest.fixture
@@ -66,6 +68,27 @@
     wait_for_result(lambda: get_configuration(kept), second)
 
 
+@pytest.mark.parametrize("is_one_replaced", [False, True])
+def test_a_core_that_is_killed_at_its_first_start_forms_its_log(
+    platform, is_one_replaced
+):
+    """Guard against instances that wait for ever for a first leader.
+
+    Their later starts have no right to form the log by their settings,
+    and one of them may be lost for good before it is formed.
+    """
+    time.sleep(FIRST_START_SECONDS)
+    for host in HOSTS:
+        platform.kill(host)
+    time.sleep(0.3)
+    for host in (SUCCESSOR, *HOSTS[1:]) if is_one_replaced else HOSTS:
+        platform.start(host, FirstStart=False)
+    document = build_document(2)
+    wait_for_result(lambda: put_configuration(HOSTS[1], document, 0), 200)
+    last = SUCCESSOR if is_one_replaced else HOSTS[0]
+    wait_for_result(lambda: get_configuration(last), document)
+
+
 @pytest.mark.parametrize("wait_seconds", [0.0, 2.5])
 def test_a_planned_replacement_leaves_a_quorum_for_the_next_loss(
     platform, wait_seconds
