Place calls by the speed and the free slots that nodes report

Cause: a node places few calls on each upstream, so neither the speed of its machine nor its free slots were known when a call was placed.

The node beside an upstream reads the speed that the upstream tells with each response and reports it with its free slots to its control instance, which passes changes on within the data centre. The choice is random, weighted by free capacity. Without a speed nothing is sent and placement is as before.

--- a/packages/calls/src/rhubarbhollow_calls/http_dialect.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_dialect.py
@@ -18,7 +18,8 @@
     that may run the request; ``origin`` names the service beside the
     caller's node; ``not_run`` marks a refusal that an upstream sent
     before it ran any of the request. ``credential`` holds the key of a
-    caller's tenant, and ``tenant`` tells upstreams its name.
+    caller's tenant, and ``tenant`` tells upstreams its name. Upstreams
+    may add ``load`` to responses, see ``parse_work_percent``.
 
     ``is_foreign`` is true for the names of another system. Upstreams
     of such a system repeat request IDs, may end a response by closing
@@ -33,6 +34,7 @@
     not_run: bytes = names.NOT_RUN
     credential: bytes = names.CREDENTIAL
     tenant: bytes = names.TENANT
+    load: bytes = names.LOAD
     is_foreign: bool = False
 
     @property
--- a/packages/calls/src/rhubarbhollow_calls/http_names.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_names.py
@@ -20,6 +20,7 @@
 TENANT: Final = b"rhubarbhollow-tenant"
 # Sent between nodes only.
 KEY_FINGERPRINT: Final = b"rhubarbhollow-key-fingerprint"
+LOAD: Final = b"rhubarbhollow-load"
 OBJECTIVE_MS: Final = b"rhubarbhollow-objective-ms"
 # Holds all metadata that a node sends to the next with a call.
 HOP: Final = b"rhubarbhollow-hop"
--- a/packages/calls/src/rhubarbhollow_calls/http_response_head.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_response_head.py
@@ -18,6 +18,7 @@
 from rhubarbhollow_calls.http_integer import parse_integer
 from rhubarbhollow_calls.http_limits import MAX_INTEGER_DIGITS
 from rhubarbhollow_calls.slot_report import SlotReport, parse_report
+from rhubarbhollow_placement.work_speed import parse_work_percent
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -40,7 +41,8 @@
     ``idle_seconds`` is how long the sender keeps an idle connection
     open, ``request_id`` is the id that the sender repeated, and
     ``slots`` is the slot report of the node beside the
-    upstream.
+    upstream. ``work_percent`` is how long work takes at the upstream,
+    100 as usual and 0 if it is not known.
     """
 
     status: int
@@ -56,6 +58,7 @@
     is_until_close: bool = False
     idle_seconds: int | None = None
     slots: SlotReport | None = None
+    work_percent: int = 0
 
 
 def parse_response_head(
@@ -92,6 +95,7 @@
         is_until_close,
         _find_idle_seconds(values),
         _optional_report(values),
+        _find_work_percent(fields, dialect),
     )
 
 
@@ -127,6 +131,13 @@
     return None if value is None else parse_report(value)
 
 
+def _find_work_percent(fields: Sequence[Field], dialect: Dialect) -> int:
+    for name, value in fields:
+        if name == dialect.load:
+            return parse_work_percent(value)
+    return 0
+
+
 def _find_length(values: Mapping[bytes, bytes]) -> int | None:
     value = values.get(names.CONTENT_LENGTH)
     if value is None:
--- a/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
@@ -221,10 +221,13 @@
     def _report_local_backlog(self) -> None:
         """Report the current backlog of the local upstream."""
         port = self._node.local_port
-        if port is not None:
-            self._node.selector.report_backlog(
-                port.upstream.name, port.gate.backlog
-            )
+        if port is None:
+            return
+        selector = self._node.selector
+        if port.speed.is_known:
+            selector.report_loads((port.load(),), port.speed.observed_at)
+        else:
+            selector.report_backlog(port.upstream.name, port.gate.backlog)
 
     def _make_attempt(self, endpoint: Endpoint) -> Attempt:
         node = self._node
@@ -403,6 +406,9 @@
         self._node.observe_peer_position(head.position)
         if head.slots is not None:
             self._report_endpoint_backlog(head.slots.backlog)
+            self._node.selector.report_speed(
+                self._upstream, head.slots.work_percent
+            )
             self._slot_held_seconds = head.slots.held_seconds
         endpoint = self._endpoint
         return b"%b%b: %b\r\n%b: %b\r\n" % (
--- a/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
@@ -187,7 +187,7 @@
             self._has_slot = False
             if result is CallResult.ANSWERED:
                 seconds = self._port.now() - self._granted_at
-                self._port.service_times.record(self._route, seconds)
+                self._port.record_service_time(self._route, seconds)
             self._port.release_slot()
         elif self._has_requested_slot:
             self._port.cancel_slot(self._ticket.call_id)
@@ -209,6 +209,7 @@
         Upstreams of a foreign dialect repeat the id; a 2xx response
         without one cannot be matched with its request.
         """
+        self._port.speed.observe(head.work_percent, self._port.now())
         is_success = head.status // 100 == _SUCCESS_CLASS
         if (
             self._port.dialect.is_foreign
--- a/packages/calls/src/rhubarbhollow_calls/io_local_port.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_port.py
@@ -17,6 +17,8 @@
     SlotRefusal,
 )
 from rhubarbhollow_calls.slot_gate import SlotGate
+from rhubarbhollow_placement.upstream_load import RouteTime, UpstreamLoad
+from rhubarbhollow_placement.work_speed import WorkSpeed
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -85,7 +87,9 @@
             upstream, settings.connect_timeout_seconds
         )
         self._clock = clock
+        # Averages at the usual speed of the upstream's machine.
         self.service_times = ServiceTimes()
+        self.speed = WorkSpeed()
         self._gate = SlotGate(upstream.slots, settings.queue_limit, clock)
         self._waiting: dict[int, SlotUser] = {}
         self._granted: deque[SlotUser] = deque()
@@ -119,12 +123,38 @@
             return ticket
         objective = ticket.objective_ms / MS_PER_SECOND
         seconds = self.service_times.estimate(route, objective)
+        seconds *= self.speed.factor(self.now())
         if ticket.priority is CallPriority.INTERACTIVE:
             start_by = ticket.deadline - seconds
         else:
             start_by = ticket.start_by - SERVICE_MARGIN * seconds
         return replace(ticket, service_seconds=seconds, start_by=start_by)
 
+    def record_service_time(self, route: bytes, seconds: float) -> None:
+        """Add the time that a call held its slot to the averages."""
+        usual = seconds / self.speed.factor(self.now())
+        self.service_times.record(route, usual)
+
+    def load(self, *, with_times: bool = False) -> UpstreamLoad:
+        """Return the load of the upstream now."""
+        gate, backlog = self._gate, self._gate.backlog
+        times: tuple[RouteTime, ...] = ()
+        if with_times:
+            times = tuple(
+                RouteTime(
+                    route.decode("latin-1"), round(MS_PER_SECOND * seconds)
+                )
+                for route, seconds in self.service_times.averages()
+            )
+        return UpstreamLoad(
+            self.upstream.name,
+            round(backlog.interactive_seconds * MS_PER_SECOND),
+            round(backlog.bulk_seconds * MS_PER_SECOND),
+            max(0, gate.slots - gate.in_use - gate.waiting),
+            self.speed.percent,
+            times,
+        )
+
     def request_slot(self, user: SlotUser, ticket: Ticket) -> None:
         """Grant a slot, queue the request for one, or refuse it."""
         match self._gate.admit(ticket):
--- a/packages/calls/src/rhubarbhollow_calls/io_peer.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_peer.py
@@ -157,7 +157,9 @@
         port = self._node.local_port
         if port is None or self._head.mesh.objective_ms is None:
             return b""
-        report = SlotReport(port.gate.backlog, self._slot_held_seconds)
+        report = SlotReport(
+            port.gate.backlog, self._slot_held_seconds, port.speed.percent
+        )
         return b"%b: %b\r\n" % (names.SLOTS, encode_report(report))
 
     def _refuse_admission(self, kind: RefusalKind, detail: str) -> None:
--- a/packages/calls/src/rhubarbhollow_calls/placement.py
+++ b/packages/calls/src/rhubarbhollow_calls/placement.py
@@ -15,6 +15,10 @@
 from rhubarbhollow_calls.candidate_view import Eligibility
 from rhubarbhollow_calls.service_times import SERVICE_MARGIN
 from rhubarbhollow_calls.upstream_ranking import rank_endpoint
+from rhubarbhollow_placement.capacity_choice import (
+    Capacity,
+    choose_by_capacity,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
@@ -52,6 +56,11 @@
     CallPriority.BULK: (0.25, 1.0),
 }
 
+# The same where nodes report their upstreams' loads: a wait that the
+# local upstreams have in common is known early enough to spill over
+# before the slack is spent.
+_REPORTED_SLACK_SHARES: Final = (0.4, 1.0)
+
 _USABLE: Final = frozenset(
     (
         Eligibility.LOCAL,
@@ -84,9 +93,16 @@
     ]
     local = [evidence for evidence in usable if evidence.is_local]
     remote = [evidence for evidence in usable if not evidence.is_local]
+    is_reported = any(each.free_slots is not None for each in local)
+    shares = _SLACK_SHARES[needs.priority]
+    if is_reported:
+        free = _choose_free(local, needs, now, random)
+        if free is not None:
+            return free
+        shares = _REPORTED_SLACK_SHARES
     local_best = _earliest_completion(local, needs, now, random)
     remote_best = _earliest_completion(remote, needs, now, random)
-    for share in _SLACK_SHARES[needs.priority]:
+    for share in shares:
         if local_best is not None and (
             expected_wait(local_best, needs.priority, now)
             <= share * slack(local_best, needs, now)
@@ -139,7 +155,10 @@
     evidence: UpstreamEvidence, needs: PlacementNeeds, now: float
 ) -> float:
     """Return the seconds that the call would occupy a slot."""
-    service = needs.service_seconds * evidence.slowness
+    service = evidence.route_seconds.get(needs.route, 0.0)
+    if not service:
+        service = needs.service_seconds * evidence.slowness
+    service *= evidence.speed.factor(now)
     if now < evidence.endpoint.joined_at + COLD_START_SECONDS:
         service *= COLD_START_FACTOR
     return service
@@ -163,6 +182,31 @@
     return seconds / success_share**FAILURE_EXPONENT
 
 
+def _choose_free(
+    candidates: Sequence[UpstreamEvidence],
+    needs: PlacementNeeds,
+    now: float,
+    random: Random,
+) -> UpstreamEvidence | None:
+    """Return a candidate with a free slot, or ``None``."""
+    capacities = [
+        Capacity(
+            _free_slots(evidence),
+            service_seconds(evidence, needs, now),
+            expected_completion(evidence, needs, now),
+        )
+        for evidence in candidates
+    ]
+    index = choose_by_capacity(capacities, random)
+    return None if index is None else candidates[index]
+
+
+def _free_slots(evidence: UpstreamEvidence) -> int:
+    if evidence.free_slots is None:
+        return 0
+    return evidence.free_slots - evidence.sent_since_load
+
+
 def _earliest_completion(
     candidates: Sequence[UpstreamEvidence],
     needs: PlacementNeeds,
--- a/packages/calls/src/rhubarbhollow_calls/placement_needs.py
+++ b/packages/calls/src/rhubarbhollow_calls/placement_needs.py
@@ -21,3 +21,4 @@
     service_seconds: float
     remaining_seconds: float
     priority: CallPriority
+    route: str = ""
--- a/packages/calls/src/rhubarbhollow_calls/service_times.py
+++ b/packages/calls/src/rhubarbhollow_calls/service_times.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
 
 # Weight of a new sample in the moving average. The last ten calls make
 # up most of the average.
@@ -33,6 +36,10 @@
         """Return the average in seconds, or ``None`` if unmeasured."""
         return self._by_route.get(route)
 
+    def averages(self) -> Iterator[tuple[bytes, float]]:
+        """Yield all routes with their averages in seconds."""
+        yield from self._by_route.items()
+
     def estimate(self, route: bytes, objective_seconds: float | None) -> float:
         """Return the seconds that the next call is expected to take."""
         average = self._by_route.get(route)
--- a/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
@@ -5,12 +5,17 @@
 import math
 from typing import TYPE_CHECKING, Final
 
-from rhubarbhollow_calls.backlog import NO_BACKLOG
+from rhubarbhollow_calls.backlog import (
+    MS_PER_SECOND,
+    NO_BACKLOG,
+    Backlog,
+)
 from rhubarbhollow_calls.endpoint import EndpointState
+from rhubarbhollow_placement.work_speed import WorkSpeed
 
 if TYPE_CHECKING:
-    from rhubarbhollow_calls.backlog import Backlog
     from rhubarbhollow_calls.endpoint import Endpoint
+    from rhubarbhollow_placement.upstream_load import UpstreamLoad
 
 # Weight of a new sample in the moving averages of latency and slowness.
 # The last five calls make up most of the average.
@@ -40,6 +45,7 @@
         "endpoint",
         "failed_at",
         "failure_share",
+        "free_slots",
         "in_flight",
         "is_local",
         "is_on_probation",
@@ -48,9 +54,12 @@
         "refusals",
         "refusing_until",
         "reported_load",
+        "route_seconds",
         "sent_backlog",
+        "sent_since_load",
         "slow_start_at",
         "slowness",
+        "speed",
         "stale_in_flight",
     )
 
@@ -96,6 +105,13 @@
         self.backlog = NO_BACKLOG
         self.backlog_at = 0.0
         self.sent_backlog = NO_BACKLOG
+        # Free slots by the last load report, or ``None`` without one,
+        # and the calls that this node has sent since.
+        self.free_slots: int | None = None
+        self.sent_since_load = 0
+        self.speed = WorkSpeed()
+        # Service times at usual speed that load reports have brought.
+        self.route_seconds: dict[str, float] = {}
         # Service time here relative to the route's average; 1 is equal.
         self.slowness = 1.0
         # Share of recent calls that failed or were refused.
@@ -155,6 +171,19 @@
         self.backlog_at = now
         self.sent_backlog = NO_BACKLOG
 
+    def observe_load(
+        self, load: UpstreamLoad, now: float, speed_at: float
+    ) -> None:
+        """Record a load report; its speed is as of ``speed_at``."""
+        interactive = load.interactive_ms / MS_PER_SECOND
+        bulk = load.bulk_ms / MS_PER_SECOND
+        self.observe_backlog(Backlog(interactive, bulk), now)
+        self.free_slots = load.free_slots
+        self.sent_since_load = 0
+        self.speed.observe(load.work_percent, speed_at)
+        for time in load.times:
+            self.route_seconds[time.route] = time.service_ms / MS_PER_SECOND
+
     def observe_end(self, *, is_failure: bool) -> None:
         """Add one call's outcome to the share of failures."""
         self.failure_share += FAILURE_WEIGHT * (
--- a/packages/calls/src/rhubarbhollow_calls/upstream_selector.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_selector.py
@@ -20,13 +20,14 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Collection, Iterable, Sequence
     from random import Random
 
     from rhubarbhollow_calls.backlog import Backlog
     from rhubarbhollow_calls.call_profile import CallProfile
     from rhubarbhollow_calls.endpoint import Endpoint
     from rhubarbhollow_calls.endpoint_table import EndpointTable
+    from rhubarbhollow_placement.upstream_load import UpstreamLoad
     from rhubarbhollow_wire.clock import Clock
 
 # Consecutive failures after which an endpoint is ejected.
@@ -153,6 +154,7 @@
         """Count a call as in flight on a chosen endpoint."""
         evidence = self._evidence(endpoint_name)
         evidence.in_flight += 1
+        evidence.sent_since_load += 1
         seconds = self._times.estimate(route.encode(), None)
         by_slot = seconds / max(1, evidence.endpoint.slots)
         evidence.sent_backlog = evidence.sent_backlog.plus(priority, by_slot)
@@ -163,6 +165,29 @@
         if evidence is not None:
             evidence.observe_backlog(backlog, self._clock.monotonic())
 
+    def report_loads(
+        self,
+        loads: Iterable[UpstreamLoad],
+        speed_at: float | None = None,
+    ) -> None:
+        """Record the loads that upstreams' nodes have reported.
+
+        ``speed_at`` is when the speeds were observed, if not just now.
+        """
+        now = self._clock.monotonic()
+        for load in loads:
+            evidence = self._by_name.get(load.name)
+            if evidence is not None:
+                evidence.observe_load(
+                    load, now, now if speed_at is None else speed_at
+                )
+
+    def report_speed(self, endpoint_name: str, work_percent: int) -> None:
+        """Record how long work takes at an endpoint, in percent."""
+        evidence = self._by_name.get(endpoint_name)
+        if evidence is not None:
+            evidence.speed.observe(work_percent, self._clock.monotonic())
+
     def finished(
         self,
         endpoint_name: str,
@@ -229,7 +254,10 @@
             profile.route.encode(), profile.objective_seconds
         )
         needs = PlacementNeeds(
-            seconds, profile.remaining_seconds, profile.priority
+            seconds,
+            profile.remaining_seconds,
+            profile.priority,
+            profile.route,
         )
         chosen = place_call(members.all, excluded, needs, now, self._random)
         return None if chosen is None else chosen.endpoint
@@ -248,6 +276,8 @@
     ) -> None:
         evidence = self._by_name.get(name)
         key = route.encode()
+        if evidence is not None:
+            seconds /= evidence.speed.factor(self._clock.monotonic())
         average = self._times.average(key)
         self._times.record(key, seconds)
         if evidence is not None and average:
--- a/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
@@ -34,12 +34,14 @@
 from rhubarbhollow_distribution.feed import NodeFeed
 from rhubarbhollow_distribution.ledger_view import LedgerView
 from rhubarbhollow_distribution.register_summary import RegisterSummary
+from rhubarbhollow_placement.upstream_load import LoadReport
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
     from rhubarbhollow_daemon.burn_collection import BurnCollection
     from rhubarbhollow_daemon.control_parts import ControlParts
+    from rhubarbhollow_daemon.load_relay import LoadRelay
     from rhubarbhollow_distribution.hello import Hello
     from rhubarbhollow_wire.connection import FrameConnection
 
@@ -57,9 +59,12 @@
     one's inbox; this task answers through the connection's outbox.
     """
 
-    def __init__(self, parts: ControlParts, burn: BurnCollection) -> None:
+    def __init__(
+        self, parts: ControlParts, burn: BurnCollection, loads: LoadRelay
+    ) -> None:
         self._parts = parts
         self._burn = burn
+        self._loads = loads
         self._sender, self._receiver = anyio.create_memory_object_stream[
             ControlEvent
         ](INBOX_EVENTS)
@@ -340,6 +345,10 @@
                     link.outbox.put,
                 )
                 continue
+            if isinstance(message, LoadReport):
+                # Frequent, and no decision of the event loop uses it.
+                self._loads.receive(link.hello, message)
+                continue
             if isinstance(message, BurnAnswer):
                 self._burn.deliver_from_node(message)
                 continue
--- a/packages/daemon/src/rhubarbhollow_daemon/control_tasks.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_tasks.py
@@ -14,6 +14,7 @@
 from rhubarbhollow_daemon.document_service import DocumentService
 from rhubarbhollow_daemon.fleet import Fleet
 from rhubarbhollow_daemon.leader_relay import LeaderRelay
+from rhubarbhollow_daemon.load_relay import LoadRelay
 from rhubarbhollow_daemon.log_group import LogGroup
 from rhubarbhollow_daemon.membership_manager import MembershipManager
 from rhubarbhollow_daemon.peer_dispatch import PeerDispatcher
@@ -50,7 +51,8 @@
     format.
     """
     burn = BurnCollection(parts)
-    instance = ControlInstance(parts, burn)
+    loads = LoadRelay(parts.data_centre, parts.node_connections)
+    instance = ControlInstance(parts, burn, loads)
     submissions = SubmissionService(parts.machine, parts.replica)
     relay = LeaderRelay(
         parts.name,
@@ -75,6 +77,7 @@
     handlers.register(application)
     _start_logs(parts, group)
     group.start_soon(instance.run)
+    group.start_soon(loads.run)
     group.start_soon(_listen, settings.listen, listener)
     return documents
 
--- a/packages/daemon/src/rhubarbhollow_daemon/endpoint_view.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/endpoint_view.py
@@ -15,6 +15,7 @@
 
     from rhubarbhollow_calls.upstream_selector import UpstreamSelector
     from rhubarbhollow_distribution.endpoint_record import EndpointRecord
+    from rhubarbhollow_placement.upstream_load import UpstreamLoad
     from rhubarbhollow_wire.clock import Clock
 
 
@@ -49,6 +50,10 @@
                     record.load_percent / 100,
                 )
 
+    def report_loads(self, loads: Iterable[UpstreamLoad]) -> None:
+        """Pass on the loads that nodes have reported."""
+        self._upstreams.report_loads(loads)
+
     def _apply(self, record: EndpointRecord) -> bool:
         name = name_endpoint(record.node, record.name)
         current = self._endpoints.get(name)
--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -126,6 +126,7 @@
             call_node,
             outbox,
         ),
+        outbox=outbox,
         traffic=traffic,
         claims=claims,
         quarantine=quarantine,
--- a/packages/daemon/src/rhubarbhollow_daemon/node_codec.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_codec.py
@@ -29,6 +29,7 @@
 from rhubarbhollow_distribution.stage_request import StageRequest
 from rhubarbhollow_distribution.staged_report import StagedReport
 from rhubarbhollow_distribution.welcome import Welcome
+from rhubarbhollow_placement.upstream_load import LoadReport
 from rhubarbhollow_wire.codec import MessageCodec
 
 NODE_MESSAGES: Final = (
@@ -46,6 +47,7 @@
     EndpointsRequest,
     Exoneration,
     Hello,
+    LoadReport,
     NodeHeartbeat,
     Redirect,
     Stage,
--- a/packages/daemon/src/rhubarbhollow_daemon/node_connections.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_connections.py
@@ -163,6 +163,12 @@
         for link in self._links.values():
             link.outbox.put(message)
 
+    def broadcast_within(self, data_centre: str, message: object) -> None:
+        """Queue a message for the connected nodes of a data centre."""
+        for link in self._links.values():
+            if link.hello.data_centre == data_centre:
+                link.outbox.put(message)
+
     def leave(self, link: NodeLink) -> None:
         """Remove a node whose connection ended.
 
--- a/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
@@ -13,6 +13,7 @@
     from rhubarbhollow_daemon.node_claims import NodeClaims
     from rhubarbhollow_daemon.node_session import NodeSession
     from rhubarbhollow_daemon.node_state import NodeState
+    from rhubarbhollow_daemon.outbox import Outbox
     from rhubarbhollow_daemon.refused_call_log import RefusedCallLog
     from rhubarbhollow_daemon.settings import Settings
     from rhubarbhollow_distribution.source_choice import SourceChooser
@@ -31,6 +32,7 @@
     chooser: SourceChooser
     session: NodeSession
     upstreams: LocalUpstreams
+    outbox: Outbox
     traffic: Traffic
     claims: NodeClaims
     quarantine: Quarantine
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -37,6 +37,8 @@
 from rhubarbhollow_distribution.stage import Stage
 from rhubarbhollow_distribution.stage_fault import NeedsDifference
 from rhubarbhollow_distribution.stage_request import StageRequest
+from rhubarbhollow_placement.upstream_load import LoadReport
+from rhubarbhollow_placement.upstream_load import is_usable as is_usable_load
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.io_node import CallNode
@@ -174,6 +176,8 @@
                 self._quarantine.merge(message)
             case ControlList(controls):
                 self._chooser.learn(filter(is_usable, controls))
+            case LoadReport(loads):
+                self._view.report_loads(filter(is_usable_load, loads))
             case ControlHeartbeat():
                 self._chooser.note_heartbeat(message)
             case _:
--- a/packages/daemon/src/rhubarbhollow_daemon/process.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/process.py
@@ -28,6 +28,7 @@
     build_admin_server,
     serve_admin,
 )
+from rhubarbhollow_daemon.load_reporting import report_loads
 from rhubarbhollow_daemon.metric_collection import (
     collect_control_metrics,
     collect_node_metrics,
@@ -145,6 +146,12 @@
             if self._node is not None:
                 group.start_soon(self._node.session.run)
                 group.start_soon(self._run_housekeeping, self._node)
+                group.start_soon(
+                    report_loads,
+                    self._node.call_node,
+                    self._node.outbox,
+                    self._node.clock,
+                )
                 group.start_soon(self._node.claims.abandon_lost_claims)
                 group.start_soon(
                     accept_once_ready, servers[0], self._node.call_node
--- a/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
+++ b/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
@@ -4144,6 +4144,300 @@
         return not (self == other)
 
 
+class RouteTime(object):
+    """
+    Attributes:
+     - route
+     - service_ms
+
+    """
+
+    __slots__ = (
+        'route',
+        'service_ms',
+    )
+
+
+    def __init__(self, route=None, service_ms=None,):
+        self.route = route
+        self.service_ms = service_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.service_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RouteTime')
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 1)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.service_ms is not None:
+            oprot.writeFieldBegin('service_ms', TType.I32, 2)
+            oprot.writeI32(self.service_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class UpstreamLoad(object):
+    """
+    Attributes:
+     - name
+     - interactive_ms
+     - bulk_ms
+     - free_slots
+     - work_percent
+     - times
+
+    """
+
+    __slots__ = (
+        'name',
+        'interactive_ms',
+        'bulk_ms',
+        'free_slots',
+        'work_percent',
+        'times',
+    )
+
+
+    def __init__(self, name=None, interactive_ms=None, bulk_ms=None, free_slots=None, work_percent=None, times=None,):
+        self.name = name
+        self.interactive_ms = interactive_ms
+        self.bulk_ms = bulk_ms
+        self.free_slots = free_slots
+        self.work_percent = work_percent
+        self.times = times
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.interactive_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.bulk_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.free_slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.work_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.times = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = RouteTime()
+                        _elem61.read(iprot)
+                        self.times.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamLoad')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.interactive_ms is not None:
+            oprot.writeFieldBegin('interactive_ms', TType.I32, 2)
+            oprot.writeI32(self.interactive_ms)
+            oprot.writeFieldEnd()
+        if self.bulk_ms is not None:
+            oprot.writeFieldBegin('bulk_ms', TType.I32, 3)
+            oprot.writeI32(self.bulk_ms)
+            oprot.writeFieldEnd()
+        if self.free_slots is not None:
+            oprot.writeFieldBegin('free_slots', TType.I32, 4)
+            oprot.writeI32(self.free_slots)
+            oprot.writeFieldEnd()
+        if self.work_percent is not None:
+            oprot.writeFieldBegin('work_percent', TType.I32, 5)
+            oprot.writeI32(self.work_percent)
+            oprot.writeFieldEnd()
+        if self.times is not None:
+            oprot.writeFieldBegin('times', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.times))
+            for iter62 in self.times:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LoadReport(object):
+    """
+    Attributes:
+     - loads
+
+    """
+
+    __slots__ = (
+        'loads',
+    )
+
+
+    def __init__(self, loads=None,):
+        self.loads = loads
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = UpstreamLoad()
+                        _elem68.read(iprot)
+                        self.loads.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadReport')
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter69 in self.loads:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -4180,6 +4474,7 @@
      - burn_answer
      - control_list
      - leave_request
+     - load_report
 
     """
 
@@ -4217,10 +4512,11 @@
         'burn_answer',
         'control_list',
         'leave_request',
+        'load_report',
     )
 
 
-    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_chunk=None, snapshot_reply=None, hello=None, staged_report=None, active_report=None, node_heartbeat=None, stage_request=None, endpoint_report=None, welcome=None, stage=None, activate=None, control_heartbeat=None, endpoint_change=None, redirect=None, peer_hello=None, register_summary=None, nodes_request=None, nodes_answer=None, propose_request=None, propose_answer=None, endpoints_request=None, claim_request=None, claim_answer=None, crash_report=None, exoneration=None, burn_request=None, burn_answer=None, control_list=None, leave_request=None,):
+    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_chunk=None, snapshot_reply=None, hello=None, staged_report=None, active_report=None, node_heartbeat=None, stage_request=None, endpoint_report=None, welcome=None, stage=None, activate=None, control_heartbeat=None, endpoint_change=None, redirect=None, peer_hello=None, register_summary=None, nodes_request=None, nodes_answer=None, propose_request=None, propose_answer=None, endpoints_request=None, claim_request=None, claim_answer=None, crash_report=None, exoneration=None, burn_request=None, burn_answer=None, control_list=None, leave_request=None, load_report=None,):
         self.vote_request = vote_request
         self.vote_reply = vote_reply
         self.append_request = append_request
@@ -4254,6 +4550,7 @@
         self.burn_answer = burn_answer
         self.control_list = control_list
         self.leave_request = leave_request
+        self.load_report = load_report
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4462,6 +4759,12 @@
                     self.leave_request.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 60:
+                if ftype == TType.STRUCT:
+                    self.load_report = LoadReport()
+                    self.load_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4604,6 +4907,10 @@
             oprot.writeFieldBegin('leave_request', TType.STRUCT, 33)
             self.leave_request.write(oprot)
             oprot.writeFieldEnd()
+        if self.load_report is not None:
+            oprot.writeFieldBegin('load_report', TType.STRUCT, 60)
+            self.load_report.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4939,6 +5246,27 @@
     (1, TType.I64, 'request_id', None, None, ),  # 1
     (2, TType.LIST, 'counts', (TType.STRUCT, [BurnCount, None], False), None, ),  # 2
 )
+all_structs.append(RouteTime)
+RouteTime.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'route', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'service_ms', None, None, ),  # 2
+)
+all_structs.append(UpstreamLoad)
+UpstreamLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'interactive_ms', None, None, ),  # 2
+    (3, TType.I32, 'bulk_ms', None, None, ),  # 3
+    (4, TType.I32, 'free_slots', None, None, ),  # 4
+    (5, TType.I32, 'work_percent', None, None, ),  # 5
+    (6, TType.LIST, 'times', (TType.STRUCT, [RouteTime, None], False), None, ),  # 6
+)
+all_structs.append(LoadReport)
+LoadReport.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'loads', (TType.STRUCT, [UpstreamLoad, None], False), None, ),  # 1
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -4975,6 +5303,33 @@
     (31, TType.STRUCT, 'burn_answer', [BurnAnswer, None], None, ),  # 31
     (32, TType.STRUCT, 'control_list', [ControlList, None], None, ),  # 32
     (33, TType.STRUCT, 'leave_request', [LeaveRequest, None], None, ),  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    None,  # 40
+    None,  # 41
+    None,  # 42
+    None,  # 43
+    None,  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    None,  # 50
+    None,  # 51
+    None,  # 52
+    None,  # 53
+    None,  # 54
+    None,  # 55
+    None,  # 56
+    None,  # 57
+    None,  # 58
+    None,  # 59
+    (60, TType.STRUCT, 'load_report', [LoadReport, None], None, ),  # 60
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
+++ b/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
@@ -298,6 +298,28 @@
   2: list<BurnCount> counts
 }
 
+// --- load of upstreams -------------------------------------------------
+
+struct RouteTime {
+  1: string route
+  2: i32 service_ms
+}
+
+struct UpstreamLoad {
+  1: string name
+  2: i32 interactive_ms
+  3: i32 bulk_ms
+  4: i32 free_slots
+  5: i32 work_percent
+  6: list<RouteTime> times
+}
+
+// From a node to its control instance, and from there to the nodes of
+// the data centre.
+struct LoadReport {
+  1: list<UpstreamLoad> loads
+}
+
 // One frame carries exactly one message.
 struct Frame {
   1: optional VoteRequest vote_request
@@ -333,4 +355,5 @@
   31: optional BurnAnswer burn_answer
   32: optional ControlList control_list
   33: optional LeaveRequest leave_request
+  60: optional LoadReport load_report
 }
