Lease shares of a tenant's quota down to the nodes

Cause: a tenant's rate and burst apply to the sum over all nodes, and no node can count the others' admissions in time.

A parent keeps back what each child may hold until the child confirms less or its lease ends, so that the tokens at all places stay within the burst and what accrues within the rate.

--- a/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
+++ b/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
@@ -4144,6 +4144,644 @@
         return not (self == other)
 
 
+class QuotaClaim(object):
+    """
+    Attributes:
+     - tenant
+     - demand
+     - wanted
+     - rate
+     - burst
+     - level
+     - returned
+     - whole_rate
+     - whole_burst
+     - applied
+     - is_half
+
+    """
+
+    __slots__ = (
+        'tenant',
+        'demand',
+        'wanted',
+        'rate',
+        'burst',
+        'level',
+        'returned',
+        'whole_rate',
+        'whole_burst',
+        'applied',
+        'is_half',
+    )
+
+
+    def __init__(self, tenant=None, demand=None, wanted=None, rate=None, burst=None, level=None, returned=None, whole_rate=None, whole_burst=None, applied=None, is_half=None,):
+        self.tenant = tenant
+        self.demand = demand
+        self.wanted = wanted
+        self.rate = rate
+        self.burst = burst
+        self.level = level
+        self.returned = returned
+        self.whole_rate = whole_rate
+        self.whole_burst = whole_burst
+        self.applied = applied
+        self.is_half = is_half
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.tenant = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.demand = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.wanted = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.rate = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.burst = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.level = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.returned = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.whole_rate = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.whole_burst = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.applied = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.is_half = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaClaim')
+        if self.tenant is not None:
+            oprot.writeFieldBegin('tenant', TType.STRING, 1)
+            oprot.writeString(self.tenant.encode('utf-8') if sys.version_info[0] == 2 else self.tenant)
+            oprot.writeFieldEnd()
+        if self.demand is not None:
+            oprot.writeFieldBegin('demand', TType.I64, 2)
+            oprot.writeI64(self.demand)
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.I64, 3)
+            oprot.writeI64(self.wanted)
+            oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.I64, 4)
+            oprot.writeI64(self.rate)
+            oprot.writeFieldEnd()
+        if self.burst is not None:
+            oprot.writeFieldBegin('burst', TType.I64, 5)
+            oprot.writeI64(self.burst)
+            oprot.writeFieldEnd()
+        if self.level is not None:
+            oprot.writeFieldBegin('level', TType.I64, 6)
+            oprot.writeI64(self.level)
+            oprot.writeFieldEnd()
+        if self.returned is not None:
+            oprot.writeFieldBegin('returned', TType.I64, 7)
+            oprot.writeI64(self.returned)
+            oprot.writeFieldEnd()
+        if self.whole_rate is not None:
+            oprot.writeFieldBegin('whole_rate', TType.I64, 8)
+            oprot.writeI64(self.whole_rate)
+            oprot.writeFieldEnd()
+        if self.whole_burst is not None:
+            oprot.writeFieldBegin('whole_burst', TType.I64, 9)
+            oprot.writeI64(self.whole_burst)
+            oprot.writeFieldEnd()
+        if self.applied is not None:
+            oprot.writeFieldBegin('applied', TType.I64, 10)
+            oprot.writeI64(self.applied)
+            oprot.writeFieldEnd()
+        if self.is_half is not None:
+            oprot.writeFieldBegin('is_half', TType.BOOL, 11)
+            oprot.writeBool(self.is_half)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaReport(object):
+    """
+    Attributes:
+     - child
+     - incarnation
+     - number
+     - parent
+     - epoch
+     - target
+     - claims
+
+    """
+
+    __slots__ = (
+        'child',
+        'incarnation',
+        'number',
+        'parent',
+        'epoch',
+        'target',
+        'claims',
+    )
+
+
+    def __init__(self, child=None, incarnation=None, number=None, parent=None, epoch=None, target=None, claims=None,):
+        self.child = child
+        self.incarnation = incarnation
+        self.number = number
+        self.parent = parent
+        self.epoch = epoch
+        self.target = target
+        self.claims = claims
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.child = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.parent = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.target = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.claims = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = QuotaClaim()
+                        _elem61.read(iprot)
+                        self.claims.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaReport')
+        if self.child is not None:
+            oprot.writeFieldBegin('child', TType.STRING, 1)
+            oprot.writeString(self.child.encode('utf-8') if sys.version_info[0] == 2 else self.child)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 3)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.parent is not None:
+            oprot.writeFieldBegin('parent', TType.STRING, 4)
+            oprot.writeString(self.parent.encode('utf-8') if sys.version_info[0] == 2 else self.parent)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 5)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.I64, 6)
+            oprot.writeI64(self.target)
+            oprot.writeFieldEnd()
+        if self.claims is not None:
+            oprot.writeFieldBegin('claims', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.claims))
+            for iter62 in self.claims:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaShare(object):
+    """
+    Attributes:
+     - tenant
+     - rate
+     - burst
+     - excess
+     - tokens
+     - whole_rate
+     - whole_burst
+     - full_ms
+     - half_ms
+     - retry_ms
+
+    """
+
+    __slots__ = (
+        'tenant',
+        'rate',
+        'burst',
+        'excess',
+        'tokens',
+        'whole_rate',
+        'whole_burst',
+        'full_ms',
+        'half_ms',
+        'retry_ms',
+    )
+
+
+    def __init__(self, tenant=None, rate=None, burst=None, excess=None, tokens=None, whole_rate=None, whole_burst=None, full_ms=None, half_ms=None, retry_ms=None,):
+        self.tenant = tenant
+        self.rate = rate
+        self.burst = burst
+        self.excess = excess
+        self.tokens = tokens
+        self.whole_rate = whole_rate
+        self.whole_burst = whole_burst
+        self.full_ms = full_ms
+        self.half_ms = half_ms
+        self.retry_ms = retry_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.tenant = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.rate = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.burst = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.excess = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.whole_rate = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.whole_burst = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.full_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.half_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.retry_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaShare')
+        if self.tenant is not None:
+            oprot.writeFieldBegin('tenant', TType.STRING, 1)
+            oprot.writeString(self.tenant.encode('utf-8') if sys.version_info[0] == 2 else self.tenant)
+            oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.I64, 2)
+            oprot.writeI64(self.rate)
+            oprot.writeFieldEnd()
+        if self.burst is not None:
+            oprot.writeFieldBegin('burst', TType.I64, 3)
+            oprot.writeI64(self.burst)
+            oprot.writeFieldEnd()
+        if self.excess is not None:
+            oprot.writeFieldBegin('excess', TType.I64, 4)
+            oprot.writeI64(self.excess)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I64, 5)
+            oprot.writeI64(self.tokens)
+            oprot.writeFieldEnd()
+        if self.whole_rate is not None:
+            oprot.writeFieldBegin('whole_rate', TType.I64, 6)
+            oprot.writeI64(self.whole_rate)
+            oprot.writeFieldEnd()
+        if self.whole_burst is not None:
+            oprot.writeFieldBegin('whole_burst', TType.I64, 7)
+            oprot.writeI64(self.whole_burst)
+            oprot.writeFieldEnd()
+        if self.full_ms is not None:
+            oprot.writeFieldBegin('full_ms', TType.I64, 8)
+            oprot.writeI64(self.full_ms)
+            oprot.writeFieldEnd()
+        if self.half_ms is not None:
+            oprot.writeFieldBegin('half_ms', TType.I64, 9)
+            oprot.writeI64(self.half_ms)
+            oprot.writeFieldEnd()
+        if self.retry_ms is not None:
+            oprot.writeFieldBegin('retry_ms', TType.I64, 10)
+            oprot.writeI64(self.retry_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaGrant(object):
+    """
+    Attributes:
+     - parent
+     - epoch
+     - number
+     - answers
+     - shares
+
+    """
+
+    __slots__ = (
+        'parent',
+        'epoch',
+        'number',
+        'answers',
+        'shares',
+    )
+
+
+    def __init__(self, parent=None, epoch=None, number=None, answers=None, shares=None,):
+        self.parent = parent
+        self.epoch = epoch
+        self.number = number
+        self.answers = answers
+        self.shares = shares
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.parent = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.answers = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.shares = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = QuotaShare()
+                        _elem68.read(iprot)
+                        self.shares.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaGrant')
+        if self.parent is not None:
+            oprot.writeFieldBegin('parent', TType.STRING, 1)
+            oprot.writeString(self.parent.encode('utf-8') if sys.version_info[0] == 2 else self.parent)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 2)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 3)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.answers is not None:
+            oprot.writeFieldBegin('answers', TType.I64, 4)
+            oprot.writeI64(self.answers)
+            oprot.writeFieldEnd()
+        if self.shares is not None:
+            oprot.writeFieldBegin('shares', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.shares))
+            for iter69 in self.shares:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -4180,6 +4818,8 @@
      - burn_answer
      - control_list
      - leave_request
+     - quota_report
+     - quota_grant
 
     """
 
@@ -4217,10 +4857,12 @@
         'burn_answer',
         'control_list',
         'leave_request',
+        'quota_report',
+        'quota_grant',
     )
 
 
-    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_chunk=None, snapshot_reply=None, hello=None, staged_report=None, active_report=None, node_heartbeat=None, stage_request=None, endpoint_report=None, welcome=None, stage=None, activate=None, control_heartbeat=None, endpoint_change=None, redirect=None, peer_hello=None, register_summary=None, nodes_request=None, nodes_answer=None, propose_request=None, propose_answer=None, endpoints_request=None, claim_request=None, claim_answer=None, crash_report=None, exoneration=None, burn_request=None, burn_answer=None, control_list=None, leave_request=None,):
+    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_chunk=None, snapshot_reply=None, hello=None, staged_report=None, active_report=None, node_heartbeat=None, stage_request=None, endpoint_report=None, welcome=None, stage=None, activate=None, control_heartbeat=None, endpoint_change=None, redirect=None, peer_hello=None, register_summary=None, nodes_request=None, nodes_answer=None, propose_request=None, propose_answer=None, endpoints_request=None, claim_request=None, claim_answer=None, crash_report=None, exoneration=None, burn_request=None, burn_answer=None, control_list=None, leave_request=None, quota_report=None, quota_grant=None,):
         self.vote_request = vote_request
         self.vote_reply = vote_reply
         self.append_request = append_request
@@ -4254,6 +4896,8 @@
         self.burn_answer = burn_answer
         self.control_list = control_list
         self.leave_request = leave_request
+        self.quota_report = quota_report
+        self.quota_grant = quota_grant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4462,6 +5106,18 @@
                     self.leave_request.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 34:
+                if ftype == TType.STRUCT:
+                    self.quota_report = QuotaReport()
+                    self.quota_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 35:
+                if ftype == TType.STRUCT:
+                    self.quota_grant = QuotaGrant()
+                    self.quota_grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4604,6 +5260,14 @@
             oprot.writeFieldBegin('leave_request', TType.STRUCT, 33)
             self.leave_request.write(oprot)
             oprot.writeFieldEnd()
+        if self.quota_report is not None:
+            oprot.writeFieldBegin('quota_report', TType.STRUCT, 34)
+            self.quota_report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.quota_grant is not None:
+            oprot.writeFieldBegin('quota_grant', TType.STRUCT, 35)
+            self.quota_grant.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4939,6 +5603,55 @@
     (1, TType.I64, 'request_id', None, None, ),  # 1
     (2, TType.LIST, 'counts', (TType.STRUCT, [BurnCount, None], False), None, ),  # 2
 )
+all_structs.append(QuotaClaim)
+QuotaClaim.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'tenant', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'demand', None, None, ),  # 2
+    (3, TType.I64, 'wanted', None, None, ),  # 3
+    (4, TType.I64, 'rate', None, None, ),  # 4
+    (5, TType.I64, 'burst', None, None, ),  # 5
+    (6, TType.I64, 'level', None, None, ),  # 6
+    (7, TType.I64, 'returned', None, None, ),  # 7
+    (8, TType.I64, 'whole_rate', None, None, ),  # 8
+    (9, TType.I64, 'whole_burst', None, None, ),  # 9
+    (10, TType.I64, 'applied', None, None, ),  # 10
+    (11, TType.BOOL, 'is_half', None, None, ),  # 11
+)
+all_structs.append(QuotaReport)
+QuotaReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'child', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'number', None, None, ),  # 3
+    (4, TType.STRING, 'parent', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'epoch', None, None, ),  # 5
+    (6, TType.I64, 'target', None, None, ),  # 6
+    (7, TType.LIST, 'claims', (TType.STRUCT, [QuotaClaim, None], False), None, ),  # 7
+)
+all_structs.append(QuotaShare)
+QuotaShare.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'tenant', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'rate', None, None, ),  # 2
+    (3, TType.I64, 'burst', None, None, ),  # 3
+    (4, TType.I64, 'excess', None, None, ),  # 4
+    (5, TType.I64, 'tokens', None, None, ),  # 5
+    (6, TType.I64, 'whole_rate', None, None, ),  # 6
+    (7, TType.I64, 'whole_burst', None, None, ),  # 7
+    (8, TType.I64, 'full_ms', None, None, ),  # 8
+    (9, TType.I64, 'half_ms', None, None, ),  # 9
+    (10, TType.I64, 'retry_ms', None, None, ),  # 10
+)
+all_structs.append(QuotaGrant)
+QuotaGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'parent', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'epoch', None, None, ),  # 2
+    (3, TType.I64, 'number', None, None, ),  # 3
+    (4, TType.I64, 'answers', None, None, ),  # 4
+    (5, TType.LIST, 'shares', (TType.STRUCT, [QuotaShare, None], False), None, ),  # 5
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -4975,6 +5688,8 @@
     (31, TType.STRUCT, 'burn_answer', [BurnAnswer, None], None, ),  # 31
     (32, TType.STRUCT, 'control_list', [ControlList, None], None, ),  # 32
     (33, TType.STRUCT, 'leave_request', [LeaveRequest, None], None, ),  # 33
+    (34, TType.STRUCT, 'quota_report', [QuotaReport, None], None, ),  # 34
+    (35, TType.STRUCT, 'quota_grant', [QuotaGrant, None], None, ),  # 35
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
+++ b/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
@@ -298,6 +298,54 @@
   2: list<BurnCount> counts
 }
 
+// --- quotas ------------------------------------------------------------
+
+// Rates and tokens are in thousandths; see rhubarbhollow_quota.messages.
+struct QuotaClaim {
+  1: string tenant
+  2: i64 demand
+  3: i64 wanted
+  4: i64 rate
+  5: i64 burst
+  6: i64 level
+  7: i64 returned
+  8: i64 whole_rate
+  9: i64 whole_burst
+  10: i64 applied
+  11: bool is_half
+}
+
+struct QuotaReport {
+  1: string child
+  2: i64 incarnation
+  3: i64 number
+  4: string parent
+  5: i64 epoch
+  6: i64 target
+  7: list<QuotaClaim> claims
+}
+
+struct QuotaShare {
+  1: string tenant
+  2: i64 rate
+  3: i64 burst
+  4: i64 excess
+  5: i64 tokens
+  6: i64 whole_rate
+  7: i64 whole_burst
+  8: i64 full_ms
+  9: i64 half_ms
+  10: i64 retry_ms
+}
+
+struct QuotaGrant {
+  1: string parent
+  2: i64 epoch
+  3: i64 number
+  4: i64 answers
+  5: list<QuotaShare> shares
+}
+
 // One frame carries exactly one message.
 struct Frame {
   1: optional VoteRequest vote_request
@@ -333,4 +381,6 @@
   31: optional BurnAnswer burn_answer
   32: optional ControlList control_list
   33: optional LeaveRequest leave_request
+  34: optional QuotaReport quota_report
+  35: optional QuotaGrant quota_grant
 }
