Count requests against quotas at the caller port

Cause: nothing limited a tenant over all nodes.

Change: the caller port asks the gate after authentication; a request without a token waits up to 100 ms or an eighth of its objective for an urgent report, then gets 429 (quota_exceeded) or 503 (quota_unconfirmed), not run. Nodes report to their control instance and these to the leader of the release log, whose role follows its log lease. Durations count on CLOCK_BOOTTIME.

--- a/packages/calls/src/rhubarbhollow_calls/io_caller.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller.py
@@ -7,12 +7,19 @@
 from rhubarbhollow_calls.deadline import Deadline
 from rhubarbhollow_calls.http_limits import MAX_DEPTH
 from rhubarbhollow_calls.io_caller_exchange import CallerExchange
+from rhubarbhollow_calls.io_quota import refusal_of
 from rhubarbhollow_calls.io_refusal_response import (
     encode_refusal,
     refusal_for_fault,
 )
 from rhubarbhollow_calls.io_refused_exchange import RefusedExchange
 from rhubarbhollow_calls.refusal import RefusalKind
+from rhubarbhollow_quota.verdict import (
+    ADMITTED,
+    OverQuota,
+    Unconfirmed,
+    Wait,
+)
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.http_dialect import Dialect
@@ -23,6 +30,7 @@
     from rhubarbhollow_calls.io_listener import ListenerConnection
     from rhubarbhollow_calls.io_node import CallNode
     from rhubarbhollow_calls.io_route_state import RouteState
+    from rhubarbhollow_quota.verdict import Verdict
     from rhubarbhollow_tenants.identity import Identity
 
 
@@ -82,9 +90,20 @@
                 RefusalKind.DRAINING,
                 "this node stops before the call can end",
             )
+        verdict: Verdict = ADMITTED
+        tenant = None if identity is None else tenants.tenant_of(identity)
+        if tenant is not None and tenant.rate > 0.0 and node.quota:
+            verdict = node.quota.admit(tenant)
+            if isinstance(verdict, OverQuota | Unconfirmed):
+                return RefusedExchange(
+                    node, downstream, head, request_id, *refusal_of(verdict)
+                )
         exchange = self._make_exchange(
             downstream, head, request_id, deadline, state, now, identity
         )
+        if tenant is not None and node.quota and isinstance(verdict, Wait):
+            objective = state.route.latency_seconds
+            exchange.await_quota(node.quota.open_wait(tenant, objective))
         node.call_began(exchange)
         return exchange
 
--- a/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
@@ -14,6 +14,7 @@
 from rhubarbhollow_calls.io_exchange import Exchange
 from rhubarbhollow_calls.io_fingerprint import fingerprint_request
 from rhubarbhollow_calls.io_local_attempt import LocalAttempt
+from rhubarbhollow_calls.io_quota import refusal_of
 from rhubarbhollow_calls.io_remote_attempt import RemoteAttempt
 from rhubarbhollow_calls.not_run_proof import UnwrittenStage
 from rhubarbhollow_calls.refusal import Executed, Refusal, RefusalKind
@@ -22,6 +23,7 @@
     Retry,
     decide_retry,
 )
+from rhubarbhollow_quota.verdict import Admitted
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.backlog import Backlog
@@ -32,7 +34,9 @@
     from rhubarbhollow_calls.io_attempt import Attempt
     from rhubarbhollow_calls.io_downstream import Downstream
     from rhubarbhollow_calls.io_node import CallNode
+    from rhubarbhollow_calls.io_quota import QuotaWait
     from rhubarbhollow_calls.io_route_state import RouteState
+    from rhubarbhollow_quota.verdict import Verdict
     from rhubarbhollow_tenants.identity import Identity
 
 # Time past the deadline in which the upstream's node can still report
@@ -74,6 +78,8 @@
         "_cut_attempts",
         "_endpoint",
         "_failure",
+        "_quota_retry_seconds",
+        "_quota_wait",
         "_service",
         "_state",
         "_tried",
@@ -104,6 +110,8 @@
         self._endpoint: Endpoint | None = None
         self._tried: frozenset[str] = frozenset()
         self._failure: AttemptFailure | None = None
+        self._quota_wait: QuotaWait | None = None
+        self._quota_retry_seconds: float | None = None
 
     @property
     def _upstream(self) -> str:
@@ -112,8 +120,38 @@
     def start(self) -> None:
         """Start the first attempt."""
         self._state.budget.record_call()
+        if self._quota_wait is None:
+            self._start_attempt()
+        else:
+            self._quota_wait.begin(self)
+
+    def await_quota(self, wait: QuotaWait) -> None:
+        """Wait for the tenant's quota before the first attempt."""
+        self._quota_wait = wait
+
+    def quota_decided(self, verdict: Verdict) -> None:
+        """Start the call that has waited, or refuse it."""
+        self._quota_wait = None
+        if isinstance(verdict, Admitted):
+            self._start_admitted()
+            return
+        kind, detail, self._quota_retry_seconds = refusal_of(verdict)
+        self._refuse_unwritten(kind, UnwrittenStage.ROUTING, detail)
+
+    def _start_admitted(self) -> None:
         self._start_attempt()
 
+    def _retry_after(self, refusal: Refusal) -> float | None:
+        if self._quota_retry_seconds is None:
+            return super()._retry_after(refusal)
+        return self._node.round_retry_after(self._quota_retry_seconds)
+
+    def _finish(self) -> None:
+        super()._finish()
+        if self._quota_wait is not None:
+            self._quota_wait.cancel()
+            self._quota_wait = None
+
     def next_hop_field_lines(self) -> bytes:
         """Return the header field lines for the upstream's node."""
         if self._node.dialect.is_foreign:
--- a/packages/calls/src/rhubarbhollow_calls/io_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_exchange.py
@@ -275,6 +275,12 @@
         """Return the latency objective, or ``None`` without one."""
         return None
 
+    def _retry_after(self, refusal: Refusal) -> float | None:
+        """Return the seconds for Retry-After, ``None`` to send none."""
+        return self._node.retry_after(
+            refusal, self._seconds_left(), self._objective_seconds()
+        )
+
     def _is_refusal_bodyless(self) -> bool:
         """Return whether refusals omit the problem document."""
         return False
@@ -339,9 +345,7 @@
             self._request_id,
             self._refusal_field_lines(),
             status=self._node.status_of(refusal),
-            retry_after_seconds=self._node.retry_after(
-                refusal, self._seconds_left(), self._objective_seconds()
-            ),
+            retry_after_seconds=self._retry_after(refusal),
             is_bodyless=self._is_refusal_bodyless(),
             is_for_head=self._head.method == b"HEAD",
             is_last=self._downstream.is_last_response(),
--- a/packages/calls/src/rhubarbhollow_calls/io_keyed.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_keyed.py
@@ -99,6 +99,12 @@
                 RefusalKind.BAD_REQUEST,
                 f"route name and idempotency key exceed {MAX_KEY_BYTES} bytes",
             )
+        elif self._quota_wait is not None:
+            self._quota_wait.begin(self)
+
+    def _start_admitted(self) -> None:
+        if self._body.is_whole:
+            self._node.spawn(self._claim())
 
     def request_data(self, data: bytes) -> None:
         """Buffer a part of the body."""
@@ -117,7 +123,8 @@
         if self._is_over:
             return
         self._body.is_whole = True
-        self._node.spawn(self._claim())
+        if self._quota_wait is None:
+            self._node.spawn(self._claim())
 
     def response_started(self, head: ResponseHead) -> None:
         """Forward the response head and keep it for the claim."""
--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -43,6 +43,7 @@
     from rhubarbhollow_calls.io_local_upstream import LocalUpstream
     from rhubarbhollow_calls.io_observer import CallObserver
     from rhubarbhollow_calls.io_position import PositionObserver
+    from rhubarbhollow_calls.io_quota import QuotaPort
     from rhubarbhollow_calls.io_snapshot import Snapshot
     from rhubarbhollow_calls.quarantine import Quarantine
     from rhubarbhollow_calls.quarantine_message import QuarantineMessage
@@ -77,6 +78,7 @@
         observer: CallObserver | None = None,
         random: Random | None = None,
         is_release_confirmed: Callable[[], bool] | None = None,
+        quota: QuotaPort | None = None,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -95,6 +97,7 @@
         self._quarantine = quarantine
         self._publish = publish or _drop_message
         self.claims = claims
+        self.quota = quota
         self.observer = observer or SilentObserver()
         self._request_id_prefix = name.encode()
         self.dialect = self._settings.dialect
@@ -289,6 +292,13 @@
             refusal.kind, left_seconds, objective_seconds, self._random
         )
 
+    def round_retry_after(self, seconds: float) -> float:
+        """Return the seconds as the node's dialect allows them.
+
+        Native callers follow HTTP, which has whole seconds.
+        """
+        return seconds if self.dialect.is_foreign else math.ceil(seconds)
+
     def route(self, host: bytes, target: bytes) -> RouteState | None:
         """Return the state of the matching route, or ``None``."""
         if self._snapshot is None:
--- a/packages/calls/src/rhubarbhollow_calls/io_refusal_response.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_refusal_response.py
@@ -58,9 +58,11 @@
     if refusal.kind is RefusalKind.KEY_UNKNOWN:
         extra_field_lines += _CHALLENGE_LINE
     if retry_after_seconds is not None:
-        extra_field_lines += b"%b: %.3f\r\n" % (
+        # Without a fraction it is valid for every HTTP client.
+        form = "%d" if float(retry_after_seconds).is_integer() else "%.3f"
+        extra_field_lines += b"%b: %b\r\n" % (
             names.RETRY_AFTER,
-            retry_after_seconds,
+            (form % retry_after_seconds).encode(),
         )
     return (
         b"%bcontent-type: %b\r\ncontent-length: %d\r\n"
--- a/packages/calls/src/rhubarbhollow_calls/refusal.py
+++ b/packages/calls/src/rhubarbhollow_calls/refusal.py
@@ -54,6 +54,8 @@
     KEY_UNKNOWN = "key_unknown"
     KEY_UNCONFIRMED = "key_unconfirmed"
     KEY_WITHDRAWN = "key_withdrawn"
+    QUOTA_EXCEEDED = "quota_exceeded"
+    QUOTA_UNCONFIRMED = "quota_unconfirmed"
 
 
 _STATUS: Final = {
@@ -82,6 +84,9 @@
     # Not 401, which would tell the client that its key is not valid.
     RefusalKind.KEY_UNCONFIRMED: 503,
     RefusalKind.KEY_WITHDRAWN: 503,
+    RefusalKind.QUOTA_EXCEEDED: 429,
+    # Not 429, since the tenant may be within its quota.
+    RefusalKind.QUOTA_UNCONFIRMED: 503,
 }
 
 _TITLE: Final = {
--- a/packages/calls/src/rhubarbhollow_calls/refusal_status.py
+++ b/packages/calls/src/rhubarbhollow_calls/refusal_status.py
@@ -9,8 +9,8 @@
 _NOT_RUN_STATUS: Final = 503
 _DEADLINE_STATUS: Final = 504
 _UNKNOWN_STATUS: Final = 502
-# Faults of the request itself, which a retry would not fix; these keep
-# their own status.
+# Faults of the request or its caller, which another node would refuse
+# as well; these keep their own status.
 _REQUEST_FAULTS: Final = frozenset(
     (
         RefusalKind.BAD_REQUEST,
@@ -18,6 +18,7 @@
         RefusalKind.HEADERS_TOO_LARGE,
         RefusalKind.BODY_TOO_LARGE,
         RefusalKind.KEY_UNKNOWN,
+        RefusalKind.QUOTA_EXCEEDED,
     )
 )
 
--- a/packages/calls/src/rhubarbhollow_calls/return_delay.py
+++ b/packages/calls/src/rhubarbhollow_calls/return_delay.py
@@ -36,6 +36,7 @@
         RefusalKind.KEY_WITHDRAWN,
         RefusalKind.NO_RELEASE,
         RefusalKind.NO_UPSTREAM,
+        RefusalKind.QUOTA_UNCONFIRMED,
         RefusalKind.ROUTE_UNCONFIRMED,
     )
 )
--- a/packages/daemon/src/rhubarbhollow_daemon/control_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_building.py
@@ -18,6 +18,7 @@
 from rhubarbhollow_daemon.node_connections import NodeConnections
 from rhubarbhollow_daemon.peer_links import PeerLinks
 from rhubarbhollow_daemon.quarantine_relay import QuarantineRelay
+from rhubarbhollow_daemon.quota_service import QuotaService
 from rhubarbhollow_daemon.release_machine import ReleaseMachine
 from rhubarbhollow_daemon.stage_builder import StageBuilder
 from rhubarbhollow_distribution.admission import AdmissionQueue
@@ -32,6 +33,7 @@
 from rhubarbhollow_replication.settings import ReplicaSettings
 from rhubarbhollow_replication.store import LogStore, set_aside
 from rhubarbhollow_replication.store_fault import CorruptRecord, StoreFault
+from rhubarbhollow_wire.clock import BootClock
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -151,6 +153,9 @@
             floor_file=floor_file,
             feed_settings=feed_settings,
             claims=claims,
+            quota=QuotaService(
+                name, incarnation, replica, machine, links, BootClock()
+            ),
         )
     )
 
--- a/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
@@ -34,6 +34,7 @@
 from rhubarbhollow_distribution.feed import NodeFeed
 from rhubarbhollow_distribution.ledger_view import LedgerView
 from rhubarbhollow_distribution.register_summary import RegisterSummary
+from rhubarbhollow_quota.messages import QuotaReport
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -340,6 +341,10 @@
                     link.outbox.put,
                 )
                 continue
+            if isinstance(message, QuotaReport):
+                # A request may be waiting for the answer.
+                self._parts.quota.handle_node_report(link, message)
+                continue
             if isinstance(message, BurnAnswer):
                 self._burn.deliver_from_node(message)
                 continue
--- a/packages/daemon/src/rhubarbhollow_daemon/control_tasks.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_tasks.py
@@ -75,6 +75,7 @@
     handlers.register(application)
     _start_logs(parts, group)
     group.start_soon(instance.run)
+    group.start_soon(parts.quota.run)
     group.start_soon(_listen, settings.listen, listener)
     return documents
 
--- a/packages/daemon/src/rhubarbhollow_daemon/metric_collection.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/metric_collection.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from itertools import islice
 from typing import TYPE_CHECKING
 
+from rhubarbhollow_calls.io_counters import MAX_COUNTED_TENANTS
 from rhubarbhollow_daemon.metric_sample import MetricSample
 
 if TYPE_CHECKING:
@@ -12,6 +14,7 @@
     from rhubarbhollow_calls.io_counters import NodeCounters, RouteCounters
     from rhubarbhollow_daemon.control_parts import ControlParts
     from rhubarbhollow_daemon.node_parts import NodeParts
+    from rhubarbhollow_daemon.node_quota import NodeQuota
     from rhubarbhollow_replication.status import ReplicaStatus
     from rhubarbhollow_wire.traffic import Traffic
 
@@ -53,6 +56,7 @@
     yield from collect_key_metrics(call_node.counters)
     for state in call_node.route_states:
         yield from _collect_route_metrics(state.route.name, state.counters)
+    yield from collect_quota_metrics(parts.quota)
     yield from collect_traffic_metrics("node", parts.traffic)
 
 
@@ -129,6 +133,33 @@
         )
 
 
+def collect_quota_metrics(quota: NodeQuota) -> Iterable[MetricSample]:
+    """Yield the outcomes and the shares of tenants with a quota.
+
+    Only tenants of the release in force that sent requests have an
+    account, and no more than ``MAX_COUNTED_TENANTS`` are listed.
+    """
+    accounts = quota.gate.accounts.items()
+    for tenant, account in islice(accounts, MAX_COUNTED_TENANTS):
+        for outcome, value in (
+            ("admitted", account.admitted),
+            ("rejected", account.rejected),
+            ("unconfirmed", account.unconfirmed),
+        ):
+            yield MetricSample(
+                "quota_requests_total",
+                "Requests of a tenant with a quota, by the decision on them.",
+                value,
+                {"tenant": tenant, "outcome": outcome},
+            )
+        yield MetricSample(
+            "quota_share_per_second",
+            "Rate that this node holds of a tenant's quota.",
+            quota.share_of(account),
+            {"tenant": tenant},
+        )
+
+
 def collect_key_metrics(counters: NodeCounters) -> Iterable[MetricSample]:
     """Yield how many calls were refused for their key."""
     for kind, value in counters.keys_refused.items():
--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -16,6 +16,7 @@
 from rhubarbhollow_daemon.local_upstreams import LocalUpstreams
 from rhubarbhollow_daemon.node_claims import NodeClaims
 from rhubarbhollow_daemon.node_parts import NodeParts
+from rhubarbhollow_daemon.node_quota import NodeQuota
 from rhubarbhollow_daemon.node_session import NodeSession
 from rhubarbhollow_daemon.node_state import NodeState
 from rhubarbhollow_daemon.outbox import Outbox
@@ -24,6 +25,7 @@
 from rhubarbhollow_distribution.holder import ReleaseHolder
 from rhubarbhollow_distribution.source_choice import SourceChooser
 from rhubarbhollow_distribution.upstream_registry import UpstreamRegistry
+from rhubarbhollow_wire.clock import BootClock
 from rhubarbhollow_wire.traffic import Traffic
 
 if TYPE_CHECKING:
@@ -75,6 +77,7 @@
     burn = BurnRecorder(clock)
     refused_call_log = RefusedCallLog()
     client = ClaimClient(name, incarnation, outbox)
+    quota = NodeQuota(name, incarnation, outbox, BootClock())
     claims = NodeClaims(client)
     state = NodeState(
         settings.mesh,
@@ -90,6 +93,7 @@
         quarantine,
         client,
         burn,
+        quota,
     )
     call_node = CallNode(
         name,
@@ -103,6 +107,7 @@
         claims,
         NodeCallObserver(burn, refused_call_log, clock, DecisionLog(clock)),
         is_release_confirmed=state.is_release_confirmed,
+        quota=quota.port,
     )
     state.attach(call_node)
     traffic = Traffic(data_centre)
@@ -131,6 +136,7 @@
         quarantine=quarantine,
         burn=burn,
         refused_call_log=refused_call_log,
+        quota=quota,
     )
 
 
--- a/packages/daemon/src/rhubarbhollow_daemon/node_codec.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_codec.py
@@ -29,6 +29,7 @@
 from rhubarbhollow_distribution.stage_request import StageRequest
 from rhubarbhollow_distribution.staged_report import StagedReport
 from rhubarbhollow_distribution.welcome import Welcome
+from rhubarbhollow_quota.messages import QuotaGrant, QuotaReport
 from rhubarbhollow_wire.codec import MessageCodec
 
 NODE_MESSAGES: Final = (
@@ -47,6 +48,8 @@
     Exoneration,
     Hello,
     NodeHeartbeat,
+    QuotaGrant,
+    QuotaReport,
     Redirect,
     Stage,
     StageRequest,
--- a/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
@@ -11,6 +11,7 @@
     from rhubarbhollow_daemon.burn_recorder import BurnRecorder
     from rhubarbhollow_daemon.local_upstreams import LocalUpstreams
     from rhubarbhollow_daemon.node_claims import NodeClaims
+    from rhubarbhollow_daemon.node_quota import NodeQuota
     from rhubarbhollow_daemon.node_session import NodeSession
     from rhubarbhollow_daemon.node_state import NodeState
     from rhubarbhollow_daemon.refused_call_log import RefusedCallLog
@@ -36,3 +37,4 @@
     quarantine: Quarantine
     burn: BurnRecorder
     refused_call_log: RefusedCallLog
+    quota: NodeQuota
--- a/packages/daemon/src/rhubarbhollow_daemon/node_session.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_session.py
@@ -81,10 +81,12 @@
             for message in self._state.crash_evidence:
                 self._outbox.put(message)
             self._is_connected = True
+            self._state.set_connected(True)
             try:
                 current = await self._serve(current)
             finally:
                 self._is_connected = False
+                self._state.set_connected(False)
 
     async def _serve(
         self,
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -37,6 +37,7 @@
 from rhubarbhollow_distribution.stage import Stage
 from rhubarbhollow_distribution.stage_fault import NeedsDifference
 from rhubarbhollow_distribution.stage_request import StageRequest
+from rhubarbhollow_quota.messages import QuotaGrant
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.io_node import CallNode
@@ -45,6 +46,7 @@
     from rhubarbhollow_daemon.burn_recorder import BurnRecorder
     from rhubarbhollow_daemon.claim_client import ClaimClient
     from rhubarbhollow_daemon.endpoint_view import EndpointView
+    from rhubarbhollow_daemon.node_quota import NodeQuota
     from rhubarbhollow_daemon.outbox import Outbox
     from rhubarbhollow_distribution.endpoint_record import EndpointRecord
     from rhubarbhollow_distribution.endpoint_table import EndpointTable
@@ -77,6 +79,7 @@
         quarantine: Quarantine,
         claims: ClaimClient,
         burn: BurnRecorder,
+        quota: NodeQuota,
     ) -> None:
         self._mesh = mesh
         self._node = node
@@ -91,6 +94,7 @@
         self._quarantine = quarantine
         self._claims = claims
         self._burn = burn
+        self._quota = quota
         self._call_node: CallNode | None = None
         self._snapshots = SnapshotBuilder()
 
@@ -141,6 +145,11 @@
         )
         self._incarnation = incarnation
         self._registry.raise_incarnation(incarnation)
+        self._quota.raise_incarnation(incarnation)
+
+    def set_connected(self, is_connected: bool) -> None:
+        """Note whether a control instance has welcomed this node."""
+        self._quota.set_connected(is_connected)
 
     def hello(self) -> Hello:
         """Return the first message to send on a new connection."""
@@ -168,6 +177,8 @@
             case BurnRequest(request_id):
                 answer = BurnAnswer(request_id, self._burn.counts())
                 self._outbox.put(answer)
+            case QuotaGrant():
+                self._quota.handle_grant(message)
             case ClaimAnswer():
                 self._claims.deliver(message)
             case CrashReport() | Exoneration():
@@ -242,7 +253,9 @@
         active = self._holder.active
         if active is None or self._call_node is None:
             return
-        self._call_node.install(self._snapshots.build(active))
+        snapshot = self._snapshots.build(active)
+        self._call_node.install(snapshot)
+        self._quota.install(snapshot.tenants)
         self._burn.set_objectives(find_latency_objectives(active))
         self._outbox.put(ActiveReport(active.position))
         _log.info(
--- a/packages/daemon/src/rhubarbhollow_daemon/peer_dispatch.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/peer_dispatch.py
@@ -17,6 +17,7 @@
 from rhubarbhollow_daemon.submission_kind import SubmissionKind
 from rhubarbhollow_distribution.control_address import is_usable
 from rhubarbhollow_distribution.control_list import ControlList
+from rhubarbhollow_quota.messages import QuotaGrant, QuotaReport
 from rhubarbhollow_replication.messages import PeerMessage, sender_of
 
 if TYPE_CHECKING:
@@ -60,7 +61,9 @@
             hello.control, message
         ):
             return
-        if hello.group == LogGroup.CLAIMS:
+        if isinstance(message, QuotaReport | QuotaGrant):
+            self._parts.quota.handle_peer_message(hello.control, message)
+        elif hello.group == LogGroup.CLAIMS:
             self._dispatch_claims(hello.control, message)
         else:
             self._dispatch_releases(hello.control, message)
--- a/packages/daemon/src/rhubarbhollow_daemon/process.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/process.py
@@ -146,6 +146,7 @@
                 group.start_soon(self._node.session.run)
                 group.start_soon(self._run_housekeeping, self._node)
                 group.start_soon(self._node.claims.abandon_lost_claims)
+                group.start_soon(self._node.quota.run)
                 group.start_soon(
                     accept_once_ready, servers[0], self._node.call_node
                 )
--- a/packages/daemon/tests/test_node_session.py
+++ b/packages/daemon/tests/test_node_session.py
@@ -20,7 +20,11 @@
     Messages still queued for the previous source are dropped.
     """
     outbox = Outbox()
-    state = SimpleNamespace(endpoint_records=(), crash_evidence=(CRASH,))
+    state = SimpleNamespace(
+        endpoint_records=(),
+        crash_evidence=(CRASH,),
+        set_connected=lambda is_connected: None,
+    )
     chooser = SimpleNamespace(
         current=None, maybe_alternative=lambda: None, is_silent=False
     )
--- a/packages/quota/src/rhubarbhollow_quota/division.py
+++ b/packages/quota/src/rhubarbhollow_quota/division.py
@@ -19,7 +19,7 @@
 # A leased rate exceeds the demand by this factor, so that a small rise
 # needs no new lease. What the leader has not leased when it ends is
 # lost for ten seconds, so control instances get more.
-LEAF_HEADROOM: Final = 1.1
+LEAF_HEADROOM: Final = 1.25
 BRANCH_HEADROOM: Final = 1.5
 # What a child keeps of the burst, in seconds of its rate. Its parent is
 # a few milliseconds away and serves irregular arrivals from its pool.
--- a/packages/wire/src/rhubarbhollow_wire/clock.py
+++ b/packages/wire/src/rhubarbhollow_wire/clock.py
@@ -7,6 +7,25 @@
 from typing import Protocol
 
 
+class MonotonicClock(Protocol):
+    """Provide seconds since an arbitrary point."""
+
+    def monotonic(self) -> float:
+        """Return seconds since an arbitrary point; never decreases."""
+        ...
+
+
+class BootClock:
+    """Read the clock that also counts the time of a suspended system.
+
+    A lease must end while its holder is suspended.
+    """
+
+    def monotonic(self) -> float:
+        """Return the seconds since the system was started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Clock(Protocol):
     """Provide monotonic and calendar time.
 
--- a/tests/processes/operator.py
+++ b/tests/processes/operator.py
@@ -35,10 +35,12 @@
         """Return the public key as hex digits."""
         return self._key.public_key().public_bytes_raw().hex()
 
-    def build_submission(self, version, *, timeout_ms=2000, chain=False):
+    def build_submission(
+        self, version, *, timeout_ms=2000, chain=False, tenants=()
+    ):
         """Return the request body that submits an approved manifest."""
         document = json.dumps(
-            build_manifest(version, timeout_ms, chain)
+            build_manifest(version, timeout_ms, chain, tenants)
         ).encode()
         resources = split_manifest(parse_manifest(document).unwrap())
         approval = sign_approval(self._key, MESH, version, resources.digest)
@@ -54,7 +56,7 @@
         return post(instance, self.build_submission(version, **options))
 
 
-def build_manifest(version, timeout_ms, chain):
+def build_manifest(version, timeout_ms, chain, tenants=()):
     return {
         "format": 1,
         "mesh": MESH,
@@ -82,6 +84,7 @@
         "retry_policies": [
             {"name": "quick", "attempts": 3, "budget_ratio": 0.5}
         ],
+        **({"tenants": list(tenants)} if tenants else {}),
     }
 
 
