--- a/packages/calls/src/rhubarbhollow_calls/io_caller.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller.py
@@ -12,11 +12,18 @@
 )
 from rhubarbhollow_calls.deadline import Deadline
 from rhubarbhollow_calls.io_caller_exchange import CallerExchange
+from rhubarbhollow_calls.io_quota import refusal_of
 from rhubarbhollow_calls.io_refusal_response import (
     encode_refusal,
     refusal_for_fault,
 )
 from rhubarbhollow_calls.io_refused_exchange import RefusedExchange
+from rhubarbhollow_quota.verdict import (
+    ADMITTED,
+    OverQuota,
+    Unconfirmed,
+    Wait,
+)
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.call_entry import EntryRefusal
@@ -28,6 +35,7 @@
     from rhubarbhollow_calls.io_listener import ListenerConnection
     from rhubarbhollow_calls.io_node import CallNode
     from rhubarbhollow_calls.io_route_state import RouteState
+    from rhubarbhollow_quota.verdict import Verdict
     from rhubarbhollow_tenants.identity import Identity
 
 
@@ -64,17 +72,11 @@
             return self._refuse(head, downstream, request_id, refusal)
         if state is None:
             raise UnroutedCall("a call without a route was not refused")
-        identity = None
+        identity, refusal = self._authenticate(head, state)
+        if refusal is not None:
+            return self._refuse(head, downstream, request_id, refusal)
         tenants = node.tenants
         if not tenants.is_empty:
-            if not state.route.is_public:
-                # An empty field is no key.
-                key = head.credential
-                identity = tenants.identify(key) if key else None
-                if identity is None:
-                    refusal = refuse_unauthenticated(node)
-                    node.counters.keys_refused[refusal.kind] += 1
-                    return self._refuse(head, downstream, request_id, refusal)
             head = head.without_guarded()
         now = node.clock.monotonic()
         timeout_ms = state.route.timeout_ms
@@ -84,12 +86,39 @@
         refusal = refuse_stopping(node, deadline, state)
         if refusal is not None:
             return self._refuse(head, downstream, request_id, refusal)
+        verdict: Verdict = ADMITTED
+        tenant = None if identity is None else tenants.tenant_of(identity)
+        if tenant is not None and tenant.rate > 0.0 and node.quota:
+            verdict = node.quota.admit(tenant)
+            if isinstance(verdict, OverQuota | Unconfirmed):
+                return RefusedExchange(
+                    node, downstream, head, request_id, *refusal_of(verdict)
+                )
         exchange = self._make_exchange(
             downstream, head, request_id, deadline, state, now, identity
         )
+        if tenant is not None and node.quota and isinstance(verdict, Wait):
+            objective = state.route.latency_seconds
+            exchange.await_quota(node.quota.open_wait(tenant, objective))
         node.call_began(exchange)
         return exchange
 
+    def _authenticate(
+        self, head: RequestHead, state: RouteState
+    ) -> tuple[Identity | None, EntryRefusal | None]:
+        """Return whose key a call has, or why it is refused."""
+        node = self._node
+        if node.tenants.is_empty or state.route.is_public:
+            return None, None
+        # An empty field is no key.
+        key = head.credential
+        identity = node.tenants.identify(key) if key else None
+        if identity is not None:
+            return identity, None
+        refusal = refuse_unauthenticated(node)
+        node.counters.keys_refused[refusal.kind] += 1
+        return None, refusal
+
     def encode_fault(self, fault: HttpFault) -> bytes:
         """Return the complete response to an unparsable request."""
         self._node.counters.malformed += 1
--- a/packages/daemon/src/rhubarbhollow_daemon/control_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_building.py
@@ -22,6 +22,7 @@
 from rhubarbhollow_daemon.node_connections import NodeConnections
 from rhubarbhollow_daemon.peer_links import PeerLinks
 from rhubarbhollow_daemon.quarantine_relay import QuarantineRelay
+from rhubarbhollow_daemon.quota_service import QuotaService
 from rhubarbhollow_daemon.release_machine import ReleaseMachine
 from rhubarbhollow_daemon.stage_builder import StageBuilder
 from rhubarbhollow_distribution.admission import AdmissionQueue
@@ -36,6 +37,7 @@
 from rhubarbhollow_replication.settings import ReplicaSettings
 from rhubarbhollow_replication.store import LogStore, set_aside
 from rhubarbhollow_replication.store_fault import CorruptRecord, StoreFault
+from rhubarbhollow_wire.clock import BootClock
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -153,6 +155,9 @@
             floor_file=floor_file,
             feed_settings=feed_settings,
             claims=claims,
+            quota=QuotaService(
+                name, incarnation, replica, machine, links, BootClock()
+            ),
         )
     )
 
--- a/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
@@ -35,6 +35,7 @@
 from rhubarbhollow_distribution.ledger_view import LedgerView
 from rhubarbhollow_distribution.register_summary import RegisterSummary
 from rhubarbhollow_placement.upstream_load import LoadReport
+from rhubarbhollow_quota.messages import QuotaReport
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -349,6 +350,10 @@
                 # Frequent, and no decision of the event loop uses it.
                 self._loads.receive(link.hello, message)
                 continue
+            if isinstance(message, QuotaReport):
+                # A request may be waiting for the answer.
+                self._parts.quota.handle_node_report(link, message)
+                continue
             if isinstance(message, BurnAnswer):
                 self._burn.deliver_from_node(message)
                 continue
--- a/packages/daemon/src/rhubarbhollow_daemon/control_tasks.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_tasks.py
@@ -78,6 +78,7 @@
     _start_logs(parts, group)
     group.start_soon(instance.run)
     group.start_soon(loads.run)
+    group.start_soon(parts.quota.run)
     group.start_soon(_listen, settings.listen, listener)
     return documents
 
--- a/packages/daemon/src/rhubarbhollow_daemon/node_codec.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_codec.py
@@ -30,6 +30,7 @@
 from rhubarbhollow_distribution.staged_report import StagedReport
 from rhubarbhollow_distribution.welcome import Welcome
 from rhubarbhollow_placement.upstream_load import LoadReport
+from rhubarbhollow_quota.messages import QuotaGrant, QuotaReport
 from rhubarbhollow_wire.codec import MessageCodec
 
 NODE_MESSAGES: Final = (
@@ -49,6 +50,8 @@
     Hello,
     LoadReport,
     NodeHeartbeat,
+    QuotaGrant,
+    QuotaReport,
     Redirect,
     Stage,
     StageRequest,
--- a/packages/daemon/src/rhubarbhollow_daemon/process.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/process.py
@@ -153,6 +153,7 @@
                     self._node.clock,
                 )
                 group.start_soon(self._node.claims.abandon_lost_claims)
+                group.start_soon(self._node.quota.run)
                 group.start_soon(
                     accept_once_ready, servers[0], self._node.call_node
                 )
