Keep rollouts in the quorum log of releases

Cause: an order and its outcome have to survive kills, partitions and lost disks, as releases do.

Change: entries that begin with R are commands on rollouts and go to a ledger beside that of the releases. Orders are relayed to the leader like documents; exposures and outcomes are not, since only the leader sets them.

Ruled out: a command of the release ledger, whose package would have to know rollouts; a quorum log of its own, whose heartbeats cost bytes in meshes without rollouts.

An instance of an earlier version skips these entries, so all control instances have to be updated before the first order.

--- a/packages/daemon/src/rhubarbhollow_daemon/document_outcome.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/document_outcome.py
@@ -18,6 +18,13 @@
     ProposeFault,
     StoreFailed,
 )
+from rhubarbhollow_rollout.command import RolloutCommandFault
+from rhubarbhollow_rollout.outcome import (
+    RolloutInProgress,
+    RolloutKnown,
+    RolloutStarted,
+    TooManyRollouts,
+)
 
 
 class DocumentVerdict(IntEnum):
@@ -67,8 +74,17 @@
                 DocumentVerdict.BASE_MOVED,
                 "another release was accepted meanwhile",
             )
-        case Refused():
+        case Refused() | RolloutCommandFault() | TooManyRollouts():
             return DocumentOutcome(DocumentVerdict.INVALID, repr(outcome))
+        case RolloutStarted(record) | RolloutKnown(record):
+            return DocumentOutcome(
+                DocumentVerdict.ACCEPTED, f"rollout {record.number}"
+            )
+        case RolloutInProgress(record):
+            return DocumentOutcome(
+                DocumentVerdict.CONFLICT,
+                f"a rollout to version {record.new_version!r} is running",
+            )
         case _:
             return DocumentOutcome(DocumentVerdict.CONFLICT, repr(outcome))
 
--- a/packages/daemon/src/rhubarbhollow_daemon/release_log.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/release_log.py
@@ -21,6 +21,11 @@
 from rhubarbhollow_daemon.submission_kind import SubmissionKind
 from rhubarbhollow_release.command import SubmitRelease, decode_command
 from rhubarbhollow_replication.role import Role
+from rhubarbhollow_rollout.command import (
+    StartRollout,
+    decode_rollout_command,
+    is_rollout_command,
+)
 
 if TYPE_CHECKING:
     from rhubarbhollow_daemon.messages import ProposeRequest
@@ -135,6 +140,8 @@
         What is stored is applied by every instance, so the leader does
         not rely on the checks of the instance that planned it.
         """
+        if is_rollout_command(payload):
+            return _reject_rollout(payload)
         decoded = decode_command(payload)
         if isinstance(decoded, Err):
             return _invalid(repr(decoded.err_value))
@@ -153,7 +160,7 @@
                 return outcome_of_fault(proposed.err_value)
             return outcome_of_command(proposed.ok_value)
         return DocumentOutcome(
-            DocumentVerdict.UNKNOWN, "the release was not committed in time"
+            DocumentVerdict.UNKNOWN, "the command was not committed in time"
         )
 
     async def _read_index(self) -> int | None:
@@ -195,3 +202,16 @@
 
 def _invalid(detail: str) -> DocumentOutcome:
     return DocumentOutcome(DocumentVerdict.INVALID, detail)
+
+
+def _reject_rollout(payload: bytes) -> DocumentOutcome | None:
+    """Return why a command on rollouts is refused, or ``None``.
+
+    Only the leader itself sets exposures and outcomes.
+    """
+    decoded = decode_rollout_command(payload)
+    if isinstance(decoded, Err):
+        return _invalid(repr(decoded.err_value))
+    if not isinstance(decoded.ok_value, StartRollout):
+        return _invalid(f"{type(decoded.ok_value).__name__} is not relayed")
+    return None
