--- a/packages/calls/src/rhubarbhollow_calls/endpoint.py
+++ b/packages/calls/src/rhubarbhollow_calls/endpoint.py
@@ -18,7 +18,8 @@
     """Describe an upstream instance as announced to this node.
 
     ``joined_at`` is the time at which this node first learned of this
-    incarnation, in seconds on its own monotonic clock.
+    incarnation, in seconds on its own monotonic clock.  ``version`` is
+    empty if the upstream states none.
     """
 
     name: str
@@ -31,6 +32,7 @@
     state: EndpointState
     incarnation: int
     joined_at: float
+    version: str = ""
 
     @property
     def instance(self) -> str:
--- a/packages/calls/src/rhubarbhollow_calls/upstream_selector.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_selector.py
@@ -18,6 +18,7 @@
     better_of,
     rank_endpoint,
 )
+from rhubarbhollow_calls.version_groups import VersionGroups
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
@@ -27,6 +28,7 @@
     from rhubarbhollow_calls.call_profile import CallProfile
     from rhubarbhollow_calls.endpoint import Endpoint
     from rhubarbhollow_calls.endpoint_table import EndpointTable
+    from rhubarbhollow_calls.version_policy import VersionPolicy
     from rhubarbhollow_wire.clock import Clock
 
 # Consecutive failures after which an endpoint is ejected.
@@ -83,6 +85,19 @@
         self._by_service: dict[str, ServiceEvidence] = {}
         self._version = 0
         self._times = ServiceTimes()
+        self._policy: VersionPolicy | None = None
+        self._versions: VersionGroups | None = None
+
+    def use_versions(self, policy: VersionPolicy) -> None:
+        """Divide calls between versions as ``policy`` says."""
+        self._policy = policy
+        self._versions = VersionGroups(policy)
+        self.refresh_versions()
+
+    def refresh_versions(self) -> None:
+        """Divide the endpoints anew after a change of the policy."""
+        if self._versions is not None:
+            self._versions.rebuild(self._by_service)
 
     @property
     def version(self) -> int:
@@ -114,6 +129,7 @@
         now = self._clock.monotonic()
         for members in self._by_service.values():
             members.bound_ejections(now)
+        self.refresh_versions()
 
     def choose(
         self,
@@ -130,19 +146,14 @@
         members = self._by_service.get(service)
         if members is None:
             return None
-        now = self._clock.monotonic()
-        if profile is not None:
-            return self._place(members, excluded, profile, now)
-        chosen = self._maybe_choose(members, excluded, now)
-        if chosen is None:
-            return None
-        if chosen.is_local and members.remote:
-            remote = members.remote[self._random_index(len(members.remote))]
-            if self._is_faster(remote, chosen, now) and (
-                remote.endpoint.name not in excluded
-            ):
-                return remote.endpoint
-        return chosen.endpoint
+        versions = self._versions
+        if versions is None or not versions.is_divided(service):
+            return self._choose_among(members, excluded, profile)
+        for group in versions.candidates(service, excluded):
+            chosen = self._choose_among(group, excluded, profile)
+            if chosen is not None:
+                return chosen
+        return None
 
     def started(
         self,
@@ -179,6 +190,9 @@
             self._record_service_time(endpoint_name, held_seconds, route)
         self._record_outcome(endpoint_name, result)
         evidence = self._evidence(endpoint_name)
+        if self._policy is not None:
+            seconds = latency_seconds if held_seconds is None else held_seconds
+            self._policy.record(evidence.endpoint, route, result, seconds)
         if evidence.in_flight <= 0:
             raise UnstartedCall(
                 f"endpoint {endpoint_name!r} has no call in flight"
@@ -207,6 +221,26 @@
         now = self._clock.monotonic()
         return tuple(_view(evidence, now) for evidence in members.all)
 
+    def _choose_among(
+        self,
+        members: ServiceEvidence,
+        excluded: Collection[str],
+        profile: CallProfile | None,
+    ) -> Endpoint | None:
+        now = self._clock.monotonic()
+        if profile is not None:
+            return self._place(members, excluded, profile, now)
+        chosen = self._maybe_choose(members, excluded, now)
+        if chosen is None:
+            return None
+        if chosen.is_local and members.remote:
+            remote = members.remote[self._random_index(len(members.remote))]
+            if self._is_faster(remote, chosen, now) and (
+                remote.endpoint.name not in excluded
+            ):
+                return remote.endpoint
+        return chosen.endpoint
+
     def _carried_over(
         self, endpoint: Endpoint, known: dict[str, UpstreamEvidence]
     ) -> UpstreamEvidence:
@@ -356,7 +390,7 @@
             evidence.is_on_probation = False
             evidence.ejections = 0
             evidence.slow_start_at = now
-            self._members_of(evidence).update_steady_at()
+            self._update_steady_at(evidence)
 
     def _record_cancellation(
         self, evidence: UpstreamEvidence, seconds: float, now: float
@@ -374,7 +408,7 @@
         seconds = BASE_REFUSAL_SECONDS * 2**doublings
         # Jitter keeps the callers of one node from retrying together.
         evidence.refusing_until = now + seconds * (0.5 + self._random.random())
-        self._members_of(evidence).update_steady_at()
+        self._update_steady_at(evidence)
 
     def _record_failure(
         self, evidence: UpstreamEvidence, now: float, *, is_unreachable: bool
@@ -410,9 +444,14 @@
         evidence.ejected_until = now + seconds * (
             0.75 + self._random.random() / 2
         )
-        members.update_steady_at()
+        self._update_steady_at(evidence)
         members.check(now)
 
+    def _update_steady_at(self, evidence: UpstreamEvidence) -> None:
+        self._members_of(evidence).update_steady_at()
+        if self._versions is not None:
+            self._versions.update_steady_at(evidence.endpoint.service)
+
     def _members_of(self, evidence: UpstreamEvidence) -> ServiceEvidence:
         return self._by_service[evidence.endpoint.service]
 
--- a/packages/daemon/src/rhubarbhollow_daemon/codec.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/codec.py
@@ -17,6 +17,7 @@
 from rhubarbhollow_replication.chunk import SnapshotChunk, SnapshotReply
 from rhubarbhollow_replication.leave import LeaveRequest
 from rhubarbhollow_replication.vote import VoteReply, VoteRequest
+from rhubarbhollow_rollout.messages import RolloutSummary
 from rhubarbhollow_wire.codec import MessageCodec
 
 CODEC: Final = MessageCodec(
@@ -31,6 +32,7 @@
         ProposeAnswer,
         ProposeRequest,
         RegisterSummary,
+        RolloutSummary,
         SnapshotChunk,
         SnapshotReply,
         VoteReply,
--- a/packages/daemon/src/rhubarbhollow_daemon/control_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_building.py
@@ -19,6 +19,8 @@
 from rhubarbhollow_daemon.peer_links import PeerLinks
 from rhubarbhollow_daemon.quarantine_relay import QuarantineRelay
 from rhubarbhollow_daemon.release_machine import ReleaseMachine
+from rhubarbhollow_daemon.rollout_coordinator import RolloutCoordinator
+from rhubarbhollow_daemon.rollout_feed import RolloutFeed
 from rhubarbhollow_daemon.stage_builder import StageBuilder
 from rhubarbhollow_distribution.admission import AdmissionQueue
 from rhubarbhollow_distribution.control_directory import ControlDirectory
@@ -112,6 +114,9 @@
         feed_settings.load_seconds,
     )
     exchange = EndpointExchange(name, store, links, clock, pacer)
+    rollouts = RolloutCoordinator(
+        name, incarnation, machine, replica, links, clock
+    )
     floor_file = FloorFile(control.data_folder)
     if floor_file.is_damaged:
         _log.error("floor_file_damaged", folder=str(control.data_folder))
@@ -136,6 +141,8 @@
                 clock,
                 settings.distribution.lease.total_seconds(),
                 directory,
+                RolloutFeed(machine, replica, clock),
+                rollouts,
             ),
             exchange=exchange,
             activation_coordinator=ActivationCoordinator(
@@ -151,6 +158,7 @@
             floor_file=floor_file,
             feed_settings=feed_settings,
             claims=claims,
+            rollouts=rollouts,
         )
     )
 
--- a/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
@@ -34,6 +34,7 @@
 from rhubarbhollow_distribution.feed import NodeFeed
 from rhubarbhollow_distribution.ledger_view import LedgerView
 from rhubarbhollow_distribution.register_summary import RegisterSummary
+from rhubarbhollow_rollout.messages import RolloutSummary
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -74,6 +75,7 @@
         self._store_version = 0
         self._was_fresh = False
         self._positions = (0, 0)
+        self._rollout_revision = 0
         self._floor_retry_at = 0.0
         parts.replica.on_applied(lambda _: self.post(LogAdvanced()))
         parts.directory.watch(self._on_directory_changed)
@@ -138,7 +140,9 @@
                 view = await self._build_ledger_view()
                 if event is not None:
                     self._handle_event(event, view)
-                self._tick(view)
+                if self._tick(view):
+                    for command in parts.rollouts.tick():
+                        group.start_soon(parts.rollouts.propose, command)
                 parts.exchange.flush()
                 self._feed_nodes(view)
                 self._send_summary()
@@ -193,6 +197,8 @@
                 parts.node_connections.forward_crash_evidence(
                     message, is_from_peer=True
                 )
+            case RolloutSummary():
+                parts.rollouts.record_summary(message)
             case EndpointsRequest():
                 parts.exchange.answer(control)
             case _:
@@ -202,13 +208,15 @@
                     message=type(message).__name__,
                 )
 
-    def _tick(self, view: LedgerView) -> None:
+    def _tick(self, view: LedgerView) -> bool:
+        """Do what is due at intervals; return whether it was due."""
         now = self._parts.clock.monotonic()
         if now < self._last_tick_at + TICK_SECONDS:
-            return
+            return False
         self._last_tick_at = now
         self._parts.node_connections.tick(view)
         self._parts.exchange.tick()
+        return True
 
     def _feed_nodes(self, view: LedgerView) -> None:
         """Feed every node after a shared change, else the due ones.
@@ -229,6 +237,9 @@
         )
         self._store_version = parts.store.version
         self._was_fresh = view.is_fresh
+        revision = parts.machine.rollouts.revision
+        has_changes |= revision != self._rollout_revision
+        self._rollout_revision = revision
         if has_changes:
             parts.node_connections.feed_all(view)
         else:
--- a/packages/daemon/src/rhubarbhollow_daemon/control_parts.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_parts.py
@@ -16,6 +16,7 @@
     from rhubarbhollow_daemon.node_connections import NodeConnections
     from rhubarbhollow_daemon.peer_links import PeerLinks
     from rhubarbhollow_daemon.release_machine import ReleaseMachine
+    from rhubarbhollow_daemon.rollout_coordinator import RolloutCoordinator
     from rhubarbhollow_daemon.stage_builder import StageBuilder
     from rhubarbhollow_distribution.control_directory import ControlDirectory
     from rhubarbhollow_distribution.endpoint_store import EndpointStore
@@ -57,3 +58,4 @@
     floor_file: FloorFile
     feed_settings: FeedSettings
     claims: ClaimParts | None
+    rollouts: RolloutCoordinator
--- a/packages/daemon/src/rhubarbhollow_daemon/document_relay.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/document_relay.py
@@ -51,6 +51,11 @@
         self._clock = clock
         self._rendered: tuple[bytes, bytes] | None = None
 
+    @property
+    def log(self) -> ReleaseLog:
+        """Return the log that documents are committed to."""
+        return self._log
+
     async def submit(
         self, document: bytes, base_version: int
     ) -> DocumentOutcome:
--- a/packages/daemon/src/rhubarbhollow_daemon/endpoint_view.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/endpoint_view.py
@@ -66,8 +66,11 @@
         name: str,
         current: Endpoint | None,
     ) -> Endpoint:
+        # Another version is another process beside the same node.
         is_same_incarnation = (
-            current and current.incarnation == record.incarnation
+            current
+            and current.incarnation == record.incarnation
+            and current.version == record.version
         )
         joined_at = (
             current.joined_at
@@ -86,6 +89,7 @@
             state=EndpointState.UP if is_up else EndpointState.LEAVING,
             incarnation=record.incarnation,
             joined_at=joined_at,
+            version=record.version,
         )
 
 
--- a/packages/daemon/src/rhubarbhollow_daemon/extension.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/extension.py
@@ -12,6 +12,7 @@
     from rhubarbhollow_daemon.document_format import DocumentFormat
     from rhubarbhollow_daemon.document_relay import DocumentRelay
     from rhubarbhollow_daemon.node_parts import NodeParts
+    from rhubarbhollow_daemon.rollout_orders import RolloutOrders
     from rhubarbhollow_daemon.settings import Settings
 
 
@@ -19,14 +20,15 @@
 class ExtensionHost:
     """Hold the components of a process that an extension may use.
 
-    ``node``, ``control`` and ``documents`` are ``None`` if the process
-    has no such component.
+    ``node``, ``control``, ``documents`` and ``rollouts`` are ``None``
+    if the process has no such component.
     """
 
     settings: Settings
     node: NodeParts | None
     control: ControlParts | None
     documents: DocumentRelay | None
+    rollouts: RolloutOrders | None = None
 
 
 class Extension(Protocol):
--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -20,10 +20,12 @@
 from rhubarbhollow_daemon.node_state import NodeState
 from rhubarbhollow_daemon.outbox import Outbox
 from rhubarbhollow_daemon.refused_call_log import RefusedCallLog
+from rhubarbhollow_daemon.rollout_policy import RolloutPolicy
 from rhubarbhollow_distribution.endpoint_table import EndpointTable
 from rhubarbhollow_distribution.holder import ReleaseHolder
 from rhubarbhollow_distribution.source_choice import SourceChooser
 from rhubarbhollow_distribution.upstream_registry import UpstreamRegistry
+from rhubarbhollow_rollout.node import NodeRollouts
 from rhubarbhollow_wire.traffic import Traffic
 
 if TYPE_CHECKING:
@@ -74,6 +76,8 @@
     quarantine = Quarantine(clock)
     burn = BurnRecorder(clock)
     refused_call_log = RefusedCallLog()
+    rollouts = RolloutPolicy(NodeRollouts(clock), selector, outbox, clock)
+    selector.use_versions(rollouts)
     client = ClaimClient(name, incarnation, outbox)
     claims = NodeClaims(client)
     state = NodeState(
@@ -90,6 +94,7 @@
         quarantine,
         client,
         burn,
+        rollouts,
     )
     call_node = CallNode(
         name,
@@ -130,6 +135,7 @@
         claims=claims,
         quarantine=quarantine,
         burn=burn,
+        rollouts=rollouts,
         refused_call_log=refused_call_log,
     )
 
--- a/packages/daemon/src/rhubarbhollow_daemon/node_codec.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_codec.py
@@ -29,6 +29,7 @@
 from rhubarbhollow_distribution.stage_request import StageRequest
 from rhubarbhollow_distribution.staged_report import StagedReport
 from rhubarbhollow_distribution.welcome import Welcome
+from rhubarbhollow_rollout.messages import RolloutExposure, RolloutReport
 from rhubarbhollow_wire.codec import MessageCodec
 
 NODE_MESSAGES: Final = (
@@ -48,6 +49,8 @@
     Hello,
     NodeHeartbeat,
     Redirect,
+    RolloutExposure,
+    RolloutReport,
     Stage,
     StageRequest,
     StagedReport,
--- a/packages/daemon/src/rhubarbhollow_daemon/node_connections.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_connections.py
@@ -17,6 +17,7 @@
 from rhubarbhollow_distribution.redirect import Redirect, RedirectReason
 from rhubarbhollow_distribution.stage_request import StageRequest
 from rhubarbhollow_distribution.staged_report import StagedReport
+from rhubarbhollow_rollout.messages import RolloutReport
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.quarantine_message import QuarantineMessage
@@ -24,6 +25,8 @@
     from rhubarbhollow_daemon.node_link import NodeLink
     from rhubarbhollow_daemon.peer_links import PeerLinks
     from rhubarbhollow_daemon.quarantine_relay import QuarantineRelay
+    from rhubarbhollow_daemon.rollout_coordinator import RolloutCoordinator
+    from rhubarbhollow_daemon.rollout_feed import RolloutFeed
     from rhubarbhollow_distribution.admission import AdmissionQueue
     from rhubarbhollow_distribution.control_directory import ControlDirectory
     from rhubarbhollow_distribution.endpoint_store import EndpointStore
@@ -57,6 +60,8 @@
         clock: Clock,
         lease_seconds: float,
         directory: ControlDirectory,
+        rollouts: RolloutFeed,
+        evidence: RolloutCoordinator,
     ) -> None:
         self._welcome = welcome
         self._register = register
@@ -68,6 +73,8 @@
         self._clock = clock
         self._lease_seconds = lease_seconds
         self._directory = directory
+        self._rollouts = rollouts
+        self._evidence = evidence
         self._links: dict[str, NodeLink] = {}
         self._waiting: dict[str, NodeLink] = {}
         self._disconnected_at: dict[str, float] = {}
@@ -119,6 +126,9 @@
             ) | StagedReport():
                 self._register.accept(link.hello.node, message)
                 link.feed.accept(message)
+            case RolloutReport(sequence, evidence):
+                self._evidence.record_evidence(evidence)
+                self._rollouts.answer(link, sequence)
             case EndpointsRequest():
                 # The hello of the next connection names the table
                 # version that the node has.
@@ -218,6 +228,7 @@
         while message is not None:
             link.outbox.put(message)
             message = link.feed.next_message(view)
+        self._rollouts.update(link)
         link.due = link.feed.next_due()
 
     def _admit(self, link: NodeLink, view: LedgerView) -> None:
--- a/packages/daemon/src/rhubarbhollow_daemon/node_link.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_link.py
@@ -17,7 +17,8 @@
 class NodeLink:
     """Hold a node's feed and the outbox of its connection.
 
-    ``due`` is the time at which the feed has its next message.
+    ``due`` is the time at which the feed has its next message, and
+    ``rollout_revision`` that of the rollouts sent last.
     """
 
     def __init__(self, hello: Hello, feed: NodeFeed) -> None:
@@ -26,6 +27,7 @@
         self._outbox = Outbox()
         self._ended = anyio.Event()
         self.due = 0.0
+        self.rollout_revision = 0
 
     @property
     def hello(self) -> Hello:
--- a/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
@@ -14,6 +14,7 @@
     from rhubarbhollow_daemon.node_session import NodeSession
     from rhubarbhollow_daemon.node_state import NodeState
     from rhubarbhollow_daemon.refused_call_log import RefusedCallLog
+    from rhubarbhollow_daemon.rollout_policy import RolloutPolicy
     from rhubarbhollow_daemon.settings import Settings
     from rhubarbhollow_distribution.source_choice import SourceChooser
     from rhubarbhollow_wire.clock import Clock
@@ -36,3 +37,4 @@
     quarantine: Quarantine
     burn: BurnRecorder
     refused_call_log: RefusedCallLog
+    rollouts: RolloutPolicy
--- a/packages/daemon/src/rhubarbhollow_daemon/node_session.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_session.py
@@ -22,6 +22,9 @@
 
 # The interval at which a connected node looks for a better source.
 TICK_SECONDS: Final = 0.1
+# While a rollout runs. A fraction of the 2 s for which a node relies on
+# an answer, and of the 5 s in which a bad version has to be noticed.
+ROLLOUT_REPORT_SECONDS: Final = 0.5
 
 _log = structlog.get_logger()
 
@@ -107,6 +110,7 @@
                 group.start_soon(receive)
                 group.start_soon(seek)
                 group.start_soon(self._send_heartbeats)
+                group.start_soon(self._send_rollout_reports)
                 await self._outbox.pump(connection)
                 group.cancel_scope.cancel()
         finally:
@@ -174,6 +178,11 @@
         self._state.raise_incarnation(source.node_incarnation)
         return source.connection
 
+    async def _send_rollout_reports(self) -> None:
+        while True:
+            await anyio.sleep(ROLLOUT_REPORT_SECONDS)
+            self._state.report_rollouts()
+
     async def _send_heartbeats(self) -> None:
         while True:
             await anyio.sleep(self._heartbeat_seconds)
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -37,6 +37,7 @@
 from rhubarbhollow_distribution.stage import Stage
 from rhubarbhollow_distribution.stage_fault import NeedsDifference
 from rhubarbhollow_distribution.stage_request import StageRequest
+from rhubarbhollow_rollout.messages import RolloutExposure
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.io_node import CallNode
@@ -46,6 +47,7 @@
     from rhubarbhollow_daemon.claim_client import ClaimClient
     from rhubarbhollow_daemon.endpoint_view import EndpointView
     from rhubarbhollow_daemon.outbox import Outbox
+    from rhubarbhollow_daemon.rollout_policy import RolloutPolicy
     from rhubarbhollow_distribution.endpoint_record import EndpointRecord
     from rhubarbhollow_distribution.endpoint_table import EndpointTable
     from rhubarbhollow_distribution.holder import ReleaseHolder
@@ -77,6 +79,7 @@
         quarantine: Quarantine,
         claims: ClaimClient,
         burn: BurnRecorder,
+        rollouts: RolloutPolicy,
     ) -> None:
         self._mesh = mesh
         self._node = node
@@ -91,6 +94,7 @@
         self._quarantine = quarantine
         self._claims = claims
         self._burn = burn
+        self._rollouts = rollouts
         self._call_node: CallNode | None = None
         self._snapshots = SnapshotBuilder()
 
@@ -114,6 +118,10 @@
         """Return the messages on requests that crash upstreams."""
         return self._quarantine.messages()
 
+    def report_rollouts(self) -> None:
+        """Report evidence about new versions while a rollout runs."""
+        self._rollouts.report()
+
     def is_release_confirmed(self) -> bool:
         """Return whether no later release may be in force elsewhere."""
         return self._chooser.is_confirmed(self._holder.active_position)
@@ -174,6 +182,8 @@
                 self._quarantine.merge(message)
             case ControlList(controls):
                 self._chooser.learn(filter(is_usable, controls))
+            case RolloutExposure():
+                self._rollouts.accept(message)
             case ControlHeartbeat():
                 self._chooser.note_heartbeat(message)
             case _:
--- a/packages/daemon/src/rhubarbhollow_daemon/process.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/process.py
@@ -49,6 +49,7 @@
     from rhubarbhollow_daemon.metric_sample import MetricSample
     from rhubarbhollow_daemon.node_handlers import NodeHandlers
     from rhubarbhollow_daemon.node_parts import NodeParts
+    from rhubarbhollow_daemon.rollout_orders import RolloutOrders
     from rhubarbhollow_daemon.settings import Settings
     from rhubarbhollow_replication.store_fault import StoreFault
 
@@ -204,10 +205,24 @@
         if self._extension is None:
             return
         host = ExtensionHost(
-            self._settings, self._node, self._control, self._documents
+            self._settings,
+            self._node,
+            self._control,
+            self._documents,
+            self._build_rollouts(),
         )
         self._extension.start(host, group)
 
+    def _build_rollouts(self) -> RolloutOrders | None:
+        control, documents = self._control, self._documents
+        if control is None or documents is None:
+            return None
+        from rhubarbhollow_daemon.rollout_orders import (  # noqa: PLC0415
+            RolloutOrders,
+        )
+
+        return RolloutOrders(documents.log, control.machine, control.clock)
+
     def _register_handlers(self) -> None:
         from rhubarbhollow_daemon.metrics import Metrics  # noqa: PLC0415
 
--- a/packages/daemon/tests/test_control_instance.py
+++ b/packages/daemon/tests/test_control_instance.py
@@ -36,6 +36,8 @@
     recorded = recorded_floor = 9
     version = 0
     register = SimpleNamespace(floor=0, summary=lambda: None)
+    # No rollout was ordered.
+    rollouts = SimpleNamespace(tick=tuple, revision=0)
     is_fresh = False
     confirmed_at = 0.0
 
--- a/packages/daemon/tests/test_node_connections.py
+++ b/packages/daemon/tests/test_node_connections.py
@@ -14,6 +14,9 @@
 from rhubarbhollow_daemon.node_messages import EndpointsRequest
 from rhubarbhollow_daemon.peer_links import PeerLinks
 from rhubarbhollow_daemon.quarantine_relay import QuarantineRelay
+from rhubarbhollow_daemon.release_machine import ReleaseMachine
+from rhubarbhollow_daemon.rollout_coordinator import RolloutCoordinator
+from rhubarbhollow_daemon.rollout_feed import RolloutFeed
 from rhubarbhollow_distribution.admission import AdmissionQueue
 from rhubarbhollow_distribution.control_directory import ControlDirectory
 from rhubarbhollow_distribution.endpoint_pacer import EndpointPacer
@@ -26,6 +29,11 @@
 from rhubarbhollow_distribution.ledger_view import LedgerView
 from rhubarbhollow_distribution.node_register import NodeRegister
 from rhubarbhollow_distribution.welcome import Welcome
+from rhubarbhollow_rollout.command import (
+    StartRollout,
+    encode_rollout_command,
+)
+from rhubarbhollow_rollout.messages import RolloutExposure, RolloutReport
 from rhubarbhollow_wire.clock import ManualClock
 from rhubarbhollow_wire.traffic import Traffic
 
@@ -55,6 +63,9 @@
         self.peers = links = PeerLinks(
             hello, ControlDirectory(), Traffic(), self.random
         )
+        self.machine = machine = ReleaseMachine("mesh", {})
+        self.status = status = SimpleNamespace(confirmed_at=0.0, is_fresh=True)
+        replica = SimpleNamespace(status=status)
         self.nodes = NodeConnections(
             Welcome("c1", "ilala", 1),
             self.register,
@@ -78,6 +89,8 @@
             self.clock,
             LEASE_SECONDS,
             ControlDirectory(),
+            RolloutFeed(machine, replica, self.clock),
+            RolloutCoordinator("c1", 1, machine, replica, links, self.clock),
         )
 
     def join(self, incarnation=7):
@@ -240,3 +253,47 @@
     harness = Harness()
     harness.nodes.leave(harness.join(incarnation=2_000))
     assert harness.join(incarnation=2_000).hello.incarnation == 2_000
+
+
+def order(harness, version="v2"):
+    harness.machine.apply(
+        0, encode_rollout_command(StartRollout("desk", version, 9_000, 0))
+    )
+
+
+def exposures(link):
+    messages = iter(link.outbox._maybe_next, None)
+    return [each for each in messages if isinstance(each, RolloutExposure)]
+
+
+def test_nothing_is_said_of_rollouts_before_the_first_order():
+    harness = Harness()
+    assert not exposures(harness.join())
+
+
+def test_a_node_hears_of_each_change_of_a_rollout_once():
+    harness = Harness()
+    link = harness.join()
+    order(harness)
+    harness.nodes.feed_all(VIEW)
+    harness.nodes.feed_all(VIEW)
+    (sent,) = exposures(link)
+    assert [view.new_version for view in sent.rollouts] == ["v2"]
+    # One that joins later hears of it as well.
+    again = harness.join()
+    assert exposures(again)[0].rollouts == sent.rollouts
+
+
+def test_a_report_is_answered_with_the_age_of_what_is_known():
+    """Without it a node would trust an instance that is cut off."""
+    harness = Harness()
+    link = harness.join()
+    order(harness)
+    harness.nodes.feed_all(VIEW)
+    exposures(link)
+    harness.clock.advance(1.5)
+    harness.nodes.handle_message(link, RolloutReport(3, ()), VIEW)
+    assert exposures(link) == [RolloutExposure(3, 1500, ())]
+    harness.status.confirmed_at = None
+    harness.nodes.handle_message(link, RolloutReport(4, ()), VIEW)
+    assert exposures(link)[0].age_ms > 60_000
--- a/packages/distribution/src/rhubarbhollow_distribution/announcement.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/announcement.py
@@ -65,7 +65,8 @@
     ``load`` is a fraction from 0 to 1, or ``None`` if not reported.
     The upstream must repeat its announcement within ``lease``.
     ``started_at_ms`` distinguishes successive runs of its process; it
-    is ``None`` if the upstream does not report its start time.
+    is ``None`` if the upstream does not report its start time, and
+    ``version`` is empty if it reports none.
     """
 
     name: str
@@ -78,6 +79,7 @@
     is_leaving: bool = False
     load: float | None = None
     started_at_ms: int | None = None
+    version: str = ""
 
 
 def read_announcement(
@@ -102,6 +104,7 @@
             lease=timedelta(seconds=fields["lease_seconds"]),
             is_leaving=fields.get("state") == "leaving",
             load=fields.get("load"),
+            version=fields.get("version", ""),
         )
     )
 
--- a/packages/distribution/src/rhubarbhollow_distribution/endpoint_record.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/endpoint_record.py
@@ -36,7 +36,8 @@
     An endpoint is identified by its node and its name.  Its records are
     ordered by ``(incarnation, sequence)``.  Only the node assigns the
     sequence; a control instance may raise the incarnation (see
-    ``Welcome``).  A record in state ``GONE`` is a tombstone.
+    ``Welcome``).  A record in state ``GONE`` is a tombstone.  The
+    version is that of the upstream's program, empty if it states none.
     """
 
     name: str
@@ -50,6 +51,7 @@
     load_percent: int
     incarnation: int
     sequence: int
+    version: str = ""
 
     @property
     def key(self) -> EndpointKey:
@@ -73,7 +75,12 @@
 
 def is_usable(record: EndpointRecord) -> bool:
     """Return whether a record from another process can be used."""
-    texts = (record.service, record.node, record.data_centre)
+    texts = (
+        record.service,
+        record.node,
+        record.data_centre,
+        record.version,
+    )
     numbers = (
         (record.peer_port, 1, MAX_PORT),
         (record.slots, 1, MAX_SLOTS),
--- a/packages/distribution/src/rhubarbhollow_distribution/upstream_registry.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/upstream_registry.py
@@ -217,6 +217,7 @@
             load_percent=_to_percent(announcement.load),
             incarnation=self._incarnation,
             sequence=0,
+            version=announcement.version,
         )
 
     def _issue(self, record: EndpointRecord) -> EndpointRecord:
--- a/packages/distribution/tests/test_endpoint_record.py
+++ b/packages/distribution/tests/test_endpoint_record.py
@@ -25,6 +25,7 @@
         *({"sequence": order} for order in (-1, MAX_ORDER + 1)),
         *({"name": name} for name in ("", "a b", "a\r\nb", "a" * 256)),
         *({name: "x" * 256} for name in ("service", "node", "data_centre")),
+        {"version": "x" * 256},
     ],
 )
 def test_an_odd_record_is_left_out_of_a_change(changes):
--- a/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
+++ b/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
@@ -1571,6 +1571,7 @@
      - load_percent
      - incarnation
      - sequence
+     - version
 
     """
 
@@ -1586,10 +1587,11 @@
         'load_percent',
         'incarnation',
         'sequence',
+        'version',
     )
 
 
-    def __init__(self, name=None, service_=None, node=None, data_centre=None, peer_host=None, peer_port=None, slots=None, state=None, load_percent=None, incarnation=None, sequence=None,):
+    def __init__(self, name=None, service_=None, node=None, data_centre=None, peer_host=None, peer_port=None, slots=None, state=None, load_percent=None, incarnation=None, sequence=None, version="",):
         self.name = name
         self.service_ = service_
         self.node = node
@@ -1601,6 +1603,7 @@
         self.load_percent = load_percent
         self.incarnation = incarnation
         self.sequence = sequence
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1666,6 +1669,11 @@
                     self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1720,6 +1728,10 @@
             oprot.writeFieldBegin('sequence', TType.I64, 11)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 12)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4144,6 +4156,625 @@
         return not (self == other)
 
 
+class RolloutEvidence(object):
+    """
+    Attributes:
+     - number
+     - route
+     - stable_calls
+     - stable_failed
+     - stable_broken
+     - stable_slow
+     - new_calls
+     - new_failed
+     - new_broken
+     - new_slow
+
+    """
+
+    __slots__ = (
+        'number',
+        'route',
+        'stable_calls',
+        'stable_failed',
+        'stable_broken',
+        'stable_slow',
+        'new_calls',
+        'new_failed',
+        'new_broken',
+        'new_slow',
+    )
+
+
+    def __init__(self, number=None, route=None, stable_calls=None, stable_failed=None, stable_broken=None, stable_slow=None, new_calls=None, new_failed=None, new_broken=None, new_slow=None,):
+        self.number = number
+        self.route = route
+        self.stable_calls = stable_calls
+        self.stable_failed = stable_failed
+        self.stable_broken = stable_broken
+        self.stable_slow = stable_slow
+        self.new_calls = new_calls
+        self.new_failed = new_failed
+        self.new_broken = new_broken
+        self.new_slow = new_slow
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.stable_calls = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.stable_failed = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.stable_broken = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.stable_slow = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.new_calls = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.new_failed = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.new_broken = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.new_slow = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutEvidence')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 2)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.stable_calls is not None:
+            oprot.writeFieldBegin('stable_calls', TType.I64, 3)
+            oprot.writeI64(self.stable_calls)
+            oprot.writeFieldEnd()
+        if self.stable_failed is not None:
+            oprot.writeFieldBegin('stable_failed', TType.I64, 4)
+            oprot.writeI64(self.stable_failed)
+            oprot.writeFieldEnd()
+        if self.stable_broken is not None:
+            oprot.writeFieldBegin('stable_broken', TType.I64, 5)
+            oprot.writeI64(self.stable_broken)
+            oprot.writeFieldEnd()
+        if self.stable_slow is not None:
+            oprot.writeFieldBegin('stable_slow', TType.I64, 6)
+            oprot.writeI64(self.stable_slow)
+            oprot.writeFieldEnd()
+        if self.new_calls is not None:
+            oprot.writeFieldBegin('new_calls', TType.I64, 7)
+            oprot.writeI64(self.new_calls)
+            oprot.writeFieldEnd()
+        if self.new_failed is not None:
+            oprot.writeFieldBegin('new_failed', TType.I64, 8)
+            oprot.writeI64(self.new_failed)
+            oprot.writeFieldEnd()
+        if self.new_broken is not None:
+            oprot.writeFieldBegin('new_broken', TType.I64, 9)
+            oprot.writeI64(self.new_broken)
+            oprot.writeFieldEnd()
+        if self.new_slow is not None:
+            oprot.writeFieldBegin('new_slow', TType.I64, 10)
+            oprot.writeI64(self.new_slow)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RolloutReport(object):
+    """
+    Attributes:
+     - sequence
+     - evidence
+
+    """
+
+    __slots__ = (
+        'sequence',
+        'evidence',
+    )
+
+
+    def __init__(self, sequence=None, evidence=None,):
+        self.sequence = sequence
+        self.evidence = evidence
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.evidence = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = RolloutEvidence()
+                        _elem61.read(iprot)
+                        self.evidence.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutReport')
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.evidence is not None:
+            oprot.writeFieldBegin('evidence', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.evidence))
+            for iter62 in self.evidence:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RolloutView(object):
+    """
+    Attributes:
+     - service_
+     - number
+     - revision
+     - new_version
+     - stable_version
+     - state
+     - share_permille
+     - step
+
+    """
+
+    __slots__ = (
+        'service_',
+        'number',
+        'revision',
+        'new_version',
+        'stable_version',
+        'state',
+        'share_permille',
+        'step',
+    )
+
+
+    def __init__(self, service_=None, number=None, revision=None, new_version=None, stable_version=None, state=None, share_permille=None, step=None,):
+        self.service_ = service_
+        self.number = number
+        self.revision = revision
+        self.new_version = new_version
+        self.stable_version = stable_version
+        self.state = state
+        self.share_permille = share_permille
+        self.step = step
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_ = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.new_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.stable_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.state = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.share_permille = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.step = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutView')
+        if self.service_ is not None:
+            oprot.writeFieldBegin('service_', TType.STRING, 1)
+            oprot.writeString(self.service_.encode('utf-8') if sys.version_info[0] == 2 else self.service_)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.new_version is not None:
+            oprot.writeFieldBegin('new_version', TType.STRING, 4)
+            oprot.writeString(self.new_version.encode('utf-8') if sys.version_info[0] == 2 else self.new_version)
+            oprot.writeFieldEnd()
+        if self.stable_version is not None:
+            oprot.writeFieldBegin('stable_version', TType.STRING, 5)
+            oprot.writeString(self.stable_version.encode('utf-8') if sys.version_info[0] == 2 else self.stable_version)
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.I32, 6)
+            oprot.writeI32(self.state)
+            oprot.writeFieldEnd()
+        if self.share_permille is not None:
+            oprot.writeFieldBegin('share_permille', TType.I32, 7)
+            oprot.writeI32(self.share_permille)
+            oprot.writeFieldEnd()
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.I32, 8)
+            oprot.writeI32(self.step)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RolloutExposure(object):
+    """
+    Attributes:
+     - sequence
+     - age_ms
+     - rollouts
+
+    """
+
+    __slots__ = (
+        'sequence',
+        'age_ms',
+        'rollouts',
+    )
+
+
+    def __init__(self, sequence=None, age_ms=None, rollouts=None,):
+        self.sequence = sequence
+        self.age_ms = age_ms
+        self.rollouts = rollouts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.rollouts = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = RolloutView()
+                        _elem68.read(iprot)
+                        self.rollouts.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutExposure')
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.rollouts is not None:
+            oprot.writeFieldBegin('rollouts', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.rollouts))
+            for iter69 in self.rollouts:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RolloutSummary(object):
+    """
+    Attributes:
+     - control
+     - incarnation
+     - evidence
+
+    """
+
+    __slots__ = (
+        'control',
+        'incarnation',
+        'evidence',
+    )
+
+
+    def __init__(self, control=None, incarnation=None, evidence=None,):
+        self.control = control
+        self.incarnation = incarnation
+        self.evidence = evidence
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.control = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.evidence = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = RolloutEvidence()
+                        _elem75.read(iprot)
+                        self.evidence.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutSummary')
+        if self.control is not None:
+            oprot.writeFieldBegin('control', TType.STRING, 1)
+            oprot.writeString(self.control.encode('utf-8') if sys.version_info[0] == 2 else self.control)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.evidence is not None:
+            oprot.writeFieldBegin('evidence', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.evidence))
+            for iter76 in self.evidence:
+                iter76.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -4180,6 +4811,9 @@
      - burn_answer
      - control_list
      - leave_request
+     - rollout_report
+     - rollout_exposure
+     - rollout_summary
 
     """
 
@@ -4217,10 +4851,13 @@
         'burn_answer',
         'control_list',
         'leave_request',
+        'rollout_report',
+        'rollout_exposure',
+        'rollout_summary',
     )
 
 
-    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_chunk=None, snapshot_reply=None, hello=None, staged_report=None, active_report=None, node_heartbeat=None, stage_request=None, endpoint_report=None, welcome=None, stage=None, activate=None, control_heartbeat=None, endpoint_change=None, redirect=None, peer_hello=None, register_summary=None, nodes_request=None, nodes_answer=None, propose_request=None, propose_answer=None, endpoints_request=None, claim_request=None, claim_answer=None, crash_report=None, exoneration=None, burn_request=None, burn_answer=None, control_list=None, leave_request=None,):
+    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_chunk=None, snapshot_reply=None, hello=None, staged_report=None, active_report=None, node_heartbeat=None, stage_request=None, endpoint_report=None, welcome=None, stage=None, activate=None, control_heartbeat=None, endpoint_change=None, redirect=None, peer_hello=None, register_summary=None, nodes_request=None, nodes_answer=None, propose_request=None, propose_answer=None, endpoints_request=None, claim_request=None, claim_answer=None, crash_report=None, exoneration=None, burn_request=None, burn_answer=None, control_list=None, leave_request=None, rollout_report=None, rollout_exposure=None, rollout_summary=None,):
         self.vote_request = vote_request
         self.vote_reply = vote_reply
         self.append_request = append_request
@@ -4254,6 +4891,9 @@
         self.burn_answer = burn_answer
         self.control_list = control_list
         self.leave_request = leave_request
+        self.rollout_report = rollout_report
+        self.rollout_exposure = rollout_exposure
+        self.rollout_summary = rollout_summary
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4462,6 +5102,24 @@
                     self.leave_request.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 50:
+                if ftype == TType.STRUCT:
+                    self.rollout_report = RolloutReport()
+                    self.rollout_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 51:
+                if ftype == TType.STRUCT:
+                    self.rollout_exposure = RolloutExposure()
+                    self.rollout_exposure.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 52:
+                if ftype == TType.STRUCT:
+                    self.rollout_summary = RolloutSummary()
+                    self.rollout_summary.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4604,6 +5262,18 @@
             oprot.writeFieldBegin('leave_request', TType.STRUCT, 33)
             self.leave_request.write(oprot)
             oprot.writeFieldEnd()
+        if self.rollout_report is not None:
+            oprot.writeFieldBegin('rollout_report', TType.STRUCT, 50)
+            self.rollout_report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.rollout_exposure is not None:
+            oprot.writeFieldBegin('rollout_exposure', TType.STRUCT, 51)
+            self.rollout_exposure.write(oprot)
+            oprot.writeFieldEnd()
+        if self.rollout_summary is not None:
+            oprot.writeFieldBegin('rollout_summary', TType.STRUCT, 52)
+            self.rollout_summary.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4760,6 +5430,7 @@
     (9, TType.I32, 'load_percent', None, None, ),  # 9
     (10, TType.I64, 'incarnation', None, None, ),  # 10
     (11, TType.I64, 'sequence', None, None, ),  # 11
+    (12, TType.STRING, 'version', 'UTF8', "", ),  # 12
 )
 all_structs.append(EndpointReport)
 EndpointReport.thrift_spec = (
@@ -4939,6 +5610,52 @@
     (1, TType.I64, 'request_id', None, None, ),  # 1
     (2, TType.LIST, 'counts', (TType.STRUCT, [BurnCount, None], False), None, ),  # 2
 )
+all_structs.append(RolloutEvidence)
+RolloutEvidence.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.STRING, 'route', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'stable_calls', None, None, ),  # 3
+    (4, TType.I64, 'stable_failed', None, None, ),  # 4
+    (5, TType.I64, 'stable_broken', None, None, ),  # 5
+    (6, TType.I64, 'stable_slow', None, None, ),  # 6
+    (7, TType.I64, 'new_calls', None, None, ),  # 7
+    (8, TType.I64, 'new_failed', None, None, ),  # 8
+    (9, TType.I64, 'new_broken', None, None, ),  # 9
+    (10, TType.I64, 'new_slow', None, None, ),  # 10
+)
+all_structs.append(RolloutReport)
+RolloutReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.LIST, 'evidence', (TType.STRUCT, [RolloutEvidence, None], False), None, ),  # 2
+)
+all_structs.append(RolloutView)
+RolloutView.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.STRING, 'new_version', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'stable_version', 'UTF8', None, ),  # 5
+    (6, TType.I32, 'state', None, None, ),  # 6
+    (7, TType.I32, 'share_permille', None, None, ),  # 7
+    (8, TType.I32, 'step', None, None, ),  # 8
+)
+all_structs.append(RolloutExposure)
+RolloutExposure.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (3, TType.LIST, 'rollouts', (TType.STRUCT, [RolloutView, None], False), None, ),  # 3
+)
+all_structs.append(RolloutSummary)
+RolloutSummary.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'control', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.LIST, 'evidence', (TType.STRUCT, [RolloutEvidence, None], False), None, ),  # 3
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -4975,6 +5692,25 @@
     (31, TType.STRUCT, 'burn_answer', [BurnAnswer, None], None, ),  # 31
     (32, TType.STRUCT, 'control_list', [ControlList, None], None, ),  # 32
     (33, TType.STRUCT, 'leave_request', [LeaveRequest, None], None, ),  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    None,  # 40
+    None,  # 41
+    None,  # 42
+    None,  # 43
+    None,  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    (50, TType.STRUCT, 'rollout_report', [RolloutReport, None], None, ),  # 50
+    (51, TType.STRUCT, 'rollout_exposure', [RolloutExposure, None], None, ),  # 51
+    (52, TType.STRUCT, 'rollout_summary', [RolloutSummary, None], None, ),  # 52
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
+++ b/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
@@ -126,6 +126,8 @@
   9: i32 load_percent
   10: i64 incarnation
   11: i64 sequence
+  // Empty if the upstream states none; older records have no such field.
+  12: string version = ""
 }
 
 struct EndpointReport {
@@ -298,6 +300,52 @@
   2: list<BurnCount> counts
 }
 
+// --- rollouts of a service's version ---------------------------------
+
+// Counts of one route at the old and the new version.
+struct RolloutEvidence {
+  1: i64 number
+  2: string route
+  3: i64 stable_calls
+  4: i64 stable_failed
+  5: i64 stable_broken
+  6: i64 stable_slow
+  7: i64 new_calls
+  8: i64 new_failed
+  9: i64 new_broken
+  10: i64 new_slow
+}
+
+// From a node, while a rollout runs; the answer repeats ``sequence``.
+struct RolloutReport {
+  1: i64 sequence
+  2: list<RolloutEvidence> evidence
+}
+
+struct RolloutView {
+  1: string service_
+  2: i64 number
+  3: i64 revision
+  4: string new_version
+  5: string stable_version
+  6: i32 state
+  7: i32 share_permille
+  8: i32 step
+}
+
+struct RolloutExposure {
+  1: i64 sequence
+  2: i32 age_ms
+  3: list<RolloutView> rollouts
+}
+
+// From a control instance to the leader: totals since its start.
+struct RolloutSummary {
+  1: string control
+  2: i64 incarnation
+  3: list<RolloutEvidence> evidence
+}
+
 // One frame carries exactly one message.
 struct Frame {
   1: optional VoteRequest vote_request
@@ -333,4 +381,7 @@
   31: optional BurnAnswer burn_answer
   32: optional ControlList control_list
   33: optional LeaveRequest leave_request
+  50: optional RolloutReport rollout_report
+  51: optional RolloutExposure rollout_exposure
+  52: optional RolloutSummary rollout_summary
 }
