--- a/tests/platform/test_heartbeat.py
+++ b/tests/platform/test_heartbeat.py
@@ -48,12 +48,21 @@
     assert announcement.is_leaving
     assert announcement.lease.total_seconds() == 6.0
     assert announcement.started_at_ms == 1_700_000_000_000
+    assert announcement.version == "v1"
+
+
+def test_a_heartbeat_may_state_no_version():
+    for version in ("absent", None):
+        heartbeat = read(Version=version).ok_value
+        assert to_announcement("i-1", heartbeat, 1.5).version == ""
 
 
 @pytest.mark.parametrize(
     ("changes", "kind"),
     [
         ({"Slots": "9"}, HeartbeatFaultKind.MALFORMED),
+        ({"Version": 5}, HeartbeatFaultKind.MALFORMED),
+        ({"Version": "a" * 256}, HeartbeatFaultKind.MALFORMED),
         ({"Slots": 0}, HeartbeatFaultKind.MALFORMED),
         ({"Slots": "absent"}, HeartbeatFaultKind.MALFORMED),
         ({"State": "resting"}, HeartbeatFaultKind.MALFORMED),
