--- a/packages/daemon/src/rhubarbhollow_daemon/metric_collection.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/metric_collection.py
@@ -5,6 +5,10 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhollow_daemon.metric_sample import MetricSample
+from rhubarbhollow_daemon.rollout_metrics import (
+    collect_control_rollouts,
+    collect_node_rollouts,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
@@ -52,6 +56,7 @@
     )
     for state in call_node.route_states:
         yield from _collect_route_metrics(state.route.name, state.counters)
+    yield from collect_node_rollouts(parts.rollouts.rollouts)
     yield from collect_traffic_metrics("node", parts.traffic)
 
 
@@ -81,6 +86,7 @@
         "Nodes that are connected here.",
         len(parts.register.entries),
     )
+    yield from collect_control_rollouts(parts)
     for kind, counted in traffic.items():
         yield from collect_traffic_metrics(kind, counted)
 
--- a/packages/daemon/src/rhubarbhollow_daemon/rollout_coordinator.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/rollout_coordinator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
@@ -91,6 +92,15 @@
         for planner in self._planners.values():
             _observe(planner, summary)
 
+    def count_evidence(self, number: int) -> Counter[str]:
+        """Return the totals of a rollout over all routes."""
+        counts: Counter[str] = Counter()
+        for (counted, _), totals in self._totals.items():
+            if counted == number:
+                for name in _COUNTS:
+                    counts[name] += getattr(totals, name)
+        return counts
+
     def tick(self) -> tuple[_Command, ...]:
         """Pass evidence on; return the commands to propose now."""
         running = self._running
--- a/packages/daemon/tests/test_metric_collection.py
+++ b/packages/daemon/tests/test_metric_collection.py
@@ -1,14 +1,30 @@
 """Samples of routes in the metrics of a node."""
 
+from types import SimpleNamespace
+
 from rhubarbhollow_calls.io_counters import RouteCounters
 from rhubarbhollow_daemon.metric_collection import (
     _collect_route_metrics,
     _collect_voter_metrics,
 )
 from rhubarbhollow_daemon.metrics import Metrics
+from rhubarbhollow_daemon.release_machine import ReleaseMachine
+from rhubarbhollow_daemon.rollout_coordinator import RolloutCoordinator
+from rhubarbhollow_daemon.rollout_metrics import (
+    collect_control_rollouts,
+    collect_node_rollouts,
+)
 from rhubarbhollow_replication.member import MemberRole
 from rhubarbhollow_replication.role import Role
 from rhubarbhollow_replication.status import MemberStatus, ReplicaStatus
+from rhubarbhollow_rollout.command import (
+    StartRollout,
+    encode_rollout_command,
+)
+from rhubarbhollow_rollout.messages import RolloutEvidence, RolloutExposure
+from rhubarbhollow_rollout.node import NodeRollouts
+from rhubarbhollow_rollout.view import to_view
+from rhubarbhollow_wire.clock import ManualClock
 
 
 def test_idle_routes_have_no_series():
@@ -48,3 +64,37 @@
 
     assert sampled(Role.LEADER) == {"log_voters": 2, "log_voters_alive": 1}
     assert sampled(Role.FOLLOWER) == {"log_voters": 2}
+
+
+def test_rollouts_have_no_series_before_the_first_order():
+    machine = ReleaseMachine("m", {})
+    parts = SimpleNamespace(machine=machine)
+    assert not list(collect_control_rollouts(parts))
+    assert not list(collect_node_rollouts(NodeRollouts(ManualClock())))
+
+
+def test_a_running_rollout_shows_in_the_metrics():
+    """Guard against a rollback that nobody can explain."""
+    machine = ReleaseMachine("m", {})
+    order = StartRollout("frame", "v2", 9_000, 0)
+    machine.apply(1, encode_rollout_command(order))
+    coordinator = RolloutCoordinator(
+        "c1", 1, machine, None, None, ManualClock()
+    )
+    evidence = RolloutEvidence(1, "r", 9, 0, 0, 0, 3, 2, 0, 1)
+    coordinator.record_evidence((evidence, evidence))
+    parts = SimpleNamespace(machine=machine, rollouts=coordinator)
+    samples = list(collect_control_rollouts(parts))
+    assert samples[0].value == 1
+    counts = {
+        (sample.labels["version"], sample.labels["result"]): sample.value
+        for sample in samples[1:]
+    }
+    assert counts["stable", "calls"] == 18
+    assert counts["new", "failed"] == 4
+    node = NodeRollouts(ManualClock())
+    view = to_view(machine.rollouts.records["frame"])
+    node.accept(RolloutExposure(0, 0, (view,)))
+    values = {s.name: s.value for s in collect_node_rollouts(node)}
+    assert values["rollout_state"] == 1
+    assert values["rollout_confirmed"] == 0
