Begin exposure with a random part of a call; check evidence

Cause: a node with 4 calls a second earned its first call to a new version after 8 s, so that most of the 88 nodes of a mesh exposed nothing while the share was small. Counts that can't be, from an odd process, could reach a logarithm of a negative number in the leader's loop.

Change: a node begins with a random part of a call, which makes up on average for the part that is left at its end. Evidence is checked where it arrives, and an older summary of an instance takes nothing back. Nodes that join get rollouts before endpoints.

--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -76,7 +76,9 @@
     quarantine = Quarantine(clock)
     burn = BurnRecorder(clock)
     refused_call_log = RefusedCallLog()
-    rollouts = RolloutPolicy(NodeRollouts(clock), selector, outbox, clock)
+    rollouts = RolloutPolicy(
+        NodeRollouts(clock, random), selector, outbox, clock
+    )
     selector.use_versions(rollouts)
     client = ClaimClient(name, incarnation, outbox)
     claims = NodeClaims(client)
--- a/packages/daemon/src/rhubarbhollow_daemon/node_connections.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_connections.py
@@ -266,6 +266,8 @@
             node_data_centre=link.hello.data_centre,
             active_position=link.hello.active_position,
         )
+        # Before the endpoints, whose versions it explains.
+        self._rollouts.update(link)
         self.feed(link, view)
 
     def _redirect(self, link: NodeLink, redirect: Redirect) -> None:
--- a/packages/daemon/src/rhubarbhollow_daemon/rollout_coordinator.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/rollout_coordinator.py
@@ -14,6 +14,8 @@
     SetExposure,
     encode_rollout_command,
 )
+from rhubarbhollow_rollout.evidence_check import is_consistent
+from rhubarbhollow_rollout.judge import Finding, Verdict
 from rhubarbhollow_rollout.messages import RolloutEvidence, RolloutSummary
 from rhubarbhollow_rollout.planner import RolloutPlanner
 
@@ -27,6 +29,8 @@
     from rhubarbhollow_wire.clock import Clock
 
 MS_PER_SECOND: Final = 1000
+# Routes of all running rollouts; bounds a summary.
+MAX_TOTALS: Final = 4_096
 # Reports of many nodes share a summary.
 SUMMARY_SECONDS: Final = 0.25
 # A summary that was lost with a connection is repeated.
@@ -75,10 +79,14 @@
         """Add a node's counts to the totals of this instance."""
         running = {record.number for record in self._running}
         for item in evidence:
-            if item.number not in running:
-                continue
             key = item.number, item.route
             known = self._totals.get(key)
+            is_room = known is not None or len(self._totals) < MAX_TOTALS
+            if item.number not in running or not is_room:
+                continue
+            if not is_consistent(item):
+                _log.warning("rollout_evidence_refused", route=item.route)
+                continue
             self._totals[key] = item if known is None else _add(known, item)
             self._has_news = True
 
@@ -88,6 +96,10 @@
         They are kept for a planner that is made later, as they may
         arrive before this instance knows that it leads.
         """
+        evidence = tuple(filter(is_consistent, summary.evidence))
+        if len(evidence) < len(summary.evidence):
+            _log.warning("rollout_evidence_refused", peer=summary.control)
+            summary = replace(summary, evidence=evidence)
         self._summaries[summary.control, summary.incarnation] = summary
         for planner in self._planners.values():
             _observe(planner, summary)
@@ -124,7 +136,7 @@
         if command.number in self._pending:
             return
         self._pending.add(command.number)
-        finding = self._planners[command.number].finding
+        planner = self._planners.get(command.number)
         try:
             payload = encode_rollout_command(command)
             outcome = await self._replica.propose(payload)
@@ -146,6 +158,7 @@
                 elapsed_ms=command.elapsed_ms,
             )
             return
+        finding = Finding(Verdict.GOOD) if planner is None else planner.finding
         excess = finding.excess
         _log.info(
             "rollout_concluded",
--- a/packages/daemon/src/rhubarbhollow_daemon/rollout_policy.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/rollout_policy.py
@@ -103,6 +103,8 @@
         seconds: float,
     ) -> None:
         """Record the end of an attempt as evidence."""
+        if not self._rollouts.observes(endpoint.service):
+            return
         warm_at = endpoint.joined_at + COLD_SECONDS
         self._rollouts.record(
             endpoint.service,
--- a/packages/rollout/src/rhubarbhollow_rollout/node.py
+++ b/packages/rollout/src/rhubarbhollow_rollout/node.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
+    from random import Random
 
     from rhubarbhollow_rollout.candidates import Upstream
     from rhubarbhollow_rollout.messages import RolloutExposure, RolloutView
@@ -31,8 +32,9 @@
     ``generation`` rises when divisions have to be made anew.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, random: Random) -> None:
         self._clock = clock
+        self._random = random
         self._splits: dict[str, ExposureSplit] = {}
         self._recorders: dict[str, EvidenceRecorder] = {}
         self._first_seen: dict[str, str] = {}
@@ -109,6 +111,10 @@
         if split is not None:
             split.give_back()
 
+    def observes(self, service: str) -> bool:
+        """Return whether evidence about a service is collected."""
+        return service in self._recorders
+
     def record(
         self,
         service: str,
@@ -143,7 +149,7 @@
     def _update(self, view: RolloutView) -> bool:
         split = self._splits.get(view.service)
         if split is None:
-            self._splits[view.service] = ExposureSplit(view)
+            self._splits[view.service] = ExposureSplit(view, self._random)
         elif not split.update(view):
             return False
         recorder = self._recorders.get(view.service)
--- a/packages/rollout/src/rhubarbhollow_rollout/split.py
+++ b/packages/rollout/src/rhubarbhollow_rollout/split.py
@@ -7,6 +7,8 @@
 from rhubarbhollow_rollout.view import RUNNING, WHOLE_PERMILLE
 
 if TYPE_CHECKING:
+    from random import Random
+
     from rhubarbhollow_rollout.messages import RolloutView
 
 # A node that got no confirmation for this time sends new calls to the
@@ -21,14 +23,17 @@
     """Decide which calls of one service go to its new version.
 
     Each answer of an old upstream earns the share of a call to a new
-    one. The sum over all nodes therefore stays within the share of the
+    one. The sum over all nodes therefore stays at the share of the
     requests that reached the service, whatever each node knows of the
-    others; a node that restarts begins with nothing.
+    others. A node begins with a random part of a call: it makes up on
+    average for the part that is left at the end. With nothing, a node
+    with 4 calls a second would expose its first one after 8 s.
     """
 
-    def __init__(self, view: RolloutView) -> None:
+    def __init__(self, view: RolloutView, random: Random) -> None:
         self._view = view
-        self._credit = 0.0
+        self._random = random
+        self._credit = random.random()
         self._valid_until = float("-inf")
 
     @property
@@ -41,7 +46,7 @@
         if view.revision <= self._view.revision:
             return False
         if view.number != self._view.number:
-            self._credit = 0.0
+            self._credit = self._random.random()
             self._valid_until = float("-inf")
         self._view = view
         return True
--- a/packages/rollout/tests/test_judge.py
+++ b/packages/rollout/tests/test_judge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from rhubarbhollow_rollout.attempt import AttemptEnd
+from rhubarbhollow_rollout.evidence_check import is_consistent
 from rhubarbhollow_rollout.judge import RolloutJudge, Verdict
 from rhubarbhollow_rollout.messages import RolloutEvidence
 from rhubarbhollow_rollout.recorder import EvidenceRecorder
@@ -112,3 +113,25 @@
     record(recorder, AttemptEnd.OTHER, is_new=True)
     assert recorder.take() == counts((10, 0, 0, 0), (5, 1, 1, 2))
     assert not recorder.take()
+
+
+def test_an_older_summary_takes_nothing_back() -> None:
+    judge = RolloutJudge(1)
+    judge.observe("c1", 1, counts((900, 0, 0, 0), (90, 0, 0, 0)))
+    judge.observe("c1", 1, counts((800, 0, 0, 0), (80, 0, 0, 0)))
+    judge.observe("c1", 1, counts((900, 0, 0, 0), (90, 0, 0, 0)))
+    judge.close_strata(1)
+    assert judge.new_calls == 90
+
+
+def test_counts_that_cannot_be_are_refused() -> None:
+    """They would end the leader by a logarithm of a negative number."""
+    assert is_consistent(counts((9, 1, 0, 2), (3, 1, 1, 1))[0])
+    for stable, new in (
+        ((9, 1, 0, 2), (3, 2, 1, 1)),
+        ((9, 9, 1, 0), (3, 0, 0, 0)),
+        ((9, -1, 0, 0), (3, 0, 0, 0)),
+        ((-1, 0, 0, 0), (3, 0, 0, 0)),
+        ((9, 0, 0, 0), (1 << 41, 0, 0, 0)),
+    ):
+        assert not is_consistent(counts(stable, new)[0])
