Order rollouts from the command line and on the admin port

Cause: rollouts could be ordered on the users' platform only.

Change: rhubarbhollow rollout start and rollout status, POST /v1/rollouts and GET /v1/rollouts/SERVICE. Every control instance has the access to the log of releases that only those with a document format had.

--- a/packages/cli/src/rhubarbhollow_cli/main.py
+++ b/packages/cli/src/rhubarbhollow_cli/main.py
@@ -21,6 +21,7 @@
 from rhubarbhollow_cli.keygen import keygen
 from rhubarbhollow_cli.logs import configure_logs
 from rhubarbhollow_cli.report import report
+from rhubarbhollow_cli.rollout import rollout
 from rhubarbhollow_cli.submit import submit
 from rhubarbhollow_cli.validate import validate
 from rhubarbhollow_cli.version import version
@@ -54,6 +55,7 @@
     nodes,
     releases,
     report,
+    rollout,
     status,
     submit,
     upstreams,
--- a/packages/daemon/src/rhubarbhollow_daemon/control_tasks.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_tasks.py
@@ -18,6 +18,8 @@
 from rhubarbhollow_daemon.membership_manager import MembershipManager
 from rhubarbhollow_daemon.peer_dispatch import PeerDispatcher
 from rhubarbhollow_daemon.release_log import ReleaseLog
+from rhubarbhollow_daemon.rollout_handlers import RolloutHandlers
+from rhubarbhollow_daemon.rollout_orders import RolloutOrders
 from rhubarbhollow_daemon.submission import SubmissionService
 
 if TYPE_CHECKING:
@@ -60,9 +62,10 @@
         parts.clock,
     )
     fleet = Fleet(parts)
-    documents = _build_documents(settings, parts, document_format)
+    log = ReleaseLog(parts.replica, parts.machine, parts.links)
+    documents = _build_documents(settings, parts, document_format, log)
     dispatcher = PeerDispatcher(
-        parts, instance, relay, fleet, burn, group, documents
+        parts, instance, relay, fleet, burn, group, log
     )
     listener = ControlListener(
         settings.mesh,
@@ -73,6 +76,8 @@
     )
     handlers = ControlHandlers(settings, parts, relay, fleet, burn)
     handlers.register(application)
+    orders = RolloutOrders(log, parts.machine, parts.clock)
+    RolloutHandlers(orders).register(application)
     _start_logs(parts, group)
     group.start_soon(instance.run)
     group.start_soon(_listen, settings.listen, listener)
@@ -83,10 +88,10 @@
     settings: Settings,
     parts: ControlParts,
     document_format: DocumentFormat | None,
+    log: ReleaseLog,
 ) -> DocumentRelay | None:
     if document_format is None:
         return None
-    log = ReleaseLog(parts.replica, parts.machine, parts.links)
     documents = DocumentService(
         settings.mesh, parts.machine, log, document_format
     )
--- a/packages/daemon/src/rhubarbhollow_daemon/peer_dispatch.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/peer_dispatch.py
@@ -25,10 +25,10 @@
     from rhubarbhollow_daemon.burn_collection import BurnCollection
     from rhubarbhollow_daemon.control_instance import ControlInstance
     from rhubarbhollow_daemon.control_parts import ControlParts
-    from rhubarbhollow_daemon.document_relay import DocumentRelay
     from rhubarbhollow_daemon.fleet import Fleet
     from rhubarbhollow_daemon.leader_relay import LeaderRelay
     from rhubarbhollow_daemon.messages import PeerHello
+    from rhubarbhollow_daemon.release_log import ReleaseLog
 
 _log = structlog.get_logger()
 
@@ -44,7 +44,7 @@
         fleet: Fleet,
         burn: BurnCollection,
         group: TaskGroup,
-        documents: DocumentRelay | None = None,
+        log: ReleaseLog | None = None,
     ) -> None:
         self._parts = parts
         self._instance = instance
@@ -52,7 +52,7 @@
         self._fleet = fleet
         self._burn = burn
         self._group = group
-        self._documents = documents
+        self._log = log
 
     def dispatch(self, hello: PeerHello, message: object) -> None:
         """Dispatch a message without waiting for its handler."""
@@ -126,8 +126,8 @@
             case ProposeAnswer():
                 # Each relay ignores answers to requests of the other.
                 self._relay.deliver_answer(message)
-                if self._documents is not None:
-                    self._documents.deliver_answer(message)
+                if self._log is not None:
+                    self._log.deliver_answer(message)
             case NodesRequest(request_id):
                 nodes = self._fleet.own_nodes()
                 answer = NodesAnswer(request_id, nodes)
@@ -146,7 +146,7 @@
     def _dispatch_request(self, control: str, request: ProposeRequest) -> None:
         if request.kind == SubmissionKind.RELEASE:
             self._group.start_soon(self._relay.serve, control, request)
-        elif self._documents is not None:
-            self._group.start_soon(self._documents.serve, control, request)
+        elif self._log is not None:
+            self._group.start_soon(self._log.serve, control, request)
         else:
-            _log.warning("documents_not_served", peer=control)
+            _log.warning("commands_not_served", peer=control)
--- a/tests/processes/test_rollouts.py
+++ b/tests/processes/test_rollouts.py
@@ -225,6 +225,33 @@
     run(scenario)
 
 
+def test_without_a_quorum_no_call_goes_to_the_new_version(platform):
+    """Guard against nodes that trust an instance that is cut off.
+
+    Two of three control instances are frozen; the third goes on serving
+    the nodes, but can't know of a rollback.
+    """
+
+    def scenario(mesh):
+        prepare(mesh)
+        wait_for_result(lambda: order(HOSTS[0], seconds=60), 200)
+        wait_for_result(lambda: mesh.counts["v2"] > 3, True)
+        for host in HOSTS[:2]:
+            platform.signal(host, signal.SIGSTOP)
+        # The nodes rely on a confirmation for 2 s, and calls take time.
+        time.sleep(3)
+        counts = dict(mesh.counts)
+        time.sleep(2)
+        assert mesh.counts["v2"] == counts["v2"]
+        assert mesh.counts["v1"] > counts["v1"]
+        for host in HOSTS[:2]:
+            platform.signal(host, signal.SIGCONT)
+        wait_for_result(lambda: mesh.counts["v2"] > counts["v2"], True)
+        assert get_state(HOSTS[2]) == "running"
+
+    run(scenario)
+
+
 def test_a_good_version_gets_all_calls(platform):
     """Guard against a version that is never completed, or too late."""
 
