--- a/packages/cli/src/rhubarbhollow_cli/main.py
+++ b/packages/cli/src/rhubarbhollow_cli/main.py
@@ -21,6 +21,7 @@
 from rhubarbhollow_cli.keygen import keygen
 from rhubarbhollow_cli.logs import configure_logs
 from rhubarbhollow_cli.report import report
+from rhubarbhollow_cli.rollout import rollout
 from rhubarbhollow_cli.submit import submit
 from rhubarbhollow_cli.tenant import tenant
 from rhubarbhollow_cli.validate import validate
@@ -55,6 +56,7 @@
     nodes,
     releases,
     report,
+    rollout,
     status,
     submit,
     tenant,
--- a/packages/daemon/src/rhubarbhollow_daemon/control_parts.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_parts.py
@@ -17,6 +17,7 @@
     from rhubarbhollow_daemon.peer_links import PeerLinks
     from rhubarbhollow_daemon.quota_service import QuotaService
     from rhubarbhollow_daemon.release_machine import ReleaseMachine
+    from rhubarbhollow_daemon.rollout_coordinator import RolloutCoordinator
     from rhubarbhollow_daemon.stage_builder import StageBuilder
     from rhubarbhollow_distribution.control_directory import ControlDirectory
     from rhubarbhollow_distribution.endpoint_store import EndpointStore
@@ -59,3 +60,4 @@
     feed_settings: FeedSettings
     claims: ClaimParts | None
     quota: QuotaService
+    rollouts: RolloutCoordinator
--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -21,10 +21,12 @@
 from rhubarbhollow_daemon.node_state import NodeState
 from rhubarbhollow_daemon.outbox import Outbox
 from rhubarbhollow_daemon.refused_call_log import RefusedCallLog
+from rhubarbhollow_daemon.rollout_policy import RolloutPolicy
 from rhubarbhollow_distribution.endpoint_table import EndpointTable
 from rhubarbhollow_distribution.holder import ReleaseHolder
 from rhubarbhollow_distribution.source_choice import SourceChooser
 from rhubarbhollow_distribution.upstream_registry import UpstreamRegistry
+from rhubarbhollow_rollout.node import NodeRollouts
 from rhubarbhollow_wire.clock import BootClock
 from rhubarbhollow_wire.traffic import Traffic
 
@@ -76,6 +78,10 @@
     quarantine = Quarantine(clock)
     burn = BurnRecorder(clock)
     refused_call_log = RefusedCallLog()
+    rollouts = RolloutPolicy(
+        NodeRollouts(clock, random), selector, outbox, clock
+    )
+    selector.use_versions(rollouts)
     client = ClaimClient(name, incarnation, outbox)
     quota = NodeQuota(name, incarnation, outbox, BootClock())
     claims = NodeClaims(client)
@@ -94,6 +100,7 @@
         client,
         burn,
         quota,
+        rollouts,
     )
     call_node = CallNode(
         name,
@@ -136,6 +143,7 @@
         claims=claims,
         quarantine=quarantine,
         burn=burn,
+        rollouts=rollouts,
         refused_call_log=refused_call_log,
         quota=quota,
     )
--- a/packages/daemon/src/rhubarbhollow_daemon/node_codec.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_codec.py
@@ -31,6 +31,7 @@
 from rhubarbhollow_distribution.welcome import Welcome
 from rhubarbhollow_placement.upstream_load import LoadReport
 from rhubarbhollow_quota.messages import QuotaGrant, QuotaReport
+from rhubarbhollow_rollout.messages import RolloutExposure, RolloutReport
 from rhubarbhollow_wire.codec import MessageCodec
 
 NODE_MESSAGES: Final = (
@@ -53,6 +54,8 @@
     QuotaGrant,
     QuotaReport,
     Redirect,
+    RolloutExposure,
+    RolloutReport,
     Stage,
     StageRequest,
     StagedReport,
--- a/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
@@ -16,6 +16,7 @@
     from rhubarbhollow_daemon.node_state import NodeState
     from rhubarbhollow_daemon.outbox import Outbox
     from rhubarbhollow_daemon.refused_call_log import RefusedCallLog
+    from rhubarbhollow_daemon.rollout_policy import RolloutPolicy
     from rhubarbhollow_daemon.settings import Settings
     from rhubarbhollow_distribution.source_choice import SourceChooser
     from rhubarbhollow_wire.clock import Clock
@@ -40,3 +41,4 @@
     burn: BurnRecorder
     refused_call_log: RefusedCallLog
     quota: NodeQuota
+    rollouts: RolloutPolicy
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -40,6 +40,7 @@
 from rhubarbhollow_placement.upstream_load import LoadReport
 from rhubarbhollow_placement.upstream_load import is_usable as is_usable_load
 from rhubarbhollow_quota.messages import QuotaGrant
+from rhubarbhollow_rollout.messages import RolloutExposure
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.io_node import CallNode
@@ -50,6 +51,7 @@
     from rhubarbhollow_daemon.endpoint_view import EndpointView
     from rhubarbhollow_daemon.node_quota import NodeQuota
     from rhubarbhollow_daemon.outbox import Outbox
+    from rhubarbhollow_daemon.rollout_policy import RolloutPolicy
     from rhubarbhollow_distribution.endpoint_record import EndpointRecord
     from rhubarbhollow_distribution.endpoint_table import EndpointTable
     from rhubarbhollow_distribution.holder import ReleaseHolder
@@ -82,6 +84,7 @@
         claims: ClaimClient,
         burn: BurnRecorder,
         quota: NodeQuota,
+        rollouts: RolloutPolicy,
     ) -> None:
         self._mesh = mesh
         self._node = node
@@ -97,6 +100,7 @@
         self._claims = claims
         self._burn = burn
         self._quota = quota
+        self._rollouts = rollouts
         self._call_node: CallNode | None = None
         self._snapshots = SnapshotBuilder()
 
@@ -120,6 +124,10 @@
         """Return the messages on requests that crash upstreams."""
         return self._quarantine.messages()
 
+    def report_rollouts(self) -> None:
+        """Report evidence about new versions while a rollout runs."""
+        self._rollouts.report()
+
     def is_release_confirmed(self) -> bool:
         """Return whether no later release may be in force elsewhere."""
         return self._chooser.is_confirmed(self._holder.active_position)
@@ -183,6 +191,8 @@
                 self._claims.deliver(message)
             case ControlList(controls):
                 self._chooser.learn(filter(is_usable, controls))
+            case RolloutExposure():
+                self._rollouts.accept(message)
             case ControlHeartbeat():
                 self._chooser.note_heartbeat(message)
             case _:
