Stage a new release at a node full of old ones

Cause: a release above all staged ones was refused when eight were held, so that only an activation made room, which needs the refused release. A second fault of the kind was found with it: a source waited 5 s for the report of a release that the node had meanwhile left behind.

Change: the node discards its oldest release for a newer one. A source sends a node that it knows to be full only the release in force, so the oldest is one that can't be activated any more; otherwise the node requests it again. At most eight are held. The source no longer waits for a release below the one in force at the node.

Conclusion: done.

--- a/packages/distribution/src/rhubarbhollow_distribution/feed.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/feed.py
@@ -273,6 +273,9 @@
         if position <= self._active_position:
             return
         self._has_release = True
+        if self._outstanding is not None and self._outstanding <= position:
+            # The node refuses it as stale and does not report it.
+            self._outstanding = None
         digest = self._staged.get(position)
         if digest is None:
             digest = self._releases.maybe_digest(position) or EMPTY_DIGEST
--- a/packages/distribution/src/rhubarbhollow_distribution/holder.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/holder.py
@@ -22,7 +22,6 @@
     ConflictingDigest,
     NeedsDifference,
     StageFault,
-    StagingFull,
     StalePosition,
 )
 from rhubarbhollow_distribution.staged_report import StagedReport
@@ -173,9 +172,6 @@
         held = self._held_at(message.position)
         if held is not None:
             return _confirm_held(held, message)
-        is_full = len(self._staged) >= MAX_STAGED_RELEASES
-        if is_full and message.position > self.staged_position:
-            return Err(StagingFull(self.staged_positions))
         base = self._find_base(message.base_digest)
         if base is None and message.base_digest not in _NO_BASE:
             return Err(NeedsDifference(self.staged_position, self.held_digest))
@@ -196,9 +192,12 @@
     def _make_room(self, position: int) -> None:
         """Discard a staged release if there are too many for another.
 
-        A release below one that is held is sent only if it is in force
-        elsewhere. Older ones will then not be activated any more. If
-        there is none, the newest one is the last to be activated.
+        A source that knows what this node holds sends a full node only
+        the release that is in force elsewhere. Older ones will then not
+        be activated any more. If there is none, the newest one is the
+        last to be activated. A source that does not know may send a
+        newer one; if the discarded one is activated after all, the node
+        requests it again.
         """
         if len(self._staged) < MAX_STAGED_RELEASES:
             return
--- a/packages/distribution/src/rhubarbhollow_distribution/stage_fault.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/stage_fault.py
@@ -39,17 +39,6 @@
     sent_digest: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class StagingFull:
-    """Error: the maximum number of releases is already staged.
-
-    The node discards none of them for a newer release, since it has
-    promised to keep every staged release (see ``StagedReport``).
-    """
-
-    staged_positions: tuple[int, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class ApprovalRefused:
     """Error: the approval does not cover this content."""
@@ -90,7 +79,6 @@
     NeedsDifference
     | StalePosition
     | ConflictingDigest
-    | StagingFull
     | ApprovalRefused
     | DifferenceRefused
     | HeaderMismatch
