Remember withdrawals of upstreams across a crash of the node

Seen: a node acknowledges an upstream's deregistration, is killed and starts again; a late heartbeat of before lists the upstream for one lease, and calls reach a process that may be gone.

Cause: the withdrawal was kept in the node's memory only, and the tombstones of the control instances do not tell a withdrawal from a lease that ended.

Change: a tombstone says whether it is a withdrawal. The first welcome of a node's process names the withdrawals at the node with their age, and the node treats heartbeats of those upstreams as late unless their process started afterwards. Both fields have defaults on the wire, so that processes of either version read each other's messages.

--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -39,6 +39,9 @@
 from rhubarbhollow_distribution.stage_request import StageRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import TypeAlias
+
     from rhubarbhollow_calls.io_node import CallNode
     from rhubarbhollow_calls.quarantine import Quarantine
     from rhubarbhollow_calls.quarantine_message import QuarantineMessage
@@ -51,6 +54,9 @@
     from rhubarbhollow_distribution.holder import ReleaseHolder
     from rhubarbhollow_distribution.source_choice import SourceChooser
     from rhubarbhollow_distribution.upstream_registry import UpstreamRegistry
+    from rhubarbhollow_distribution.welcome import Withdrawal
+
+    WithdrawalWatcher: TypeAlias = Callable[[tuple[Withdrawal, ...]], None]
 
 _log = structlog.get_logger()
 
@@ -91,6 +97,8 @@
         self._quarantine = quarantine
         self._claims = claims
         self._burn = burn
+        self._withdrawals: tuple[Withdrawal, ...] | None = None
+        self._withdrawal_watcher: WithdrawalWatcher | None = None
         self._call_node: CallNode | None = None
         self._snapshots = SnapshotBuilder()
 
@@ -142,6 +150,23 @@
         self._incarnation = incarnation
         self._registry.raise_incarnation(incarnation)
 
+    def watch_withdrawals(self, watcher: WithdrawalWatcher) -> None:
+        """Call ``watcher`` with deregistrations of before the start."""
+        self._withdrawal_watcher = watcher
+        if self._withdrawals:
+            watcher(self._withdrawals)
+
+    def note_withdrawals(self, withdrawals: tuple[Withdrawal, ...]) -> None:
+        """Take what the first source remembers of an earlier process.
+
+        Later welcomes tell nothing that this process does not know.
+        """
+        if self._withdrawals is not None:
+            return
+        self._withdrawals = withdrawals
+        if withdrawals and self._withdrawal_watcher is not None:
+            self._withdrawal_watcher(withdrawals)
+
     def hello(self) -> Hello:
         """Return the first message to send on a new connection."""
         return Hello(
--- a/packages/daemon/src/rhubarbhollow_daemon/source_connection.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/source_connection.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from rhubarbhollow_distribution.control_address import ControlAddress
     from rhubarbhollow_distribution.hello import Hello
+    from rhubarbhollow_distribution.welcome import Withdrawal
     from rhubarbhollow_wire.traffic import Traffic
 
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
@@ -38,6 +39,7 @@
     connection: FrameConnection
     endpoints_source: str
     node_incarnation: int
+    withdrawals: tuple[Withdrawal, ...]
 
 
 async def connect_source(
@@ -84,7 +86,10 @@
         case Ok(Welcome() as welcome):
             return Ok(
                 SourceConnection(
-                    connection, welcome.source, welcome.node_incarnation
+                    connection,
+                    welcome.source,
+                    welcome.node_incarnation,
+                    welcome.withdrawals,
                 )
             )
         case Ok(Redirect(retry_after_ms=retry_after_ms)):
--- a/packages/distribution/src/rhubarbhollow_distribution/endpoint_record.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/endpoint_record.py
@@ -36,7 +36,9 @@
     An endpoint is identified by its node and its name.  Its records are
     ordered by ``(incarnation, sequence)``.  Only the node assigns the
     sequence; a control instance may raise the incarnation (see
-    ``Welcome``).  A record in state ``GONE`` is a tombstone.
+    ``Welcome``).  A record in state ``GONE`` is a tombstone; it
+    ``is_withdrawn`` if the upstream has deregistered, as opposed to one
+    whose lease or whose node's lease has ended.
     """
 
     name: str
@@ -50,6 +52,7 @@
     load_percent: int
     incarnation: int
     sequence: int
+    is_withdrawn: bool = False
 
     @property
     def key(self) -> EndpointKey:
--- a/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
+++ b/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
@@ -1571,6 +1571,7 @@
      - load_percent
      - incarnation
      - sequence
+     - is_withdrawn
 
     """
 
@@ -1586,10 +1587,11 @@
         'load_percent',
         'incarnation',
         'sequence',
+        'is_withdrawn',
     )
 
 
-    def __init__(self, name=None, service_=None, node=None, data_centre=None, peer_host=None, peer_port=None, slots=None, state=None, load_percent=None, incarnation=None, sequence=None,):
+    def __init__(self, name=None, service_=None, node=None, data_centre=None, peer_host=None, peer_port=None, slots=None, state=None, load_percent=None, incarnation=None, sequence=None, is_withdrawn=False,):
         self.name = name
         self.service_ = service_
         self.node = node
@@ -1601,6 +1603,7 @@
         self.load_percent = load_percent
         self.incarnation = incarnation
         self.sequence = sequence
+        self.is_withdrawn = is_withdrawn
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1666,6 +1669,11 @@
                     self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.is_withdrawn = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1720,6 +1728,10 @@
             oprot.writeFieldBegin('sequence', TType.I64, 11)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
+        if self.is_withdrawn is not None:
+            oprot.writeFieldBegin('is_withdrawn', TType.BOOL, 12)
+            oprot.writeBool(self.is_withdrawn)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1822,6 +1834,86 @@
         return not (self == other)
 
 
+class Withdrawal(object):
+    """
+    Attributes:
+     - name
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'name',
+        'age_ms',
+    )
+
+
+    def __init__(self, name=None, age_ms=None,):
+        self.name = name
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Withdrawal')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 2)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Welcome(object):
     """
     Attributes:
@@ -1829,6 +1921,7 @@
      - data_centre
      - incarnation
      - node_incarnation
+     - withdrawals
 
     """
 
@@ -1837,14 +1930,20 @@
         'data_centre',
         'incarnation',
         'node_incarnation',
+        'withdrawals',
     )
 
 
-    def __init__(self, control=None, data_centre=None, incarnation=None, node_incarnation=None,):
+    def __init__(self, control=None, data_centre=None, incarnation=None, node_incarnation=None, withdrawals=[
+    ],):
         self.control = control
         self.data_centre = data_centre
         self.incarnation = incarnation
         self.node_incarnation = node_incarnation
+        if withdrawals is self.thrift_spec[5][4]:
+            withdrawals = [
+            ]
+        self.withdrawals = withdrawals
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1875,6 +1974,17 @@
                     self.node_incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.withdrawals = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = Withdrawal()
+                        _elem19.read(iprot)
+                        self.withdrawals.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1901,6 +2011,13 @@
             oprot.writeFieldBegin('node_incarnation', TType.I64, 4)
             oprot.writeI64(self.node_incarnation)
             oprot.writeFieldEnd()
+        if self.withdrawals is not None:
+            oprot.writeFieldBegin('withdrawals', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.withdrawals))
+            for iter20 in self.withdrawals:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2280,11 +2397,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = EndpointRecord()
-                        _elem19.read(iprot)
-                        self.records.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = EndpointRecord()
+                        _elem26.read(iprot)
+                        self.records.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2318,8 +2435,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter20 in self.records:
-                iter20.write(oprot)
+            for iter27 in self.records:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_full is not None:
@@ -2666,11 +2783,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.controls = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = ControlAddress()
-                        _elem26.read(iprot)
-                        self.controls.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = ControlAddress()
+                        _elem33.read(iprot)
+                        self.controls.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2687,8 +2804,8 @@
         if self.controls is not None:
             oprot.writeFieldBegin('controls', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.controls))
-            for iter27 in self.controls:
-                iter27.write(oprot)
+            for iter34 in self.controls:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2910,22 +3027,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.staged = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = PositionCount()
-                        _elem33.read(iprot)
-                        self.staged.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = PositionCount()
+                        _elem40.read(iprot)
+                        self.staged.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.in_force = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = PositionCount()
-                        _elem39.read(iprot)
-                        self.in_force.append(_elem39)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = PositionCount()
+                        _elem46.read(iprot)
+                        self.in_force.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2950,15 +3067,15 @@
         if self.staged is not None:
             oprot.writeFieldBegin('staged', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.staged))
-            for iter40 in self.staged:
-                iter40.write(oprot)
+            for iter47 in self.staged:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.in_force is not None:
             oprot.writeFieldBegin('in_force', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.in_force))
-            for iter41 in self.in_force:
-                iter41.write(oprot)
+            for iter48 in self.in_force:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3217,11 +3334,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.nodes = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = NodeStatus()
-                        _elem47.read(iprot)
-                        self.nodes.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = NodeStatus()
+                        _elem54.read(iprot)
+                        self.nodes.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3242,8 +3359,8 @@
         if self.nodes is not None:
             oprot.writeFieldBegin('nodes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.nodes))
-            for iter48 in self.nodes:
-                iter48.write(oprot)
+            for iter55 in self.nodes:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4090,11 +4207,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.counts = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = BurnCount()
-                        _elem54.read(iprot)
-                        self.counts.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = BurnCount()
+                        _elem61.read(iprot)
+                        self.counts.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4115,8 +4232,8 @@
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.counts))
-            for iter55 in self.counts:
-                iter55.write(oprot)
+            for iter62 in self.counts:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4760,12 +4877,19 @@
     (9, TType.I32, 'load_percent', None, None, ),  # 9
     (10, TType.I64, 'incarnation', None, None, ),  # 10
     (11, TType.I64, 'sequence', None, None, ),  # 11
+    (12, TType.BOOL, 'is_withdrawn', None, False, ),  # 12
 )
 all_structs.append(EndpointReport)
 EndpointReport.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'records', (TType.STRUCT, [EndpointRecord, None], False), None, ),  # 1
 )
+all_structs.append(Withdrawal)
+Withdrawal.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'age_ms', None, None, ),  # 2
+)
 all_structs.append(Welcome)
 Welcome.thrift_spec = (
     None,  # 0
@@ -4773,6 +4897,8 @@
     (2, TType.STRING, 'data_centre', 'UTF8', None, ),  # 2
     (3, TType.I64, 'incarnation', None, None, ),  # 3
     (4, TType.I64, 'node_incarnation', None, None, ),  # 4
+    (5, TType.LIST, 'withdrawals', (TType.STRUCT, [Withdrawal, None], False), [
+    ], ),  # 5
 )
 all_structs.append(Stage)
 Stage.thrift_spec = (
--- a/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
+++ b/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
@@ -126,6 +126,7 @@
   9: i32 load_percent
   10: i64 incarnation
   11: i64 sequence
+  12: bool is_withdrawn = false
 }
 
 struct EndpointReport {
@@ -134,12 +135,19 @@
 
 // --- control instance to node --------------------------------------
 
+// An upstream that deregistered from the node ``age_ms`` ago.
+struct Withdrawal {
+  1: string name
+  2: i64 age_ms
+}
+
 // ``node_incarnation`` is the one under which the node goes on.
 struct Welcome {
   1: string control
   2: string data_centre
   3: i64 incarnation
   4: i64 node_incarnation
+  5: list<Withdrawal> withdrawals = []
 }
 
 struct Stage {
--- a/tests/platform/test_heartbeat.py
+++ b/tests/platform/test_heartbeat.py
@@ -207,6 +207,29 @@
         )
 
 
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_a_withdrawal_at_an_earlier_process_of_the_node_is_recalled(is_listed):
+    """Guard against calls to an upstream that withdrew before a crash.
+
+    A heartbeat of before may arrive before the node hears of it.
+    """
+    clock = StepClock()
+    old = clock.now_ms()
+    clock.advance(20)
+    tracker = HeartbeatTracker(clock)
+    if is_listed:
+        assert tracker.observe("a", heartbeat(old, 1)) is HeartbeatOrder.NEW
+    assert tracker.recall_withdrawal("a", 2.0) is is_listed
+    assert tracker.observe("a", heartbeat(old, 2)) is HeartbeatOrder.LATE
+    assert tracker.observe("a", heartbeat(None, 2)) is HeartbeatOrder.LATE
+    started = heartbeat(clock.now_ms() - 1_000, 1)
+    assert tracker.observe("a", started) is HeartbeatOrder.NEW
+    assert not tracker.recall_withdrawal("a", 2.0)
+    assert not tracker.recall_withdrawal("b", 2.0)
+    repeated = heartbeat(clock.now_ms() - 1_000, 2)
+    assert tracker.observe("a", repeated) is HeartbeatOrder.NEW
+
+
 @pytest.mark.parametrize("step_seconds", [-5, 0, 5])
 def test_a_process_that_starts_after_the_withdrawal_is_listed(step_seconds):
     clock = StepClock()
