Try several control instances at once

Cause: one address was tried at a time, and an address that once was in a list stayed for good, in the order of its random rank. Instances that have been replaced never answer, and those of the own data centre come first.

A control instance lists for nodes only those that it is connected to, or was within 3 s. A node tries others last and forgets them after 60 s, but for the latest seeds of its settings.

Conclusion: the control instances themselves forget no address: two sides of a partition that forgot each other would not meet again.

--- a/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
@@ -46,6 +46,9 @@
 INBOX_EVENTS: Final = 8_192
 TICK_SECONDS: Final = 0.1
 FLOOR_RETRY_SECONDS: Final = 1.0
+# Another instance that was not connected for this long is not listed
+# for nodes. One that restarts is back within about a second.
+ABSENT_SECONDS: Final = 3.0
 
 _log = structlog.get_logger()
 
@@ -75,6 +78,8 @@
         self._was_fresh = False
         self._positions = (0, 0)
         self._floor_retry_at = 0.0
+        # When another instance was last connected, or first known.
+        self._up_at: dict[str, float] = {}
         parts.replica.on_applied(lambda _: self.post(LogAdvanced()))
         parts.directory.watch(self._on_directory_changed)
 
@@ -165,7 +170,7 @@
         """Forward a directory change to the planner and the nodes."""
         directory = self._parts.directory
         self._parts.activation_coordinator.set_controls(directory.names)
-        self._parts.node_connections.broadcast(directory.message)
+        self._parts.node_connections.broadcast(directory.node_message)
 
     def _handle_event(self, event: ControlEvent, view: LedgerView) -> None:
         node_connections = self._parts.node_connections
@@ -207,9 +212,24 @@
         if now < self._last_tick_at + TICK_SECONDS:
             return
         self._last_tick_at = now
+        self._note_absent_controls(now)
         self._parts.node_connections.tick(view)
         self._parts.exchange.tick()
 
+    def _note_absent_controls(self, now: float) -> None:
+        """Tell nodes when another instance is gone or comes back."""
+        links = self._parts.links.by_name
+        for name in links:
+            if links[name].is_up or name not in self._up_at:
+                self._up_at[name] = now
+        directory = self._parts.directory
+        absent = (
+            name for name in links if now >= self._up_at[name] + ABSENT_SECONDS
+        )
+        if directory.set_absent(absent):
+            message = directory.node_message
+            self._parts.node_connections.broadcast(message)
+
     def _feed_nodes(self, view: LedgerView) -> None:
         """Feed every node after a shared change, else the due ones.
 
--- a/packages/daemon/src/rhubarbhollow_daemon/node_connections.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_connections.py
@@ -252,7 +252,7 @@
                 withdrawals=self._store.withdrawals_at(hello.node),
             )
         )
-        link.outbox.put(self._directory.message)
+        link.outbox.put(self._directory.node_message)
         for message in self._relay.recent():
             link.outbox.put(message)
         _log.info(
--- a/packages/daemon/src/rhubarbhollow_daemon/node_session.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_session.py
@@ -8,13 +8,15 @@
 import structlog
 from result import Err, Ok
 
-from rhubarbhollow_daemon.source_connection import connect_source
+from rhubarbhollow_daemon.source_connection import greet_source
+from rhubarbhollow_daemon.staggered_connect import connect_first
 from rhubarbhollow_distribution.endpoint_report import EndpointReport
 from rhubarbhollow_distribution.node_heartbeat import NodeHeartbeat
 
 if TYPE_CHECKING:
     from rhubarbhollow_daemon.node_state import NodeState
     from rhubarbhollow_daemon.outbox import Outbox
+    from rhubarbhollow_distribution.control_address import ControlAddress
     from rhubarbhollow_distribution.source_attempt import Attempt
     from rhubarbhollow_distribution.source_choice import SourceChooser
     from rhubarbhollow_wire.connection import FrameConnection
@@ -135,9 +137,10 @@
             connection = await self._try_connect(attempt)
             if connection is None:
                 continue
+            source = self._chooser.current
             _log.info(
                 "source_changed",
-                control=attempt.address.name,
+                control=source.name if source else None,
                 reason=attempt.reason.name.lower(),
             )
             return connection
@@ -148,33 +151,41 @@
     ) -> FrameConnection | None:
         """Make an attempt after its delay and record its outcome.
 
-        Return ``None`` if the attempt fails.
+        Return ``None`` if the attempt and its fallbacks fail.
         """
         await anyio.sleep(attempt.delay_seconds)
-        connected = await connect_source(
-            attempt.address,
+        connected = await connect_first(
+            (attempt.address, *attempt.fallbacks), self._note_unreachable
+        )
+        if connected is None:
+            return None
+        greeted = await greet_source(
+            connected,
             self._state.hello(),
             self._traffic,
         )
-        if isinstance(connected, Err):
-            fault = connected.err_value
-            self._chooser.note_failed(
-                attempt.address,
-                fault.retry_after_seconds,
-            )
-            _log.info(
-                "source_unreachable",
-                control=attempt.address.name,
-                cause=fault.cause,
+        if isinstance(greeted, Err):
+            fault = greeted.err_value
+            self._note_unreachable(
+                connected.address, fault.cause, fault.retry_after_seconds
             )
             return None
-        self._chooser.note_connected(attempt.address)
-        source = connected.ok_value
+        self._chooser.note_connected(connected.address)
+        source = greeted.ok_value
         self._state.expect_endpoints_from(source.endpoints_source)
         self._state.raise_incarnation(source.node_incarnation)
         self._state.note_withdrawals(source.withdrawals)
         return source.connection
 
+    def _note_unreachable(
+        self,
+        address: ControlAddress,
+        cause: str,
+        retry_after_seconds: float = 0.0,
+    ) -> None:
+        self._chooser.note_failed(address, retry_after_seconds)
+        _log.info("source_unreachable", control=address.name, cause=cause)
+
     async def _send_heartbeats(self) -> None:
         while True:
             await anyio.sleep(self._heartbeat_seconds)
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -198,7 +198,7 @@
             case CrashReport() | Exoneration():
                 self._quarantine.merge(message)
             case ControlList(controls):
-                self._chooser.learn(filter(is_usable, controls))
+                self._chooser.take_list(filter(is_usable, controls))
             case ControlHeartbeat():
                 self._chooser.note_heartbeat(message)
             case _:
--- a/packages/daemon/src/rhubarbhollow_daemon/source_connection.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/source_connection.py
@@ -14,12 +14,11 @@
 from rhubarbhollow_wire.connection import FrameConnection
 
 if TYPE_CHECKING:
-    from rhubarbhollow_distribution.control_address import ControlAddress
+    from rhubarbhollow_daemon.staggered_connect import Connected
     from rhubarbhollow_distribution.hello import Hello
     from rhubarbhollow_distribution.welcome import Withdrawal
     from rhubarbhollow_wire.traffic import Traffic
 
-CONNECT_TIMEOUT_SECONDS: Final = 1.0
 WELCOME_TIMEOUT_SECONDS: Final = 10.0
 MS_PER_SECOND: Final = 1000
 
@@ -42,23 +41,21 @@
     withdrawals: tuple[Withdrawal, ...]
 
 
-async def connect_source(
-    address: ControlAddress,
+async def greet_source(
+    connected: Connected,
     hello: Hello,
     traffic: Traffic,
 ) -> Result[SourceConnection, NotConnected]:
-    """Connect, send the hello and wait for the welcome.
+    """Send the hello and wait for the welcome.
 
     Returns ``NotConnected`` with the cause if either fails or the
     control instance redirects the node.
     """
-    try:
-        with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
-            stream = await anyio.connect_tcp(address.host, address.port)
-    except (OSError, TimeoutError) as error:
-        return Err(NotConnected(type(error).__name__))
     connection = FrameConnection(
-        stream, NODE_CODEC, traffic, peer_data_centre=address.data_centre
+        connected.stream,
+        NODE_CODEC,
+        traffic,
+        peer_data_centre=connected.address.data_centre,
     )
     outcome: Result[SourceConnection, NotConnected] = Err(
         NotConnected("no_welcome")
--- a/packages/daemon/tests/test_control_instance.py
+++ b/packages/daemon/tests/test_control_instance.py
@@ -8,8 +8,13 @@
 
 from rhubarbhollow_daemon import control_instance
 from rhubarbhollow_daemon.control_event import LogAdvanced, PeerSaid
-from rhubarbhollow_daemon.control_instance import ControlInstance
+from rhubarbhollow_daemon.control_instance import (
+    ABSENT_SECONDS,
+    ControlInstance,
+)
 from rhubarbhollow_daemon.node_messages import EndpointsRequest
+from rhubarbhollow_distribution.control_address import ControlAddress
+from rhubarbhollow_distribution.control_directory import ControlDirectory
 from rhubarbhollow_distribution.feed_settings import FeedSettings
 from rhubarbhollow_distribution.hello import Hello
 from rhubarbhollow_wire.clock import ManualClock
@@ -149,3 +154,41 @@
 
     anyio.run(run)
     assert attempts == [3, 3]
+
+
+def test_nodes_are_told_which_instances_are_gone():
+    """Guard against nodes that try replaced instances first.
+
+    One that is gone for less than ``ABSENT_SECONDS``, as during a
+    restart, stays in the list.
+    """
+    addresses = [ControlAddress(n, "", "::1", 1) for n in ("c1", "c2", "c3")]
+    links = {n: SimpleNamespace(is_up=True) for n in ("c2", "c3")}
+    lists = []
+    clock = ManualClock()
+    parts = Parts(clock)
+    parts.directory = ControlDirectory(addresses)
+    parts.links = SimpleNamespace(by_name=links)
+    parts.node_connections = SimpleNamespace(
+        broadcast=lambda message: lists.append(
+            [address.name for address in message.controls]
+        )
+    )
+    instance = ControlInstance(parts, None)
+
+    def wait(seconds):
+        instance._note_absent_controls(clock.monotonic())
+        clock.advance(seconds)
+        instance._note_absent_controls(clock.monotonic())
+
+    wait(10)
+    links["c2"].is_up = False
+    wait(ABSENT_SECONDS - 0.1)
+    assert lists == []
+    wait(0.1)
+    assert lists == [["c1", "c3"]]
+    assert parts.directory.names == {"c1", "c2", "c3"}
+    wait(60)
+    links["c2"].is_up = True
+    wait(0)
+    assert lists == [["c1", "c3"], ["c1", "c2", "c3"]]
--- a/packages/distribution/src/rhubarbhollow_distribution/control_directory.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/control_directory.py
@@ -37,11 +37,13 @@
     Entries are only added or completed with a data centre, never
     removed: the replicated log decides whether an instance is still a
     member, and a stale address costs only an occasional failed
-    connection attempt.
+    connection attempt.  Nodes, which have to find a source within a
+    short time, are not told of those that are absent.
     """
 
     def __init__(self, seeds: Iterable[ControlAddress] = ()) -> None:
         self._by_name: dict[str, ControlAddress] = {}
+        self._absent: frozenset[str] = frozenset()
         self._watchers: list[Callable[[], None]] = []
         self.merge(seeds)
 
@@ -57,9 +59,30 @@
 
     @property
     def message(self) -> ControlList:
-        """Return the list to send to nodes and other instances."""
+        """Return the list to send to other instances."""
         return ControlList(self.addresses)
 
+    @property
+    def node_message(self) -> ControlList:
+        """Return the list to send to nodes, without absent ones."""
+        return ControlList(
+            tuple(
+                address
+                for address in self.addresses
+                if address.name not in self._absent
+            )
+        )
+
+    def set_absent(self, names: Iterable[str]) -> bool:
+        """Set the instances that this one doesn't reach.
+
+        Return whether that changes the list for nodes.
+        """
+        absent = frozenset(names)
+        is_changed = absent != self._absent
+        self._absent = absent
+        return is_changed
+
     def serves(self, data_centre: str) -> bool:
         """Return whether an instance is known in the data centre."""
         return any(
--- a/packages/distribution/src/rhubarbhollow_distribution/source_attempt.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/source_attempt.py
@@ -12,8 +12,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """Connect to ``address`` after ``delay_seconds``."""
+    """Connect to ``address`` after ``delay_seconds``.
+
+    ``fallbacks`` are tried beside it, in order, if it does not accept
+    at once.
+    """
 
     address: ControlAddress
     delay_seconds: float
     reason: ChangeReason
+    fallbacks: tuple[ControlAddress, ...] = ()
--- a/packages/distribution/src/rhubarbhollow_distribution/source_candidate.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/source_candidate.py
@@ -21,7 +21,9 @@
 
     ``rank`` orders candidates that are otherwise equal; it is below 1
     for instances of the local data centre.  ``not_before`` and
-    ``suspect_until`` are monotonic times in seconds.
+    ``suspect_until`` are monotonic times in seconds.  A seed comes from
+    the settings of this process.  ``unlisted_since`` is the time of the
+    first of the sources' latest lists that lack the instance.
     """
 
     address: ControlAddress
@@ -30,17 +32,21 @@
     not_before: float = 0.0
     suspicions: int = 0
     suspect_until: float = 0.0
+    is_seed: bool = False
+    unlisted_since: float | None = None
 
     @property
     def is_local(self) -> bool:
         """Return whether the instance is in the local data centre."""
         return self.rank < 1.0
 
-    def preference(self, now: float) -> tuple[bool, bool, int, float]:
+    def preference(self, now: float) -> tuple[bool, bool, bool, int, float]:
         """Return a sort key; the lowest candidate is tried first."""
         is_backing_off = self.not_before > now
         return (
             is_backing_off,
+            # Probably gone: most that are not listed never answer.
+            self.unlisted_since is not None,
             self.suspect_until > now,
             # Lets other candidates take precedence over an instance
             # that keeps failing.
--- a/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
@@ -34,6 +34,13 @@
 # First suspicion as a multiple of the return delay. Longer than a local
 # instance usually takes to restart and rejoin the log.
 SUSPICION_RATIO: Final = 0.5
+# Instances that one attempt tries beside the preferred one.  A mesh of
+# three loses one at a time, and each may have been replaced.
+MAX_FALLBACKS: Final = 5
+# How long an instance that no source lists any more is remembered.  It
+# outlasts a partition of some seconds, after which the lists are
+# complete again.
+FORGET_SECONDS: Final = 60.0
 
 
 class SourceChooser:
@@ -75,8 +82,8 @@
         self._local_data_centre = local_data_centre
         self._candidates: dict[str, SourceCandidate] = {}
         self._return_at = 0.0
-        self.learn(controls)
         self._current: SourceCandidate | None = None
+        self.learn_seeds(controls)
         self._failures = 0
         self._heard_at = 0.0
         self._connected_at = 0.0
@@ -115,6 +122,36 @@
             return False
         return max(self._named_position, self._observed_position) <= position
 
+    def learn_seeds(self, addresses: Iterable[ControlAddress]) -> None:
+        """Take the addresses in the settings, in place of earlier ones.
+
+        A seed is never forgotten, as it may be all that a node has.
+        """
+        seeds = tuple(addresses)
+        self.learn(seeds)
+        names = {address.name for address in seeds}
+        for name, candidate in self._candidates.items():
+            candidate.is_seed = name in names
+
+    def take_list(self, addresses: Iterable[ControlAddress]) -> None:
+        """Take the source's list of the instances that it reaches.
+
+        Others are tried last, and are forgotten after
+        ``FORGET_SECONDS`` unless they are listed again.
+        """
+        listed = tuple(addresses)
+        if not listed:
+            return
+        self.learn(listed)
+        names = {address.name for address in listed}
+        now = self._clock.monotonic()
+        for name, candidate in self._candidates.items():
+            if name in names:
+                candidate.unlisted_since = None
+            elif candidate.unlisted_since is None:
+                candidate.unlisted_since = now
+        self._forget_unlisted(now)
+
     def learn(self, addresses: Iterable[ControlAddress]) -> None:
         """Add control instances, or data centres of known ones."""
         for address in addresses:
@@ -143,10 +180,16 @@
         reconnect at the same time.
         """
         now = self._clock.monotonic()
-        chosen = _select_candidate(self._candidates.values(), now)
+        self._forget_unlisted(now)
+        chosen, *others = _sort_candidates(self._candidates.values(), now)
         delay = self._draw_delay(self._failures)
         delay = max(delay, chosen.not_before - now)
-        return Attempt(chosen.address, delay, ChangeReason.DISCONNECTED)
+        return Attempt(
+            chosen.address,
+            delay,
+            ChangeReason.DISCONNECTED,
+            _list_fallbacks(others, now),
+        )
 
     def maybe_alternative(self) -> Attempt | None:
         """Return an attempt to replace the source, or ``None``.
@@ -167,12 +210,13 @@
         ]
         if not others:
             return None
-        chosen = _select_candidate(others, now)
+        chosen, *others = _sort_candidates(others, now)
         self._alternative_at = now + self._draw_delay(chosen.failures)
         return Attempt(
             chosen.address,
             self._random.uniform(0.0, BACKOFF_BASE_SECONDS),
             reason,
+            _list_fallbacks(others, now),
         )
 
     def note_connected(self, address: ControlAddress) -> None:
@@ -182,6 +226,7 @@
         previous = self._current
         if previous is not None and previous.address != address:
             self._suspect(previous, reason)
+        self.learn((address,))
         candidate = self._candidates[address.name]
         candidate.note_welcome()
         self._is_on_trial = self._begins_trial(candidate, reason)
@@ -201,7 +246,10 @@
         retry_after_seconds: float = 0.0,
     ) -> None:
         """Record a failed attempt, or a redirect with its delay."""
-        candidate = self._candidates[address.name]
+        candidate = self._candidates.get(address.name)
+        if candidate is None:
+            # It was forgotten while the attempt was made.
+            return
         delay = self._draw_delay(candidate.failures)
         now = self._clock.monotonic()
         candidate.note_failure(now + max(delay, retry_after_seconds))
@@ -283,6 +331,13 @@
             return ChangeReason.PREFERS_LOCAL
         return None
 
+    def _forget_unlisted(self, now: float) -> None:
+        for name, candidate in tuple(self._candidates.items()):
+            if candidate.is_seed or candidate is self._current:
+                continue
+            if _has_lasted(candidate.unlisted_since, FORGET_SECONDS, now):
+                del self._candidates[name]
+
     def _begins_trial(
         self,
         candidate: SourceCandidate,
@@ -359,11 +414,19 @@
         )
 
 
-def _select_candidate(
+def _sort_candidates(
     candidates: Iterable[SourceCandidate],
     now: float,
-) -> SourceCandidate:
-    return min(candidates, key=lambda candidate: candidate.preference(now))
+) -> list[SourceCandidate]:
+    return sorted(candidates, key=lambda candidate: candidate.preference(now))
+
+
+def _list_fallbacks(
+    candidates: Iterable[SourceCandidate], now: float
+) -> tuple[ControlAddress, ...]:
+    """Return the addresses to try beside the preferred one."""
+    ready = [each.address for each in candidates if each.not_before <= now]
+    return tuple(ready[:MAX_FALLBACKS])
 
 
 def _has_lasted(since: float | None, seconds: float, now: float) -> bool:
--- a/packages/distribution/tests/test_source_choice.py
+++ b/packages/distribution/tests/test_source_choice.py
@@ -16,6 +16,8 @@
     BACKOFF_BASE_SECONDS,
     BACKOFF_CAP_SECONDS,
     BEHIND_SECONDS,
+    FORGET_SECONDS,
+    MAX_FALLBACKS,
     NOT_FRESH_SECONDS,
     RETURN_SECONDS,
     SILENCE_SECONDS,
@@ -365,3 +367,80 @@
     chooser.note_connected(FAR_1)
     chooser.note_message()
     assert not chooser.is_confirmed(5)
+
+
+def names_of(attempt):
+    addresses = (attempt.address, *attempt.fallbacks)
+    return [address.name for address in addresses]
+
+
+def test_an_attempt_names_what_is_tried_beside_the_preferred_instance():
+    clock = ManualClock()
+    chooser = chooser_of(clock)
+    names = names_of(chooser.next_attempt())
+    assert set(names[:2]) == {"local-1", "local-2"}
+    assert set(names[2:]) == {"far-1", "far-2"}
+    chooser.note_failed(FAR_1, retry_after_seconds=60)
+    assert "far-1" not in names_of(chooser.next_attempt())
+    chooser.note_connected(LOCAL_1)
+    clock.advance(SILENCE_SECONDS)
+    assert names_of(chooser.maybe_alternative()) == ["local-2", "far-2"]
+    many = tuple(replace(FAR_1, name=f"far-{n}") for n in range(20))
+    attempt = chooser_of(clock, controls=many).next_attempt()
+    assert len(attempt.fallbacks) == MAX_FALLBACKS
+
+
+def test_instances_that_the_source_does_not_list_are_tried_last():
+    """Guard against a node that tries replaced instances first.
+
+    A silent source left it with addresses that never answer, among them
+    those of its own data centre.
+    """
+    clock = ManualClock()
+    chooser = chooser_of(clock)
+    chooser.note_connected(FAR_1)
+    chooser.take_list((FAR_1, FAR_2))
+    clock.advance(SILENCE_SECONDS)
+    names = names_of(chooser.maybe_alternative())
+    assert names[0] == "far-2"
+    assert set(names[1:]) == {"local-1", "local-2"}
+    chooser.take_list(())
+    chooser.note_lost()
+    chooser.note_connected(FAR_1)
+    chooser.take_list((FAR_1, FAR_2, LOCAL_2))
+    clock.advance(SILENCE_SECONDS)
+    names = names_of(chooser.maybe_alternative())
+    assert names == ["local-2", "far-2", "local-1"]
+
+
+def test_instances_that_stay_unlisted_are_forgotten_but_for_seeds():
+    """Guard against addresses that are tried for good."""
+    clock = ManualClock()
+    chooser = chooser_of(clock, controls=(LOCAL_1, FAR_1))
+    chooser.take_list(CONTROLS)
+    chooser.take_list((FAR_2,))
+    clock.advance(FORGET_SECONDS / 2)
+    chooser.take_list((FAR_2,))
+    assert len(names_of(chooser.next_attempt())) == 4
+    clock.advance(FORGET_SECONDS / 2)
+    names = names_of(chooser.next_attempt())
+    assert names == ["far-2", "local-1", "far-1"]
+    chooser.learn_seeds((FAR_2,))
+    assert names_of(chooser.next_attempt()) == ["far-2"]
+    # An attempt that was running meanwhile may still end either way.
+    chooser.note_failed(LOCAL_2)
+    chooser.note_connected(LOCAL_2)
+    assert chooser.current == LOCAL_2
+
+
+def test_the_source_is_not_forgotten_while_it_is_connected():
+    clock = ManualClock()
+    chooser = chooser_of(clock, controls=(FAR_1,))
+    chooser.learn((LOCAL_1,))
+    chooser.note_connected(LOCAL_1)
+    chooser.take_list((FAR_1,))
+    clock.advance(2 * FORGET_SECONDS)
+    chooser.take_list((FAR_1,))
+    assert chooser.current == LOCAL_1
+    chooser.note_lost()
+    assert names_of(chooser.next_attempt()) == ["far-1"]
