--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -43,6 +43,9 @@
 from rhubarbhollow_rollout.messages import RolloutExposure
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import TypeAlias
+
     from rhubarbhollow_calls.io_node import CallNode
     from rhubarbhollow_calls.quarantine import Quarantine
     from rhubarbhollow_calls.quarantine_message import QuarantineMessage
@@ -57,6 +60,9 @@
     from rhubarbhollow_distribution.holder import ReleaseHolder
     from rhubarbhollow_distribution.source_choice import SourceChooser
     from rhubarbhollow_distribution.upstream_registry import UpstreamRegistry
+    from rhubarbhollow_distribution.welcome import Withdrawal
+
+    WithdrawalWatcher: TypeAlias = Callable[[tuple[Withdrawal, ...]], None]
 
 _log = structlog.get_logger()
 
@@ -101,6 +107,8 @@
         self._burn = burn
         self._quota = quota
         self._rollouts = rollouts
+        self._withdrawals: tuple[Withdrawal, ...] | None = None
+        self._withdrawal_watcher: WithdrawalWatcher | None = None
         self._call_node: CallNode | None = None
         self._snapshots = SnapshotBuilder()
 
@@ -161,6 +169,23 @@
         """Note whether a control instance has welcomed this node."""
         self._quota.set_connected(is_connected)
 
+    def watch_withdrawals(self, watcher: WithdrawalWatcher) -> None:
+        """Call ``watcher`` with deregistrations of before the start."""
+        self._withdrawal_watcher = watcher
+        if self._withdrawals:
+            watcher(self._withdrawals)
+
+    def note_withdrawals(self, withdrawals: tuple[Withdrawal, ...]) -> None:
+        """Take what the first source remembers of an earlier process.
+
+        Later welcomes tell nothing that this process does not know.
+        """
+        if self._withdrawals is not None:
+            return
+        self._withdrawals = withdrawals
+        if withdrawals and self._withdrawal_watcher is not None:
+            self._withdrawal_watcher(withdrawals)
+
     def hello(self) -> Hello:
         """Return the first message to send on a new connection."""
         return Hello(
@@ -190,7 +215,7 @@
             case ClaimAnswer():
                 self._claims.deliver(message)
             case ControlList(controls):
-                self._chooser.learn(filter(is_usable, controls))
+                self._chooser.take_list(filter(is_usable, controls))
             case RolloutExposure():
                 self._rollouts.accept(message)
             case ControlHeartbeat():
--- a/packages/distribution/src/rhubarbhollow_distribution/endpoint_record.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/endpoint_record.py
@@ -36,8 +36,10 @@
     An endpoint is identified by its node and its name.  Its records are
     ordered by ``(incarnation, sequence)``.  Only the node assigns the
     sequence; a control instance may raise the incarnation (see
-    ``Welcome``).  A record in state ``GONE`` is a tombstone.  The
-    version is that of the upstream's program, empty if it states none.
+    ``Welcome``).  A record in state ``GONE`` is a tombstone; it
+    ``is_withdrawn`` if the upstream has deregistered, as opposed to one
+    whose lease or whose node's lease has ended.  The version is that of
+    the upstream's program, empty if it states none.
     """
 
     name: str
@@ -52,6 +54,7 @@
     incarnation: int
     sequence: int
     version: str = ""
+    is_withdrawn: bool = False
 
     @property
     def key(self) -> EndpointKey:
--- a/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
+++ b/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
@@ -128,6 +128,7 @@
   11: i64 sequence
   // Empty if the upstream states none; older records have no such field.
   12: string version = ""
+  13: bool is_withdrawn = false
 }
 
 struct EndpointReport {
@@ -136,12 +137,19 @@
 
 // --- control instance to node --------------------------------------
 
+// An upstream that deregistered from the node ``age_ms`` ago.
+struct Withdrawal {
+  1: string name
+  2: i64 age_ms
+}
+
 // ``node_incarnation`` is the one under which the node goes on.
 struct Welcome {
   1: string control
   2: string data_centre
   3: i64 incarnation
   4: i64 node_incarnation
+  5: list<Withdrawal> withdrawals = []
 }
 
 struct Stage {
