Deny a key only while no later release can be in force

Cause: a node counted its release as confirmed until the source had been silent for 1.3 s (the platform's settings), while a newer release can be in force elsewhere 0.6 s after the node was cut off (staging deadline). In between it would have answered 401 to a valid new key.

Change: `SourceChooser.is_current`, 1.25 heartbeats instead of three, decides about keys; paths without a route are judged as before.

Tests: test_a_node_that_is_cut_off_is_soon_no_longer_sure; test_platform_tenants plays a key's life with the roles as processes (first keys, rotation, revocation, a killed node, byte-exact document, no key in logs and metrics).

--- a/packages/calls/src/rhubarbhollow_calls/call_entry.py
+++ b/packages/calls/src/rhubarbhollow_calls/call_entry.py
@@ -79,8 +79,8 @@
 
     A release that this node does not have yet may hold it.
     """
-    is_confirmed = node.is_release_confirmed()
-    return _KEY_UNKNOWN if is_confirmed else _KEY_UNCONFIRMED
+    is_current = node.is_release_current()
+    return _KEY_UNKNOWN if is_current else _KEY_UNCONFIRMED
 
 
 def refuse_stopping(
--- a/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
@@ -331,7 +331,7 @@
         Otherwise this node is behind, and the caller may come back.
         """
         node = self._node
-        if not self.is_key_held() and node.is_release_confirmed():
+        if not self.is_key_held() and node.is_release_current():
             refusal = replace(refusal, kind=RefusalKind.KEY_UNKNOWN)
         node.counters.keys_refused[refusal.kind] += 1
         if self._identity is not None:
--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -77,6 +77,7 @@
         observer: CallObserver | None = None,
         random: Random | None = None,
         is_release_confirmed: Callable[[], bool] | None = None,
+        is_release_current: Callable[[], bool] | None = None,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -87,6 +88,9 @@
         self.position_field_line = b""
         self.is_draining = False
         self.is_release_confirmed = is_release_confirmed or _assume_confirmed
+        self.is_release_current = (
+            is_release_current or self.is_release_confirmed
+        )
         self._is_leaving = False
         self._stops_at = math.inf
         self._random = random or Random()  # noqa: S311 - jitter
--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -103,6 +103,7 @@
         claims,
         NodeCallObserver(burn, refused_call_log, clock, DecisionLog(clock)),
         is_release_confirmed=state.is_release_confirmed,
+        is_release_current=state.is_release_current,
     )
     state.attach(call_node)
     traffic = Traffic(data_centre)
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -118,6 +118,10 @@
         """Return whether no later release may be in force elsewhere."""
         return self._chooser.is_confirmed(self._holder.active_position)
 
+    def is_release_current(self) -> bool:
+        """Return whether no later release can be in force elsewhere."""
+        return self._chooser.is_current(self._holder.active_position)
+
     def attach(self, call_node: CallNode) -> None:
         """Install releases in ``call_node`` from now on."""
         self._call_node = call_node
--- a/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/source_choice.py
@@ -26,6 +26,10 @@
 # How long a source may be silent, not fresh, or behind before the node
 # looks for another one.
 SILENCE_SECONDS: Final = 3.0
+# Of the three heartbeats that the silence timeout lasts, 1.25: above
+# the interval between two, and below the staging deadline (1.25 s and
+# 2 s by default, 0.5 s and 0.6 s on the users' platform).
+CURRENT_SHARE: Final = 1.25 / 3
 NOT_FRESH_SECONDS: Final = 2.0
 BEHIND_SECONDS: Final = 1.0
 # How long the node stays with a remote source before it tries a local
@@ -108,10 +112,23 @@
         has not reported that it isn't fresh, and no source and no call
         from another node has named a later position.
         """
+        return self._is_latest(position, self._silence_seconds)
+
+    def is_current(self, position: int) -> bool:
+        """Return whether no later position can be in force elsewhere.
+
+        A source names a release to its nodes before it is activated,
+        and activation waits for the staging deadline if a node that was
+        connected lately has not answered. So that deadline, and not the
+        silence timeout, bounds how long a node that has just been cut
+        off may be sure.
+        """
+        return self._is_latest(position, self._silence_seconds * CURRENT_SHARE)
+
+    def _is_latest(self, position: int, max_age_seconds: float) -> bool:
         if self._fresh_at is None:
             return False
-        age = self._clock.monotonic() - self._fresh_at
-        if age >= self._silence_seconds:
+        if self._clock.monotonic() - self._fresh_at >= max_age_seconds:
             return False
         return max(self._named_position, self._observed_position) <= position
 
--- a/packages/distribution/tests/test_source_choice.py
+++ b/packages/distribution/tests/test_source_choice.py
@@ -345,6 +345,29 @@
     assert chooser.is_confirmed(6)
 
 
+def test_a_node_that_is_cut_off_is_soon_no_longer_sure():
+    """Guard against valid keys that a node that is behind denies.
+
+    A release may be activated elsewhere one staging deadline after the
+    last message from the source, here 2 s.
+    """
+    clock = ManualClock()
+    chooser = chooser_of(clock)
+    chooser.note_connected(LOCAL_1)
+    assert not chooser.is_current(5)
+    beat(chooser)
+    # The next heartbeat comes after 1 s.
+    clock.advance(1.1)
+    assert chooser.is_current(5)
+    clock.advance(0.2)
+    assert not chooser.is_current(5)
+    assert chooser.is_confirmed(5)
+    chooser.note_message()
+    assert chooser.is_current(5)
+    chooser.note_observed(6)
+    assert not chooser.is_current(5)
+
+
 def test_a_source_that_is_not_fresh_confirms_nothing():
     chooser = chooser_of(ManualClock())
     chooser.note_connected(LOCAL_1)
