Keep stored answers of tenants apart for every name

Cause: a tenant's name may contain a slash, and the claimed key was tenant/route/key: tenant `x`, route `pay`, key `s/k` claimed the same as tenant `x/pay`, route `s`, key `k`, or as a public route `x` with key `pay/s/k`, and would have got its stored answer. Also, each request of a tenant had its fields split twice.

Change: the tenant's part is enclosed in semicolons, which no name and no route contains. The fields without the key are cut from the block that is split already.

--- a/packages/calls/src/rhubarbhollow_calls/http_dialect.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_dialect.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from rhubarbhollow_calls import http_names as names
@@ -34,6 +34,14 @@
     credential: bytes = names.CREDENTIAL
     tenant: bytes = names.TENANT
     is_foreign: bool = False
+    # The fields that are forwarded without tenants only, and removed
+    # with them. The native ones are never forwarded. Computed once,
+    # since each request is compared with them.
+    guarded: frozenset[bytes] = field(init=False, repr=False)
+
+    def __post_init__(self) -> None:
+        guarded = (self.credential, self.tenant) if self.is_foreign else ()
+        object.__setattr__(self, "guarded", frozenset(guarded))
 
     @property
     def echoed(self) -> bytes:
@@ -47,16 +55,6 @@
             return frozenset()
         return frozenset((self.time_limit, self.upstream, self.origin))
 
-    @property
-    def guarded(self) -> frozenset[bytes]:
-        """Return the fields that are forwarded without tenants only.
-
-        The native ones are never forwarded, like all native fields.
-        """
-        if not self.is_foreign:
-            return frozenset()
-        return frozenset((self.credential, self.tenant))
-
     @property
     def forwarded(self) -> frozenset[bytes]:
         """Return the additional fields to read and forward."""
--- a/packages/calls/src/rhubarbhollow_calls/http_request_head.py
+++ b/packages/calls/src/rhubarbhollow_calls/http_request_head.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from rhubarbhollow_calls import http_names as names
@@ -62,7 +62,19 @@
         """Return the head as a release with tenants forwards it."""
         if self.unguarded_fields is self.fields:
             return self
-        return replace(self, fields=self.unguarded_fields)
+        return RequestHead(
+            self.method,
+            self.target,
+            self.host,
+            self.unguarded_fields,
+            self.body,
+            self.mesh,
+            self.idempotency_key,
+            self.is_keep_alive,
+            self.is_continue_expected,
+            b"",
+            self.unguarded_fields,
+        )
 
 
 def parse_request_head(
@@ -81,11 +93,13 @@
     block, values = split_fields(fields, dialect.dropped, dialect.forwarded)
     guarded = dialect.guarded
     open_block = block
-    credential = values.get(dialect.credential, b"")
-    if guarded and any(name in guarded for name, _ in fields):
-        credential = _join_values(fields, dialect.credential)
-        rest = [pair for pair in fields if pair[0] not in guarded]
-        open_block, _ = split_fields(rest, dialect.dropped, dialect.forwarded)
+    if guarded:
+        credential = b""
+        if not guarded.isdisjoint([name for name, _ in fields]):
+            credential = _join_values(fields, dialect.credential)
+            open_block = _without_lines(block, guarded)
+    else:
+        credential = values.get(dialect.credential, b"")
     host = values.get(names.HOST)
     if not host:
         raise HttpFaultError(
@@ -121,6 +135,15 @@
     return b", ".join(value for key, value in fields if key == name)
 
 
+def _without_lines(block: bytes, left_out: frozenset[bytes]) -> bytes:
+    """Return a block of field lines without the named ones."""
+    return b"".join(
+        line + b"\r\n"
+        for line in block.split(b"\r\n")
+        if line and line.partition(b":")[0] not in left_out
+    )
+
+
 def _check_target(method: bytes, target: bytes) -> None:
     if method == b"CONNECT":
         raise HttpFaultError(
--- a/packages/calls/src/rhubarbhollow_calls/io_keyed.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_keyed.py
@@ -81,10 +81,10 @@
         # A caller's keys are unique only among its own requests, so the
         # route name separates them from those of other routes, and the
         # tenant's name from those of other tenants: they must not get
-        # each other's answers.
+        # each other's answers. Neither name contains a semicolon.
         self._key = b"%b/%b" % (state.route.name.encode(), key)
         if identity is not None:
-            self._key = b"%b/%b" % (identity.name, self._key)
+            self._key = b";%b;%b" % (identity.name, self._key)
         self._claim_id: int | None = None
         self._response_head: ResponseHead | None = None
         self._is_response_whole = False
--- a/packages/calls/tests/test_io_tenants.py
+++ b/packages/calls/tests/test_io_tenants.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 import pytest
+from tests.standin.claims import LedgerClaims
 from tests.standin.mesh import DEFAULT_ROUTE, Mesh, run, wait_until
 from tests.standin.scripted_upstream import (
     ScriptedUpstream,
@@ -395,3 +396,60 @@
         await mesh.close()
 
     run(main())
+
+
+def test_tenants_do_not_get_each_other_s_stored_answers():
+    """Guard against an answer that another tenant's key unlocks.
+
+    Tenants choose idempotency keys on their own. Two pairs of tenant
+    and key must not run into one either.
+    """
+
+    async def main():
+        claims = LedgerClaims()
+        upstream = ScriptedUpstream(answer_with_count)
+        await upstream.start()
+        owners = [
+            Tenant(name, key_digests=(digest_of_key(name.encode()),))
+            for name in ("x", "x/pay")
+        ]
+        unsafe = [
+            replace(ROUTE, name=name, prefix=f"/{name}", is_idempotent=False)
+            for name in ("pay", "s")
+        ]
+        open_route = replace(unsafe[0], name="x", prefix="/x", is_public=True)
+        mesh = Mesh(
+            *unsafe,
+            open_route,
+            claims=claims,
+            tenants=TenantDirectory(owners),
+        )
+        await mesh.add_node("a", upstream)
+        client = await mesh.client("a")
+        calls = [
+            ("/pay", "s/k", "x"),
+            ("/s", "k", "x/pay"),
+            ("/pay", "s/k", "x/pay"),
+            ("/x", "pay/s/k", ""),
+            ("/x", "pay;s/k", ""),
+        ]
+        for _ in range(2):
+            for number, (path, key, owner) in enumerate(calls):
+                reply = await client.request(
+                    "POST",
+                    path,
+                    b"1",
+                    f"idempotency-key: {key}",
+                    field(NATIVE_DIALECT, owner),
+                )
+                assert (reply.status, reply.body) == (200, b"%d" % number)
+                await wait_until(lambda n=number: len(claims.settled) > n)
+        assert len(upstream.requests) == len(calls)
+        await mesh.close()
+
+    async def answer_with_count(request, writer):
+        writer.write(encode_answer(b"%d" % (len(counted))))
+        counted.append(request)
+
+    counted = []
+    run(main())
