--- a/packages/calls/tests/test_io_tenants.py
+++ b/packages/calls/tests/test_io_tenants.py
@@ -453,3 +453,36 @@
 
     counted = []
     run(main())
+
+
+@DIALECTS
+def test_a_revoked_key_does_not_wait_for_a_slot(dialect):
+    """Guard against callers that wait to learn that they may not."""
+
+    async def main():
+        gate = asyncio.Event()
+
+        async def wait(request, writer):
+            await gate.wait()
+            await answer(request, writer)
+
+        mesh, upstream = await two_nodes(dialect, script=wait, slots=1)
+        client = await mesh.client("b")
+        first = asyncio.create_task(
+            client.request(
+                "POST", "/a", b"1", id_field(dialect, "1"), field(dialect)
+            )
+        )
+        await wait_until(lambda: len(upstream.requests) == 1)
+        mesh.nodes["b"].node.install(snapshot(8, directory("new")))
+        other = await mesh.client("a")
+        # The slot is taken until the gate opens.
+        reply = await other.request(
+            "POST", "/a", b"2", id_field(dialect, "2"), field(dialect)
+        )
+        assert reply.status == 503
+        gate.set()
+        assert (await first).status == 200
+        await mesh.close()
+
+    run(main())
