--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -199,3 +199,36 @@
     for value in (resources, manifest, difference):
         assert SECRET not in repr(value)
         assert sha256(SECRET.encode()).hexdigest() not in repr(value)
+
+
+EDITS = st.lists(
+    st.tuples(
+        st.integers(0, 10_000),
+        st.integers(0, 3),
+        st.sampled_from(
+            [b"", b'"', b"}", b"[", b",", b"\\", b"\xff", b"0", b"null"]
+        ),
+    ),
+    min_size=1,
+    max_size=3,
+)
+
+
+@given(EDITS)
+def test_a_damaged_document_shows_no_key(edits):
+    """Guard against parsers that quote what they can't read.
+
+    What is accepted all the same has the digests of its own keys.
+    """
+    data = document(dump(ARCHIVE, {"Name": "b", "ApiKeys": [SECRET + "b"]}))
+    for offset, size, text in edits:
+        at = offset % len(data)
+        data = data[:at] + text + data[at + size :]
+    form = ConfigurationFormat("mesh")
+    outcome = form.read(data)
+    if isinstance(outcome, Err):
+        assert "sekret" not in repr(outcome.err_value)
+        return
+    assert isinstance(join_resources(outcome.ok_value), Ok)
+    again = form.read(form.render(outcome.ok_value)).ok_value
+    assert again.digest == outcome.ok_value.digest
