Leave out operators' documents where responses are printed

Cause: a response of the operators' port may be the document with keys.

Tests: test_documents_of_operators_are_not_printed; daemon, release, distribution, tenants, cli, wire, tests/platform, tests/standin: 1,285 passed.

--- a/packages/daemon/src/rhubarbhollow_daemon/http_response.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/http_response.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
@@ -16,10 +16,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """Hold a complete response."""
+    """Hold a complete response; the body is not printed."""
 
     status: int
-    body: bytes
+    body: bytes = field(repr=False)
     content_type: str = JSON_TYPE
 
 
--- a/packages/daemon/tests/test_control_handlers.py
+++ b/packages/daemon/tests/test_control_handlers.py
@@ -6,6 +6,7 @@
 
 from rhubarbhollow_daemon.control_handlers import ControlHandlers
 from rhubarbhollow_daemon.http_request import HttpRequest
+from rhubarbhollow_daemon.http_response import HttpResponse
 from rhubarbhollow_release.manifest import Manifest
 from rhubarbhollow_release.resource_set import split_manifest
 from rhubarbhollow_release.tenant_entry import TenantEntry
@@ -36,5 +37,7 @@
     assert b'"tenants":[{"key_digests":' in answer.body
 
 
-def test_the_body_of_a_request_is_not_printed():
+def test_documents_of_operators_are_not_printed():
+    """Guard against keys in tracebacks: documents hold them."""
     assert SECRET not in repr(HttpRequest("PUT", "/", "", SECRET.encode()))
+    assert SECRET not in repr(HttpResponse(200, SECRET.encode()))
