--- a/packages/daemon/tests/test_control_instance.py
+++ b/packages/daemon/tests/test_control_instance.py
@@ -176,7 +176,7 @@
             [address.name for address in message.controls]
         )
     )
-    instance = ControlInstance(parts, None)
+    instance = ControlInstance(parts, None, None)
 
     def wait(seconds):
         instance._note_absent_controls(clock.monotonic())
