Adopt each tenant's share at a new leader

Cause: a control instance whose first report to a new leader was lost reported the other tenants' leases as if the new leader had granted them.

Change: a claim says that its lease is of another epoch; the first term inherits nothing.

--- a/packages/daemon/src/rhubarbhollow_daemon/quota_service.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/quota_service.py
@@ -30,7 +30,8 @@
 
 TICK_SECONDS: Final = 0.025
 # Without a quota in force there is nothing to do but to notice one.
-IDLE_SECONDS: Final = 0.25
+IDLE_SECONDS: Final = 0.1
+FIRST_TERM: Final = 1
 
 _log = structlog.get_logger()
 
@@ -194,7 +195,11 @@
 
     def _begin_leading(self, status: ReplicaStatus, now: float) -> None:
         self._follow_release()
-        past = past_quotas(self._machine.ledger)
+        # No leader came before the first term.
+        is_first = status.term <= FIRST_TERM
+        past: Mapping[str, set[Quota]] = {}
+        if not is_first:
+            past = past_quotas(self._machine.ledger)
         unsplit = [
             name
             for name, quotas in past.items()
--- a/packages/quota/src/rhubarbhollow_quota/branch.py
+++ b/packages/quota/src/rhubarbhollow_quota/branch.py
@@ -152,7 +152,8 @@
             returned,
             round_up(lease.whole.rate),
             round_up(lease.whole.burst),
-            lease.applied,
+            # A lease of an earlier leader has to be adopted first.
+            lease.applied if lease.epoch == self.reporter.epoch else -1,
             is_half,
         )
 
--- a/packages/quota/tests/test_gate.py
+++ b/packages/quota/tests/test_gate.py
@@ -89,6 +89,8 @@
     world.load("a", 900, list(world.leaves), 8.0, 3.0)
     world.run(8.0)
     gate = world.leaves["n0"].gate
+    # With its parent it would ask first.
+    gate.set_connected(False)
     verdicts = [gate.admit(TENANT, 8.0) for _ in range(20)]
     waits = [
         v.retry_after_seconds for v in verdicts if isinstance(v, OverQuota)
@@ -110,3 +112,30 @@
     before = world.admitted["a"]
     world.run(14.0)
     assert world.admitted["a"] - before <= 10 + 6 * 10
+
+
+def test_a_new_leader_adopts_the_shares_of_every_tenant():
+    """Guards against a share that is lost since another was first.
+
+    A control instance that had reported one tenant to the new leader
+    reported the others' leases as if that leader had granted them.
+    """
+    quotas = {"hot": Quota(20, 20), "calm": Quota(40, 40)}
+    world = World(quotas, nodes=3, seed=2)
+    for leaf in list(world.leaves):
+        world.move(leaf, "c1")
+    world.load("hot", 120, list(world.leaves), 16.0, 3.0)
+    world.load("calm", 20, list(world.leaves), 16.0, 3.0)
+    world.run(8.0)
+    world.kill_site("c0")
+    world.run(9.0)
+    world.elect("c2")
+    # The first report to the new leader, on both tenants, is lost; the
+    # next one is urgent and names the hot tenant only.
+    world.run(9.003)
+    world.blocked.add(frozenset(("c1", "c2")))
+    world.run(9.015)
+    world.blocked.clear()
+    before = world.rejected["calm"]
+    world.run(14.0)
+    assert world.rejected["calm"] - before <= 0.05 * 5 * 20
--- a/packages/quota/tests/test_schedules.py
+++ b/packages/quota/tests/test_schedules.py
@@ -86,7 +86,7 @@
 
 def play(first, steps, seed):
     world = World(
-        {"a": first},
+        {"a": first, "b": Quota(30, 30)},
         seed=seed,
         controls=CONTROLS,
         nodes=NODES,
@@ -100,6 +100,7 @@
             # More than a second of load adds no new interleaving.
             world.load("a", rate, leaves, min(until, world.now + 3.0))
             world.load("a", rate, leaves, until, max(world.now, until - 1.0))
+            world.load("b", 20.0, leaves, min(until, world.now + 0.5))
         world.run(until)
     return world
 
