--- a/packages/daemon/src/rhubarbhollow_daemon/call_observer.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/call_observer.py
@@ -29,6 +29,7 @@
         RefusalKind.HEADERS_TOO_LARGE,
         RefusalKind.KEY_CONFLICT,
         RefusalKind.KEY_UNKNOWN,
+        RefusalKind.QUOTA_EXCEEDED,
     }
 )
 
