Settle quota pools as they are used

Cause: a control instance updated every pool on each report of a node. Change: a pool is updated by the call that uses it; pools without demand fill once a second.

--- a/packages/daemon/src/rhubarbhollow_daemon/quota_service.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/quota_service.py
@@ -31,6 +31,8 @@
 TICK_SECONDS: Final = 0.025
 # Without a quota in force there is nothing to do but to notice one.
 IDLE_SECONDS: Final = 0.1
+# A pool counts from its first use, so the first fill starts it.
+FILL_SECONDS: Final = 1.0
 FIRST_TERM: Final = 1
 
 _log = structlog.get_logger()
@@ -64,6 +66,7 @@
         self._root: Allocator | None = None
         self._root_source: RootCapacity | None = None
         self._root_term = 0
+        self._fill_at = 0.0
         self._term = 0
 
     @property
@@ -91,13 +94,19 @@
         if not self._quotas:
             return
         if self._root is not None:
-            self._root.fill(self._quotas, now)
+            self._fill(self._root, now)
             for child, grant in self._root.serve_waiting(now):
                 self._send_to_control(child, grant)
         for node, grant in self._branch.allocator.serve_waiting(now):
             self._send_to_node(node, grant)
         self._report(status, now)
 
+    def _fill(self, root: Allocator, now: float) -> None:
+        """Let the pools of tenants without demand fill as well."""
+        if now >= self._fill_at:
+            self._fill_at = now + FILL_SECONDS
+            root.fill(self._quotas, now)
+
     def handle_node_report(self, link: NodeLink, report: QuotaReport) -> None:
         """Answer a node's report."""
         if report.child != link.hello.node:
@@ -211,6 +220,7 @@
         self._root_source = source
         self._root = Allocator("", status.term, source, has_leaves=False)
         self._root_term = status.term
+        self._fill_at = 0.0
         _log.info(
             "quota_leadership_begun",
             term=status.term,
--- a/packages/quota/src/rhubarbhollow_quota/allocator.py
+++ b/packages/quota/src/rhubarbhollow_quota/allocator.py
@@ -165,10 +165,11 @@
         for tenant in tenants:
             self.pool(tenant, now)
 
-    def settle(self, now: float) -> None:
-        """Update every pool, and drop those that have ended."""
-        for tenant in tuple(self._pools):
-            self.pool(tenant, now)
+    def purge(self, now: float) -> None:
+        """Drop the pools that have ended, at times.
+
+        Other calls update the pool that they use.
+        """
         if now >= self._purge_at:
             self._purge_at = now + PURGE_SECONDS
             ended = [t for t, p in self._pools.items() if p.is_over(now)]
--- a/packages/quota/src/rhubarbhollow_quota/branch.py
+++ b/packages/quota/src/rhubarbhollow_quota/branch.py
@@ -103,7 +103,7 @@
 
     def poll(self, now: float) -> QuotaReport | None:
         """Return the report to the leader that is due, if one is."""
-        self.allocator.settle(now)
+        self.allocator.purge(now)
         return self.reporter.poll(now)
 
     def tenants(self) -> Iterable[str]:
