--- a/packages/calls/src/rhubarbhollow_calls/io_caller.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller.py
@@ -37,6 +37,7 @@
     from rhubarbhollow_calls.io_route_state import RouteState
     from rhubarbhollow_quota.verdict import Verdict
     from rhubarbhollow_tenants.identity import Identity
+    from rhubarbhollow_tenants.tenant import Tenant
 
 
 class CallerPort:
@@ -86,20 +87,16 @@
         refusal = refuse_stopping(node, deadline, state)
         if refusal is not None:
             return self._refuse(head, downstream, request_id, refusal)
-        verdict: Verdict = ADMITTED
         tenant = None if identity is None else tenants.tenant_of(identity)
-        if tenant is not None and tenant.rate > 0.0 and node.quota:
-            verdict = node.quota.admit(tenant)
-            if isinstance(verdict, OverQuota | Unconfirmed):
-                return RefusedExchange(
-                    node, downstream, head, request_id, *refusal_of(verdict)
-                )
+        verdict = self._admit(tenant)
+        if isinstance(verdict, OverQuota | Unconfirmed):
+            return RefusedExchange(
+                node, downstream, head, request_id, *refusal_of(verdict)
+            )
         exchange = self._make_exchange(
             downstream, head, request_id, deadline, state, now, identity
         )
-        if tenant is not None and node.quota and isinstance(verdict, Wait):
-            objective = state.route.latency_seconds
-            exchange.await_quota(node.quota.open_wait(tenant, objective))
+        self._hold_back(exchange, tenant, verdict, state)
         node.call_began(exchange)
         return exchange
 
@@ -119,6 +116,26 @@
         node.counters.keys_refused[refusal.kind] += 1
         return None, refusal
 
+    def _admit(self, tenant: Tenant | None) -> Verdict:
+        """Count a request against its tenant's quota, if it has one."""
+        quota = self._node.quota
+        if tenant is None or tenant.rate <= 0.0 or quota is None:
+            return ADMITTED
+        return quota.admit(tenant)
+
+    def _hold_back(
+        self,
+        exchange: CallerExchange,
+        tenant: Tenant | None,
+        verdict: Verdict,
+        state: RouteState,
+    ) -> None:
+        """Let a call wait that was told to."""
+        quota = self._node.quota
+        if isinstance(verdict, Wait) and tenant is not None and quota:
+            objective = state.route.latency_seconds
+            exchange.await_quota(quota.open_wait(tenant, objective))
+
     def encode_fault(self, fault: HttpFault) -> bytes:
         """Return the complete response to an unparsable request."""
         self._node.counters.malformed += 1
--- a/packages/quota/src/rhubarbhollow_quota/branch.py
+++ b/packages/quota/src/rhubarbhollow_quota/branch.py
@@ -103,7 +103,7 @@
 
     def poll(self, now: float) -> QuotaReport | None:
         """Return the report to the leader that is due, if one is."""
-        self.allocator.settle(now)
+        self.allocator.purge(now)
         return self.reporter.poll(now)
 
     def tenants(self) -> Iterable[str]:
@@ -152,7 +152,8 @@
             returned,
             round_up(lease.whole.rate),
             round_up(lease.whole.burst),
-            lease.applied,
+            # A lease of an earlier leader has to be adopted first.
+            lease.applied if lease.epoch == self.reporter.epoch else -1,
             is_half,
         )
 
