--- a/packages/calls/src/rhubarbhollow_calls/placement.py
+++ b/packages/calls/src/rhubarbhollow_calls/placement.py
@@ -56,11 +56,6 @@
     CallPriority.BULK: (0.25, 1.0),
 }
 
-# The same where nodes report their upstreams' loads: a wait that the
-# local upstreams have in common is known early enough to spill over
-# before the slack is spent.
-_REPORTED_SLACK_SHARES: Final = (0.4, 1.0)
-
 _USABLE: Final = frozenset(
     (
         Eligibility.LOCAL,
@@ -93,16 +88,13 @@
     ]
     local = [evidence for evidence in usable if evidence.is_local]
     remote = [evidence for evidence in usable if not evidence.is_local]
-    is_reported = any(each.free_slots is not None for each in local)
-    shares = _SLACK_SHARES[needs.priority]
-    if is_reported:
+    if any(each.free_slots is not None for each in local):
         free = _choose_free(local, needs, now, random)
         if free is not None:
             return free
-        shares = _REPORTED_SLACK_SHARES
     local_best = _earliest_completion(local, needs, now, random)
     remote_best = _earliest_completion(remote, needs, now, random)
-    for share in shares:
+    for share in _SLACK_SHARES[needs.priority]:
         if local_best is not None and (
             expected_wait(local_best, needs.priority, now)
             <= share * slack(local_best, needs, now)
