Place by earliest completion on the reported loads

Cause: where few slots are free, all nodes have the same report and meet at the upstreams that have them.

--- a/packages/calls/src/rhubarbhollow_calls/placement.py
+++ b/packages/calls/src/rhubarbhollow_calls/placement.py
@@ -15,10 +15,6 @@
 from rhubarbhollow_calls.candidate_view import Eligibility
 from rhubarbhollow_calls.service_times import SERVICE_MARGIN
 from rhubarbhollow_calls.upstream_ranking import rank_endpoint
-from rhubarbhollow_placement.capacity_choice import (
-    Capacity,
-    choose_by_capacity,
-)
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
@@ -88,10 +84,6 @@
     ]
     local = [evidence for evidence in usable if evidence.is_local]
     remote = [evidence for evidence in usable if not evidence.is_local]
-    if any(each.free_slots is not None for each in local):
-        free = _choose_free(local, needs, now, random)
-        if free is not None:
-            return free
     local_best = _earliest_completion(local, needs, now, random)
     remote_best = _earliest_completion(remote, needs, now, random)
     for share in _SLACK_SHARES[needs.priority]:
@@ -174,31 +166,6 @@
     return seconds / success_share**FAILURE_EXPONENT
 
 
-def _choose_free(
-    candidates: Sequence[UpstreamEvidence],
-    needs: PlacementNeeds,
-    now: float,
-    random: Random,
-) -> UpstreamEvidence | None:
-    """Return a candidate with a free slot, or ``None``."""
-    capacities = [
-        Capacity(
-            _free_slots(evidence),
-            service_seconds(evidence, needs, now),
-            expected_completion(evidence, needs, now),
-        )
-        for evidence in candidates
-    ]
-    index = choose_by_capacity(capacities, random)
-    return None if index is None else candidates[index]
-
-
-def _free_slots(evidence: UpstreamEvidence) -> int:
-    if evidence.free_slots is None:
-        return 0
-    return evidence.free_slots - evidence.sent_since_load
-
-
 def _earliest_completion(
     candidates: Sequence[UpstreamEvidence],
     needs: PlacementNeeds,
