--- a/packages/daemon/src/rhubarbhollow_daemon/rollout_coordinator.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/rollout_coordinator.py
@@ -31,8 +31,8 @@
 MS_PER_SECOND: Final = 1000
 # Routes of all running rollouts; bounds a summary.
 MAX_TOTALS: Final = 4_096
-# Reports of many nodes share a summary.
-SUMMARY_SECONDS: Final = 0.25
+# Reports of many nodes share a summary to another data centre.
+SUMMARY_SECONDS: Final = 0.4
 # A summary that was lost with a connection is repeated.
 REPEAT_SECONDS: Final = 1.0
 
