Settle the version in force ten seconds after the first upstream

Cause: a node that starts while all others do may learn of upstreams of a new version first, and kept the old ones from calls from then on. Found by reading.

Tests: 1 new, which fails without the change; test_candidates.py lets the 10 s pass where it means a settled version.

--- a/packages/rollout/src/rhubarbhollow_rollout/node.py
+++ b/packages/rollout/src/rhubarbhollow_rollout/node.py
@@ -21,6 +21,9 @@
 
 # Reports that may still be answered.
 MAX_PENDING_REPORTS: Final = 16
+# A node learns of the upstreams one after the other, as after a loss of
+# all power. For this time the version seen first is not settled.
+SETTLE_SECONDS: Final = 10.0
 # The first version of a service that has disappeared for this long is
 # no longer the one in force.
 FORGET_VERSION_SECONDS: Final = 30.0
@@ -38,6 +41,7 @@
         self._splits: dict[str, ExposureSplit] = {}
         self._recorders: dict[str, EvidenceRecorder] = {}
         self._first_seen: dict[str, str] = {}
+        self._settled_at: dict[str, float] = {}
         self._missing_since: dict[str, float] = {}
         self._sequence = 0
         self._sent_at: dict[int, float] = {}
@@ -160,15 +164,17 @@
             self._recorders[view.service] = recorder
         if view.state == COMPLETED:
             self._first_seen[view.service] = view.new_version
+            self._settled_at[view.service] = float("-inf")
         return True
 
     def _note_versions(
         self, service: str, upstreams: Sequence[Upstream]
     ) -> str:
         """Return the version of the service that was seen first."""
-        first = self._first_seen.get(service)
         now = self._clock.monotonic()
-        if first is None:
+        settled_at = self._settled_at.setdefault(service, now + SETTLE_SECONDS)
+        first = self._first_seen.get(service)
+        if first is None or now < settled_at:
             first = self._first_seen[service] = oldest_version(upstreams)
         if any(upstream.version == first for upstream in upstreams):
             self._missing_since.pop(service, None)
--- a/packages/rollout/tests/test_candidates.py
+++ b/packages/rollout/tests/test_candidates.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from rhubarbhollow_rollout.messages import RolloutExposure, RolloutView
-from rhubarbhollow_rollout.node import NodeRollouts
+from rhubarbhollow_rollout.node import SETTLE_SECONDS, NodeRollouts
 from rhubarbhollow_wire.clock import ManualClock
 
 
@@ -23,8 +23,10 @@
 
 
 def start(*views: RolloutView) -> NodeRollouts:
-    rollouts = NodeRollouts(ManualClock(), Random(1))
+    clock = ManualClock()
+    rollouts = NodeRollouts(clock, Random(1))
     rollouts.divide("frame", OLD)
+    clock.advance(SETTLE_SECONDS)
     rollouts.accept(RolloutExposure(0, 0, views))
     return rollouts
 
@@ -60,6 +62,16 @@
     assert division.stable == names(OLD)
 
 
+def test_a_node_that_learns_of_the_new_ones_first() -> None:
+    """After a loss of power upstreams are announced in any order."""
+    rollouts = NodeRollouts(ManualClock(), Random(1))
+    rollouts.divide("frame", NEW[:2])
+    rollouts.divide("frame", NEW[:4] + OLD[:2])
+    division = rollouts.divide("frame", NEW[:9] + OLD)
+    assert division is not None
+    assert division.stable == names(OLD)
+
+
 def test_the_share_goes_to_a_few_that_have_the_usual_load() -> None:
     """A version that fails only under load would pass otherwise."""
     first = start(view(1)).divide("frame", OLD + NEW)
@@ -107,6 +119,11 @@
     clock = ManualClock()
     rollouts = NodeRollouts(clock, Random(1))
     rollouts.divide("frame", OLD)
+    clock.advance(SETTLE_SECONDS)
+    rollouts.divide("frame", NEW)
+    division = rollouts.divide("frame", OLD + NEW)
+    assert division is not None
+    assert division.stable == names(OLD)
     rollouts.divide("frame", NEW)
     clock.advance(31)
     rollouts.divide("frame", NEW)
