Keep the version seen first unless it is outnumbered

In the first 10 s a tie between two versions was decided by which node had started first, and nodes that start together start in any order.

Change: in that time the version seen first is given up only if another one has more upstreams.

--- a/packages/rollout/src/rhubarbhollow_rollout/candidates.py
+++ b/packages/rollout/src/rhubarbhollow_rollout/candidates.py
@@ -95,6 +95,12 @@
     return min(counts, key=lambda each: (-counts[each], first[each], each))
 
 
+def is_outnumbered(upstreams: Sequence[Upstream], version: str) -> bool:
+    """Return whether another version has more upstreams."""
+    counts = Counter(upstream.version for upstream in upstreams)
+    return max(counts.values()) > counts[version]
+
+
 def _oldest(upstreams: Sequence[Upstream], preferred: str) -> str:
     if any(upstream.version == preferred for upstream in upstreams):
         return preferred
--- a/packages/rollout/src/rhubarbhollow_rollout/node.py
+++ b/packages/rollout/src/rhubarbhollow_rollout/node.py
@@ -5,7 +5,12 @@
 from typing import TYPE_CHECKING, Final
 
 from rhubarbhollow_rollout.attempt import AttemptEnd
-from rhubarbhollow_rollout.candidates import Division, divide, oldest_version
+from rhubarbhollow_rollout.candidates import (
+    Division,
+    divide,
+    is_outnumbered,
+    oldest_version,
+)
 from rhubarbhollow_rollout.messages import RolloutReport
 from rhubarbhollow_rollout.recorder import EvidenceRecorder
 from rhubarbhollow_rollout.split import ExposureSplit
@@ -174,7 +179,9 @@
         now = self._clock.monotonic()
         settled_at = self._settled_at.setdefault(service, now + SETTLE_SECONDS)
         first = self._first_seen.get(service)
-        if first is None or now < settled_at:
+        if first is None or (
+            now < settled_at and is_outnumbered(upstreams, first)
+        ):
             first = self._first_seen[service] = oldest_version(upstreams)
         if any(upstream.version == first for upstream in upstreams):
             self._missing_since.pop(service, None)
--- a/packages/rollout/tests/test_candidates.py
+++ b/packages/rollout/tests/test_candidates.py
@@ -72,6 +72,16 @@
     assert division.stable == names(OLD)
 
 
+def test_as_many_new_ones_in_a_young_mesh_change_nothing() -> None:
+    """Nodes that start together may start in any order."""
+    rollouts = NodeRollouts(ManualClock(), Random(1))
+    late = [Fake(f"o{index}", "v1", incarnation=9) for index in range(10)]
+    rollouts.divide("frame", late)
+    division = rollouts.divide("frame", late + NEW)
+    assert division is not None
+    assert division.stable == names(OLD)
+
+
 def test_the_share_goes_to_a_few_that_have_the_usual_load() -> None:
     """A version that fails only under load would pass otherwise."""
     first = start(view(1)).divide("frame", OLD + NEW)
