--- a/packages/release/src/rhubarbhollow_release/closure.py
+++ b/packages/release/src/rhubarbhollow_release/closure.py
@@ -205,11 +205,7 @@
 def _find_shared_keys(
     items: Iterable[PlacedItem],
 ) -> Iterator[ManifestFault]:
-    """Yield the tenants with a key of another one.
-
-    The fault names the other tenant and not the key: the digest of a
-    weak key gives it away.
-    """
+    """Yield the tenants with a key of another one, not the key."""
     owners: dict[str, str] = {}
     for placed in items:
         tenant = placed.item
