Take the index of a relayed read when the read begins

Seen: after a restart of all control instances a read relayed to the new leader can be confirmed at index 0, so that an operator is shown a state without acknowledged changes. Reads before the leader's first commit of its term were refused.

Cause: ReleaseLog took the commit index before the leadership was confirmed. If replies that commit the term's first entry were handled between the two, the confirmation succeeded with the older index.

Conclusion: done.

--- a/packages/daemon/src/rhubarbhollow_daemon/release_log.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/release_log.py
@@ -114,7 +114,7 @@
     async def _answer(self, request: ProposeRequest) -> ProposeAnswer:
         leader = self._replica.status.leader or ""
         if request.kind == SubmissionKind.READ_INDEX:
-            index = await self._confirm_commit_index()
+            index = await self._replica.confirm_commit_index()
             payload = b"" if index is None else _LOG_INDEX.pack(index)
             return ProposeAnswer(request.request_id, 0, payload, leader)
         outcome: DocumentOutcome | None
@@ -166,17 +166,6 @@
         (index,) = _LOG_INDEX.unpack(answer.outcome)
         return int(index)
 
-    async def _confirm_commit_index(self) -> int | None:
-        """Return the commit index at the call, or ``None``.
-
-        ``None`` means that no quorum confirmed that this instance is
-        the leader.
-        """
-        index = self._replica.status.commit_index
-        if not await self._replica.confirm_leadership():
-            return None
-        return index
-
     def _connected_leader(self) -> str | None:
         leader = self._replica.status.leader or ""
         link = self._links.by_name.get(leader)
--- a/packages/replication/src/rhubarbhollow_replication/core.py
+++ b/packages/replication/src/rhubarbhollow_replication/core.py
@@ -69,7 +69,9 @@
     """A linearizable read that waits to be confirmed.
 
     The read may be served once a quorum has answered ``round`` and
-    ``index`` is applied.
+    ``index`` is applied, which is an entry of the leader's own term or
+    a later one: until such an entry is committed, a leader may not know
+    of every entry committed in earlier terms.
     """
 
     round: int
@@ -361,15 +363,11 @@
     def begin_read(self) -> Result[ReadTicket, NotLeader]:
         """Request a round that confirms the leadership for a read."""
         leadership = self._leadership
-        commit_index = self.commit_index
         if leadership is None:
             return Err(NotLeader(self.leader))
-        if self._journal.log.term_at(commit_index) != self.term:
-            # Until an entry of its own term is committed, a leader may
-            # not know of every entry committed in earlier terms.
-            return Err(NotLeader(None))
+        index = max(self.commit_index, leadership.first_index)
         number = leadership.request_round()
-        return Ok(ReadTicket(number, self.term, commit_index))
+        return Ok(ReadTicket(number, self.term, index))
 
     def is_read_confirmed(self, ticket: ReadTicket) -> bool | None:
         """Return whether a quorum has answered the round of a read.
--- a/packages/replication/src/rhubarbhollow_replication/leadership.py
+++ b/packages/replication/src/rhubarbhollow_replication/leadership.py
@@ -40,6 +40,7 @@
         self._term = term
         self._journal = journal
         self._outbox = outbox
+        self._first_index = journal.log.last_index + 1
         self._peers: dict[str, Progress] = {}
         self._is_round_pending = True
         self._is_leaving = False
@@ -53,6 +54,14 @@
         """The leader lease, renewed by confirmed rounds."""
         return self._lease
 
+    @property
+    def first_index(self) -> int:
+        """The index of the term's first entry.
+
+        Every entry committed in earlier terms is below it.
+        """
+        return self._first_index
+
     @property
     def heartbeat_at(self) -> float:
         """The time at which the next round is due."""
--- a/packages/replication/src/rhubarbhollow_replication/pending.py
+++ b/packages/replication/src/rhubarbhollow_replication/pending.py
@@ -59,9 +59,13 @@
 
 @dataclass(eq=False, slots=True)
 class PendingRead:
-    """A read that waits for this replica to confirm its lease."""
+    """A read that waits for this replica to confirm its lease.
+
+    ``index`` is the last entry that it has to see, once it has begun.
+    """
 
     future: Future[bool] = field(default_factory=Future)
+    index: int = 0
 
 
 Pending: TypeAlias = PendingProposal | PendingChange | PendingRead
--- a/packages/replication/src/rhubarbhollow_replication/replica.py
+++ b/packages/replication/src/rhubarbhollow_replication/replica.py
@@ -202,11 +202,21 @@
         also false if the replica is overloaded or closed or its store
         failed, so false does not mean that another replica leads.
         """
+        return await self.confirm_commit_index() is not None
+
+    async def confirm_commit_index(self) -> int | None:
+        """Return an index that a read has to see, or ``None``.
+
+        Everything acknowledged before the call is at most at this
+        index, which is applied here. ``None`` means what false means
+        for ``confirm_leadership``. The call of a new leader waits until
+        an entry of its own term is committed.
+        """
         if self._admission_fault() is not None:
-            return False
+            return None
         read = PendingRead()
         self._enqueue(read)
-        return await read.future.wait()
+        return read.index if await read.future.wait() else None
 
     async def run(
         self,
--- a/packages/replication/src/rhubarbhollow_replication/request_tracker.py
+++ b/packages/replication/src/rhubarbhollow_replication/request_tracker.py
@@ -53,6 +53,7 @@
 
     def add_read(self, ticket: ReadTicket, read: PendingRead) -> None:
         """Track a read that waits for the round of ``ticket``."""
+        read.index = ticket.index
         self._reads.append((ticket, read))
 
     def resolve(
--- a/packages/replication/tests/seeded_run.py
+++ b/packages/replication/tests/seeded_run.py
@@ -369,6 +369,7 @@
             if isinstance(request, PendingRead):
                 self.report.reads += value
                 assert not value or member.applied_index >= expected
+                assert not value or request.index >= expected
             elif isinstance(value, Ok):
                 assert member.core.has_lease(member.now()), (
                     "success reported without a lease"
--- a/packages/replication/tests/test_replica.py
+++ b/packages/replication/tests/test_replica.py
@@ -16,6 +16,7 @@
 from result import Err, Ok
 from structlog.testing import capture_logs
 
+from rhubarbhollow_replication.append import AppendReply, AppendRequest
 from rhubarbhollow_replication.disk import OsDisk
 from rhubarbhollow_replication.fault import (
     NotLeader,
@@ -349,6 +350,70 @@
     anyio.run(run)
 
 
+@pytest.mark.parametrize("is_call_first", [False, True])
+@pytest.mark.parametrize("count", [0, 1, 2])
+def test_a_new_leader_confirms_no_index_below_what_was_acknowledged(
+    tmp_path, count, is_call_first
+):
+    """Guard against a read that misses acknowledged commands.
+
+    After a restart of all members the commit index is 0 until the new
+    leader has the replies to its first entry. They are held back here,
+    and the call is made just before or after ``count`` of them arrive.
+    """
+
+    async def first_run():
+        async with running(tmp_path) as (cluster, _):
+            leader = await cluster.leader()
+            for _ in range(5):
+                await cluster.call(leader.propose, b"one")
+            return leader.status.commit_index
+
+    async def second_run():
+        async with running(tmp_path) as (cluster, tasks):
+            leader, held = await hold_replies(cluster)
+            assert leader.status.commit_index == 0
+            answers = []
+
+            async def confirm():
+                answers.append(await leader.confirm_commit_index())
+
+            if is_call_first:
+                tasks.start_soon(confirm)
+                await cluster.advance()
+                assert answers == []
+            for reply in held[:count]:
+                leader.receive(reply)
+            cluster.muted.clear()
+            async with anyio.create_task_group() as steps:
+                steps.start_soon(cluster.wait_until, lambda: answers)
+                if not is_call_first:
+                    # Nothing runs between the replies and the call.
+                    await confirm()
+            return answers[0]
+
+    acknowledged = anyio.run(first_run)
+    assert acknowledged >= 5
+    assert anyio.run(second_run) >= acknowledged
+
+
+async def hold_replies(cluster):
+    """Elect a leader; return it and the replies that it doesn't get."""
+    held = []
+
+    def hold(message):
+        if isinstance(message, AppendRequest):
+            cluster.muted = {message.leader}
+        elif isinstance(message, AppendReply):
+            held.append(message)
+
+    cluster.on_send = hold
+    await cluster.wait_until(lambda: len(held) >= 2)
+    cluster.on_send = lambda message: None
+    (name,) = cluster.muted
+    return cluster.replicas[name], held
+
+
 def test_proposals_over_a_limit_are_rejected(tmp_path):
     """Check that oversized and excess proposals are rejected.
 
--- a/tests/platform/test_document_service.py
+++ b/tests/platform/test_document_service.py
@@ -53,6 +53,9 @@
     async def confirm_leadership(self):
         return self.is_confirmed
 
+    async def confirm_commit_index(self):
+        return self.status.commit_index if self.is_confirmed else None
+
     def on_applied(self, callback):
         pass
 
