--- a/packages/daemon/src/rhubarbhollow_daemon/process.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/process.py
@@ -260,12 +260,11 @@
             node.quarantine.forget_old()
 
     async def _wait_for_shutdown(self) -> None:
-        """Drain on the first signal, stop on the second.
+        """Drain on the first signal, stop on SIGINT during the drain.
 
-        SIGHUP is ignored; an extension that reloads its configuration
-        watches the file instead.
+        A supervisor may repeat SIGTERM; the calls in flight must not
+        pay for that. It has SIGKILL to stop a process at once.
         """
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         with anyio.open_signal_receiver(
             signal.SIGTERM,
             signal.SIGINT,
@@ -278,7 +277,10 @@
                     group.cancel_scope.cancel()
 
                 group.start_soon(drain)
-                await signals.__anext__()
+                async for number in signals:
+                    if number == signal.SIGINT:
+                        break
+                    _log.info("signal_repeated")
                 _log.warning("stop_without_drain")
                 group.cancel_scope.cancel()
 
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -74,3 +74,42 @@
     absent = {"asyncio", "anyio", "structlog", "uvicorn"}
     assert absent.isdisjoint(loaded)
     assert "rhubarbhollow_daemon.process" not in loaded
+
+
+@pytest.mark.parametrize(
+    ("entry", "program"),
+    [
+        (
+            "from rhubarbhollow_platform import __main__ as entry",
+            "rhubarbhollow_platform.startup",
+        ),
+        (
+            "from rhubarbhollow_daemon import main as entry",
+            "rhubarbhollow_daemon.command",
+        ),
+    ],
+)
+def test_a_hangup_is_ignored_before_the_program_is_loaded(entry, program):
+    """Guard against a signal that ends the process while it starts.
+
+    The program reports what SIGHUP does when its first line runs.
+    """
+    script = f"""
+import signal, sys
+class Loaded:
+    def find_spec(self, name, path=None, target=None):
+        if name == {program!r}:
+            print(signal.getsignal(signal.SIGHUP) is signal.SIG_IGN)
+            sys.stdout.flush()
+            sys.exit()
+sys.meta_path.insert(0, Loaded())
+{entry}
+entry.main()
+"""
+    run = subprocess.run(
+        [sys.executable, "-c", script],
+        check=True,
+        capture_output=True,
+        text=True,
+    )
+    assert run.stdout.split() == ["True"]
