Wait for all instances before a test contests a change

Seen: test_changes_and_calls_survive_a_crash_and_a_drain got no connection from the third instance, 1 of 5 runs beside other workers (load 20 to 29).

Cause, by reading: since a majority forms the log, an acknowledged change no longer implies that the third instance listens. The test relied on the unanimity of before.

Change: the test waits until all instances show the change, as it did two lines later, and then makes the same checks.

--- a/tests/processes/test_platform_roles.py
+++ b/tests/processes/test_platform_roles.py
@@ -266,12 +266,13 @@
     """
     first, second = build_document(2), build_document(7, "/b/")
     wait_for_result(lambda: put_configuration(HOSTS[0], first, 0), 200)
+    # A majority forms the log, so one instance may still be starting.
+    for host in HOSTS:
+        wait_for_result(lambda host=host: get_configuration(host), first)
     # A repeat at another instance succeeds; a different document for
     # the same version is refused.
     assert put_configuration(HOSTS[1], first, 0) == 200
     assert put_configuration(HOSTS[2], build_document(2, "/c/"), 0) == 412
-    for host in HOSTS:
-        wait_for_result(lambda host=host: get_configuration(host), first)
     for host in NODE_HOSTS:
         wait_for_result(lambda host=host: readiness_status(host), 200)
 
