--- a/packages/quota/tests/quota_world.py
+++ b/packages/quota/tests/quota_world.py
@@ -62,6 +62,7 @@
         local_delay=0.0005,
         remote_delay=0.001,
         jitter=0.0,
+        loss=0.0,
         strict=True,
     ):
         self.random = Random(seed)
@@ -70,6 +71,7 @@
         self.local_delay = local_delay
         self.remote_delay = remote_delay
         self.jitter = jitter
+        self.loss = loss
         self.strict = strict
         self.events = []
         self.sequence = count()
@@ -242,7 +244,8 @@
             self.at(self.now, call, *arguments)
             return
         self.messages += 1
-        if self.is_blocked(sender, receiver):
+        is_lost = self.random.random() < self.loss
+        if is_lost or self.is_blocked(sender, receiver):
             return
         is_remote = sender in self.sites and receiver in self.sites
         self.remote_messages += is_remote
