Compare admission policies without a network

Cause: the order at the gate and the rejections were chosen on one load, and nothing shows what a change costs clients.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,6 +7,7 @@
 import click
 import uvloop
 
+from bench.admission_report import print_admission
 from bench.call_path import compare_topologies
 from bench.change_cost import run_change_cost
 from bench.distribution import measure_size
@@ -112,5 +113,13 @@
     print_policy()
 
 
+@main.command()
+@click.option("--seeds", default=2, help="Runs of each load and policy.")
+@click.option("--only", default="", help="Part of the name of a load.")
+def admission(seeds: int, only: str) -> None:
+    """Compare policies of the gate beside an upstream."""
+    print_admission(seeds, only)
+
+
 if __name__ == "__main__":
     main()
