Decide order and rejection at the gate in one place

Cause: urgent calls waited until their deadline, so that a surge left a queue in which every call started too late; a lane's ninth and the queue's length decided the rest. Change: `rhubarbhollow_admission` orders by tenant priority, priority and rank among the calls that can be on time, rejects what cannot, and gives lanes that are served too seldom every second slot. A call that cannot end by its deadline, by the distribution of its route's times, gets no slot. A cut call counts as a sample of the time.

--- a/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
@@ -45,6 +45,7 @@
     SlotRefusal.DEADLINE: RefusalKind.DEADLINE,
     SlotRefusal.DRAINING: RefusalKind.DRAINING,
     SlotRefusal.TOO_LATE: RefusalKind.QUEUE_FULL,
+    SlotRefusal.CANNOT_END: RefusalKind.QUEUE_FULL,
 }
 
 
@@ -176,13 +177,21 @@
             self._report_to_quarantine(self._fingerprint, result)
         if self._has_slot:
             self._has_slot = False
-            if result is CallResult.ANSWERED:
-                seconds = self._port.now() - self._granted_at
-                self._port.service_times.record(self._route, seconds)
+            self._record_service_time(result)
             self._port.release_slot()
         elif self._has_requested_slot:
             self._port.cancel_slot(self._ticket.call_id)
 
+    def _record_service_time(self, result: CallResult) -> None:
+        now = self._port.now()
+        seconds = now - self._granted_at
+        times = self._port.service_times
+        if result is CallResult.ANSWERED:
+            times.record(self._route, seconds, now)
+        elif result is CallResult.CANCELLED:
+            # Cut off by the deadline or by a caller that left.
+            times.record_cut(self._route, seconds, now)
+
     def _report_to_quarantine(
         self, fingerprint: bytes, result: CallResult
     ) -> None:
--- a/packages/calls/src/rhubarbhollow_calls/io_local_port.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_port.py
@@ -3,19 +3,18 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import replace
-from typing import TYPE_CHECKING, Final, Protocol
+from typing import TYPE_CHECKING, Protocol
 
-from rhubarbhollow_calls.call_priority import CallPriority
+from rhubarbhollow_admission.route_times import RouteTimes
 from rhubarbhollow_calls.io_crash_watch import BrokenCall, CrashWatch
 from rhubarbhollow_calls.io_pool import ConnectionPool
-from rhubarbhollow_calls.service_times import SERVICE_MARGIN, ServiceTimes
 from rhubarbhollow_calls.slot_admission import (
     Admitted,
     Queued,
     Refused,
     SlotRefusal,
 )
+from rhubarbhollow_calls.slot_estimate import estimate_ticket
 from rhubarbhollow_calls.slot_gate import SlotGate
 
 if TYPE_CHECKING:
@@ -29,9 +28,6 @@
     from rhubarbhollow_wire.clock import Clock
 
 
-MS_PER_SECOND: Final = 1000
-
-
 class QuarantinePublisher(Protocol):
     """Send the messages of a quarantine to the other nodes."""
 
@@ -85,7 +81,7 @@
             upstream, settings.connect_timeout_seconds
         )
         self._clock = clock
-        self.service_times = ServiceTimes()
+        self.service_times = RouteTimes()
         self._gate = SlotGate(upstream.slots, settings.queue_limit, clock)
         self._waiting: dict[int, SlotUser] = {}
         self._granted: deque[SlotUser] = deque()
@@ -110,20 +106,10 @@
         """Return the ticket with its expected time and latest start.
 
         A call on a route without a latency objective may wait until its
-        deadline.  So may an interactive call, as long as it can still
-        end in time: few calls are ahead of it, bulk calls yield to it,
-        and refusing it would waste the work of a parent call that waits
-        for it.
+        deadline.
         """
-        if not ticket.objective_ms:
-            return ticket
-        objective = ticket.objective_ms / MS_PER_SECOND
-        seconds = self.service_times.estimate(route, objective)
-        if ticket.priority is CallPriority.INTERACTIVE:
-            start_by = ticket.deadline - seconds
-        else:
-            start_by = ticket.start_by - SERVICE_MARGIN * seconds
-        return replace(ticket, service_seconds=seconds, start_by=start_by)
+        now = self._clock.monotonic()
+        return estimate_ticket(ticket, self.service_times, route, now)
 
     def request_slot(self, user: SlotUser, ticket: Ticket) -> None:
         """Grant a slot, queue the request for one, or refuse it."""
@@ -134,6 +120,7 @@
                 self._waiting[ticket.call_id] = user
             case Refused(reason):
                 user.slot_refused(reason)
+        self._refuse_removed()
 
     def cancel_slot(self, call_id: int) -> None:
         """Remove a call from the queue for slots."""
@@ -145,6 +132,10 @@
         ticket = self._gate.release()
         if ticket is not None:
             self._grant(ticket)
+        self._refuse_removed()
+
+    def _refuse_removed(self) -> None:
+        """Refuse the calls that the gate has removed from its queue."""
         for expired in self._gate.take_expired():
             user = self._waiting.pop(expired.call_id, None)
             if user is not None:
@@ -173,6 +164,7 @@
         self.pool.resize(upstream.connections)
         for ticket in self._gate.resize(upstream.slots):
             self._grant(ticket)
+        self._refuse_removed()
 
     def begin_drain(self) -> None:
         """Stop admitting new calls."""
--- a/packages/calls/src/rhubarbhollow_calls/slot_admission.py
+++ b/packages/calls/src/rhubarbhollow_calls/slot_admission.py
@@ -12,9 +12,10 @@
 
     QUEUE_FULL = "queue_full"
     DEADLINE = "deadline"
-    # The call would start too late to meet its latency objective, or
-    # its deadline if it is interactive.
+    # The call would start too late to meet its latency objective.
     TOO_LATE = "too_late"
+    # The call would be cut off by its deadline before it ends.
+    CANNOT_END = "cannot_end"
     DRAINING = "draining"
 
 
--- a/packages/calls/src/rhubarbhollow_calls/slot_gate.py
+++ b/packages/calls/src/rhubarbhollow_calls/slot_gate.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from typing import TYPE_CHECKING, Final
 
+from rhubarbhollow_admission.call_queue import CallQueue
 from rhubarbhollow_calls.backlog import Backlog
 from rhubarbhollow_calls.call_priority import CallPriority
 from rhubarbhollow_calls.invariant import InvariantViolation
@@ -18,19 +18,10 @@
 from rhubarbhollow_calls.standing_queue import StandingQueue
 
 if TYPE_CHECKING:
-    from rhubarbhollow_calls.slot_ticket import Lane, Ticket
+    from rhubarbhollow_admission.call_lane import CallLane
+    from rhubarbhollow_calls.slot_ticket import Ticket
     from rhubarbhollow_wire.clock import Clock
 
-# After this many tickets of other lanes in a row, a ticket that waits
-# in the last lane is served next, if all service times are equal.
-INTERACTIVE_RUN_LIMIT: Final = 8
-# Largest share of the queue that bulk tickets may fill. The rest is
-# reserved for interactive tickets.
-BULK_QUEUE_SHARE: Final = 0.75
-
-# Share of the slots that bulk calls get at least, while interactive
-# calls overtake them.
-MIN_BULK_SHARE: Final = 1 / (1 + INTERACTIVE_RUN_LIMIT)
 # Weight of a new sample in the moving average of the service time.
 MEAN_WEIGHT: Final = 0.1
 MS_PER_SECOND: Final = 1000
@@ -38,6 +29,7 @@
 _ADMITTED: Final = Admitted()
 _REFUSED_FULL: Final = Refused(SlotRefusal.QUEUE_FULL)
 _REFUSED_LATE: Final = Refused(SlotRefusal.TOO_LATE)
+_REFUSED_CANNOT_END: Final = Refused(SlotRefusal.CANNOT_END)
 _REFUSED_DEADLINE: Final = Refused(SlotRefusal.DEADLINE)
 _REFUSED_DRAINING: Final = Refused(SlotRefusal.DRAINING)
 
@@ -57,34 +49,23 @@
 class SlotGate:
     """Admit calls to the upstream beside this node.
 
-    Tickets wait in lanes, which are ordered by priority, rank and
-    objective. A lower lane is served first, and each lane is a FIFO
-    queue. To prevent starvation, the last lane with waiting tickets
-    gets a slot once the other lanes have been given
-    ``INTERACTIVE_RUN_LIMIT`` times the service time of its first ticket
-    in a row.
-
-    If no slot is free, a ticket that would start too late to meet its
-    objective, or its deadline if it is interactive, is rejected at
-    once, so that its call can be sent to another upstream. So is a bulk
-    ticket that would wait long in a queue that does not drain. A queued
-    ticket that has become late when its turn comes is removed and
-    returned by ``take_overdue``, unless it is the last one waiting.
+    ``CallQueue`` decides the order. A ticket that would start too late
+    to meet its objective is rejected at once, so that its call can be
+    sent to another upstream or its caller can come back when there is
+    capacity; ``CallQueue.may_wait`` lists the exceptions. A queued
+    ticket that can no longer be served in time is removed and returned
+    by ``take_overdue``, and by ``take_expired`` if its deadline has
+    passed.
     """
 
     __slots__ = (
-        "_bulk_limit",
-        "_bypass_seconds",
         "_clock",
-        "_expired",
         "_in_use",
         "_is_draining",
-        "_lane_by_call_id",
-        "_lanes",
-        "_mean_interactive_seconds",
         "_mean_seconds",
-        "_overdue",
+        "_queue",
         "_queue_limit",
+        "_removed",
         "_slots",
         "_standing",
     )
@@ -92,21 +73,14 @@
     def __init__(self, slots: int, queue_limit: int, clock: Clock) -> None:
         self._slots = slots
         self._queue_limit = queue_limit
-        self._bulk_limit = int(queue_limit * BULK_QUEUE_SHARE)
         self._clock = clock
         self._in_use = 0
         self._is_draining = False
-        self._lanes: dict[Lane, OrderedDict[int, Ticket]] = {}
-        self._lane_by_call_id: dict[int, Lane] = {}
-        # Service time in seconds that was given to other lanes since
-        # the last lane got a slot or stopped waiting.
-        self._bypass_seconds = 0.0
+        self._queue: CallQueue[Ticket] = CallQueue()
         self._mean_seconds = 0.0
-        # The same average, with a bulk call counted as 0 seconds.
-        self._mean_interactive_seconds = 0.0
-        self._expired: list[Ticket] = []
-        self._overdue: list[Ticket] = []
-        self._standing = StandingQueue()
+        # Tickets removed since they were last taken, and when.
+        self._removed: list[tuple[Ticket, float]] = []
+        self._standing: dict[CallLane, StandingQueue] = {}
 
     @property
     def slots(self) -> int:
@@ -124,7 +98,7 @@
     @property
     def waiting(self) -> int:
         """Return the number of tickets in the queue."""
-        return len(self._lane_by_call_id)
+        return len(self._queue)
 
     @property
     def is_draining(self) -> bool:
@@ -147,7 +121,8 @@
         """
         slots = max(1, self._slots)
         running = self._in_use * self._mean_seconds
-        interactive, bulk = self._waiting_seconds()
+        interactive = self._queue.waiting_seconds(CallPriority.INTERACTIVE)
+        bulk = self._queue.waiting_seconds(CallPriority.BULK)
         return Backlog(
             (running / slots + interactive) / slots,
             (running / 2 + interactive + bulk) / slots,
@@ -160,16 +135,12 @@
         now = self._clock.monotonic()
         if now >= ticket.deadline:
             return _REFUSED_DEADLINE
-        if self._in_use < self._slots:
-            # A free slot implies that no ticket waits (_check_idle).
-            self._take_slot(ticket)
-            return _ADMITTED
-        wait = self._expected_wait(ticket)
-        if now + wait > ticket.start_by or self._is_standing(
-            ticket, wait, now
-        ):
-            return _REFUSED_LATE
-        return self._enqueue(ticket)
+        queue = self._queue
+        queue.record_arrival(ticket, now)
+        admission = self._decide(ticket, now)
+        if isinstance(admission, Refused):
+            queue.record_rejection(ticket, now)
+        return admission
 
     def release(self) -> Ticket | None:
         """Release a slot; return the ticket that gets it, if any."""
@@ -180,11 +151,7 @@
 
     def cancel(self, call_id: int) -> bool:
         """Remove a ticket from the queue; return whether it waited."""
-        lane = self._lane_by_call_id.pop(call_id, None)
-        if lane is None:
-            return False
-        self._remove(lane, call_id)
-        return True
+        return self._queue.remove(call_id)
 
     def resize(self, slots: int) -> tuple[Ticket, ...]:
         """Change the number of slots; return the tickets that got one.
@@ -204,151 +171,97 @@
 
     def take_waiting(self) -> tuple[Ticket, ...]:
         """Empty the queue; return the tickets that were in it."""
-        waiting = tuple(
-            ticket
-            for lane in sorted(self._lanes)
-            for ticket in self._lanes[lane].values()
-        )
-        self._lanes.clear()
-        self._lane_by_call_id.clear()
-        return waiting
+        return self._queue.clear()
 
     def take_expired(self) -> tuple[Ticket, ...]:
         """Return and clear the tickets removed as expired."""
-        expired = tuple(self._expired)
-        self._expired.clear()
-        return expired
+        return self._take_removed(is_expired=True)
 
     def take_overdue(self) -> tuple[Ticket, ...]:
         """Return and clear the tickets removed as late."""
-        overdue = tuple(self._overdue)
-        self._overdue.clear()
-        return overdue
+        return self._take_removed(is_expired=False)
 
-    def _expected_wait(self, ticket: Ticket) -> float:
-        """Return the seconds until a slot is free for the ticket.
-
-        A bulk call is also overtaken by interactive calls that arrive
-        after it, so it is expected to get only a part of the slots.
-        """
-        ahead = sum(
-            waiting.service_seconds
-            for lane, queue in self._lanes.items()
-            if lane <= ticket.lane
-            for waiting in queue.values()
+    def _decide(self, ticket: Ticket, now: float) -> Admission:
+        if ticket.is_measured and now > ticket.latest_start:
+            return _REFUSED_CANNOT_END
+        if self._in_use < self._slots:
+            # A free slot implies that no ticket waits (_check_idle).
+            self._take_slot(ticket, now)
+            return _ADMITTED
+        wait = self._queue.expected_wait(
+            ticket, self._slots, self._mean_seconds, now
         )
-        slots = float(max(1, self._slots))
-        if ticket.priority is CallPriority.BULK:
-            slots *= max(MIN_BULK_SHARE, 1 - self._interactive_share)
-        return (ahead + self._mean_seconds) / slots
+        if now + wait > ticket.latest_start and (
+            self.waiting or ticket.is_measured
+        ):
+            return _REFUSED_CANNOT_END
+        if not self._queue.may_wait(ticket, wait, now) or self._is_standing(
+            ticket, wait, now
+        ):
+            return _REFUSED_LATE
+        return self._enqueue(ticket, now)
+
+    def _take_removed(self, *, is_expired: bool) -> tuple[Ticket, ...]:
+        if not self._removed:
+            return ()
+        taken, kept = [], []
+        for ticket, at in self._removed:
+            if (at >= ticket.deadline) is is_expired:
+                taken.append(ticket)
+            else:
+                kept.append((ticket, at))
+        self._removed = kept
+        return tuple(taken)
 
     def _is_standing(self, ticket: Ticket, wait: float, now: float) -> bool:
-        """Return whether a bulk call meets a queue that does not drain.
-
-        Interactive calls have few ahead of them, and wait.
-        """
-        if ticket.priority is not CallPriority.BULK:
-            return False
-        waiting = self._bulk_waiting()
-        self._standing.observe(waiting, now)
-        if not ticket.objective_ms:
+        """Return whether a call meets a queue that does not drain."""
+        lane = ticket.lane
+        standing = self._standing.get(lane)
+        if standing is None:
+            standing = self._standing[lane] = StandingQueue()
+        waiting = self._queue.waiting_before(lane)
+        standing.observe(waiting, now)
+        if not ticket.objective_ms or ticket.is_nested:
             return False
         objective = ticket.objective_ms / MS_PER_SECOND
-        return self._standing.is_too_long(waiting, wait, objective, now)
-
-    def _waiting_seconds(self) -> tuple[float, float]:
-        """Return the queued service time of each priority."""
-        seconds = [0.0, 0.0]
-        for lane, queue in self._lanes.items():
-            is_bulk = lane[0] == CallPriority.BULK
-            seconds[is_bulk] += sum(
-                ticket.service_seconds for ticket in queue.values()
-            )
-        return seconds[0], seconds[1]
+        return standing.is_too_long(
+            waiting, wait, objective, now
+        ) and not self._queue.is_owed(lane, now)
 
-    @property
-    def _interactive_share(self) -> float:
-        """Return the interactive share of recent service time."""
-        if not self._mean_seconds:
-            return 0.0
-        return self._mean_interactive_seconds / self._mean_seconds
-
-    def _enqueue(self, ticket: Ticket) -> Admission:
-        if self.waiting >= self._queue_limit:
-            return _REFUSED_FULL
-        is_bulk = ticket.priority is CallPriority.BULK
-        if is_bulk and self._bulk_waiting() >= self._bulk_limit:
-            return _REFUSED_FULL
-        if ticket.call_id in self._lane_by_call_id:
+    def _enqueue(self, ticket: Ticket, now: float) -> Admission:
+        queue = self._queue
+        if ticket.call_id in queue:
             raise RepeatedTicket(f"call {ticket.call_id} is already queued")
-        lane = ticket.lane
-        self._lanes.setdefault(lane, OrderedDict())[ticket.call_id] = ticket
-        self._lane_by_call_id[ticket.call_id] = lane
+        if self.waiting >= self._queue_limit and not queue.evict_for(ticket):
+            return _REFUSED_FULL
+        queue.add(ticket, now)
+        queue.evict_late(ticket, self._slots, self._mean_seconds, now)
+        self._note_removed(now)
         return Queued(self.waiting)
 
-    def _bulk_waiting(self) -> int:
-        return sum(
-            len(queue)
-            for lane, queue in self._lanes.items()
-            if lane[0] == CallPriority.BULK
-        )
-
     def _maybe_hand_over(self) -> Ticket | None:
         """Give a free slot to the next ticket that can still use it."""
-        if self._in_use >= self._slots:
+        if self._in_use >= self._slots or not self.waiting:
             return None
         now = self._clock.monotonic()
-        while (ticket := self._maybe_pop()) is not None:
-            if now >= ticket.deadline:
-                self._expired.append(ticket)
-            elif now > ticket.start_by and self.waiting:
-                self._overdue.append(ticket)
-            else:
-                self._record_turn(ticket)
-                self._take_slot(ticket)
-                return ticket
-        self._check_idle()
-        return None
-
-    def _maybe_pop(self) -> Ticket | None:
-        if not self._lanes:
-            return None
-        lane = self._next_lane()
-        call_id = next(iter(self._lanes[lane]))
-        del self._lane_by_call_id[call_id]
-        return self._remove(lane, call_id)
-
-    def _next_lane(self) -> Lane:
-        """Return the first lane, or the last if its turn is due."""
-        first, last = min(self._lanes), max(self._lanes)
-        head = next(iter(self._lanes[last].values()))
-        limit = INTERACTIVE_RUN_LIMIT * head.cost
-        return last if self._bypass_seconds >= limit else first
-
-    def _remove(self, lane: Lane, call_id: int) -> Ticket:
-        queue = self._lanes[lane]
-        ticket = queue.pop(call_id)
-        if not queue:
-            del self._lanes[lane]
+        ticket = self._queue.pop_next(now)
+        self._note_removed(now)
+        if ticket is None:
+            self._check_idle()
+        else:
+            self._take_slot(ticket, now)
         return ticket
 
-    def _record_turn(self, ticket: Ticket) -> None:
-        """Count the service time given while a later lane waits."""
-        is_last = not any(lane > ticket.lane for lane in self._lanes)
-        if is_last:
-            self._bypass_seconds = 0.0
-        else:
-            self._bypass_seconds += ticket.cost
+    def _note_removed(self, now: float) -> None:
+        for ticket in self._queue.take_evicted():
+            self._queue.record_rejection(ticket, now)
+            self._removed.append((ticket, now))
 
-    def _take_slot(self, ticket: Ticket) -> None:
+    def _take_slot(self, ticket: Ticket, now: float) -> None:
         self._in_use += 1
+        self._queue.record_start(ticket, now)
         seconds = ticket.service_seconds
         self._mean_seconds += MEAN_WEIGHT * (seconds - self._mean_seconds)
-        if ticket.priority is CallPriority.BULK:
-            seconds = 0.0
-        self._mean_interactive_seconds += MEAN_WEIGHT * (
-            seconds - self._mean_interactive_seconds
-        )
 
     def _check_idle(self) -> None:
         if self._in_use < self._slots and self.waiting:
