Tell calls of upstreams from those of clients at the gate

Cause: rejecting a call that an upstream made wastes the work that waits for it, and no field of a request tells such a call. Change: a route whose calls come from the nodes of one other service, while another route has calls from several, counts as nested (NestedRoutes); natively the depth that upstreams pass on tells it. Tried and not taken: a Retry-After of a third of the time left when most calls of a route are rejected (from 0.3, 0.5, 0.6 and 0.7 on).

--- a/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller_exchange.py
@@ -214,13 +214,15 @@
             self.expires_at = self._deadline.expires_at + PEER_GRACE_SECONDS
             return RemoteAttempt(self, self._head, self._body, endpoint, pool)
         route = self._state.route
+        name = route.name.encode()
+        depth = self._head.mesh.depth
         ticket = node.make_ticket(
             route.priority,
             self._deadline,
             self._state,
             self._objective_left_ms(),
+            is_nested=port.is_nested(name, self._origin(), depth),
         )
-        name = route.name.encode()
         return LocalAttempt(self, self._head, self._body, port, ticket, name)
 
     def response_started(self, head: ResponseHead) -> None:
--- a/packages/calls/src/rhubarbhollow_calls/io_local_port.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_port.py
@@ -5,6 +5,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, Protocol
 
+from rhubarbhollow_admission.nested_routes import NestedRoutes
 from rhubarbhollow_admission.route_times import RouteTimes
 from rhubarbhollow_calls.io_crash_watch import BrokenCall, CrashWatch
 from rhubarbhollow_calls.io_pool import ConnectionPool
@@ -82,6 +83,9 @@
         )
         self._clock = clock
         self.service_times = RouteTimes()
+        self._nested = NestedRoutes()
+        # The origin of the calls that this node itself receives.
+        self._service = settings.origin
         self._gate = SlotGate(upstream.slots, settings.queue_limit, clock)
         self._waiting: dict[int, SlotUser] = {}
         self._granted: deque[SlotUser] = deque()
@@ -102,6 +106,18 @@
         self._last_attempt_id += 1
         return b"%x" % self._last_attempt_id
 
+    def is_nested(self, route: bytes, origin: bytes, depth: int) -> bool:
+        """Record a call; return whether an upstream has made it.
+
+        ``depth`` is the number of upstreams before this one, as far as
+        they pass it on; see ``NestedRoutes`` for those that do not.
+        """
+        now = self._clock.monotonic()
+        self._nested.record(route, origin, now)
+        if depth > 0:
+            return True
+        return self._nested.is_nested(route, self._service, now)
+
     def estimate(self, ticket: Ticket, route: bytes) -> Ticket:
         """Return the ticket with its expected time and latest start.
 
--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -354,11 +354,14 @@
         deadline: Deadline,
         state: RouteState | None,
         objective_left_ms: int | None,
+        *,
+        is_nested: bool = False,
     ) -> Ticket:
         """Return a call's ticket for a slot of the local upstream.
 
         ``objective_left_ms`` is the rest of the route's latency
         objective; without one the call may wait until its deadline.
+        ``is_nested`` means that an upstream made the call.
         """
         call_id = self.next_call_id()
         deadline = bound_by_stop(deadline, self._stops_at)
@@ -374,6 +377,7 @@
             rank=route.rank,
             objective_ms=round(objective * MS_PER_SECOND),
             start_by=self.clock.monotonic() + left,
+            is_nested=is_nested,
         )
 
     def next_call_id(self) -> int:
--- a/packages/calls/src/rhubarbhollow_calls/io_peer.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_peer.py
@@ -65,7 +65,11 @@
         if not mesh.priority and state is not None:
             priority = state.route.priority
         ticket = self._node.make_ticket(
-            priority, self._deadline, state, mesh.objective_ms
+            priority,
+            self._deadline,
+            state,
+            mesh.objective_ms,
+            is_nested=port.is_nested(mesh.route, mesh.origin, mesh.depth - 1),
         )
         self._begin(
             LocalAttempt(
--- a/packages/calls/tests/test_io_local_port.py
+++ b/packages/calls/tests/test_io_local_port.py
@@ -1,5 +1,6 @@
 """Tests of slot admission and crash reports at the local port."""
 
+from rhubarbhollow_admission.nested_routes import MIN_RUN
 from rhubarbhollow_calls.call_priority import CallPriority
 from rhubarbhollow_calls.io_crash_watch import BrokenCall
 from rhubarbhollow_calls.io_local_port import LocalPort
@@ -110,3 +111,22 @@
         port._handle_crash_check(broken, is_crashed=True)
     assert [report.incarnation for report in reports] == [1000, 1001]
     assert isinstance(quarantine.try_start(b"killer"), Quarantined)
+
+
+def test_a_call_of_an_upstream_is_told_from_one_of_a_client():
+    """Guard against a nested call that is rejected for its objective.
+
+    The native dialect passes the depth on. In another one the route is
+    learned from the services that its calls come from.
+    """
+    clock = ManualClock()
+    upstream = LocalUpstream("n/u", "s", "127.0.0.1", 1, SLOTS, 110, 1000)
+    settings = CallSettings(origin=b"ingest")
+    port = LocalPort(upstream, settings, clock, None, print)
+    assert port.is_nested(b"native", b"", 1)
+    assert not port.is_nested(b"native", b"", 0)
+    for number in range(2 * MIN_RUN):
+        client_origin = (b"frame", b"ingest")[number % 2]
+        assert not port.is_nested(b"read", client_origin, 0)
+        is_nested = port.is_nested(b"lookup", b"frame", 0)
+        assert is_nested == (number >= MIN_RUN - 1)
