--- a/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
@@ -48,6 +48,14 @@
     SlotRefusal.CANNOT_END: RefusalKind.QUEUE_FULL,
 }
 
+_DETAILS: Final = {
+    SlotRefusal.QUEUE_FULL: "the queue of the upstream is full",
+    SlotRefusal.TOO_LATE: "the upstream is too busy to start the request"
+    " within its latency objective",
+    SlotRefusal.CANNOT_END: "the request would be cut off by its deadline"
+    " before it ends",
+}
+
 
 class LocalAttempt(Attempt):
     """Wait for a slot, then run the request on the local upstream.
@@ -138,7 +146,7 @@
 
     def slot_refused(self, reason: SlotRefusal) -> None:
         """Fail the attempt, since its slot was refused."""
-        self._fail_unwritten(_KINDS[reason], "")
+        self._fail_unwritten(_KINDS[reason], _DETAILS.get(reason, ""))
 
     def slot_expired(self) -> None:
         """Fail the attempt, since its deadline passed in the queue."""
--- a/packages/calls/src/rhubarbhollow_calls/io_local_port.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_port.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from typing import TYPE_CHECKING, Protocol
 
 from rhubarbhollow_admission.nested_routes import NestedRoutes
+from rhubarbhollow_admission.overload_watch import OverloadWatch
 from rhubarbhollow_admission.route_times import RouteTimes
 from rhubarbhollow_calls.io_crash_watch import BrokenCall, CrashWatch
 from rhubarbhollow_calls.io_pool import ConnectionPool
@@ -21,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from rhubarbhollow_admission.overload_watch import OverloadChange
     from rhubarbhollow_calls.io_local_upstream import LocalUpstream
     from rhubarbhollow_calls.io_settings import CallSettings
     from rhubarbhollow_calls.quarantine import Quarantine
@@ -83,6 +85,9 @@
         )
         self._clock = clock
         self.service_times = RouteTimes()
+        # By reason, tenant priority and rank of the route.
+        self.rejections: Counter[tuple[SlotRefusal, int, int]] = Counter()
+        self._overload = OverloadWatch()
         self._nested = NestedRoutes()
         # The origin of the calls that this node itself receives.
         self._service = settings.origin
@@ -106,6 +111,15 @@
         self._last_attempt_id += 1
         return b"%x" % self._last_attempt_id
 
+    def observe_overload(self) -> OverloadChange | None:
+        """Return whether an overload has begun or ended, if it has."""
+        rejected = sum(
+            count
+            for (reason, _, _), count in self.rejections.items()
+            if reason is not SlotRefusal.DRAINING
+        )
+        return self._overload.observe(rejected, self._clock.monotonic())
+
     def is_nested(self, route: bytes, origin: bytes, depth: int) -> bool:
         """Record a call; return whether an upstream has made it.
 
@@ -135,6 +149,7 @@
             case Queued():
                 self._waiting[ticket.call_id] = user
             case Refused(reason):
+                self._count(ticket, reason)
                 user.slot_refused(reason)
         self._refuse_removed()
 
@@ -155,11 +170,19 @@
         for expired in self._gate.take_expired():
             user = self._waiting.pop(expired.call_id, None)
             if user is not None:
+                self._count(expired, SlotRefusal.DEADLINE)
                 user.slot_expired()
         for overdue in self._gate.take_overdue():
             user = self._waiting.pop(overdue.call_id, None)
             if user is not None:
-                user.slot_refused(SlotRefusal.TOO_LATE)
+                reason = SlotRefusal.TOO_LATE
+                if self._clock.monotonic() > overdue.latest_start:
+                    reason = SlotRefusal.CANNOT_END
+                self._count(overdue, reason)
+                user.slot_refused(reason)
+
+    def _count(self, ticket: Ticket, reason: SlotRefusal) -> None:
+        self.rejections[reason, ticket.tenant_priority, ticket.rank] += 1
 
     def is_same_process(self, upstream: LocalUpstream) -> bool:
         """Return whether ``upstream`` is the same run of the process.
--- a/packages/daemon/src/rhubarbhollow_daemon/metric_collection.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/metric_collection.py
@@ -10,6 +10,7 @@
     from collections.abc import Iterable, Iterator, Mapping
 
     from rhubarbhollow_calls.io_counters import RouteCounters
+    from rhubarbhollow_calls.slot_admission import SlotRefusal
     from rhubarbhollow_daemon.control_parts import ControlParts
     from rhubarbhollow_daemon.node_parts import NodeParts
     from rhubarbhollow_replication.status import ReplicaStatus
@@ -50,11 +51,30 @@
         "Calls that no route matched.",
         call_node.counters.unrouted,
     )
+    if call_node.local_port is not None:
+        yield from _collect_rejections(call_node.local_port.rejections)
     for state in call_node.route_states:
         yield from _collect_route_metrics(state.route.name, state.counters)
     yield from collect_traffic_metrics("node", parts.traffic)
 
 
+def _collect_rejections(
+    rejections: Mapping[tuple[SlotRefusal, int, int], int],
+) -> Iterator[MetricSample]:
+    """Yield the calls that the gate of the upstream turned away."""
+    for (reason, tenant_priority, rank), value in rejections.items():
+        yield MetricSample(
+            "slot_rejections_total",
+            "Calls that got no slot of the upstream beside this node.",
+            value,
+            {
+                "reason": reason.value,
+                "tenant_priority": str(tenant_priority),
+                "rank": str(rank),
+            },
+        )
+
+
 def collect_control_metrics(
     parts: ControlParts,
     traffic: Mapping[str, Traffic],
--- a/packages/daemon/src/rhubarbhollow_daemon/process.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/process.py
@@ -254,6 +254,7 @@
         while True:
             await anyio.sleep(HOUSEKEEPING_SECONDS)
             node.call_node.tick()
+            _log_overload(node)
             node.upstreams.expire()
             node.burn.flush()
             node.state.endpoints.purge()
@@ -312,3 +313,18 @@
 
 def _status_document(handlers: NodeHandlers) -> dict[str, object]:
     return asdict(handlers.status())
+
+
+def _log_overload(node: NodeParts) -> None:
+    """Log the begin and the end of an overload of the upstream."""
+    port = node.call_node.local_port
+    change = None if port is None else port.observe_overload()
+    if port is None or change is None:
+        return
+    _log.info(
+        "overload_started" if change.is_overloaded else "overload_ended",
+        upstream=port.upstream.name,
+        rejected=change.rejected,
+        waiting=port.gate.waiting,
+        slots=port.gate.slots,
+    )
--- a/packages/daemon/tests/test_metric_collection.py
+++ b/packages/daemon/tests/test_metric_collection.py
@@ -1,7 +1,9 @@
 """Samples of routes in the metrics of a node."""
 
 from rhubarbhollow_calls.io_counters import RouteCounters
+from rhubarbhollow_calls.slot_admission import SlotRefusal
 from rhubarbhollow_daemon.metric_collection import (
+    _collect_rejections,
     _collect_route_metrics,
     _collect_voter_metrics,
 )
@@ -48,3 +50,14 @@
 
     assert sampled(Role.LEADER) == {"log_voters": 2, "log_voters_alive": 1}
     assert sampled(Role.FOLLOWER) == {"log_voters": 2}
+
+
+def test_rejections_show_who_was_turned_away_and_why():
+    """Guard against a burst whose victims cannot be told."""
+    samples = list(_collect_rejections({(SlotRefusal.TOO_LATE, 1, 2): 7}))
+    assert [sample.value for sample in samples] == [7]
+    assert samples[0].labels == {
+        "reason": "too_late",
+        "tenant_priority": "1",
+        "rank": "2",
+    }
