--- a/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
@@ -45,6 +45,15 @@
     SlotRefusal.DEADLINE: RefusalKind.DEADLINE,
     SlotRefusal.DRAINING: RefusalKind.DRAINING,
     SlotRefusal.TOO_LATE: RefusalKind.QUEUE_FULL,
+    SlotRefusal.CANNOT_END: RefusalKind.QUEUE_FULL,
+}
+
+_DETAILS: Final = {
+    SlotRefusal.QUEUE_FULL: "the queue of the upstream is full",
+    SlotRefusal.TOO_LATE: "the upstream is too busy to start the request"
+    " within its latency objective",
+    SlotRefusal.CANNOT_END: "the request would be cut off by its deadline"
+    " before it ends",
 }
 
 
@@ -146,7 +155,7 @@
 
     def slot_refused(self, reason: SlotRefusal) -> None:
         """Fail the attempt, since its slot was refused."""
-        self._fail_unwritten(_KINDS[reason], "")
+        self._fail_unwritten(_KINDS[reason], _DETAILS.get(reason, ""))
 
     def slot_expired(self) -> None:
         """Fail the attempt, since its deadline passed in the queue."""
@@ -185,13 +194,20 @@
             self._report_to_quarantine(self._fingerprint, result)
         if self._has_slot:
             self._has_slot = False
-            if result is CallResult.ANSWERED:
-                seconds = self._port.now() - self._granted_at
-                self._port.record_service_time(self._route, seconds)
+            self._record_service_time(result)
             self._port.release_slot()
         elif self._has_requested_slot:
             self._port.cancel_slot(self._ticket.call_id)
 
+    def _record_service_time(self, result: CallResult) -> None:
+        now = self._port.now()
+        seconds = now - self._granted_at
+        if result is CallResult.ANSWERED:
+            self._port.record_service_time(self._route, seconds, now)
+        elif result is CallResult.CANCELLED:
+            # Cut off by the deadline or by a caller that left.
+            self._port.record_cut(self._route, seconds, now)
+
     def _report_to_quarantine(
         self, fingerprint: bytes, result: CallResult
     ) -> None:
--- a/packages/calls/src/rhubarbhollow_calls/io_local_port.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_port.py
@@ -2,20 +2,22 @@
 
 from __future__ import annotations
 
-from collections import deque
-from dataclasses import replace
-from typing import TYPE_CHECKING, Final, Protocol
+from collections import Counter, deque
+from typing import TYPE_CHECKING, Protocol
 
-from rhubarbhollow_calls.call_priority import CallPriority
+from rhubarbhollow_admission.nested_routes import NestedRoutes
+from rhubarbhollow_admission.overload_watch import OverloadWatch
+from rhubarbhollow_admission.route_times import RouteTimes
+from rhubarbhollow_calls.backlog import MS_PER_SECOND
 from rhubarbhollow_calls.io_crash_watch import BrokenCall, CrashWatch
 from rhubarbhollow_calls.io_pool import ConnectionPool
-from rhubarbhollow_calls.service_times import SERVICE_MARGIN, ServiceTimes
 from rhubarbhollow_calls.slot_admission import (
     Admitted,
     Queued,
     Refused,
     SlotRefusal,
 )
+from rhubarbhollow_calls.slot_estimate import estimate_ticket
 from rhubarbhollow_calls.slot_gate import SlotGate
 from rhubarbhollow_placement.upstream_load import RouteTime, UpstreamLoad
 from rhubarbhollow_placement.work_speed import WorkSpeed
@@ -23,6 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from rhubarbhollow_admission.overload_watch import OverloadChange
     from rhubarbhollow_calls.io_local_upstream import LocalUpstream
     from rhubarbhollow_calls.io_settings import CallSettings
     from rhubarbhollow_calls.quarantine import Quarantine
@@ -31,9 +34,6 @@
     from rhubarbhollow_wire.clock import Clock
 
 
-MS_PER_SECOND: Final = 1000
-
-
 class QuarantinePublisher(Protocol):
     """Send the messages of a quarantine to the other nodes."""
 
@@ -87,9 +87,15 @@
             upstream, settings.connect_timeout_seconds
         )
         self._clock = clock
-        # Averages at the usual speed of the upstream's machine.
-        self.service_times = ServiceTimes()
+        # At the usual speed of the upstream's machine.
+        self.service_times = RouteTimes()
         self.speed = WorkSpeed()
+        # By reason, tenant priority and rank of the route.
+        self.rejections: Counter[tuple[SlotRefusal, int, int]] = Counter()
+        self._overload = OverloadWatch()
+        self._nested = NestedRoutes()
+        # The origin of the calls that this node itself receives.
+        self._service = settings.origin
         self._gate = SlotGate(upstream.slots, settings.queue_limit, clock)
         self._waiting: dict[int, SlotUser] = {}
         self._granted: deque[SlotUser] = deque()
@@ -110,34 +116,52 @@
         self._last_attempt_id += 1
         return b"%x" % self._last_attempt_id
 
+    def observe_overload(self) -> OverloadChange | None:
+        """Return whether an overload has begun or ended, if it has."""
+        rejected = sum(
+            count
+            for (reason, _, _), count in self.rejections.items()
+            if reason is not SlotRefusal.DRAINING
+        )
+        return self._overload.observe(rejected, self._clock.monotonic())
+
+    def is_nested(self, route: bytes, origin: bytes, depth: int) -> bool:
+        """Record a call; return whether an upstream has made it.
+
+        ``depth`` is the number of upstreams before this one, as far as
+        they pass it on; see ``NestedRoutes`` for those that do not.
+        """
+        now = self._clock.monotonic()
+        self._nested.record(route, origin, now)
+        if depth > 0:
+            return True
+        return self._nested.is_nested(route, self._service, now)
+
     def estimate(self, ticket: Ticket, route: bytes) -> Ticket:
         """Return the ticket with its expected time and latest start.
 
         A call on a route without a latency objective may wait until its
-        deadline.  So may an interactive call, as long as it can still
-        end in time: few calls are ahead of it, bulk calls yield to it,
-        and refusing it would waste the work of a parent call that waits
-        for it.
+        deadline.
         """
-        if not ticket.objective_ms:
-            return ticket
-        objective = ticket.objective_ms / MS_PER_SECOND
-        seconds = self.service_times.estimate(route, objective)
-        seconds *= self.speed.factor(self.now())
-        if ticket.priority is CallPriority.INTERACTIVE:
-            start_by = ticket.deadline - seconds
-        else:
-            start_by = ticket.start_by - SERVICE_MARGIN * seconds
-        return replace(ticket, service_seconds=seconds, start_by=start_by)
-
-    def record_service_time(self, route: bytes, seconds: float) -> None:
-        """Add the time that a call held its slot to the averages."""
-        usual = seconds / self.speed.factor(self.now())
-        self.service_times.record(route, usual)
+        now = self._clock.monotonic()
+        factor = self.speed.factor(now)
+        return estimate_ticket(ticket, self.service_times, route, now, factor)
+
+    def record_service_time(
+        self, route: bytes, seconds: float, now: float
+    ) -> None:
+        """Add the time that an answered call held its slot."""
+        usual = seconds / self.speed.factor(now)
+        self.service_times.record(route, usual, now)
+
+    def record_cut(self, route: bytes, seconds: float, now: float) -> None:
+        """Add the time after which a call was cut off."""
+        usual = seconds / self.speed.factor(now)
+        self.service_times.record_cut(route, usual, now)
 
     def load(self, *, with_times: bool = False) -> UpstreamLoad:
         """Return the load of the upstream now."""
-        gate, backlog = self._gate, self._gate.backlog
+        backlog = self._gate.backlog
         times: tuple[RouteTime, ...] = ()
         if with_times:
             times = tuple(
@@ -150,7 +174,6 @@
             self.upstream.name,
             round(backlog.interactive_seconds * MS_PER_SECOND),
             round(backlog.bulk_seconds * MS_PER_SECOND),
-            max(0, gate.slots - gate.in_use - gate.waiting),
             self.speed.percent,
             times,
         )
@@ -163,7 +186,9 @@
             case Queued():
                 self._waiting[ticket.call_id] = user
             case Refused(reason):
+                self._count(ticket, reason)
                 user.slot_refused(reason)
+        self._refuse_removed()
 
     def cancel_slot(self, call_id: int) -> None:
         """Remove a call from the queue for slots."""
@@ -175,14 +200,26 @@
         ticket = self._gate.release()
         if ticket is not None:
             self._grant(ticket)
+        self._refuse_removed()
+
+    def _refuse_removed(self) -> None:
+        """Refuse the calls that the gate has removed from its queue."""
         for expired in self._gate.take_expired():
             user = self._waiting.pop(expired.call_id, None)
             if user is not None:
+                self._count(expired, SlotRefusal.DEADLINE)
                 user.slot_expired()
         for overdue in self._gate.take_overdue():
             user = self._waiting.pop(overdue.call_id, None)
             if user is not None:
-                user.slot_refused(SlotRefusal.TOO_LATE)
+                reason = SlotRefusal.TOO_LATE
+                if self._clock.monotonic() > overdue.latest_start:
+                    reason = SlotRefusal.CANNOT_END
+                self._count(overdue, reason)
+                user.slot_refused(reason)
+
+    def _count(self, ticket: Ticket, reason: SlotRefusal) -> None:
+        self.rejections[reason, ticket.tenant_priority, ticket.rank] += 1
 
     def is_same_process(self, upstream: LocalUpstream) -> bool:
         """Return whether ``upstream`` is the same run of the process.
@@ -203,6 +240,7 @@
         self.pool.resize(upstream.connections)
         for ticket in self._gate.resize(upstream.slots):
             self._grant(ticket)
+        self._refuse_removed()
 
     def begin_drain(self) -> None:
         """Stop admitting new calls."""
--- a/packages/calls/src/rhubarbhollow_calls/io_node.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_node.py
@@ -379,11 +379,14 @@
         state: RouteState | None,
         objective_left_ms: int | None,
         tenant: Tenant | None = None,
+        *,
+        is_nested: bool = False,
     ) -> Ticket:
         """Return a call's ticket for a slot of the local upstream.
 
         ``objective_left_ms`` is the rest of the route's latency
         objective; without one the call may wait until its deadline.
+        ``is_nested`` means that an upstream made the call.
         """
         call_id = self.next_call_id()
         deadline = bound_by_stop(deadline, self._stops_at)
@@ -406,6 +409,7 @@
             objective_ms=round(objective * MS_PER_SECOND),
             start_by=self.clock.monotonic() + left,
             tenant_priority=tenant_priority,
+            is_nested=is_nested,
         )
 
     def next_call_id(self) -> int:
--- a/packages/calls/src/rhubarbhollow_calls/io_peer.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_peer.py
@@ -97,6 +97,7 @@
             state,
             mesh.objective_ms,
             self._tenant(),
+            is_nested=port.is_nested(mesh.route, mesh.origin, mesh.depth - 1),
         )
         self._begin(
             LocalAttempt(
--- a/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
@@ -45,7 +45,6 @@
         "endpoint",
         "failed_at",
         "failure_share",
-        "free_slots",
         "in_flight",
         "is_local",
         "is_on_probation",
@@ -56,7 +55,6 @@
         "reported_load",
         "route_seconds",
         "sent_backlog",
-        "sent_since_load",
         "slow_start_at",
         "slowness",
         "speed",
@@ -105,10 +103,6 @@
         self.backlog = NO_BACKLOG
         self.backlog_at = 0.0
         self.sent_backlog = NO_BACKLOG
-        # Free slots by the last load report, or ``None`` without one,
-        # and the calls that this node has sent since.
-        self.free_slots: int | None = None
-        self.sent_since_load = 0
         self.speed = WorkSpeed()
         # Service times at usual speed that load reports have brought.
         self.route_seconds: dict[str, float] = {}
@@ -178,8 +172,6 @@
         interactive = load.interactive_ms / MS_PER_SECOND
         bulk = load.bulk_ms / MS_PER_SECOND
         self.observe_backlog(Backlog(interactive, bulk), now)
-        self.free_slots = load.free_slots
-        self.sent_since_load = 0
         self.speed.observe(load.work_percent, speed_at)
         for time in load.times:
             self.route_seconds[time.route] = time.service_ms / MS_PER_SECOND
--- a/packages/calls/src/rhubarbhollow_calls/upstream_selector.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_selector.py
@@ -165,7 +165,6 @@
         """Count a call as in flight on a chosen endpoint."""
         evidence = self._evidence(endpoint_name)
         evidence.in_flight += 1
-        evidence.sent_since_load += 1
         seconds = self._times.estimate(route.encode(), None)
         by_slot = seconds / max(1, evidence.endpoint.slots)
         evidence.sent_backlog = evidence.sent_backlog.plus(priority, by_slot)
--- a/packages/calls/tests/test_placement_comparison.py
+++ b/packages/calls/tests/test_placement_comparison.py
@@ -97,7 +97,6 @@
         index = self.place(self, node, now)
         evidence = self.evidence[node][index]
         evidence.in_flight += 1
-        evidence.sent_since_load += 1
         share = WORK_SECONDS / SLOTS
         evidence.sent_backlog = evidence.sent_backlog.plus(
             CallPriority.INTERACTIVE, share
@@ -136,7 +135,6 @@
                 str(index),
                 round(1_000 * server.backlog()),
                 0,
-                max(0, SLOTS - server.running - len(server.queue)),
                 round(100 * server.factor(now)),
                 (RouteTime("r", round(1_000 * WORK_SECONDS * server.speed)),),
             )
@@ -204,7 +202,7 @@
     return min(range(UPSTREAMS), key=completion)
 
 
-@pytest.mark.parametrize("utilization", [0.5, 0.8])
+@pytest.mark.parametrize("utilization", [0.65, 0.8, 0.95])
 def test_reported_speeds_bring_calls_back_in_time(utilization):
     """Guard against placing by evidence that is older than the load."""
     trials = {
--- a/packages/daemon/tests/test_metric_collection.py
+++ b/packages/daemon/tests/test_metric_collection.py
@@ -4,7 +4,9 @@
 from types import SimpleNamespace
 
 from rhubarbhollow_calls.io_counters import RouteCounters
+from rhubarbhollow_calls.slot_admission import SlotRefusal
 from rhubarbhollow_daemon.metric_collection import (
+    _collect_rejections,
     _collect_route_metrics,
     _collect_voter_metrics,
 )
@@ -101,3 +103,14 @@
     values = {s.name: s.value for s in collect_node_rollouts(node)}
     assert values["rollout_state"] == 1
     assert values["rollout_confirmed"] == 0
+
+
+def test_rejections_show_who_was_turned_away_and_why():
+    """Guard against a burst whose victims cannot be told."""
+    samples = list(_collect_rejections({(SlotRefusal.TOO_LATE, 1, 2): 7}))
+    assert [sample.value for sample in samples] == [7]
+    assert samples[0].labels == {
+        "reason": "too_late",
+        "tenant_priority": "1",
+        "rank": "2",
+    }
--- a/packages/placement/src/rhubarbhollow_placement/load_reporter.py
+++ b/packages/placement/src/rhubarbhollow_placement/load_reporter.py
@@ -56,8 +56,7 @@
 
 def _differs(sent: UpstreamLoad, load: UpstreamLoad) -> bool:
     return (
-        sent.free_slots != load.free_slots
-        or abs(sent.interactive_ms - load.interactive_ms) >= WAIT_STEP_MS
+        abs(sent.interactive_ms - load.interactive_ms) >= WAIT_STEP_MS
         or abs(sent.bulk_ms - load.bulk_ms) >= WAIT_STEP_MS
         or abs(sent.work_percent - load.work_percent) >= PERCENT_STEP
     )
--- a/packages/placement/src/rhubarbhollow_placement/upstream_load.py
+++ b/packages/placement/src/rhubarbhollow_placement/upstream_load.py
@@ -7,7 +7,6 @@
 
 MAX_NAME_CHARACTERS: Final = 600
 MAX_MS: Final = 3_600_000
-MAX_SLOTS: Final = 10_000
 MAX_WORK_PERCENT: Final = 10_000
 MAX_ROUTES: Final = 64
 
@@ -33,7 +32,6 @@
     name: str
     interactive_ms: int
     bulk_ms: int
-    free_slots: int
     work_percent: int
     times: tuple[RouteTime, ...] = ()
 
@@ -50,7 +48,6 @@
     numbers = (
         (load.interactive_ms, MAX_MS),
         (load.bulk_ms, MAX_MS),
-        (load.free_slots, MAX_SLOTS),
         (load.work_percent, MAX_WORK_PERCENT),
         *((time.service_ms, MAX_MS) for time in load.times),
     )
--- a/packages/placement/tests/test_load_reporter.py
+++ b/packages/placement/tests/test_load_reporter.py
@@ -8,7 +8,7 @@
 from rhubarbhollow_wire.clock import ManualClock
 
 TIMES = (RouteTime("lookup", 40), RouteTime("refund", 100))
-LOAD = UpstreamLoad("a/desk", 0, 0, 3, 100, TIMES)
+LOAD = UpstreamLoad("a/desk", 0, 0, 100, TIMES)
 
 
 def test_a_load_without_change_is_sent_once_in_a_while():
@@ -24,10 +24,10 @@
 def test_a_change_is_sent_without_the_times_that_are_known():
     reporter = LoadReporter(ManualClock())
     reporter.maybe_report(LOAD)
-    changed = replace(LOAD, free_slots=2)
+    changed = replace(LOAD, interactive_ms=20)
     assert reporter.maybe_report(changed) == replace(changed, times=())
     slower = (RouteTime("lookup", 60), RouteTime("refund", 101))
-    changed = replace(LOAD, free_slots=1, times=slower)
+    changed = replace(LOAD, interactive_ms=40, times=slower)
     assert reporter.maybe_report(changed) == replace(changed, times=slower[:1])
 
 
--- a/packages/placement/tests/test_upstream_load.py
+++ b/packages/placement/tests/test_upstream_load.py
@@ -9,7 +9,7 @@
     is_usable,
 )
 
-LOAD = UpstreamLoad("a/desk", 0, 0, 3, 100, (RouteTime("lookup", 40),))
+LOAD = UpstreamLoad("a/desk", 0, 0, 100, (RouteTime("lookup", 40),))
 
 
 def test_a_load_in_range_is_usable():
@@ -23,7 +23,7 @@
         replace(LOAD, name="x" * (MAX_NAME_CHARACTERS + 1)),
         replace(LOAD, interactive_ms=-1),
         replace(LOAD, bulk_ms=1 << 30),
-        replace(LOAD, free_slots=1 << 30),
+        replace(LOAD, work_percent=1 << 30),
         replace(LOAD, work_percent=-1),
         replace(LOAD, times=(RouteTime("lookup", -1),)),
         replace(LOAD, times=LOAD.times * 1_000),
--- a/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
+++ b/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
@@ -4359,7 +4359,6 @@
      - name
      - interactive_ms
      - bulk_ms
-     - free_slots
      - work_percent
      - times
 
@@ -4369,17 +4368,15 @@
         'name',
         'interactive_ms',
         'bulk_ms',
-        'free_slots',
         'work_percent',
         'times',
     )
 
 
-    def __init__(self, name=None, interactive_ms=None, bulk_ms=None, free_slots=None, work_percent=None, times=None,):
+    def __init__(self, name=None, interactive_ms=None, bulk_ms=None, work_percent=None, times=None,):
         self.name = name
         self.interactive_ms = interactive_ms
         self.bulk_ms = bulk_ms
-        self.free_slots = free_slots
         self.work_percent = work_percent
         self.times = times
 
@@ -4408,16 +4405,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I32:
-                    self.free_slots = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
                 if ftype == TType.I32:
                     self.work_percent = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
+            elif fid == 5:
                 if ftype == TType.LIST:
                     self.times = []
                     (_etype66, _size63) = iprot.readListBegin()
@@ -4450,16 +4442,12 @@
             oprot.writeFieldBegin('bulk_ms', TType.I32, 3)
             oprot.writeI32(self.bulk_ms)
             oprot.writeFieldEnd()
-        if self.free_slots is not None:
-            oprot.writeFieldBegin('free_slots', TType.I32, 4)
-            oprot.writeI32(self.free_slots)
-            oprot.writeFieldEnd()
         if self.work_percent is not None:
-            oprot.writeFieldBegin('work_percent', TType.I32, 5)
+            oprot.writeFieldBegin('work_percent', TType.I32, 4)
             oprot.writeI32(self.work_percent)
             oprot.writeFieldEnd()
         if self.times is not None:
-            oprot.writeFieldBegin('times', TType.LIST, 6)
+            oprot.writeFieldBegin('times', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.times))
             for iter69 in self.times:
                 iter69.write(oprot)
@@ -6719,9 +6707,8 @@
     (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
     (2, TType.I32, 'interactive_ms', None, None, ),  # 2
     (3, TType.I32, 'bulk_ms', None, None, ),  # 3
-    (4, TType.I32, 'free_slots', None, None, ),  # 4
-    (5, TType.I32, 'work_percent', None, None, ),  # 5
-    (6, TType.LIST, 'times', (TType.STRUCT, [RouteTime, None], False), None, ),  # 6
+    (4, TType.I32, 'work_percent', None, None, ),  # 4
+    (5, TType.LIST, 'times', (TType.STRUCT, [RouteTime, None], False), None, ),  # 5
 )
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
--- a/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
+++ b/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
@@ -319,9 +319,8 @@
   1: string name
   2: i32 interactive_ms
   3: i32 bulk_ms
-  4: i32 free_slots
-  5: i32 work_percent
-  6: list<RouteTime> times
+  4: i32 work_percent
+  5: list<RouteTime> times
 }
 
 // From a node to its control instance, and from there to the nodes of
