--- a/packages/quota/src/rhubarbhollow_quota/account.py
+++ b/packages/quota/src/rhubarbhollow_quota/account.py
@@ -7,7 +7,6 @@
 from rhubarbhollow_quota.demand import DemandMeter
 from rhubarbhollow_quota.holding import Holding
 from rhubarbhollow_quota.messages import QuotaClaim, round_down, round_up
-from rhubarbhollow_quota.timing import REPORT_SECONDS
 
 if TYPE_CHECKING:
     from rhubarbhollow_quota.messages import QuotaShare
@@ -123,7 +122,7 @@
         return QuotaClaim(
             tenant,
             round_up(demand),
-            round_up(self._wanted(holding, demand)),
+            round_up(self.waiting),
             round_up(lease.rate),
             round_up(holding.burst),
             round_down(holding.level),
@@ -134,16 +133,6 @@
             lease.is_half,
         )
 
-    def _wanted(self, holding: Holding, demand: float) -> int:
-        """Return the tokens to ask for.
-
-        Without a lease, a node whose parent had none asks four times a
-        second: then it needs the tokens for that time as well.
-        """
-        if not self.waiting or holding.lease.burst > 0.0:
-            return self.waiting
-        return self.waiting + int(demand * REPORT_SECONDS)
-
     def _purge(self, now: float) -> None:
         ended = [
             key
