Enforce quotas within the tolerance that the operator sets

Cause: a burst below 10 is not split over the nodes, so a small tenant's request needed a token from the leader within 100 ms, and there were at most a few tokens a round.

The platform's settings state by how much a tenant may exceed its quota in each window. Without such settings quotas are enforced as they are.

--- a/packages/daemon/src/rhubarbhollow_daemon/control_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_building.py
@@ -163,7 +163,13 @@
             feed_settings=feed_settings,
             claims=claims,
             quota=QuotaService(
-                name, incarnation, replica, machine, links, BootClock()
+                name,
+                incarnation,
+                replica,
+                machine,
+                links,
+                BootClock(),
+                settings.quota_tolerance,
             ),
             rollouts=rollouts,
         )
--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -83,7 +83,9 @@
     )
     selector.use_versions(rollouts)
     client = ClaimClient(name, incarnation, outbox)
-    quota = NodeQuota(name, incarnation, outbox, BootClock())
+    quota = NodeQuota(
+        name, incarnation, outbox, BootClock(), settings.quota_tolerance
+    )
     claims = NodeClaims(client)
     state = NodeState(
         settings.mesh,
--- a/packages/daemon/src/rhubarbhollow_daemon/node_quota.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_quota.py
@@ -10,6 +10,7 @@
 from rhubarbhollow_calls.io_quota import QuotaPort
 from rhubarbhollow_daemon.quota_reading import quotas_of_tenants
 from rhubarbhollow_quota.gate import QuotaGate
+from rhubarbhollow_quota.tolerance import NO_TOLERANCE, QuotaTolerance
 
 if TYPE_CHECKING:
     from rhubarbhollow_daemon.outbox import Outbox
@@ -34,7 +35,9 @@
         incarnation: int,
         outbox: Outbox,
         clock: MonotonicClock,
+        tolerance: QuotaTolerance = NO_TOLERANCE,
     ) -> None:
+        self._tolerance = tolerance
         self._outbox = outbox
         self._clock = clock
         self._gate = QuotaGate(node, incarnation)
@@ -56,7 +59,7 @@
         if tenants is self._tenants:
             return
         self._tenants = tenants
-        quotas = quotas_of_tenants(tenants.tenants)
+        quotas = quotas_of_tenants(tenants.tenants, self._tolerance)
         self._gate.set_quotas(quotas, self._clock.monotonic())
 
     def set_connected(self, is_connected: bool) -> None:
--- a/packages/daemon/src/rhubarbhollow_daemon/quota_reading.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/quota_reading.py
@@ -7,6 +7,7 @@
 from result import Ok
 
 from rhubarbhollow_quota.quota import Quota
+from rhubarbhollow_quota.tolerance import NO_TOLERANCE, QuotaTolerance
 from rhubarbhollow_release.resource_kind import ResourceKind
 from rhubarbhollow_release.tenant_entry import TenantEntry
 
@@ -18,21 +19,31 @@
     from rhubarbhollow_tenants.tenant import Tenant
 
 
-def quota_of(rate: float, burst: float) -> Quota:
-    """Return a quota; without a burst, that of a second's rate."""
-    return Quota(rate, max(1.0, burst if burst > 0.0 else rate))
+def quota_of(
+    rate: float, burst: float, tolerance: QuotaTolerance = NO_TOLERANCE
+) -> Quota:
+    """Return the quota to enforce.
+
+    Without a burst, it is that of a second's rate.
+    """
+    quota = Quota(rate, max(1.0, burst if burst > 0.0 else rate))
+    return tolerance.enforced(quota)
 
 
-def quotas_of_tenants(tenants: Iterable[Tenant]) -> dict[str, Quota]:
+def quotas_of_tenants(
+    tenants: Iterable[Tenant], tolerance: QuotaTolerance = NO_TOLERANCE
+) -> dict[str, Quota]:
     """Return the quotas of the tenants with a limit, by name."""
     return {
-        tenant.name: quota_of(tenant.rate, tenant.burst)
+        tenant.name: quota_of(tenant.rate, tenant.burst, tolerance)
         for tenant in tenants
         if tenant.rate > 0.0
     }
 
 
-def quotas_of_resources(resources: ResourceSet) -> dict[str, Quota]:
+def quotas_of_resources(
+    resources: ResourceSet, tolerance: QuotaTolerance = NO_TOLERANCE
+) -> dict[str, Quota]:
     """Return the quotas in a release's resources, by tenant name."""
     quotas = {}
     for resource in resources.resources:
@@ -40,13 +51,17 @@
             continue
         match resource.item:
             case Ok(TenantEntry() as entry) if entry.rate > 0.0:
-                quotas[entry.display_name] = quota_of(entry.rate, entry.burst)
+                quotas[entry.display_name] = quota_of(
+                    entry.rate, entry.burst, tolerance
+                )
             case _:
                 pass
     return quotas
 
 
-def past_quotas(ledger: ReleaseLedger) -> Mapping[str, set[Quota]]:
+def past_quotas(
+    ledger: ReleaseLedger, tolerance: QuotaTolerance = NO_TOLERANCE
+) -> Mapping[str, set[Quota]]:
     """Return the quotas of each tenant in every retained release.
 
     An earlier leader may have leased parts of any of them.
@@ -56,6 +71,6 @@
         resources = ledger.resources_at(record.position)
         if resources is None:
             continue
-        for name, quota in quotas_of_resources(resources).items():
+        for name, quota in quotas_of_resources(resources, tolerance).items():
             past.setdefault(name, set()).add(quota)
     return past
--- a/packages/daemon/src/rhubarbhollow_daemon/quota_service.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/quota_service.py
@@ -16,6 +16,7 @@
 from rhubarbhollow_quota.division import is_split
 from rhubarbhollow_quota.messages import QuotaGrant, QuotaReport
 from rhubarbhollow_quota.root import RootCapacity
+from rhubarbhollow_quota.tolerance import NO_TOLERANCE, QuotaTolerance
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -53,8 +54,10 @@
         machine: ReleaseMachine,
         links: PeerLinks,
         clock: MonotonicClock,
+        tolerance: QuotaTolerance = NO_TOLERANCE,
     ) -> None:
         self._name = name
+        self._tolerance = tolerance
         self._replica = replica
         self._machine = machine
         self._links = links
@@ -180,7 +183,7 @@
         if active is None or active.position == self._position:
             return
         self._position = active.position
-        quotas = quotas_of_resources(active.resources)
+        quotas = quotas_of_resources(active.resources, self._tolerance)
         if quotas == self._quotas:
             return
         self._quotas = quotas
@@ -208,7 +211,7 @@
         is_first = status.term <= FIRST_TERM
         past: Mapping[str, set[Quota]] = {}
         if not is_first:
-            past = past_quotas(self._machine.ledger)
+            past = past_quotas(self._machine.ledger, self._tolerance)
         unsplit = [
             name
             for name, quotas in past.items()
--- a/packages/daemon/src/rhubarbhollow_daemon/settings.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/settings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from rhubarbhollow_quota.tolerance import NO_TOLERANCE, QuotaTolerance
 from rhubarbhollow_release.operator_channel import (
     CHANNEL_KEY_ID,
     OperatorChannel,
@@ -46,6 +47,7 @@
     calls: CallsSettings
     drain: DrainSettings
     logs: LogsSettings
+    quota_tolerance: QuotaTolerance = NO_TOLERANCE
     has_node: bool = True
     has_channel: bool = False
 
