Leave the data centre only for upstreams of which something is known

Cause: next to local waits that are reported, the drained estimate of a remote upstream always looked shorter.

--- a/packages/calls/src/rhubarbhollow_calls/placement.py
+++ b/packages/calls/src/rhubarbhollow_calls/placement.py
@@ -42,6 +42,10 @@
 # reports.
 REMOTE_BACKLOG_HOLD_SECONDS: Final = 0.5
 
+# Share of the calls that may leave for another data centre of which
+# nothing has been heard for that time, where local loads are reported.
+EXPLORATION_SHARE: Final = 0.25
+
 # The shares of its slack that a call may wait, tried in order; for each
 # share the local upstreams come before the remote ones. A bulk call
 # leaves early for an idle data centre, since it occupies the slots that
@@ -86,6 +90,15 @@
     remote = [evidence for evidence in usable if not evidence.is_local]
     local_best = _earliest_completion(local, needs, now, random)
     remote_best = _earliest_completion(remote, needs, now, random)
+    if (
+        remote_best is not None
+        and any(evidence.is_reported for evidence in local)
+        and now >= remote_best.backlog_at + REMOTE_BACKLOG_HOLD_SECONDS
+        and random.random() >= EXPLORATION_SHARE
+    ):
+        # The local waits are known from reports, and an unknown remote
+        # one would always look shorter.
+        remote_best = None
     for share in _SLACK_SHARES[needs.priority]:
         if local_best is not None and (
             expected_wait(local_best, needs.priority, now)
--- a/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
+++ b/packages/calls/src/rhubarbhollow_calls/upstream_evidence.py
@@ -48,6 +48,7 @@
         "in_flight",
         "is_local",
         "is_on_probation",
+        "is_reported",
         "latency_at",
         "latency_seconds",
         "refusals",
@@ -104,6 +105,8 @@
         self.backlog_at = 0.0
         self.sent_backlog = NO_BACKLOG
         self.speed = WorkSpeed()
+        # Whether the upstream's node reports its load.
+        self.is_reported = False
         # Service times at usual speed that load reports have brought.
         self.route_seconds: dict[str, float] = {}
         # Service time here relative to the route's average; 1 is equal.
@@ -172,6 +175,7 @@
         interactive = load.interactive_ms / MS_PER_SECOND
         bulk = load.bulk_ms / MS_PER_SECOND
         self.observe_backlog(Backlog(interactive, bulk), now)
+        self.is_reported = True
         self.speed.observe(load.work_percent, speed_at)
         for time in load.times:
             self.route_seconds[time.route] = time.service_ms / MS_PER_SECOND
