--- a/packages/calls/src/rhubarbhollow_calls/io_quota.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_quota.py
@@ -57,6 +57,13 @@
             self._wake()
         return verdict
 
+    def remaining(self, tenant_name: str) -> float | None:
+        """Return a tenant's tokens here, or ``None`` if unlimited."""
+        account = self._gate.accounts.get(tenant_name)
+        if account is None:
+            return None
+        return account.tokens(self._clock.monotonic())
+
     def open_wait(self, tenant: Tenant, objective: float | None) -> QuotaWait:
         """Return the wait of a request that was told to wait."""
         seconds = MAX_WAIT_SECONDS
--- a/packages/daemon/src/rhubarbhollow_daemon/request_explanation.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/request_explanation.py
@@ -200,7 +200,7 @@
         position=0 if snapshot is None else snapshot.position,
         release_confirmed=node.is_release_confirmed(),
         route=None if state is None else _describe_route(state),
-        tenant=None if tenant is None else _describe_tenant(tenant),
+        tenant=None if tenant is None else _describe_tenant(node, tenant),
         candidates=candidates,
     )
 
@@ -225,7 +225,10 @@
     )
 
 
-def _describe_tenant(tenant: Tenant) -> TenantDocument:
+def _describe_tenant(node: CallNode, tenant: Tenant) -> TenantDocument:
+    remaining = None
+    if node.quota is not None and tenant.rate > 0.0:
+        remaining = node.quota.remaining(tenant.name)
     return TenantDocument(
-        tenant.name, tenant.priority, tenant.rate, tenant.burst, None
+        tenant.name, tenant.priority, tenant.rate, tenant.burst, remaining
     )
--- a/packages/quota/src/rhubarbhollow_quota/account.py
+++ b/packages/quota/src/rhubarbhollow_quota/account.py
@@ -44,6 +44,14 @@
                 return True
         return False
 
+    def tokens(self, now: float) -> float:
+        """Return the tokens of all shares, without spending one."""
+        total = 0.0
+        for holding in self._holdings.values():
+            holding.advance(now)
+            total += holding.level
+        return total
+
     def rate(self, now: float) -> float:
         """Return the rate of all live shares."""
         return sum(
