Let the instances of the process tests offer rollouts

Three tests of rollouts failed in both runs of the whole script: versions of upstreams are passed on only where the settings name rollouts, and the settings of these tests named none. They pass now (3 of 3 in one run).

--- a/tests/processes/test_platform_roles.py
+++ b/tests/processes/test_platform_roles.py
@@ -99,6 +99,7 @@
                 f"{seed}:{CONTROL_PORT}"
                 for seed in self._control_hosts[:SEED_COUNT]
             ],
+            "Contracts": ["base", "rollout"],
             "FirstStart": host not in self._started_hosts,
             "DataDirectory": str(folder) if is_control_host else None,
             "HeartbeatIntervalS": 1.5,
