--- a/review/lib-2/target.py
+++ b/review/lib-2/target.py
@@ -4,7 +4,11 @@
 ``Not-Executed``, and sends heartbeats to the node beside it.  Each run
 is written to a file when it begins and when it ends.
 
-    target.py IP PORT CONTROL_PORT SERVICE ZONE ID RUNS [WORK_SECONDS]
+    target.py IP PORT CONTROL_PORT SERVICE ZONE ID RUNS
+              [WORK_SECONDS [STREAM_SECONDS]]
+
+With STREAM_SECONDS its answers have no length and end with their
+connection, and the second half follows the first after that time.
 """
 
 from __future__ import annotations
@@ -20,6 +24,7 @@
 IDLE_SECONDS = 10.0
 DEFAULT_WORK_SECONDS = 0.16
 ACK_SECONDS = 1.0
+STREAM_LINES = 20
 
 
 class Target:
@@ -30,6 +35,7 @@
         self.port, self.control = int(port), int(control)
         self.id, runs = words[5:7]
         self.work = float(words[7]) if words[7:] else DEFAULT_WORK_SECONDS
+        self.stream = float(words[8]) if words[8:] else 0.0
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.slots = asyncio.Semaphore(SLOTS)
@@ -100,11 +106,34 @@
         answer = f"{self.service} {request_id}\n".encode()
         seal = f"{request_id}.{len(answer):x}"
         status = 504 if is_late else 200
+        if self.stream and status == 200:
+            await self._stream(writer, echo, request_id)
+            return False
         self.note(end=request_id, status=status)
         self._write(writer, status, {**echo, "Response-Seal": seal}, answer)
         await writer.drain()
         return True
 
+    async def _stream(
+        self,
+        writer: asyncio.StreamWriter,
+        echo: dict[str, str],
+        request_id: str,
+    ) -> None:
+        """Send an answer without a length, in two halves."""
+        half = f"{request_id} of {self.service}\n".encode() * STREAM_LINES
+        seal = f"{request_id}.{2 * len(half):x}"
+        fields = {**echo, "Response-Seal": seal, "Connection": "close"}
+        lines = ["HTTP/1.1 200 answer"]
+        lines += [f"{name}: {value}" for name, value in fields.items()]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + half)
+        await writer.drain()
+        self.note(half=request_id, size=len(half))
+        await asyncio.sleep(self.stream)
+        writer.write(half)
+        await writer.drain()
+        self.note(end=request_id, status=200)
+
     async def _read_body(
         self, reader: asyncio.StreamReader, headers: dict[str, str]
     ) -> bytes:
