Add review case 10: a kill of all processes forgets withdrawals

Cause: a withdrawal that was acknowledged is kept in memory alone, of the node and of the control instances, so a kill of all of them loses it, and a late heartbeat lists the target again.

Done: a script kills all processes right after the acknowledgement and delivers a heartbeat of before 2 s late.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,16 +1,21 @@
-"""One target crashes while it sends answers without a length.
+"""All processes are killed after a target's DELETE is acknowledged.
 
-The answers of the targets have no length and end with their connection.
-Each comes in two halves, the second 0.5 s after the first, and bears
-the length of the whole in its ``Response-Seal``.  One target of six
-crashes between the halves.  What a client takes for a complete answer
-must then be the whole one.  With ``TROUBLE=0`` no target crashes.
+A target that never reports ``draining`` sends DELETE, gets its 200 and
+serves on for some seconds. Then the processes of all machines are
+killed at the same moment and are back within a second. A heartbeat that
+the target had sent before its DELETE arrives two seconds late. No
+request may reach the target later than ``DrainPeriodS`` after the
+acknowledgement; requests count from twice ``ContactWindowS`` after the
+restart on, when all machines are in touch. With ``TROUBLE=0`` nothing
+is killed; the heartbeat is late all the same.
 """
 
 from __future__ import annotations
 
 import asyncio
+import json
 import sys
+import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -19,63 +24,155 @@
 import fleet as stand  # noqa: E402
 
 SERVICE = "huvo11a"
-WORK_SECONDS = 0.1
-STREAM_SECONDS = 0.5
-DEADLINE_MS = 3_000
-REQUESTS_PER_NODE = 2
-# All requests have begun to be answered by then, and none has ended.
-CRASH_SECONDS = 0.35
+PREFIX = "/lohu930/"
+WORK_SECONDS = 0.05
+CLIENTS_PER_NODE = 3
+PAUSE_SECONDS = 0.05
+CALM_SECONDS = 3.0
+DOWN_SECONDS = 0.5
+LATE_SECONDS = 2.0
+SERVES_ON_SECONDS = 12.0
+ACK_SECONDS = 1.0
 
 
-def is_whole(answer: stand.Answer) -> bool:
-    """Return whether the body has the length that the seal states."""
-    seal = answer.headers.get("response-seal", "")
-    return len(answer.body) == int(seal.rpartition(".")[2] or "0", 16)
+class Leaver:
+    """Send the heartbeats and the DELETE of one target."""
+
+    def __init__(self, fleet: stand.Fleet, node: stand.Machine) -> None:
+        self._fleet = fleet
+        self._node = node
+        self._born = int(time.time() * 1000)
+        self._sequence = 0
+
+    def next_body(self) -> bytes:
+        """Return the body of the next heartbeat."""
+        self._sequence += 1
+        return json.dumps(
+            {
+                "Service": SERVICE,
+                "Address": f"{self._node.ip}:{self._fleet.app}",
+                "Zone": self._node.zone,
+                "Version": "v1",
+                "Slots": 9,
+                "State": "ready",
+                "ColdRemainingS": 0,
+                "Sequence": self._sequence,
+                "born": self._born,
+            }
+        ).encode()
+
+    async def call(self, method: str, body: bytes | None = None) -> int:
+        """Call the node beside the target; return the status."""
+        answer = await stand.call(
+            self._node.ip,
+            self._fleet.control,
+            method,
+            f"/rhubarbhollow/instances/{self._node.target_id}",
+            {"Content-Type": "application/json"},
+            body,
+            ACK_SECONDS,
+        )
+        return answer.status
+
+    async def beat(self) -> None:
+        """Send heartbeats until cancelled."""
+        while True:
+            await self.call("PUT", self.next_body())
+            await asyncio.sleep(stand.HEARTBEAT_SECONDS)
+
+
+async def ask(fleet: stand.Fleet, node: stand.Machine, client: int) -> None:
+    """Send requests one after another, as one client does."""
+    number = 0
+    while True:
+        number += 1
+        path = f"{PREFIX}{node.name}-{client}-{number}"
+        await fleet.request(node, "GET", path, is_quiet=True)
+        await asyncio.sleep(PAUSE_SECONDS)
+
+
+async def kill_all(fleet: stand.Fleet) -> None:
+    """Kill the processes of all machines at once, and restart them."""
+    machines = list(fleet.machines.values())
+    for machine in machines:
+        if machine.process is not None:
+            machine.process.kill()
+    for machine in machines:
+        if machine.process is not None:
+            await machine.process.wait()
+    await asyncio.sleep(DOWN_SECONDS)
+    for machine in machines:
+        await fleet.start_process(machine)
 
 
 async def main(fleet: stand.Fleet) -> int:
     """Run the case."""
-    await fleet.start(str(WORK_SECONDS), str(STREAM_SECONDS))
-    rules = [stand.rule("r-zji9n73", "/lohu930/", SERVICE)]
+    leaving = fleet.nodes[0]
+    for machine in fleet.machines.values():
+        await fleet.start_process(machine)
+    for node in fleet.nodes[1:]:
+        await fleet.start_target(node, str(WORK_SECONDS))
+    await fleet.start_target(leaving, str(WORK_SECONDS), "0", "quiet")
+    target = Leaver(fleet, leaving)
+    beating = asyncio.create_task(target.beat())
+    rules = [stand.rule("r-zji9n73", PREFIX, SERVICE)]
     document = stand.configuration(1, rules, [SERVICE])
     if await fleet.put_configuration(document, 0) != 200:
         raise stand.CouldNotRunError("version 1 was not acknowledged")
     await fleet.wait_ready()
     await asyncio.sleep(fleet.bounds["ConfigPropagationS"] + 1)
-    tasks = [
-        asyncio.create_task(
-            fleet.request(
-                node,
-                "GET",
-                f"/lohu930/{node.name}-{number}",
-                deadline_ms=DEADLINE_MS,
-            )
-        )
+    asking = [
+        asyncio.create_task(ask(fleet, node, client))
         for node in fleet.nodes
-        for number in range(REQUESTS_PER_NODE)
+        for client in range(CLIENTS_PER_NODE)
     ]
-    await asyncio.sleep(CRASH_SECONDS)
+    await asyncio.sleep(CALM_SECONDS)
+    beating.cancel()
+    late = target.next_body()
+    status = await target.call("DELETE")
+    acknowledged_at = time.monotonic()
+    fleet.record.write(f"{leaving.target_id}: DELETE answered with {status}")
+    if status != 200:
+        raise stand.CouldNotRunError("the DELETE was not acknowledged")
     if stand.has_trouble():
-        victim = fleet.nodes[0]
-        fleet.record.write(f"the target at {victim.name} crashes")
-        await fleet.kill_target(victim)
-    answers = [await task for task in tasks]
-    halves = {run["half"] for run in fleet.runs() if "half" in run}
-    if len(halves) < len(tasks):
-        raise stand.CouldNotRunError("not all answers had begun")
-    served = [one for one in answers if one[1].status == 200]
-    cut = [one for one in served if not is_whole(one[1])]
-    for request_id, answer in cut:
+        fleet.record.write("the processes of all machines are killed")
+        await kill_all(fleet)
+        fleet.record.write("the processes of all machines are started")
+    calm_at = time.monotonic() + 2 * fleet.bounds["ContactWindowS"]
+    passed = time.monotonic() - acknowledged_at
+    await asyncio.sleep(LATE_SECONDS - passed)
+    status = await target.call("PUT", late)
+    fleet.record.write(
+        f"{leaving.target_id}: the heartbeat from before the DELETE arrives,"
+        f" answered with {status}"
+    )
+    await asyncio.sleep(SERVES_ON_SECONDS - LATE_SECONDS)
+    for task in asking:
+        task.cancel()
+    await asyncio.gather(*asking, return_exceptions=True)
+    allowed_until = acknowledged_at + fleet.bounds["DrainPeriodS"]
+    runs = [
+        run
+        for run in fleet.runs()
+        if run["target"] == leaving.target_id and "begin" in run
+    ]
+    after = [run for run in runs if run["at"] > allowed_until]
+    counted = [run for run in after if run["at"] > calm_at]
+    for run in counted:
+        seconds = run["at"] - acknowledged_at
         fleet.record.write(
-            f"{request_id}: a complete 200 with {len(answer.body)} bytes;"
-            f" seal {answer.headers['response-seal']}"
+            f"{leaving.target_id} begins {run['begin']} {seconds:.3f} s after"
+            " the acknowledgement"
         )
     fleet.record.write(
-        f"of {len(answers)} requests {len(served)} got a 200 that looks"
-        f" complete; {len(cut)} of these without the whole body"
+        f"runs at {leaving.target_id}: {len(runs)}; later than"
+        f" {fleet.bounds['DrainPeriodS']} s after the acknowledgement:"
+        f" {len(after)}; of these with all machines in touch: {len(counted)}"
     )
-    return stand.BROKEN if cut else stand.HELD
+    if not runs:
+        raise stand.CouldNotRunError("the target has had no request")
+    return stand.BROKEN if counted else stand.HELD
 
 
 if __name__ == "__main__":
-    sys.exit(stand.run_case(HERE, main, services=[SERVICE]))
+    sys.exit(stand.run_case(HERE, main, services=[SERVICE], nodes_per_zone=1))
--- a/review/lib-2/target.py
+++ b/review/lib-2/target.py
@@ -5,10 +5,11 @@
 is written to a file when it begins and when it ends.
 
     target.py IP PORT CONTROL_PORT SERVICE ZONE ID RUNS
-              [WORK_SECONDS [STREAM_SECONDS]]
+              [WORK_SECONDS [STREAM_SECONDS [quiet]]]
 
 With STREAM_SECONDS its answers have no length and end with their
-connection, and the second half follows the first after that time.
+connection, and the second half follows the first after that time.  With
+``quiet`` the case itself sends the heartbeats of this target.
 """
 
 from __future__ import annotations
@@ -36,6 +37,7 @@
         self.id, runs = words[5:7]
         self.work = float(words[7]) if words[7:] else DEFAULT_WORK_SECONDS
         self.stream = float(words[8]) if words[8:] else 0.0
+        self.is_quiet = words[9:] == ["quiet"]
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.slots = asyncio.Semaphore(SLOTS)
@@ -208,6 +210,8 @@
     target = Target(sys.argv[1:])
     server = await asyncio.start_server(target.serve, target.ip, target.port)
     async with server:
+        if target.is_quiet:
+            await server.serve_forever()
         await target.beat()
 
 
