--- a/review/10/case.py
+++ b/review/10/case.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "lib-2"))
+sys.path.insert(0, str(HERE.parent / "6" / "lib"))
 
 import fleet as stand  # noqa: E402
 
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "lib-2"))
+sys.path.insert(0, str(HERE / "lib"))
 
 import fleet as stand  # noqa: E402
 
--- a/review/lib-2/fleet.py
+++ b/review/6/lib/fleet.py
@@ -25,7 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[3]
 TARGET_PROGRAM = Path(__file__).resolve().with_name("target.py")
 
 HELD = 0
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "lib-2"))
+sys.path.insert(0, str(HERE.parent / "6" / "lib"))
 
 import fleet as stand  # noqa: E402
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # the standard library alone, so that compiling them shows that they load.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -m compileall -q lib-2
+python3 -m compileall -q 6/lib
 for number in 6 7 8 9 10; do
     if [ -e "$number/case.py" ]; then
         python3 -m compileall -q "$number/case.py"
