Match a prefix with a final slash only where it begins the path

Cause: callers of /lohu930/2f were served by another service once a version added the route /lohu930/2f/. RouteTable stored prefixes without their final slash and looked the whole path up first, so /a and /a/ were one prefix there and two everywhere else. Change: the table keeps prefixes as written. One with a final slash matches what begins with it; one without ends at a segment boundary as before.

--- a/packages/calls/src/rhubarbhollow_calls/route_table.py
+++ b/packages/calls/src/rhubarbhollow_calls/route_table.py
@@ -23,8 +23,10 @@
     """Immutable table of the routes of the release at ``position``.
 
     The routes of a specific host are tried before those of ``*``.
-    Within a host, the longest matching prefix that ends at a segment
-    boundary wins.
+    Within a host, the longest matching prefix wins.  A prefix with a
+    final slash matches the paths that begin with it; ``/a/`` does not
+    match ``/a``.  One without a final slash also ends at a segment
+    boundary: ``/a`` matches ``/a`` and ``/a/b``, but not ``/ab``.
     """
 
     __slots__ = ("_any_host", "_by_host", "_by_name", "_position")
@@ -137,18 +139,21 @@
         self._max_length = max(self._max_length, len(prefix))
 
     def longest_match(self, path: bytes) -> CallRoute | None:
-        # The path is cut to the length of the longest prefix first, so
-        # that a long path needs no more lookups than that prefix has
-        # segments.
-        end = len(path)
-        if end > self._max_length:
-            end = path.rfind(b"/", 0, self._max_length + 1)
-        while end > 0:
-            route = self._by_prefix.get(path[:end])
+        if len(path) <= self._max_length:
+            route = self._by_prefix.get(path)
             if route is not None:
                 return route
-            end = path.rfind(b"/", 0, end)
-        return self._by_prefix.get(b"")
+        # The slash after the longest prefix is the last one of interest,
+        # so that a long path needs no more lookups than that prefix has
+        # segments.
+        end = min(len(path), self._max_length + 1)
+        while (slash := path.rfind(b"/", 0, end)) >= 0:
+            for prefix in (path[: slash + 1], path[:slash]):
+                route = self._by_prefix.get(prefix)
+                if route is not None:
+                    return route
+            end = slash
+        return None
 
 
 def _host_of(route: CallRoute) -> bytes:
@@ -156,7 +161,7 @@
 
 
 def _prefix_of(route: CallRoute) -> bytes:
-    return route.prefix.encode().rstrip(b"/")
+    return route.prefix.encode()
 
 
 def normalize_host(host: bytes) -> bytes:
