--- a/packages/calls/src/rhubarbhollow_calls/route_table.py
+++ b/packages/calls/src/rhubarbhollow_calls/route_table.py
@@ -143,9 +143,8 @@
             route = self._by_prefix.get(path)
             if route is not None:
                 return route
-        # The slash after the longest prefix is the last one of interest,
-        # so that a long path needs no more lookups than that prefix has
-        # segments.
+        # Slashes beyond the one after the longest prefix are skipped: a
+        # long path needs no more lookups than that prefix has segments.
         end = min(len(path), self._max_length + 1)
         while (slash := path.rfind(b"/", 0, end)) >= 0:
             for prefix in (path[: slash + 1], path[:slash]):
--- a/packages/calls/tests/test_route_table.py
+++ b/packages/calls/tests/test_route_table.py
@@ -101,7 +101,7 @@
 def test_the_longest_prefix_that_begins_the_path_is_selected(
     prefixes: set[str], path: str
 ) -> None:
-    """Guard against a prefix that takes over the path without its slash."""
+    """Guard against a prefix that takes over the path before it."""
     table = RouteTable(1, [route(each, "*", each) for each in prefixes])
     matched = table.match(b"h", path.encode())
     expected = max(
@@ -116,7 +116,7 @@
 def test_an_added_route_changes_only_paths_that_begin_with_it(
     prefixes: set[str], added: str, path: str
 ) -> None:
-    """Guard against requests that a new route takes from another one."""
+    """Guard against requests that a new route takes from others."""
     before = RouteTable(1, [route(each, "*", each) for each in prefixes])
     after = before.change(2, (), [route(added, "*", added)])
     if not begins(added, path):
--- a/packages/daemon/src/rhubarbhollow_daemon/claim_client.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/claim_client.py
@@ -8,11 +8,13 @@
 import anyio
 from result import Err, Ok, Result
 
-from rhubarbhollow_daemon.node_messages import ClaimAnswer, ClaimRequest
+from rhubarbhollow_daemon.node_messages import ClaimRequest
+from rhubarbhollow_daemon.pending_answers import PendingAnswers
 
 if TYPE_CHECKING:
     from rhubarbhollow_calls.claim import ClaimCommand
     from rhubarbhollow_calls.claim_outcome import ClaimOutcome
+    from rhubarbhollow_daemon.node_messages import ClaimAnswer
     from rhubarbhollow_daemon.outbox import Outbox
 
 ANSWER_TIMEOUT_SECONDS: Final = 0.5
@@ -35,8 +37,7 @@
         self._node = node
         self._incarnation = incarnation
         self._outbox = outbox
-        self._last_id = 0
-        self._pending: dict[int, _PendingRequest] = {}
+        self._pending = PendingAnswers[bytes]()
 
     @property
     def node(self) -> str:
@@ -77,25 +78,11 @@
 
     def deliver(self, answer: ClaimAnswer) -> None:
         """Deliver an answer to the request that waits for it."""
-        pending = self._pending.get(answer.request_id)
-        if pending is not None:
-            pending.outcome = answer.outcome
-            pending.done.set()
+        self._pending.deliver(answer.request_id, answer.outcome)
 
     async def _request_outcome(self, encoded: bytes) -> bytes:
-        self._last_id += 1
-        request_id = self._last_id
-        pending = self._pending[request_id] = _PendingRequest(anyio.Event())
-        self._outbox.put(ClaimRequest(request_id, encoded))
-        try:
-            with anyio.move_on_after(ANSWER_TIMEOUT_SECONDS):
-                await pending.done.wait()
-        finally:
-            del self._pending[request_id]
-        return pending.outcome
-
-
-@dataclass(slots=True)
-class _PendingRequest:
-    done: anyio.Event
-    outcome: bytes = b""
+        def send(request_id: int) -> None:
+            self._outbox.put(ClaimRequest(request_id, encoded))
+
+        outcome = await self._pending.ask(send, ANSWER_TIMEOUT_SECONDS)
+        return outcome or b""
--- a/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_instance.py
@@ -30,6 +30,7 @@
     OTHERS_REPEAT_INTERVAL_SECONDS,
     SummarySchedule,
 )
+from rhubarbhollow_distribution.departure_messages import DepartureRequest
 from rhubarbhollow_distribution.endpoint_change import EndpointChange
 from rhubarbhollow_distribution.feed import NodeFeed
 from rhubarbhollow_distribution.ledger_view import LedgerView
@@ -43,6 +44,7 @@
 
     from rhubarbhollow_daemon.burn_collection import BurnCollection
     from rhubarbhollow_daemon.control_parts import ControlParts
+    from rhubarbhollow_daemon.departure_service import DepartureService
     from rhubarbhollow_daemon.load_relay import LoadRelay
     from rhubarbhollow_distribution.hello import Hello
     from rhubarbhollow_wire.connection import FrameConnection
@@ -65,11 +67,16 @@
     """
 
     def __init__(
-        self, parts: ControlParts, burn: BurnCollection, loads: LoadRelay
+        self,
+        parts: ControlParts,
+        burn: BurnCollection,
+        loads: LoadRelay,
+        departures: DepartureService,
     ) -> None:
         self._parts = parts
         self._burn = burn
         self._loads = loads
+        self._departures = departures
         self._sender, self._receiver = anyio.create_memory_object_stream[
             ControlEvent
         ](INBOX_EVENTS)
@@ -377,6 +384,14 @@
                     link.outbox.put,
                 )
                 continue
+            if isinstance(message, DepartureRequest):
+                group.start_soon(
+                    self._departures.serve_node,
+                    link.hello.node,
+                    message,
+                    link.outbox.put,
+                )
+                continue
             if isinstance(message, LoadReport):
                 # Frequent, and no decision of the event loop uses it.
                 self._loads.receive(link.hello, message)
--- a/packages/daemon/src/rhubarbhollow_daemon/control_tasks.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/control_tasks.py
@@ -10,6 +10,7 @@
 from rhubarbhollow_daemon.control_handlers import ControlHandlers
 from rhubarbhollow_daemon.control_instance import ControlInstance
 from rhubarbhollow_daemon.control_listener import ControlListener
+from rhubarbhollow_daemon.departure_service import DepartureService
 from rhubarbhollow_daemon.document_relay import DocumentRelay
 from rhubarbhollow_daemon.document_service import DocumentService
 from rhubarbhollow_daemon.fleet import Fleet
@@ -54,7 +55,9 @@
     """
     burn = BurnCollection(parts)
     loads = LoadRelay(parts.data_centre, parts.node_connections)
-    instance = ControlInstance(parts, burn, loads)
+    log = ReleaseLog(parts.replica, parts.machine, parts.links)
+    departures = DepartureService(log, parts.machine)
+    instance = ControlInstance(parts, burn, loads, departures)
     submissions = SubmissionService(parts.machine, parts.replica)
     relay = LeaderRelay(
         parts.name,
@@ -64,7 +67,6 @@
         parts.clock,
     )
     fleet = Fleet(parts)
-    log = ReleaseLog(parts.replica, parts.machine, parts.links)
     documents = _build_documents(settings, parts, document_format, log)
     dispatcher = PeerDispatcher(
         parts, instance, relay, fleet, burn, group, log
--- a/packages/daemon/src/rhubarbhollow_daemon/document_outcome.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/document_outcome.py
@@ -5,6 +5,10 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from rhubarbhollow_distribution.departure_command import (
+    DepartureCommandFault,
+)
+from rhubarbhollow_distribution.departure_ledger import DeparturesRecorded
 from rhubarbhollow_release.outcome import (
     Accepted,
     AlreadyAccepted,
@@ -74,12 +78,21 @@
                 DocumentVerdict.BASE_MOVED,
                 "another release was accepted meanwhile",
             )
-        case Refused() | RolloutCommandFault() | TooManyRollouts():
+        case (
+            Refused()
+            | RolloutCommandFault()
+            | TooManyRollouts()
+            | DepartureCommandFault()
+        ):
             return DocumentOutcome(DocumentVerdict.INVALID, repr(outcome))
         case RolloutStarted(record) | RolloutKnown(record):
             return DocumentOutcome(
                 DocumentVerdict.ACCEPTED, f"rollout {record.number}"
             )
+        case DeparturesRecorded(node):
+            return DocumentOutcome(
+                DocumentVerdict.ACCEPTED, f"departures at {node}"
+            )
         case RolloutInProgress(record):
             return DocumentOutcome(
                 DocumentVerdict.CONFLICT,
--- a/packages/daemon/src/rhubarbhollow_daemon/local_upstreams.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/local_upstreams.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 import structlog
 from result import Ok
@@ -25,11 +25,6 @@
         UpstreamRegistry,
     )
 
-# How long the acknowledgement of a withdrawal waits until a control
-# instance, which outlives this process, was told. One that is connected
-# takes the message within a few milliseconds.
-REPORT_SECONDS: Final = 0.1
-
 _log = structlog.get_logger()
 
 
@@ -81,10 +76,6 @@
             self._apply_changes()
         return outcome
 
-    async def wait_reported(self) -> None:
-        """Wait for a short time until all changes have been sent."""
-        await self._outbox.wait_sent(REPORT_SECONDS)
-
     def leave_all(self) -> None:
         """Report every upstream here as leaving from now on."""
         self._is_leaving = True
--- a/packages/daemon/src/rhubarbhollow_daemon/node_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_building.py
@@ -12,6 +12,7 @@
 from rhubarbhollow_daemon.call_observer import NodeCallObserver
 from rhubarbhollow_daemon.claim_client import ClaimClient
 from rhubarbhollow_daemon.decision_log import DecisionLog
+from rhubarbhollow_daemon.departure_client import DepartureClient
 from rhubarbhollow_daemon.endpoint_view import EndpointView
 from rhubarbhollow_daemon.local_upstreams import LocalUpstreams
 from rhubarbhollow_daemon.node_claims import NodeClaims
@@ -87,6 +88,7 @@
         name, incarnation, outbox, BootClock(), settings.quota_tolerance
     )
     claims = NodeClaims(client)
+    departures = DepartureClient(outbox)
     state = NodeState(
         settings.mesh,
         name,
@@ -103,6 +105,7 @@
         burn,
         quota,
         rollouts,
+        departures,
     )
     call_node = CallNode(
         name,
@@ -147,6 +150,7 @@
         quarantine=quarantine,
         burn=burn,
         rollouts=rollouts,
+        departures=departures,
         refused_call_log=refused_call_log,
         quota=quota,
     )
--- a/packages/daemon/src/rhubarbhollow_daemon/node_codec.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_codec.py
@@ -20,6 +20,10 @@
 from rhubarbhollow_distribution.active_report import ActiveReport
 from rhubarbhollow_distribution.control_heartbeat import ControlHeartbeat
 from rhubarbhollow_distribution.control_list import ControlList
+from rhubarbhollow_distribution.departure_messages import (
+    DepartureAnswer,
+    DepartureRequest,
+)
 from rhubarbhollow_distribution.endpoint_change import EndpointChange
 from rhubarbhollow_distribution.endpoint_report import EndpointReport
 from rhubarbhollow_distribution.hello import Hello
@@ -44,6 +48,8 @@
     ControlHeartbeat,
     ControlList,
     CrashReport,
+    DepartureAnswer,
+    DepartureRequest,
     EndpointChange,
     EndpointReport,
     EndpointsRequest,
--- a/packages/daemon/src/rhubarbhollow_daemon/node_connections.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_connections.py
@@ -262,13 +262,7 @@
         self._end_replaced(self._links.pop(link.hello.node, None))
         self._links[link.hello.node] = link
         self._disconnected_at.pop(link.hello.node, None)
-        link.outbox.put(
-            replace(
-                self._welcome,
-                node_incarnation=incarnation,
-                withdrawals=self._store.withdrawals_at(hello.node),
-            )
-        )
+        link.outbox.put(replace(self._welcome, node_incarnation=incarnation))
         link.outbox.put(self._directory.node_message)
         for message in self._relay.recent():
             link.outbox.put(message)
--- a/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_parts.py
@@ -9,6 +9,7 @@
     from rhubarbhollow_calls.io_node import CallNode
     from rhubarbhollow_calls.quarantine import Quarantine
     from rhubarbhollow_daemon.burn_recorder import BurnRecorder
+    from rhubarbhollow_daemon.departure_client import DepartureClient
     from rhubarbhollow_daemon.local_upstreams import LocalUpstreams
     from rhubarbhollow_daemon.node_claims import NodeClaims
     from rhubarbhollow_daemon.node_quota import NodeQuota
@@ -42,3 +43,4 @@
     refused_call_log: RefusedCallLog
     quota: NodeQuota
     rollouts: RolloutPolicy
+    departures: DepartureClient
--- a/packages/daemon/src/rhubarbhollow_daemon/node_session.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_session.py
@@ -180,7 +180,6 @@
         source = greeted.ok_value
         self._state.expect_endpoints_from(source.endpoints_source)
         self._state.raise_incarnation(source.node_incarnation)
-        self._state.note_withdrawals(source.withdrawals)
         return source.connection
 
     async def _send_rollout_reports(self) -> None:
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -28,6 +28,7 @@
 from rhubarbhollow_distribution.control_address import is_usable
 from rhubarbhollow_distribution.control_heartbeat import ControlHeartbeat
 from rhubarbhollow_distribution.control_list import ControlList
+from rhubarbhollow_distribution.departure_messages import DepartureAnswer
 from rhubarbhollow_distribution.endpoint_change import (
     EndpointChange,
     leave_out_unusable,
@@ -43,14 +44,12 @@
 from rhubarbhollow_rollout.messages import RolloutExposure
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-    from typing import TypeAlias
-
     from rhubarbhollow_calls.io_node import CallNode
     from rhubarbhollow_calls.quarantine import Quarantine
     from rhubarbhollow_calls.quarantine_message import QuarantineMessage
     from rhubarbhollow_daemon.burn_recorder import BurnRecorder
     from rhubarbhollow_daemon.claim_client import ClaimClient
+    from rhubarbhollow_daemon.departure_client import DepartureClient
     from rhubarbhollow_daemon.endpoint_view import EndpointView
     from rhubarbhollow_daemon.node_quota import NodeQuota
     from rhubarbhollow_daemon.outbox import Outbox
@@ -60,9 +59,6 @@
     from rhubarbhollow_distribution.holder import ReleaseHolder
     from rhubarbhollow_distribution.source_choice import SourceChooser
     from rhubarbhollow_distribution.upstream_registry import UpstreamRegistry
-    from rhubarbhollow_distribution.welcome import Withdrawal
-
-    WithdrawalWatcher: TypeAlias = Callable[[tuple[Withdrawal, ...]], None]
 
 _log = structlog.get_logger()
 
@@ -91,6 +87,7 @@
         burn: BurnRecorder,
         quota: NodeQuota,
         rollouts: RolloutPolicy,
+        departures: DepartureClient,
     ) -> None:
         self._mesh = mesh
         self._node = node
@@ -107,8 +104,7 @@
         self._burn = burn
         self._quota = quota
         self._rollouts = rollouts
-        self._withdrawals: tuple[Withdrawal, ...] | None = None
-        self._withdrawal_watcher: WithdrawalWatcher | None = None
+        self._departures = departures
         self._call_node: CallNode | None = None
         self._snapshots = SnapshotBuilder()
 
@@ -172,23 +168,7 @@
     def set_connected(self, is_connected: bool) -> None:
         """Note whether a control instance has welcomed this node."""
         self._quota.set_connected(is_connected)
-
-    def watch_withdrawals(self, watcher: WithdrawalWatcher) -> None:
-        """Call ``watcher`` with deregistrations of before the start."""
-        self._withdrawal_watcher = watcher
-        if self._withdrawals:
-            watcher(self._withdrawals)
-
-    def note_withdrawals(self, withdrawals: tuple[Withdrawal, ...]) -> None:
-        """Take what the first source remembers of an earlier process.
-
-        Later welcomes tell nothing that this process does not know.
-        """
-        if self._withdrawals is not None:
-            return
-        self._withdrawals = withdrawals
-        if withdrawals and self._withdrawal_watcher is not None:
-            self._withdrawal_watcher(withdrawals)
+        self._departures.set_connected(is_connected)
 
     def hello(self) -> Hello:
         """Return the first message to send on a new connection."""
@@ -218,6 +198,8 @@
                 self._outbox.put(answer)
             case ClaimAnswer():
                 self._claims.deliver(message)
+            case DepartureAnswer():
+                self._departures.deliver(message)
             case ControlList(controls):
                 self._chooser.take_list(filter(is_usable, controls))
             case RolloutExposure():
--- a/packages/daemon/src/rhubarbhollow_daemon/outbox.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/outbox.py
@@ -32,10 +32,6 @@
             object
         ](limit)
         self._dropped = 0
-        self._put_count = 0
-        # Messages that were sent or discarded.
-        self._done_count = 0
-        self._progress = anyio.Event()
 
     @property
     def dropped(self) -> int:
@@ -46,26 +42,13 @@
         """Queue a message without waiting, or drop it."""
         try:
             self._sender.send_nowait(message)
-            self._put_count += 1
         except (anyio.WouldBlock, anyio.BrokenResourceError):
             self._dropped += 1
 
     def clear(self) -> None:
         """Discard the messages queued for an earlier connection."""
-        count = 0
         while self._maybe_next() is not None:
-            count += 1
-        self._note_done(count)
-
-    async def wait_sent(self, timeout_seconds: float) -> None:
-        """Wait until all that is queued now was sent, or discarded.
-
-        Without a connection the wait ends with the timeout.
-        """
-        last = self._put_count
-        with anyio.move_on_after(timeout_seconds):
-            while self._done_count < last:
-                await self._progress.wait()
+            pass
 
     async def pump(self, connection: FrameConnection) -> None:
         """Send queued messages in batches until a send fails.
@@ -80,22 +63,13 @@
                 if message is None:
                     break
                 batch.append(message)
-            try:
-                sent = await connection.send(*batch)
-            finally:
-                self._note_done(len(batch))
-            match sent:
+            match await connection.send(*batch):
                 case Err(UnencodableMessage() | FrameTooLarge() as fault):
                     self._dropped += 1
                     _log.error("message_not_sent", fault=repr(fault))
                 case Err():
                     return
 
-    def _note_done(self, count: int) -> None:
-        self._done_count += count
-        self._progress.set()
-        self._progress = anyio.Event()
-
     def _maybe_next(self) -> object | None:
         try:
             return self._receiver.receive_nowait()
--- a/packages/daemon/src/rhubarbhollow_daemon/release_log.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/release_log.py
@@ -19,6 +19,10 @@
 from rhubarbhollow_daemon.messages import ProposeAnswer
 from rhubarbhollow_daemon.propose_relay import ProposeRelay
 from rhubarbhollow_daemon.submission_kind import SubmissionKind
+from rhubarbhollow_distribution.departure_command import (
+    decode_departure_command,
+    is_departure_command,
+)
 from rhubarbhollow_release.command import SubmitRelease, decode_command
 from rhubarbhollow_replication.role import Role
 from rhubarbhollow_rollout.command import (
@@ -142,6 +146,11 @@
         """
         if is_rollout_command(payload):
             return _reject_rollout(payload)
+        if is_departure_command(payload):
+            departures = decode_departure_command(payload)
+            if isinstance(departures, Err):
+                return _invalid(departures.err_value.detail)
+            return None
         decoded = decode_command(payload)
         if isinstance(decoded, Err):
             return _invalid(repr(decoded.err_value))
--- a/packages/daemon/src/rhubarbhollow_daemon/source_connection.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/source_connection.py
@@ -16,7 +16,6 @@
 if TYPE_CHECKING:
     from rhubarbhollow_daemon.staggered_connect import Connected
     from rhubarbhollow_distribution.hello import Hello
-    from rhubarbhollow_distribution.welcome import Withdrawal
     from rhubarbhollow_wire.traffic import Traffic
 
 WELCOME_TIMEOUT_SECONDS: Final = 10.0
@@ -38,7 +37,6 @@
     connection: FrameConnection
     endpoints_source: str
     node_incarnation: int
-    withdrawals: tuple[Withdrawal, ...]
 
 
 async def greet_source(
@@ -86,7 +84,6 @@
                     connection,
                     welcome.source,
                     welcome.node_incarnation,
-                    welcome.withdrawals,
                 )
             )
         case Ok(Redirect(retry_after_ms=retry_after_ms)):
--- a/packages/daemon/tests/test_control_instance.py
+++ b/packages/daemon/tests/test_control_instance.py
@@ -84,7 +84,7 @@
     on every event, whatever woke the loop.
     """
     parts = Parts(ManualClock())
-    instance = ControlInstance(parts, None, None)
+    instance = ControlInstance(parts, None, None, None)
 
     async def main():
         async with anyio.create_task_group() as group:
@@ -107,7 +107,7 @@
     With the event loop gone and the inbox full, that send, and the
     shutdown with it, must not block for ever.
     """
-    instance = ControlInstance(Parts(ManualClock()), None, None)
+    instance = ControlInstance(Parts(ManualClock()), None, None, None)
     connection, _ = join_connections()
     stopped = anyio.Event()
 
@@ -139,7 +139,7 @@
 def test_failed_floor_sync_is_retried_after_a_delay():
     """A failing disk must not cause a sync attempt on every event."""
     parts = Parts(ManualClock(), pending=3)
-    instance = ControlInstance(parts, None, None)
+    instance = ControlInstance(parts, None, None, None)
     attempts = []
 
     def raise_to(position):
@@ -176,7 +176,7 @@
             [address.name for address in message.controls]
         )
     )
-    instance = ControlInstance(parts, None, None)
+    instance = ControlInstance(parts, None, None, None)
 
     def wait(seconds):
         instance._note_absent_controls(clock.monotonic())
--- a/packages/daemon/tests/test_node_connections.py
+++ b/packages/daemon/tests/test_node_connections.py
@@ -28,7 +28,7 @@
 from rhubarbhollow_distribution.hello import Hello
 from rhubarbhollow_distribution.ledger_view import LedgerView
 from rhubarbhollow_distribution.node_register import NodeRegister
-from rhubarbhollow_distribution.welcome import Welcome, Withdrawal
+from rhubarbhollow_distribution.welcome import Welcome
 from rhubarbhollow_rollout.command import (
     StartRollout,
     encode_rollout_command,
@@ -113,26 +113,6 @@
         return NodeLink(hello, feed)
 
 
-def test_a_welcome_names_the_withdrawals_at_the_node():
-    """Guard against a node that lists a withdrawn upstream again.
-
-    It has no disk, so that only control instances remember what its
-    earlier process has acknowledged.
-    """
-    harness = Harness()
-    link = harness.join()
-    withdrawn = replace(RECORD, state=3, sequence=2, is_withdrawn=True)
-    report = EndpointReport((withdrawn,))
-    harness.nodes.handle_message(link, report, VIEW)
-    harness.nodes.leave(link)
-    harness.clock.advance(0.25)
-    successor = Hello("mesh", "n1", "ilala", 8, 0, b"", 0, "", 0)
-    restarted = harness.link(successor)
-    harness.nodes.join(restarted, VIEW)
-    welcome = restarted.outbox._maybe_next()
-    assert welcome.withdrawals == (Withdrawal("bench", 250),)
-
-
 def test_a_disconnected_node_does_not_delay_releases():
     """Guard against waiting for a node whose connection ended.
 
--- a/packages/daemon/tests/test_node_state.py
+++ b/packages/daemon/tests/test_node_state.py
@@ -58,7 +58,7 @@
 
 
 def state_of(parts):
-    return NodeState("m", "n1", "ilala", 7, *([parts] * 11))
+    return NodeState("m", "n1", "ilala", 7, *([parts] * 12))
 
 
 @pytest.mark.parametrize(
--- a/packages/daemon/tests/test_outbox.py
+++ b/packages/daemon/tests/test_outbox.py
@@ -25,37 +25,6 @@
         return Ok(None)
 
 
-def test_a_wait_for_what_is_queued_ends_when_it_was_sent():
-    """Guard against an acknowledgement before others were told."""
-    outbox = Outbox()
-    connection = Connection(1)
-
-    async def run():
-        outbox.put("withdrawal")
-        with anyio.move_on_after(0.01) as waiting:
-            await outbox.wait_sent(5.0)
-        assert waiting.cancelled_caught
-        async with anyio.create_task_group() as group:
-            group.start_soon(outbox.pump, connection)
-            await outbox.wait_sent(5.0)
-            assert connection.sent == [("withdrawal",)]
-            group.cancel_scope.cancel()
-        outbox.put("discarded")
-        outbox.clear()
-        await outbox.wait_sent(5.0)
-        outbox.put("unsent")
-        await outbox.wait_sent(0.01)
-
-    with_limit = anyio.run(limit_time, run)
-    assert with_limit
-
-
-async def limit_time(run):
-    with anyio.fail_after(4.0):
-        await run()
-    return True
-
-
 @pytest.mark.parametrize(
     ("limit", "count", "dropped"), [(4, 3, 0), (4, 4, 0), (4, 9, 5)]
 )
--- a/packages/daemon/tests/test_release_machine.py
+++ b/packages/daemon/tests/test_release_machine.py
@@ -8,6 +8,13 @@
     ReleaseMachine,
     UnreadableSnapshotError,
 )
+from rhubarbhollow_distribution.departure import Departure
+from rhubarbhollow_distribution.departure_command import (
+    DepartureCommandFault,
+    RecordDepartures,
+    encode_departure_command,
+)
+from rhubarbhollow_distribution.departure_ledger import DeparturesRecorded
 from rhubarbhollow_release.ledger import ReleaseLedger
 from rhubarbhollow_rollout.command import (
     ConcludeRollout,
@@ -38,6 +45,27 @@
     assert not restored.rollouts.running
 
 
+@pytest.mark.parametrize("has_rollouts", [False, True])
+def test_departures_survive_a_snapshot(has_rollouts: bool) -> None:
+    """Guard against a withdrawal that a compacted log forgets."""
+    gone = Departure("a", 5, 7, is_withdrawn=True, noted_at_ms=9)
+    command = encode_departure_command(RecordDepartures("n1", (gone,)))
+    machine = ReleaseMachine(MESH, {})
+    if has_rollouts:
+        machine.apply(1, ORDER)
+    assert machine.apply(2, command) == DeparturesRecorded("n1")
+    restored = ReleaseMachine(MESH, {})
+    restored.restore(machine.snapshot())
+    assert restored.departures.of("n1") == (gone,)
+    assert restored.rollouts.records == machine.rollouts.records
+    assert restored.snapshot() == machine.snapshot()
+    assert isinstance(machine.apply(3, b"Dx"), DepartureCommandFault)
+    snapshot = machine.snapshot()
+    for at in range(12, len(snapshot)):
+        with pytest.raises(UnreadableSnapshotError):
+            restored.restore(snapshot[:at])
+
+
 def test_snapshots_without_rollouts_are_as_before() -> None:
     """Earlier versions wrote the ledger's snapshot alone."""
     machine = ReleaseMachine(MESH, {})
--- a/packages/distribution/src/rhubarbhollow_distribution/endpoint_record.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/endpoint_record.py
@@ -36,10 +36,8 @@
     An endpoint is identified by its node and its name.  Its records are
     ordered by ``(incarnation, sequence)``.  Only the node assigns the
     sequence; a control instance may raise the incarnation (see
-    ``Welcome``).  A record in state ``GONE`` is a tombstone; it
-    ``is_withdrawn`` if the upstream has deregistered, as opposed to one
-    whose lease or whose node's lease has ended.  The version is that of
-    the upstream's program, empty if it states none.
+    ``Welcome``).  A record in state ``GONE`` is a tombstone.  The
+    version is that of the upstream's program, empty if it states none.
     """
 
     name: str
@@ -54,7 +52,6 @@
     incarnation: int
     sequence: int
     version: str = ""
-    is_withdrawn: bool = False
 
     @property
     def key(self) -> EndpointKey:
@@ -76,6 +73,11 @@
         return replace(self, state=int(EndpointState.GONE))
 
 
+def is_endpoint_name(name: str) -> bool:
+    """Return whether a text can name an endpoint of a node."""
+    return bool(_NAME.fullmatch(name))
+
+
 def is_usable(record: EndpointRecord) -> bool:
     """Return whether a record from another process can be used."""
     texts = (
@@ -94,7 +96,7 @@
         (record.sequence, 0, MAX_ORDER),
     )
     return (
-        bool(_NAME.fullmatch(record.name))
+        is_endpoint_name(record.name)
         and is_host(record.peer_host)
         and all(len(text) <= MAX_TEXT_CHARACTERS for text in texts)
         and all(low <= number <= high for number, low, high in numbers)
--- a/packages/distribution/src/rhubarbhollow_distribution/endpoint_store.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/endpoint_store.py
@@ -8,7 +8,7 @@
 from rhubarbhollow_distribution.endpoint_change import EndpointChange
 from rhubarbhollow_distribution.endpoint_entry import EndpointEntry
 from rhubarbhollow_distribution.invariant import check_invariant
-from rhubarbhollow_distribution.welcome import Withdrawal, format_source_id
+from rhubarbhollow_distribution.welcome import format_source_id
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -19,7 +19,6 @@
     )
     from rhubarbhollow_wire.clock import Clock
 
-MS_PER_SECOND: Final = 1_000
 TOMBSTONE_SECONDS: Final = 120.0
 # How long the reports of an unreachable instance still count.
 UNREACHABLE_GRACE_SECONDS: Final = 30.0
@@ -134,18 +133,6 @@
         )
         return incarnation if known <= incarnation else known + 1
 
-    def withdrawals_at(self, node: str) -> tuple[Withdrawal, ...]:
-        """Return the upstreams of a node that have deregistered."""
-        now = self._clock.monotonic()
-        return tuple(
-            Withdrawal(key[1], round((now - entry.gone_at) * MS_PER_SECOND))
-            for key, entry in self._entries.items()
-            if key[0] == node
-            and entry.visible is not None
-            and entry.visible.is_gone
-            and entry.visible.is_withdrawn
-        )
-
     def admit_node(
         self,
         node: str,
--- a/packages/distribution/src/rhubarbhollow_distribution/upstream_registry.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/upstream_registry.py
@@ -135,7 +135,7 @@
         """Remove an upstream immediately; return its tombstone."""
         if name not in self._registered:
             return Err(UnknownUpstream(name))
-        return Ok(self._remove(name, is_withdrawn=True))
+        return Ok(self._remove(name))
 
     def leave_all(self) -> tuple[EndpointRecord, ...]:
         """Mark every endpoint as leaving before the node stops."""
@@ -168,12 +168,9 @@
         self._changed.clear()
         return changed
 
-    def _remove(
-        self, name: str, *, is_withdrawn: bool = False
-    ) -> EndpointRecord:
+    def _remove(self, name: str) -> EndpointRecord:
         entry = self._registered.pop(name)
-        tombstone = entry.record.to_tombstone()
-        record = self._issue(replace(tombstone, is_withdrawn=is_withdrawn))
+        record = self._issue(entry.record.to_tombstone())
         self._tombstones[name] = _Tombstone(record, self._clock.monotonic())
         return record
 
--- a/packages/distribution/src/rhubarbhollow_distribution/welcome.py
+++ b/packages/distribution/src/rhubarbhollow_distribution/welcome.py
@@ -5,14 +5,6 @@
 from dataclasses import dataclass
 
 
-@dataclass(frozen=True, slots=True)
-class Withdrawal:
-    """Name an upstream that deregistered ``age_ms`` ago."""
-
-    name: str
-    age_ms: int
-
-
 @dataclass(frozen=True, slots=True)
 class Welcome:
     """Identify the control instance that admitted the node.
@@ -20,15 +12,12 @@
     ``node_incarnation`` is the incarnation that the node must use from
     now on.  It is the node's own unless a higher one of an earlier
     process is known, for example after a clock was set back.
-    ``withdrawals`` are the deregistrations at the node that are known
-    here: the node may have acknowledged them in an earlier process.
     """
 
     control: str
     data_centre: str
     incarnation: int
     node_incarnation: int = 0
-    withdrawals: tuple[Withdrawal, ...] = ()
 
     @property
     def source(self) -> str:
--- a/packages/distribution/tests/test_announcement.py
+++ b/packages/distribution/tests/test_announcement.py
@@ -119,8 +119,6 @@
     clock.advance(3)
     (tombstone,) = registry.expire()
     assert (tombstone.order, tombstone.is_gone) == ((4, 2), True)
-    # A lease that ended is no withdrawal: the upstream may come back.
-    assert not tombstone.is_withdrawn
     assert registry.take_changes() == registry.records == (tombstone,)
     assert registry.announcements == ()
     clock.advance(TOMBSTONE_SECONDS)
@@ -142,7 +140,7 @@
     registry.leave_all()
     assert [each.sequence for each in registry.records] == [4, 5]
     withdrawn = registry.withdraw("desk-1").unwrap()
-    assert (withdrawn.sequence, withdrawn.is_withdrawn) == (6, True)
+    assert (withdrawn.sequence, withdrawn.is_gone) == (6, True)
     assert registry.withdraw("desk-1").unwrap_err() == UnknownUpstream(
         "desk-1"
     )
--- a/packages/distribution/tests/test_endpoint_store.py
+++ b/packages/distribution/tests/test_endpoint_store.py
@@ -17,7 +17,6 @@
     EndpointTable,
     NeedsEndpoints,
 )
-from rhubarbhollow_distribution.welcome import Withdrawal
 from rhubarbhollow_wire.clock import ManualClock
 
 OLD = record(sequence=1)
@@ -57,28 +56,6 @@
     assert store.changes_since(store.source, 1).records in ((), (expected,))
 
 
-@pytest.mark.parametrize("via", ["own", "peer"])
-def test_only_withdrawals_at_the_node_are_told_to_it(via):
-    """Guard against a node that forgets what it acknowledged.
-
-    A lease that ended must not keep an upstream away.
-    """
-    clock = ManualClock()
-    store = store_of(clock)
-    withdrawn = replace(gone(NEW), is_withdrawn=True)
-    for each in (OLD, withdrawn, OTHER, gone(OTHER)):
-        store.merge([each], via)
-    clock.advance(2.5)
-    known = (Withdrawal(NEW.name, 2_500),)
-    assert store.withdrawals_at(NEW.node) == known
-    assert store.admit_node(NEW.node, NEW.incarnation + 1) == ()
-    assert store.withdrawals_at(NEW.node) == known
-    assert store.withdrawals_at("elsewhere") == ()
-    listed = record(incarnation=NEW.incarnation + 1, sequence=1)
-    store.merge([listed], via)
-    assert store.withdrawals_at(NEW.node) == ()
-
-
 def test_merge_returns_what_the_reporter_changed():
     store = store_of()
     assert store.merge([NEW, OTHER], "own") == (NEW, OTHER)
--- a/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
+++ b/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
@@ -1572,7 +1572,6 @@
      - incarnation
      - sequence
      - version
-     - is_withdrawn
 
     """
 
@@ -1589,11 +1588,10 @@
         'incarnation',
         'sequence',
         'version',
-        'is_withdrawn',
     )
 
 
-    def __init__(self, name=None, service_=None, node=None, data_centre=None, peer_host=None, peer_port=None, slots=None, state=None, load_percent=None, incarnation=None, sequence=None, version="", is_withdrawn=False,):
+    def __init__(self, name=None, service_=None, node=None, data_centre=None, peer_host=None, peer_port=None, slots=None, state=None, load_percent=None, incarnation=None, sequence=None, version="",):
         self.name = name
         self.service_ = service_
         self.node = node
@@ -1606,7 +1604,6 @@
         self.incarnation = incarnation
         self.sequence = sequence
         self.version = version
-        self.is_withdrawn = is_withdrawn
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1677,11 +1674,6 @@
                     self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 13:
-                if ftype == TType.BOOL:
-                    self.is_withdrawn = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1740,10 +1732,6 @@
             oprot.writeFieldBegin('version', TType.STRING, 12)
             oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
             oprot.writeFieldEnd()
-        if self.is_withdrawn is not None:
-            oprot.writeFieldBegin('is_withdrawn', TType.BOOL, 13)
-            oprot.writeBool(self.is_withdrawn)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1846,86 +1834,6 @@
         return not (self == other)
 
 
-class Withdrawal(object):
-    """
-    Attributes:
-     - name
-     - age_ms
-
-    """
-
-    __slots__ = (
-        'name',
-        'age_ms',
-    )
-
-
-    def __init__(self, name=None, age_ms=None,):
-        self.name = name
-        self.age_ms = age_ms
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.age_ms = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('Withdrawal')
-        if self.name is not None:
-            oprot.writeFieldBegin('name', TType.STRING, 1)
-            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
-            oprot.writeFieldEnd()
-        if self.age_ms is not None:
-            oprot.writeFieldBegin('age_ms', TType.I64, 2)
-            oprot.writeI64(self.age_ms)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class Welcome(object):
     """
     Attributes:
@@ -1933,7 +1841,6 @@
      - data_centre
      - incarnation
      - node_incarnation
-     - withdrawals
 
     """
 
@@ -1942,20 +1849,14 @@
         'data_centre',
         'incarnation',
         'node_incarnation',
-        'withdrawals',
     )
 
 
-    def __init__(self, control=None, data_centre=None, incarnation=None, node_incarnation=None, withdrawals=[
-    ],):
+    def __init__(self, control=None, data_centre=None, incarnation=None, node_incarnation=None,):
         self.control = control
         self.data_centre = data_centre
         self.incarnation = incarnation
         self.node_incarnation = node_incarnation
-        if withdrawals is self.thrift_spec[5][4]:
-            withdrawals = [
-            ]
-        self.withdrawals = withdrawals
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1986,17 +1887,6 @@
                     self.node_incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.LIST:
-                    self.withdrawals = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = Withdrawal()
-                        _elem19.read(iprot)
-                        self.withdrawals.append(_elem19)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2023,13 +1913,6 @@
             oprot.writeFieldBegin('node_incarnation', TType.I64, 4)
             oprot.writeI64(self.node_incarnation)
             oprot.writeFieldEnd()
-        if self.withdrawals is not None:
-            oprot.writeFieldBegin('withdrawals', TType.LIST, 5)
-            oprot.writeListBegin(TType.STRUCT, len(self.withdrawals))
-            for iter20 in self.withdrawals:
-                iter20.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2409,11 +2292,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = EndpointRecord()
-                        _elem26.read(iprot)
-                        self.records.append(_elem26)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = EndpointRecord()
+                        _elem19.read(iprot)
+                        self.records.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2447,8 +2330,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter27 in self.records:
-                iter27.write(oprot)
+            for iter20 in self.records:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_full is not None:
@@ -2795,11 +2678,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.controls = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = ControlAddress()
-                        _elem33.read(iprot)
-                        self.controls.append(_elem33)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = ControlAddress()
+                        _elem26.read(iprot)
+                        self.controls.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2816,8 +2699,8 @@
         if self.controls is not None:
             oprot.writeFieldBegin('controls', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.controls))
-            for iter34 in self.controls:
-                iter34.write(oprot)
+            for iter27 in self.controls:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3039,22 +2922,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.staged = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = PositionCount()
-                        _elem40.read(iprot)
-                        self.staged.append(_elem40)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = PositionCount()
+                        _elem33.read(iprot)
+                        self.staged.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.in_force = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = PositionCount()
-                        _elem46.read(iprot)
-                        self.in_force.append(_elem46)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = PositionCount()
+                        _elem39.read(iprot)
+                        self.in_force.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3079,15 +2962,15 @@
         if self.staged is not None:
             oprot.writeFieldBegin('staged', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.staged))
-            for iter47 in self.staged:
-                iter47.write(oprot)
+            for iter40 in self.staged:
+                iter40.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.in_force is not None:
             oprot.writeFieldBegin('in_force', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.in_force))
-            for iter48 in self.in_force:
-                iter48.write(oprot)
+            for iter41 in self.in_force:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3346,11 +3229,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.nodes = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = NodeStatus()
-                        _elem54.read(iprot)
-                        self.nodes.append(_elem54)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = NodeStatus()
+                        _elem47.read(iprot)
+                        self.nodes.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3371,8 +3254,8 @@
         if self.nodes is not None:
             oprot.writeFieldBegin('nodes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.nodes))
-            for iter55 in self.nodes:
-                iter55.write(oprot)
+            for iter48 in self.nodes:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3768,6 +3651,312 @@
         return not (self == other)
 
 
+class Departure(object):
+    """
+    Attributes:
+     - name
+     - started_at_ms
+     - sequence
+     - is_withdrawn
+     - noted_at_ms
+
+    """
+
+    __slots__ = (
+        'name',
+        'started_at_ms',
+        'sequence',
+        'is_withdrawn',
+        'noted_at_ms',
+    )
+
+
+    def __init__(self, name=None, started_at_ms=None, sequence=None, is_withdrawn=None, noted_at_ms=None,):
+        self.name = name
+        self.started_at_ms = started_at_ms
+        self.sequence = sequence
+        self.is_withdrawn = is_withdrawn
+        self.noted_at_ms = noted_at_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_withdrawn = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.noted_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Departure')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.started_at_ms is not None:
+            oprot.writeFieldBegin('started_at_ms', TType.I64, 2)
+            oprot.writeI64(self.started_at_ms)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.is_withdrawn is not None:
+            oprot.writeFieldBegin('is_withdrawn', TType.BOOL, 4)
+            oprot.writeBool(self.is_withdrawn)
+            oprot.writeFieldEnd()
+        if self.noted_at_ms is not None:
+            oprot.writeFieldBegin('noted_at_ms', TType.I64, 5)
+            oprot.writeI64(self.noted_at_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DepartureRequest(object):
+    """
+    Attributes:
+     - request_id
+     - departures
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'departures',
+    )
+
+
+    def __init__(self, request_id=None, departures=None,):
+        self.request_id = request_id
+        self.departures = departures
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.departures = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = Departure()
+                        _elem54.read(iprot)
+                        self.departures.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DepartureRequest')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
+            oprot.writeFieldEnd()
+        if self.departures is not None:
+            oprot.writeFieldBegin('departures', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.departures))
+            for iter55 in self.departures:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DepartureAnswer(object):
+    """
+    Attributes:
+     - request_id
+     - is_confirmed
+     - departures
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'is_confirmed',
+        'departures',
+    )
+
+
+    def __init__(self, request_id=None, is_confirmed=None, departures=None,):
+        self.request_id = request_id
+        self.is_confirmed = is_confirmed
+        self.departures = departures
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.is_confirmed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.departures = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Departure()
+                        _elem61.read(iprot)
+                        self.departures.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DepartureAnswer')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
+            oprot.writeFieldEnd()
+        if self.is_confirmed is not None:
+            oprot.writeFieldBegin('is_confirmed', TType.BOOL, 2)
+            oprot.writeBool(self.is_confirmed)
+            oprot.writeFieldEnd()
+        if self.departures is not None:
+            oprot.writeFieldBegin('departures', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.departures))
+            for iter62 in self.departures:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class CrashReport(object):
     """
     Attributes:
@@ -4219,11 +4408,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.counts = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = BurnCount()
-                        _elem61.read(iprot)
-                        self.counts.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = BurnCount()
+                        _elem68.read(iprot)
+                        self.counts.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4244,8 +4433,8 @@
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.counts))
-            for iter62 in self.counts:
-                iter62.write(oprot)
+            for iter69 in self.counts:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4412,11 +4601,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.times = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = RouteTime()
-                        _elem68.read(iprot)
-                        self.times.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = RouteTime()
+                        _elem75.read(iprot)
+                        self.times.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4449,8 +4638,8 @@
         if self.times is not None:
             oprot.writeFieldBegin('times', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.times))
-            for iter69 in self.times:
-                iter69.write(oprot)
+            for iter76 in self.times:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4505,11 +4694,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = UpstreamLoad()
-                        _elem75.read(iprot)
-                        self.loads.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = UpstreamLoad()
+                        _elem82.read(iprot)
+                        self.loads.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4526,8 +4715,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter76 in self.loads:
-                iter76.write(oprot)
+            for iter83 in self.loads:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4818,11 +5007,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.claims = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = QuotaClaim()
-                        _elem82.read(iprot)
-                        self.claims.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = QuotaClaim()
+                        _elem89.read(iprot)
+                        self.claims.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4863,8 +5052,8 @@
         if self.claims is not None:
             oprot.writeFieldBegin('claims', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.claims))
-            for iter83 in self.claims:
-                iter83.write(oprot)
+            for iter90 in self.claims:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5127,11 +5316,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.shares = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = QuotaShare()
-                        _elem89.read(iprot)
-                        self.shares.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = QuotaShare()
+                        _elem96.read(iprot)
+                        self.shares.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5164,8 +5353,8 @@
         if self.shares is not None:
             oprot.writeFieldBegin('shares', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.shares))
-            for iter90 in self.shares:
-                iter90.write(oprot)
+            for iter97 in self.shares:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5404,11 +5593,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.evidence = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = RolloutEvidence()
-                        _elem96.read(iprot)
-                        self.evidence.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = RolloutEvidence()
+                        _elem103.read(iprot)
+                        self.evidence.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5429,8 +5618,8 @@
         if self.evidence is not None:
             oprot.writeFieldBegin('evidence', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.evidence))
-            for iter97 in self.evidence:
-                iter97.write(oprot)
+            for iter104 in self.evidence:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5653,11 +5842,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rollouts = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = RolloutView()
-                        _elem103.read(iprot)
-                        self.rollouts.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = RolloutView()
+                        _elem110.read(iprot)
+                        self.rollouts.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5682,8 +5871,8 @@
         if self.rollouts is not None:
             oprot.writeFieldBegin('rollouts', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rollouts))
-            for iter104 in self.rollouts:
-                iter104.write(oprot)
+            for iter111 in self.rollouts:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5754,11 +5943,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.evidence = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = RolloutEvidence()
-                        _elem110.read(iprot)
-                        self.evidence.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = RolloutEvidence()
+                        _elem117.read(iprot)
+                        self.evidence.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5783,8 +5972,8 @@
         if self.evidence is not None:
             oprot.writeFieldBegin('evidence', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.evidence))
-            for iter111 in self.evidence:
-                iter111.write(oprot)
+            for iter118 in self.evidence:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5850,6 +6039,8 @@
      - leave_request
      - quota_report
      - quota_grant
+     - departure_request
+     - departure_answer
      - rollout_report
      - rollout_exposure
      - rollout_summary
@@ -5893,6 +6084,8 @@
         'leave_request',
         'quota_report',
         'quota_grant',
+        'departure_request',
+        'departure_answer',
         'rollout_report',
         'rollout_exposure',
         'rollout_summary',
@@ -5900,7 +6093,7 @@
     )
 
 
-    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_chunk=None, snapshot_reply=None, hello=None, staged_report=None, active_report=None, node_heartbeat=None, stage_request=None, endpoint_report=None, welcome=None, stage=None, activate=None, control_heartbeat=None, endpoint_change=None, redirect=None, peer_hello=None, register_summary=None, nodes_request=None, nodes_answer=None, propose_request=None, propose_answer=None, endpoints_request=None, claim_request=None, claim_answer=None, crash_report=None, exoneration=None, burn_request=None, burn_answer=None, control_list=None, leave_request=None, quota_report=None, quota_grant=None, rollout_report=None, rollout_exposure=None, rollout_summary=None, load_report=None,):
+    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_chunk=None, snapshot_reply=None, hello=None, staged_report=None, active_report=None, node_heartbeat=None, stage_request=None, endpoint_report=None, welcome=None, stage=None, activate=None, control_heartbeat=None, endpoint_change=None, redirect=None, peer_hello=None, register_summary=None, nodes_request=None, nodes_answer=None, propose_request=None, propose_answer=None, endpoints_request=None, claim_request=None, claim_answer=None, crash_report=None, exoneration=None, burn_request=None, burn_answer=None, control_list=None, leave_request=None, quota_report=None, quota_grant=None, departure_request=None, departure_answer=None, rollout_report=None, rollout_exposure=None, rollout_summary=None, load_report=None,):
         self.vote_request = vote_request
         self.vote_reply = vote_reply
         self.append_request = append_request
@@ -5936,6 +6129,8 @@
         self.leave_request = leave_request
         self.quota_report = quota_report
         self.quota_grant = quota_grant
+        self.departure_request = departure_request
+        self.departure_answer = departure_answer
         self.rollout_report = rollout_report
         self.rollout_exposure = rollout_exposure
         self.rollout_summary = rollout_summary
@@ -6160,6 +6355,18 @@
                     self.quota_grant.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 36:
+                if ftype == TType.STRUCT:
+                    self.departure_request = DepartureRequest()
+                    self.departure_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 37:
+                if ftype == TType.STRUCT:
+                    self.departure_answer = DepartureAnswer()
+                    self.departure_answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
             elif fid == 50:
                 if ftype == TType.STRUCT:
                     self.rollout_report = RolloutReport()
@@ -6334,6 +6541,14 @@
             oprot.writeFieldBegin('quota_grant', TType.STRUCT, 35)
             self.quota_grant.write(oprot)
             oprot.writeFieldEnd()
+        if self.departure_request is not None:
+            oprot.writeFieldBegin('departure_request', TType.STRUCT, 36)
+            self.departure_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.departure_answer is not None:
+            oprot.writeFieldBegin('departure_answer', TType.STRUCT, 37)
+            self.departure_answer.write(oprot)
+            oprot.writeFieldEnd()
         if self.rollout_report is not None:
             oprot.writeFieldBegin('rollout_report', TType.STRUCT, 50)
             self.rollout_report.write(oprot)
@@ -6507,19 +6722,12 @@
     (10, TType.I64, 'incarnation', None, None, ),  # 10
     (11, TType.I64, 'sequence', None, None, ),  # 11
     (12, TType.STRING, 'version', 'UTF8', "", ),  # 12
-    (13, TType.BOOL, 'is_withdrawn', None, False, ),  # 13
 )
 all_structs.append(EndpointReport)
 EndpointReport.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'records', (TType.STRUCT, [EndpointRecord, None], False), None, ),  # 1
 )
-all_structs.append(Withdrawal)
-Withdrawal.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'age_ms', None, None, ),  # 2
-)
 all_structs.append(Welcome)
 Welcome.thrift_spec = (
     None,  # 0
@@ -6527,8 +6735,6 @@
     (2, TType.STRING, 'data_centre', 'UTF8', None, ),  # 2
     (3, TType.I64, 'incarnation', None, None, ),  # 3
     (4, TType.I64, 'node_incarnation', None, None, ),  # 4
-    (5, TType.LIST, 'withdrawals', (TType.STRUCT, [Withdrawal, None], False), [
-    ], ),  # 5
 )
 all_structs.append(Stage)
 Stage.thrift_spec = (
@@ -6657,6 +6863,28 @@
     (1, TType.I64, 'request_id', None, None, ),  # 1
     (2, TType.STRING, 'outcome', 'BINARY', None, ),  # 2
 )
+all_structs.append(Departure)
+Departure.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_at_ms', None, None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.BOOL, 'is_withdrawn', None, None, ),  # 4
+    (5, TType.I64, 'noted_at_ms', None, None, ),  # 5
+)
+all_structs.append(DepartureRequest)
+DepartureRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.LIST, 'departures', (TType.STRUCT, [Departure, None], False), None, ),  # 2
+)
+all_structs.append(DepartureAnswer)
+DepartureAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.BOOL, 'is_confirmed', None, None, ),  # 2
+    (3, TType.LIST, 'departures', (TType.STRUCT, [Departure, None], False), None, ),  # 3
+)
 all_structs.append(CrashReport)
 CrashReport.thrift_spec = (
     None,  # 0
@@ -6848,8 +7076,8 @@
     (33, TType.STRUCT, 'leave_request', [LeaveRequest, None], None, ),  # 33
     (34, TType.STRUCT, 'quota_report', [QuotaReport, None], None, ),  # 34
     (35, TType.STRUCT, 'quota_grant', [QuotaGrant, None], None, ),  # 35
-    None,  # 36
-    None,  # 37
+    (36, TType.STRUCT, 'departure_request', [DepartureRequest, None], None, ),  # 36
+    (37, TType.STRUCT, 'departure_answer', [DepartureAnswer, None], None, ),  # 37
     None,  # 38
     None,  # 39
     None,  # 40
--- a/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
+++ b/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
@@ -128,7 +128,7 @@
   11: i64 sequence
   // Empty if the upstream states none; older records have no such field.
   12: string version = ""
-  13: bool is_withdrawn = false
+  // 13 told withdrawals from ended leases in earlier versions.
 }
 
 struct EndpointReport {
@@ -137,19 +137,13 @@
 
 // --- control instance to node --------------------------------------
 
-// An upstream that deregistered from the node ``age_ms`` ago.
-struct Withdrawal {
-  1: string name
-  2: i64 age_ms
-}
-
 // ``node_incarnation`` is the one under which the node goes on.
 struct Welcome {
   1: string control
   2: string data_centre
   3: i64 incarnation
   4: i64 node_incarnation
-  5: list<Withdrawal> withdrawals = []
+  // 5 held withdrawals in earlier versions.
 }
 
 struct Stage {
@@ -270,6 +264,29 @@
   2: binary outcome
 }
 
+// --- upstreams that leave --------------------------------------------
+
+// An upstream process that a node has acknowledged as leaving.
+struct Departure {
+  1: string name
+  2: i64 started_at_ms
+  3: i64 sequence
+  4: bool is_withdrawn
+  5: i64 noted_at_ms
+}
+
+// From a node: record these, or without any, return those of the node.
+struct DepartureRequest {
+  1: i64 request_id
+  2: list<Departure> departures
+}
+
+struct DepartureAnswer {
+  1: i64 request_id
+  2: bool is_confirmed
+  3: list<Departure> departures
+}
+
 // --- requests that crash upstreams ----------------------------------
 
 struct CrashReport {
@@ -460,6 +477,8 @@
   33: optional LeaveRequest leave_request
   34: optional QuotaReport quota_report
   35: optional QuotaGrant quota_grant
+  36: optional DepartureRequest departure_request
+  37: optional DepartureAnswer departure_answer
   50: optional RolloutReport rollout_report
   51: optional RolloutExposure rollout_exposure
   52: optional RolloutSummary rollout_summary
--- a/tests/platform/test_heartbeat.py
+++ b/tests/platform/test_heartbeat.py
@@ -1,11 +1,13 @@
 """Decoding and ordering of an upstream's heartbeats."""
 
 import json
+from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 
 import pytest
 from result import Err
 
+from rhubarbhollow_distribution.departure import Departure
 from rhubarbhollow_platform.heartbeat import (
     Heartbeat,
     read_heartbeat,
@@ -228,17 +230,36 @@
     tracker = HeartbeatTracker(clock)
     if is_listed:
         assert tracker.observe("a", heartbeat(old, 1)) is HeartbeatOrder.NEW
-    assert tracker.recall_withdrawal("a", 2.0) is is_listed
+    noted_at_ms = clock.now_ms() - 2_000
+    unseen = Departure("a", 0, 0, is_withdrawn=True, noted_at_ms=noted_at_ms)
+    assert tracker.recall([unseen]) == ("a" if is_listed else None)
     assert tracker.observe("a", heartbeat(old, 2)) is HeartbeatOrder.LATE
     assert tracker.observe("a", heartbeat(None, 2)) is HeartbeatOrder.LATE
     started = heartbeat(clock.now_ms() - 1_000, 1)
     assert tracker.observe("a", started) is HeartbeatOrder.NEW
-    assert not tracker.recall_withdrawal("a", 2.0)
-    assert not tracker.recall_withdrawal("b", 2.0)
+    assert tracker.recall([unseen, replace(unseen, name="b")]) is None
     repeated = heartbeat(clock.now_ms() - 1_000, 2)
     assert tracker.observe("a", repeated) is HeartbeatOrder.NEW
 
 
+@pytest.mark.parametrize("is_withdrawn", [False, True])
+def test_a_departure_is_that_of_one_process(is_withdrawn):
+    """Guard against a new process taken for one that left.
+
+    Its clock may be behind that of the process before it.
+    """
+    tracker = HeartbeatTracker(ManualClock())
+    departure = Departure("a", 50, 7, is_withdrawn, noted_at_ms=60)
+    assert tracker.recall([departure]) is None
+    for sequence, is_late in ((6, True), (7, True), (8, is_withdrawn)):
+        other = HeartbeatTracker(ManualClock())
+        other.recall([departure])
+        order = HeartbeatOrder.LATE if is_late else HeartbeatOrder.NEW
+        assert other.observe("a", heartbeat(50, sequence)) is order
+    assert tracker.observe("a", heartbeat(49, 1)) is HeartbeatOrder.NEW
+    assert tracker.observe("b", heartbeat(50, 1)) is HeartbeatOrder.NEW
+
+
 @pytest.mark.parametrize("step_seconds", [-5, 0, 5])
 def test_a_process_that_starts_after_the_withdrawal_is_listed(step_seconds):
     clock = StepClock()
--- a/tests/processes/test_withdrawals.py
+++ b/tests/processes/test_withdrawals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import time
 
 import pytest
@@ -25,6 +26,8 @@
 NODE = NODE_HOSTS[0]
 # An acknowledged withdrawal reaches all nodes within this time.
 DRAIN_SECONDS = 2.0
+# Between the starts of two groups of processes.
+PAUSE_SECONDS = 1.0
 
 
 @pytest.fixture
@@ -104,3 +107,69 @@
         check_withdrawn()
 
     run_beside_upstream(platform, play)
+
+
+def restart_all(platform, groups):
+    """Kill all processes at once; start each group once it is known."""
+    for host in (*HOSTS, *NODE_HOSTS):
+        platform.signal(host, signal.SIGKILL)
+    for host in (*HOSTS, *NODE_HOSTS):
+        platform.wait(host)
+    for group in groups:
+        for host in group:
+            platform.start(host)
+        time.sleep(PAUSE_SECONDS)
+
+
+@pytest.mark.parametrize(
+    "groups",
+    [
+        [(*HOSTS, *NODE_HOSTS)],
+        [NODE_HOSTS, HOSTS],
+        [HOSTS, NODE_HOSTS],
+        # The instance that the node follows at first knows no leader.
+        [(*NODE_HOSTS, HOSTS[0]), HOSTS[1:]],
+    ],
+)
+@pytest.mark.parametrize("state", ["draining", "gone"])
+def test_a_departure_outlives_all_processes(platform, groups, state):
+    """Guard against calls to an upstream that all restarts forget.
+
+    The node acknowledges that the upstream drains or withdraws, all
+    processes are killed, and a heartbeat of before arrives late, again
+    and again.
+    """
+
+    def leave(port):
+        if state == "gone":
+            return withdraw(NODE)
+        return send_heartbeat(NODE, port, 3, state)
+
+    def play(port):
+        wait_for_result(lambda: leave(port), 200)
+        restart_all(platform, groups)
+        wait_for_result(lambda: send_heartbeat(NODE, port, 2), 200)
+        deadline = time.monotonic() + DRAIN_SECONDS
+        for host in NODE_HOSTS:
+            wait_for_result(
+                lambda host=host: send_call(host, "/other/")[0], 404
+            )
+        while time.monotonic() < deadline:
+            assert send_heartbeat(NODE, port, 2) == 200
+            for host in NODE_HOSTS:
+                assert send_call(host)[0] == 503
+            time.sleep(0.1)
+
+    run_beside_upstream(platform, play)
+
+
+def test_a_ready_upstream_is_listed_after_all_processes_restart(platform):
+    """Guard against an upstream kept away by the wait for records."""
+
+    def play(port):
+        restart_all(platform, [(*HOSTS, *NODE_HOSTS)])
+        wait_for_result(lambda: send_heartbeat(NODE, port, 2), 200)
+        for host in NODE_HOSTS:
+            wait_for_result(lambda host=host: send_call(host), (200, b"/a/x"))
+
+    run_beside_upstream(platform, play)
