Put every release in force that the checks of a manifest accept

Callers saw: a valid, acknowledged version with listeners for a host with and without its port ended each node's process six or seven times in 20 s; hardly anything was served until the next version. Cause: the checks compare hosts and prefixes as they are written, RouteTable compared hosts without their port, found two routes equal and raised DuplicateRoute in NodeState, which nothing caught. Change: Route.match is what tells two routes apart, for both checks, and the table compares the same texts. It tries the routes of the host as the caller names it, then those of the same host with another port or none as before, then those of any host. A release that can't be converted leaves the last one in force, with a log line and a metric, and SnapshotBuilder replaces its state at once. Why it works: what one part accepts the other takes, and a defect there costs a release instead of every process.

--- a/packages/calls/src/rhubarbhollow_calls/route_table.py
+++ b/packages/calls/src/rhubarbhollow_calls/route_table.py
@@ -16,25 +16,41 @@
 
 
 class DuplicateRoute(InvariantViolation):
-    """Two routes of a release share a name, or a host and a prefix."""
+    """Two routes of a release share a name, or a host and a prefix.
+
+    Hosts and prefixes are compared as they are written, as the checks
+    of manifests do.
+    """
 
 
 class RouteTable:
     """Immutable table of the routes of the release at ``position``.
 
-    The routes of a specific host are tried before those of ``*``.
-    Within a host, the longest matching prefix wins.  A prefix with a
-    final slash matches the paths that begin with it; ``/a/`` does not
-    match ``/a``.  One without a final slash also ends at a segment
-    boundary: ``/a`` matches ``/a`` and ``/a/b``, but not ``/ab``.
+    The routes of the host as the caller names it are tried first, then
+    those of the same host with another port or none, and then those of
+    ``*``.  Within each, the longest matching prefix wins.
+
+    A prefix with a final slash matches the paths that begin with it;
+    ``/a/`` does not match ``/a``.  One without a final slash also ends
+    at a segment boundary: ``/a`` matches ``/a`` and ``/a/b``, but not
+    ``/ab``.
     """
 
-    __slots__ = ("_any_host", "_by_host", "_by_name", "_position")
+    __slots__ = (
+        "_any_host",
+        "_by_host",
+        "_by_name",
+        "_position",
+        "_spellings",
+    )
 
     def __init__(self, position: int, routes: Iterable[CallRoute]) -> None:
         self._position = position
         self._by_name: dict[str, CallRoute] = {}
         self._by_host: dict[bytes, _HostRoutes] = {}
+        # The keys of ``_by_host`` by normalized host, in the order in
+        # which they are tried.
+        self._spellings: dict[bytes, tuple[bytes, ...]] = {}
         for route in routes:
             self._add(route)
         self._any_host = self._by_host.pop(ANY_HOST, _HostRoutes())
@@ -62,11 +78,19 @@
         normalized = normalize_path(path)
         if normalized is None:
             return None
-        host_routes = self._by_host.get(normalize_host(host))
+        host_routes = self._by_host.get(host.lower())
         if host_routes is not None:
             route = host_routes.longest_match(normalized)
             if route is not None:
                 return route
+        spellings = self._spellings.get(normalize_host(host), ())
+        found = [
+            route
+            for spelling in spellings
+            if (route := self._by_host[spelling].longest_match(normalized))
+        ]
+        if found:
+            return max(found, key=lambda route: len(route.prefix))
         return self._any_host.longest_match(normalized)
 
     def change(
@@ -88,6 +112,7 @@
         changed = RouteTable(position, ())
         changed._by_name = {**self._by_name}
         changed._by_host = {**self._by_host, ANY_HOST: self._any_host}
+        changed._spellings = {**self._spellings}
         for host in {_host_of(route) for route in (*replaced, *upserts)}:
             routes = changed._by_host.get(host)
             if routes is not None:
@@ -98,14 +123,39 @@
         for route in upserts:
             changed._add(route)
         changed._any_host = changed._by_host.pop(ANY_HOST)
+        changed._forget_empty(map(_host_of, replaced))
         return changed
 
+    def _forget_empty(self, hosts: Iterable[bytes]) -> None:
+        for host in hosts:
+            routes = self._by_host.get(host)
+            if routes is None or not routes.is_empty:
+                continue
+            del self._by_host[host]
+            normalized = normalize_host(host)
+            spellings = self._spellings.pop(normalized)
+            others = tuple(each for each in spellings if each != host)
+            if others:
+                self._spellings[normalized] = others
+
     def _add(self, route: CallRoute) -> None:
         host = _host_of(route)
         if route.name in self._by_name:
             raise DuplicateRoute(f"two routes have the name {route.name!r}")
         self._by_name[route.name] = route
-        self._by_host.setdefault(host, _HostRoutes()).add(route)
+        routes = self._by_host.get(host)
+        if routes is None:
+            routes = self._by_host[host] = _HostRoutes()
+            self._add_spelling(host)
+        routes.add(route)
+
+    def _add_spelling(self, host: bytes) -> None:
+        if host == ANY_HOST:
+            return
+        normalized = normalize_host(host)
+        spellings = {*self._spellings.get(normalized, ()), host}
+        # The normalized host, a prefix of the others, comes first.
+        self._spellings[normalized] = tuple(sorted(spellings))
 
 
 class _HostRoutes:
@@ -117,6 +167,10 @@
         self._by_prefix: dict[bytes, CallRoute] = {}
         self._max_length = 0
 
+    @property
+    def is_empty(self) -> bool:
+        return not self._by_prefix
+
     def copy(self) -> _HostRoutes:
         copied = _HostRoutes()
         copied._by_prefix = {**self._by_prefix}
@@ -156,7 +210,7 @@
 
 
 def _host_of(route: CallRoute) -> bytes:
-    return normalize_host(route.host.encode())
+    return route.host.encode().lower()
 
 
 def _prefix_of(route: CallRoute) -> bytes:
--- a/packages/calls/tests/test_route_table.py
+++ b/packages/calls/tests/test_route_table.py
@@ -124,6 +124,60 @@
         assert after.match(b"h", target) is before.match(b"h", target)
 
 
+HOSTS = st.sampled_from(["a", "a:80", "a:8080", "b", "b:80", "*"])
+PLACES = st.sets(
+    st.tuples(HOSTS, st.sampled_from(["/", "/a", "/a/", "/a//", "/a/b/"])),
+    max_size=8,
+)
+
+
+def naive_route(
+    places: set[tuple[str, str]], host: str, path: str
+) -> tuple[str, str] | None:
+    """Return the host and prefix of the route, by the documentation."""
+    bare = host.partition(":")[0]
+    groups = (
+        lambda one: one == host,
+        lambda one: one.partition(":")[0] == bare,
+        lambda one: one == "*",
+    )
+    for is_in_group in groups:
+        found = [
+            place
+            for place in places
+            if is_in_group(place[0]) and begins(place[1], path)
+        ]
+        if found:
+            return min(found, key=lambda place: (-len(place[1]), place[0]))
+    return None
+
+
+@given(
+    st.lists(PLACES, min_size=1, max_size=4),
+    st.sampled_from(["a", "A:80", "a:8080", "a:1", "b", "b:80", "c"]),
+    st.sampled_from(["/", "/a", "/a/", "/a/b", "/a/b/c", "/b"]),
+)
+def test_hosts_with_and_without_port_are_distinct(
+    steps: list[set[tuple[str, str]]], host: str, path: str
+) -> None:
+    """Guard against routes that a table takes for the same one.
+
+    Manifests with them pass all checks.
+    """
+    table = RouteTable(0, ())
+    before: set[tuple[str, str]] = set()
+    for position, places in enumerate(steps, 1):
+        removed = [f"{host}{prefix}" for host, prefix in before - places]
+        added = [route(f"{h}{prefix}", h, prefix) for h, prefix in places]
+        table = table.change(position, removed, added)
+        before = places
+        for each in (table, RouteTable(position, added)):
+            matched = each.match(host.encode(), path.encode())
+            expected = naive_route(places, host.lower(), path)
+            found = matched and (matched.host, matched.prefix)
+            assert found == expected
+
+
 def test_path_normalization_is_idempotent() -> None:
     """A normalized path must not decode to another path upstream."""
     rng = random.Random(6)
--- a/packages/daemon/src/rhubarbhollow_daemon/metric_collection.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/metric_collection.py
@@ -38,6 +38,11 @@
         "Highest position that this node holds.",
         holder.staged_position,
     )
+    yield MetricSample(
+        "releases_not_applied_total",
+        "Releases that could not be applied; the one before is in force.",
+        parts.state.failed_releases,
+    )
     yield MetricSample(
         "source_connected",
         "Whether a control instance has welcomed this node.",
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -106,6 +106,7 @@
         self._rollouts = rollouts
         self._departures = departures
         self._call_node: CallNode | None = None
+        self._failed_releases = 0
         self._snapshots = SnapshotBuilder()
 
     @property
@@ -113,6 +114,14 @@
         """Return the holder of this node's releases."""
         return self._holder
 
+    @property
+    def failed_releases(self) -> int:
+        """Return how many releases could not be applied to calls.
+
+        The one before such a release stays in force.
+        """
+        return self._failed_releases
+
     @property
     def endpoint_records(self) -> tuple[EndpointRecord, ...]:
         """Return the records of the upstreams beside this node."""
@@ -284,10 +293,22 @@
         active = self._holder.active
         if active is None or self._call_node is None:
             return
-        snapshot = self._snapshots.build(active)
+        try:
+            snapshot = self._snapshots.build(active)
+            objectives = find_latency_objectives(active)
+        except Exception:
+            # Every node gets the same release, so this would end them
+            # all, and again at each start.
+            self._failed_releases += 1
+            _log.exception(
+                "release_not_applied",
+                position=active.position,
+                version=active.version,
+            )
+            return
         self._call_node.install(snapshot)
         self._quota.install(snapshot.tenants)
-        self._burn.set_objectives(find_latency_objectives(active))
+        self._burn.set_objectives(objectives)
         self._outbox.put(ActiveReport(active.position))
         _log.info(
             "release_in_force",
--- a/packages/daemon/src/rhubarbhollow_daemon/route_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/route_building.py
@@ -44,16 +44,17 @@
         manifest, position = release.manifest, release.position
         previous = self._manifest
         if previous is not None and _has_same_services(previous, manifest):
-            self._table = self._change_table(previous, manifest, position)
+            table = self._change_table(previous, manifest, position)
         else:
             routes = _build_routes(manifest, manifest.routes)
-            self._table = RouteTable(position, routes)
+            table = RouteTable(position, routes)
+        tenants = self._tenants
         if previous is None or previous.tenants != manifest.tenants:
-            self._tenants = TenantDirectory(
-                map(_build_tenant, manifest.tenants)
-            )
-        self._manifest = manifest
-        return Snapshot(position, self._table, self._tenants)
+            tenants = TenantDirectory(map(_build_tenant, manifest.tenants))
+        # Replaced together, so that a release that cannot be converted
+        # changes nothing.
+        self._manifest, self._table, self._tenants = manifest, table, tenants
+        return Snapshot(position, table, tenants)
 
     def _change_table(
         self, previous: Manifest, manifest: Manifest, position: int
--- a/packages/daemon/tests/test_node_state.py
+++ b/packages/daemon/tests/test_node_state.py
@@ -21,12 +21,17 @@
 from rhubarbhollow_distribution.endpoint_change import EndpointChange
 from rhubarbhollow_distribution.endpoint_record import EndpointRecord
 from rhubarbhollow_distribution.endpoint_table import NeedsEndpoints
+from rhubarbhollow_distribution.held_release import HeldRelease
 from rhubarbhollow_distribution.stage import Stage
 from rhubarbhollow_distribution.stage_fault import (
     NeedsDifference,
     StalePosition,
 )
 from rhubarbhollow_distribution.stage_request import StageRequest
+from rhubarbhollow_release.manifest import Manifest
+from rhubarbhollow_release.resource_set import split_manifest
+from rhubarbhollow_release.route import Route
+from rhubarbhollow_release.service import Service
 
 STAGE = object.__new__(Stage)
 object.__setattr__(STAGE, "position", 4)
@@ -119,3 +124,38 @@
     parts.active = None
     state_of(parts)._put_in_force()
     assert parts.calls == []
+
+
+def release_of(position, *hosts):
+    """Return a release with a route for each of the hosts."""
+    routes = tuple(
+        Route(f"r{number}", host, "/", "s", 500)
+        for number, host in enumerate(hosts)
+    )
+    manifest = Manifest(1, "m", position, (Service("s"),), routes)
+    resources = split_manifest(manifest)
+    return HeldRelease(
+        position, position, resources.digest, resources, manifest
+    )
+
+
+def test_a_release_that_cannot_be_applied_leaves_the_last_in_force():
+    """Guard against a release that ends the process of every node."""
+    parts = Parts()
+    state = state_of(parts)
+    state.attach(parts)
+    for release in (
+        release_of(1, "a"),
+        release_of(2, "a", "a"),
+        release_of(3, "a", "b"),
+    ):
+        parts.active = release
+        state._put_in_force()
+    installed = [
+        call[1].position
+        for call in parts.calls
+        if call[0] == "install" and hasattr(call[1], "position")
+    ]
+    assert installed == [1, 3]
+    assert parts.queued() == [ActiveReport(1), ActiveReport(3)]
+    assert state.failed_releases == 1
--- a/packages/daemon/tests/test_route_building.py
+++ b/packages/daemon/tests/test_route_building.py
@@ -2,12 +2,16 @@
 
 from dataclasses import replace
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from rhubarbhollow_calls.call_priority import CallPriority
 from rhubarbhollow_daemon.route_building import (
     SnapshotBuilder,
     find_latency_objectives,
 )
 from rhubarbhollow_distribution.held_release import HeldRelease
+from rhubarbhollow_release.closure import is_closed
 from rhubarbhollow_release.manifest import Manifest
 from rhubarbhollow_release.objectives import Objectives
 from rhubarbhollow_release.priority import Priority
@@ -92,6 +96,38 @@
             assert table.match(b"any", path) == whole.match(b"any", path)
 
 
+ROUTES = st.lists(
+    st.builds(
+        Route,
+        st.sampled_from(["r1", "r2", "r3", "r4"]),
+        st.sampled_from(["*", "a", "a:80", "a:080", "b"]),
+        st.sampled_from(["/", "/a", "/a/", "/a//", "/%41/", "/A/"]),
+        st.just("bench"),
+        st.just(500),
+    ),
+    max_size=4,
+    unique_by=lambda route: route.name,
+)
+
+
+@given(st.lists(ROUTES, min_size=1, max_size=4))
+def test_what_the_checks_accept_can_be_put_in_force(steps):
+    """Guard against a valid release that ends the process of each node.
+
+    The checks of a manifest and the route table once compared hosts and
+    prefixes differently.
+    """
+    builder = SnapshotBuilder()
+    for position, routes in enumerate(steps, 1):
+        manifest = replace(MANIFEST, routes=tuple(routes))
+        if not is_closed((*manifest.services, *routes)):
+            continue
+        table = builder.build(release_of(manifest, position)).route_table
+        assert {route.name for route in table.routes} == {
+            route.name for route in routes
+        }
+
+
 def test_a_change_converts_only_the_routes_that_it_touches():
     """Guard against a cost that grows with the whole release."""
     builder = SnapshotBuilder()
--- a/packages/release/src/rhubarbhollow_release/closure.py
+++ b/packages/release/src/rhubarbhollow_release/closure.py
@@ -152,7 +152,7 @@
             split.service not in services for split in route.splits
         ):
             return False
-        matches.add((route.host, route.prefix))
+        matches.add(route.match)
     return len(matches) == len(routes)
 
 
@@ -192,14 +192,13 @@
         route = placed.item
         if not isinstance(route, Route):
             continue
-        match_ = (route.host, route.prefix)
-        if match_ in first_routes:
+        if route.match in first_routes:
             yield ManifestFault(
                 placed.path,
                 FaultKind.DUPLICATE_MATCH,
-                f"same host and prefix as route {first_routes[match_]}",
+                f"same host and prefix as route {first_routes[route.match]}",
             )
-        first_routes.setdefault(match_, route.name)
+        first_routes.setdefault(route.match, route.name)
 
 
 def _find_shared_keys(
--- a/packages/release/src/rhubarbhollow_release/difference_join.py
+++ b/packages/release/src/rhubarbhollow_release/difference_join.py
@@ -144,13 +144,11 @@
     routes: Sequence[Route], upserts: Sequence[Route]
 ) -> bool:
     """Return whether upserted routes share no match with others."""
-    matches = {(route.host, route.prefix) for route in upserts}
+    matches = {route.match for route in upserts}
     if len(matches) < len(upserts):
         return False
     prefixes = {route.prefix for route in upserts}
     same = sum(
-        (route.host, route.prefix) in matches
-        for route in routes
-        if route.prefix in prefixes
+        route.match in matches for route in routes if route.prefix in prefixes
     )
     return same == len(upserts)
--- a/packages/release/src/rhubarbhollow_release/route.py
+++ b/packages/release/src/rhubarbhollow_release/route.py
@@ -40,6 +40,11 @@
     is_public: bool = False
     annotation: str = ""
 
+    @property
+    def match(self) -> tuple[str, str]:
+        """Return what distinguishes the calls of two routes."""
+        return (self.host, self.prefix)
+
     @property
     def services(self) -> tuple[str, ...]:
         """Return all services to which the route may send calls."""
