Tell an empty list of tenants from a missing one

Callers saw: once the last tenants were removed, requests ran with keys just taken away, with keys that never existed and with none; upstreams got the callers' keys and tenant names that callers made up. Change: the header of a release tells whether its list of tenants is there and empty. It is in the canonical form and in differences, and left out otherwise, so all other digests and records stay as they are and read as they did. requires_keys replaces is_empty in every place. Tests: test_a_manifest_without_tenants_keeps_its_digest asserted that a manifest with an empty list equals one without; that was the fault. It keeps its other assertions, and the drawn test beside it compares the two.

--- a/packages/calls/src/rhubarbhollow_calls/io_caller.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_caller.py
@@ -77,7 +77,7 @@
         if refusal is not None:
             return self._refuse(head, downstream, request_id, refusal)
         tenants = node.tenants
-        if not tenants.is_empty:
+        if tenants.requires_keys:
             head = head.without_guarded()
         now = node.clock.monotonic()
         timeout_ms = state.route.timeout_ms
@@ -105,7 +105,7 @@
     ) -> tuple[Identity | None, EntryRefusal | None]:
         """Return whose key a call has, or why it is refused."""
         node = self._node
-        if node.tenants.is_empty or state.route.is_public:
+        if not node.tenants.requires_keys or state.route.is_public:
             return None, None
         # An empty field is no key.
         key = head.credential
--- a/packages/calls/src/rhubarbhollow_calls/io_exchange.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_exchange.py
@@ -188,11 +188,11 @@
     def is_key_held(self) -> bool:
         """Return whether the release in force holds the call's key.
 
-        A release without tenants serves everyone.
+        A release that requires no keys serves everyone.
         """
         tenants = self._node.tenants
         identity = self._identity
-        if identity is None or tenants.is_empty:
+        if identity is None or not tenants.requires_keys:
             return True
         return tenants.holds_identity(identity)
 
--- a/packages/calls/src/rhubarbhollow_calls/io_peer.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_peer.py
@@ -73,13 +73,13 @@
             return
         state = self._node.find_route_state(mesh.route.decode("latin-1"))
         tenants = self._node.tenants
-        if not tenants.is_empty and not self._is_authenticated(state):
+        if tenants.requires_keys and not self._is_authenticated(state):
             self._refuse_admission(
                 RefusalKind.KEY_WITHDRAWN,
                 "the release in force here does not hold the key",
             )
             return
-        if self._identity is not None or not tenants.is_empty:
+        if self._identity is not None or tenants.requires_keys:
             self._head = self._head.without_guarded()
         objective = None if state is None else state.route.latency_seconds
         if not self._node.can_end(self._deadline, objective):
--- a/packages/calls/tests/test_io_tenants.py
+++ b/packages/calls/tests/test_io_tenants.py
@@ -181,6 +181,57 @@
     run(main())
 
 
+@DIALECTS
+@ENTRIES
+def test_an_empty_list_of_tenants_refuses_every_key(entry, dialect):
+    """Guard against the last revoked key opening the mesh."""
+
+    async def main():
+        mesh, upstream = await two_nodes(dialect)
+        for node in mesh.nodes.values():
+            node.node.install(snapshot(8, TenantDirectory(())))
+            node.is_confirmed = True
+        client = await mesh.client(entry)
+        forged = f"{dialect.tenant.decode()}: archive"
+        for fields in ((), (field(dialect),), (field(dialect), forged)):
+            reply = await client.request(
+                "GET", "/a", b"", id_field(dialect), *fields
+            )
+            assert reply.status == 401
+            reply = await client.request(
+                "GET", "/p", b"", id_field(dialect), *fields
+            )
+            assert reply.status == 200
+        assert {request.target for request in upstream.requests} == {"/p"}
+        for request in upstream.requests:
+            assert not names_with_secrets(request.headers)
+            assert tenant_in(request, dialect) is None
+        await mesh.close()
+
+    run(main())
+
+
+@DIALECTS
+def test_a_node_that_still_holds_the_last_key_forwards_nothing_that_runs(
+    dialect,
+):
+    """Guard against the last key at a node that is behind."""
+
+    async def main():
+        mesh, upstream = await two_nodes(dialect)
+        mesh.nodes["b"].node.install(snapshot(8, TenantDirectory(())))
+        client = await mesh.client("a")
+        reply = await client.request(
+            "POST", "/a", b"", id_field(dialect), field(dialect)
+        )
+        assert reply.status == 503
+        assert reply.headers["rhubarbhollow-executed"] == "no"
+        assert not upstream.requests
+        await mesh.close()
+
+    run(main())
+
+
 @DIALECTS
 def test_a_key_revoked_while_its_request_waits(dialect):
     """Guard against queued requests that run with a revoked key."""
--- a/packages/cli/src/rhubarbhollow_cli/manifest_file.py
+++ b/packages/cli/src/rhubarbhollow_cli/manifest_file.py
@@ -43,6 +43,7 @@
             "routes": len(manifest.routes),
             "retry_policies": len(manifest.retry_policies),
             "tenants": len(manifest.tenants),
+            "requires_keys": manifest.requires_keys,
         }
 
 
--- a/packages/daemon/src/rhubarbhollow_daemon/node_state.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/node_state.py
@@ -316,6 +316,7 @@
             version=active.version,
             digest=active.digest.hex(),
             tenants=len(active.manifest.tenants),
+            requires_keys=active.manifest.requires_keys,
         )
 
     def _change_endpoints(self, change: EndpointChange) -> None:
--- a/packages/daemon/src/rhubarbhollow_daemon/request_explanation.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/request_explanation.py
@@ -67,7 +67,7 @@
 def _find_tenant(
     node: CallNode, asked: AskedRequest, state: RouteState
 ) -> tuple[Tenant | None, EntryRefusal | None]:
-    if node.tenants.is_empty or state.route.is_public:
+    if not node.tenants.requires_keys or state.route.is_public:
         return None, None
     tenant = None
     if asked.tenant is not None:
--- a/packages/daemon/src/rhubarbhollow_daemon/route_building.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/route_building.py
@@ -49,8 +49,11 @@
             routes = _build_routes(manifest, manifest.routes)
             table = RouteTable(position, routes)
         tenants = self._tenants
-        if previous is None or previous.tenants != manifest.tenants:
-            tenants = TenantDirectory(map(_build_tenant, manifest.tenants))
+        if previous is None or _tenants_of(previous) != _tenants_of(manifest):
+            tenants = TenantDirectory(
+                map(_build_tenant, manifest.tenants),
+                requires_keys=manifest.requires_keys,
+            )
         # Replaced together, so that a release that cannot be converted
         # changes nothing.
         self._manifest, self._table, self._tenants = manifest, table, tenants
@@ -78,6 +81,12 @@
     )
 
 
+def _tenants_of(
+    manifest: Manifest,
+) -> tuple[tuple[TenantEntry, ...], bool]:
+    return (manifest.tenants, manifest.requires_keys)
+
+
 def _build_routes(
     manifest: Manifest, routes: Iterable[Route]
 ) -> tuple[CallRoute, ...]:
--- a/packages/release/src/rhubarbhollow_release/assembly.py
+++ b/packages/release/src/rhubarbhollow_release/assembly.py
@@ -25,6 +25,7 @@
 ) -> Manifest:
     """Build a manifest from items, sorted by kind and name."""
     ordered = sorted(items, key=attrgetter("name"))
+    tenants = tuple(i for i in ordered if isinstance(i, TenantEntry))
     return Manifest(
         format=header.format,
         mesh=header.mesh,
@@ -33,5 +34,6 @@
         routes=tuple(i for i in ordered if isinstance(i, Route)),
         notes=tuple(i for i in ordered if isinstance(i, Note)),
         retry_policies=tuple(i for i in ordered if isinstance(i, RetryPolicy)),
-        tenants=tuple(i for i in ordered if isinstance(i, TenantEntry)),
+        tenants=tenants,
+        has_empty_tenants=header.has_empty_tenants and not tenants,
     )
--- a/packages/release/src/rhubarbhollow_release/canonical.py
+++ b/packages/release/src/rhubarbhollow_release/canonical.py
@@ -34,6 +34,7 @@
 
 # Sections that are omitted if empty: most manifests have neither, and
 # the digests of releases from before a section existed must not change.
+# Tenants are not if the manifest states that there are none.
 _OMITTED_IF_EMPTY: Final = frozenset((ResourceKind.NOTE, ResourceKind.TENANT))
 
 
@@ -80,7 +81,8 @@
 ) -> Iterator[bytes]:
     yield b'{"format":%d,"mesh":%s' % (header.format, encode_json(header.mesh))
     for kind, section in SECTIONS.items():
-        if bodies[kind] or kind not in _OMITTED_IF_EMPTY:
+        is_stated = kind is ResourceKind.TENANT and header.has_empty_tenants
+        if bodies[kind] or is_stated or kind not in _OMITTED_IF_EMPTY:
             yield b',"%s":[' % section.encode()
             yield b",".join(bodies[kind])
             yield b"]"
--- a/packages/release/src/rhubarbhollow_release/difference_codec.py
+++ b/packages/release/src/rhubarbhollow_release/difference_codec.py
@@ -51,8 +51,12 @@
 def encode_difference(difference: Difference) -> bytes:
     """Encode and compress a difference."""
     header = difference.header
+    fields: list[object] = [header.format, header.mesh, header.version]
+    if header.has_empty_tenants:
+        # Left out otherwise, as in the encodings of earlier versions.
+        fields.append(True)
     preamble = {
-        "header": [header.format, header.mesh, header.version],
+        "header": fields,
         "removed": [[key.kind, key.name] for key in difference.removed],
         "upserts": [
             [resource.kind, resource.name, len(resource.body)]
@@ -151,11 +155,12 @@
 
 def _is_header(value: object) -> bool:
     match value:
-        case [format_, mesh, version]:
+        case [format_, mesh, version, *flags]:
             return (
                 _is_count(format_)
                 and checks.is_name(mesh)
                 and checks.is_version(version)
+                and (not flags or (len(flags) == 1 and flags[0] is True))
             )
     return False
 
--- a/packages/release/src/rhubarbhollow_release/difference_join.py
+++ b/packages/release/src/rhubarbhollow_release/difference_join.py
@@ -95,6 +95,7 @@
         routes=tuple(changed),
         notes=tuple(notes),
         tenants=tuple(tenants),
+        has_empty_tenants=header.has_empty_tenants and not tenants,
     )
 
 
--- a/packages/release/src/rhubarbhollow_release/manifest.py
+++ b/packages/release/src/rhubarbhollow_release/manifest.py
@@ -23,6 +23,10 @@
 
     Parsing and joining sort the resources of each kind by name, so that
     manifests with equal contents compare equal.
+
+    ``has_empty_tenants`` is set if the manifest lists its tenants and
+    there is none.  Then no key is valid, while a manifest without a
+    list of tenants asks for no key.
     """
 
     format: int
@@ -33,8 +37,16 @@
     retry_policies: tuple[RetryPolicy, ...] = ()
     notes: tuple[Note, ...] = ()
     tenants: tuple[TenantEntry, ...] = ()
+    has_empty_tenants: bool = False
+
+    @property
+    def requires_keys(self) -> bool:
+        """Return whether callers need the key of a tenant."""
+        return self.has_empty_tenants or bool(self.tenants)
 
     @property
     def header(self) -> ManifestHeader:
         """Return the fields of the manifest that are not resources."""
-        return ManifestHeader(self.format, self.mesh, self.version)
+        return ManifestHeader(
+            self.format, self.mesh, self.version, self.has_empty_tenants
+        )
--- a/packages/release/src/rhubarbhollow_release/manifest_header.py
+++ b/packages/release/src/rhubarbhollow_release/manifest_header.py
@@ -7,8 +7,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ManifestHeader:
-    """Store the document format, the mesh's name and the version."""
+    """Store what a manifest states beside its resources.
+
+    ``has_empty_tenants`` tells a list of tenants without an entry from
+    no list at all.
+    """
 
     format: int
     mesh: str
     version: int
+    has_empty_tenants: bool = False
--- a/packages/release/src/rhubarbhollow_release/parsing.py
+++ b/packages/release/src/rhubarbhollow_release/parsing.py
@@ -58,7 +58,12 @@
     faults = limit_faults(chain(faults, closure.find_faults()))
     if faults:
         return Err(ManifestFaults(faults))
-    header = ManifestHeader(value["format"], value["mesh"], value["version"])
+    header = ManifestHeader(
+        value["format"],
+        value["mesh"],
+        value["version"],
+        has_empty_tenants=value.get("tenants") == [],
+    )
     items = (placed.item for placed in closure.placed)
     manifest = assemble_manifest(header, items)
     if len(document) <= SMALL_DOCUMENT_BYTES:
--- a/packages/release/tests/test_tenant_entry.py
+++ b/packages/release/tests/test_tenant_entry.py
@@ -1,18 +1,38 @@
 """Tenants of a manifest: shared keys, faults and joined changes."""
 
 import json
+import zlib
 
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from result import Err, Ok
 
 from rhubarbhollow_release.canonical import canonical_bytes
 from rhubarbhollow_release.difference import apply_difference, diff_resources
+from rhubarbhollow_release.difference_codec import (
+    _DICTIONARY,
+    decode_difference,
+    encode_difference,
+)
 from rhubarbhollow_release.difference_join import join_difference
 from rhubarbhollow_release.manifest_fault import FaultKind
+from rhubarbhollow_release.manifest_header import ManifestHeader
 from rhubarbhollow_release.parsing import parse_manifest
-from rhubarbhollow_release.resource_set import join_resources, split_manifest
+from rhubarbhollow_release.resource_set import (
+    ResourceSet,
+    join_resources,
+    split_manifest,
+)
 
 FIRST, SECOND = "1" * 64, "2" * 64
 SECRET = "sekret-d41d8"
+# Of a manifest without resources, as earlier versions encode it.
+OLD_DIFFERENCE = (
+    "0000000000000000000000000000000000000000000000000000000000000000"
+    "c95b8f0a8a6f1e7d64a2b42eb1f80c36051ad2c652b041f7f01071a1ea99cd8e"
+    "430d3c603428e998a3841d9083082360480000"
+)
 
 
 def with_tenants(document, *tenants, version=7):
@@ -45,7 +65,61 @@
     without = parse_manifest(json.dumps(document).encode()).ok_value
     assert b"tenants" not in canonical_bytes(without)
     assert b"public" not in canonical_bytes(without)
-    assert parse(document) == Ok(without)
+    assert not without.requires_keys
+
+
+TENANT_LISTS = st.sampled_from([None, [], ["a"], ["b"], ["a", "b"]])
+
+
+@given(st.lists(TENANT_LISTS, min_size=1, max_size=5))
+def test_an_empty_list_of_tenants_is_not_a_missing_one(names_of_steps):
+    """Guard against a change that opens the mesh to everyone.
+
+    Each step is read, sent as a difference, decoded, applied to the
+    step before, checked in both ways, and read from its canonical form.
+    """
+    base = manifest = None
+    digests = {}
+    for names in names_of_steps:
+        value = {"format": 1, "mesh": "lab", "version": 7}
+        value |= {"services": [{"name": "s"}], "routes": []}
+        if names is not None:
+            keys = {"a": FIRST, "b": SECOND}
+            value["tenants"] = [tenant(name, keys[name]) for name in names]
+        parsed = parse_manifest(json.dumps(value).encode()).ok_value
+        assert parsed.requires_keys == (names is not None)
+        sent = encode_difference(diff_resources(base, split_manifest(parsed)))
+        difference = decode_difference(sent).ok_value
+        applied = apply_difference(base, difference).ok_value
+        for joined in (
+            join_difference(manifest, difference, applied),
+            join_resources(applied),
+            parse_manifest(applied.canonical()),
+        ):
+            assert joined == Ok(parsed)
+        assert digests.setdefault(applied.digest, names) == names
+        base, manifest = applied, parsed
+
+
+def test_the_encodings_of_earlier_versions_are_read_as_before():
+    """Guard against records of before that are refused or read anew.
+
+    They did not tell an empty list of tenants from a missing one.
+    """
+    header = ManifestHeader(1, "lab", 7)
+    difference = diff_resources(None, ResourceSet(header))
+    assert decode_difference(bytes.fromhex(OLD_DIFFERENCE)) == Ok(difference)
+    assert encode_difference(difference).hex() == OLD_DIFFERENCE
+    assert not join_resources(ResourceSet(header)).ok_value.requires_keys
+
+
+@pytest.mark.parametrize("flags", [[False], [1], [True, True], [None]])
+def test_a_header_with_other_flags_is_refused(flags):
+    preamble = {"header": [1, "lab", 7, *flags], "removed": [], "upserts": []}
+    packer = zlib.compressobj(9, zlib.DEFLATED, -15, zdict=_DICTIONARY)
+    plain = json.dumps(preamble).encode() + b"\n"
+    data = bytes(64) + packer.compress(plain) + packer.flush()
+    assert isinstance(decode_difference(data), Err)
 
 
 def test_two_tenants_must_not_share_a_key(document):
--- a/packages/tenants/src/rhubarbhollow_tenants/directory.py
+++ b/packages/tenants/src/rhubarbhollow_tenants/directory.py
@@ -22,11 +22,17 @@
     It holds digests only, so no key can be read from it.  A key that
     two tenants share belongs to the first; an accepted release has
     none.
+
+    A release with a list of tenants requires a key, also if the list is
+    empty and no key is valid.
     """
 
-    __slots__ = ("_by_digest", "_by_name", "_identities")
+    __slots__ = ("_by_digest", "_by_name", "_identities", "_requires_keys")
 
-    def __init__(self, tenants: Iterable[Tenant] = ()) -> None:
+    def __init__(
+        self, tenants: Iterable[Tenant] = (), *, requires_keys: bool = True
+    ) -> None:
+        self._requires_keys = requires_keys
         self._by_digest: dict[bytes, Identity] = {}
         self._by_name: dict[bytes, Tenant] = {}
         self._identities: set[Identity] = set()
@@ -39,12 +45,13 @@
                 self._identities.add(identity)
 
     @property
-    def is_empty(self) -> bool:
-        """Return whether the release has no tenants.
+    def requires_keys(self) -> bool:
+        """Return whether requests need the key of a tenant.
 
-        Such a release does not authenticate requests.
+        The release has no list of tenants otherwise, and requests are
+        not authenticated.
         """
-        return not self._by_name
+        return self._requires_keys
 
     @property
     def tenants(self) -> Collection[Tenant]:
@@ -77,4 +84,4 @@
         return identity in self._identities
 
 
-NO_TENANTS: Final = TenantDirectory()
+NO_TENANTS: Final = TenantDirectory(requires_keys=False)
--- a/packages/tenants/tests/test_directory.py
+++ b/packages/tenants/tests/test_directory.py
@@ -50,11 +50,18 @@
     directory = TenantDirectory((tenant("a", priority=1, rate=2.0, burst=3),))
     assert directory.named("a").rate == 2.0
     assert directory.named("b") is None
-    assert not directory.is_empty
-    assert NO_TENANTS.is_empty
+    assert directory.requires_keys
+    assert not NO_TENANTS.requires_keys
     assert NO_TENANTS.authenticate(b"") is None
 
 
+def test_an_empty_directory_refuses_every_key():
+    """Guard against a release that opens the mesh with its last key."""
+    directory = TenantDirectory(())
+    assert directory.requires_keys
+    assert directory.identify(b"1") is None
+
+
 def test_no_digest_is_printed():
     """Guard against digests in logs: a weak key can be guessed."""
     owner = tenant("a", b"secret")
--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -142,6 +142,25 @@
     assert isinstance(join_resources(resources), Ok)
 
 
+def test_an_empty_list_of_tenants_is_not_a_missing_one():
+    """Guard against keys taken away that open the mesh to everyone."""
+    form = ConfigurationFormat("mesh")
+    submitted = document("[]")
+    missing = submitted.replace(b'"Tenants":[],', b"")
+    for data, requires_keys in (
+        (submitted, True),
+        (missing, False),
+        (document(dump(ARCHIVE)), True),
+        (document("[\n]"), True),
+        (missing, False),
+    ):
+        resources = form.read(data).ok_value
+        manifest = join_resources(resources).ok_value
+        assert manifest.requires_keys is requires_keys
+        assert form.render(resources) == data
+    assert form.read(submitted) != form.read(missing)
+
+
 @given(
     st.lists(st.sampled_from([b"1", b"{}", b"12"]), max_size=5),
     st.lists(st.sampled_from(["", " ", "\n\t"]), min_size=12, max_size=12),
--- a/tests/processes/test_platform_tenants.py
+++ b/tests/processes/test_platform_tenants.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import signal
 
 from tests.processes.test_platform_roles import (
     CONTROL_PORT,
@@ -141,6 +142,56 @@
         assert "sekret" not in platform.read_log(host)
 
 
+def check_all_denied():
+    for host in NODE_HOSTS:
+        for key in (OLD, None, "", "never"):
+            wait_for_result(lambda h=host, k=key: status_of(h, k), 401)
+        assert call(host, OLD, "/p/x") == (200, b"none")
+
+
+def restart_all(platform, port):
+    for host in (*HOSTS, *NODE_HOSTS):
+        platform.signal(host, signal.SIGKILL)
+    for host in (*HOSTS, *NODE_HOSTS):
+        platform.wait(host)
+        platform.start(host)
+    wait_for_result(lambda: send_heartbeat(NODE_HOSTS[0], port, 2), 200)
+    for host in NODE_HOSTS:
+        wait_for_result(lambda host=host: status_of(host, path="/p/x"), 200)
+
+
+def test_the_last_keys_are_taken_away(platform):
+    """Guard against an empty list of tenants that opens the mesh.
+
+    It holds after a restart of all processes too, and a document
+    without the list opens the mesh.
+    """
+    without = {**document(3), "Tenants": []}
+    missing = document(4)
+    del missing["Tenants"]
+
+    def play(port):
+        check_first_keys(port)
+        assert submit(HOSTS[1], without, 2) == 200
+        check_all_denied()
+        restart_all(platform, port)
+        check_all_denied()
+        wait_for_result(
+            lambda: send_request("GET", HOSTS[0], CONTROL_PORT, CONFIGURATION),
+            (200, encode(without)),
+        )
+        wait_for_result(lambda: submit(HOSTS[0], missing, 3), 200)
+        for host in NODE_HOSTS:
+            wait_for_result(lambda host=host: status_of(host), 200)
+
+    async def main():
+        upstream = Upstream(answer_with_tenant)
+        await upstream.start(NODE_HOSTS[0])
+        await asyncio.to_thread(play, upstream.port)
+
+    asyncio.run(main())
+
+
 def test_keys_are_added_rotated_and_revoked(platform):
     """Guard against keys that are denied or accepted at a wrong time.
 
