Confirm that the upstream runs before its connection ends a response

Callers saw: with an upstream killed in the middle of responses without a length, a complete 200 with half of the body. Cause: the end of the connection ended the response, and the kernel closes the connections of a killed process in order. Change: the node beside the upstream probes it after such an end, with a probe begun after it and shared by all responses that end meanwhile; a response whose upstream no longer listens is broken off, or tried again where that is allowed. Responses with a length or chunks cost nothing.

--- a/packages/calls/src/rhubarbhollow_calls/io_crash_watch.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_crash_watch.py
@@ -33,12 +33,24 @@
         ...
 
 
+class RunningCheckCallback(Protocol):
+    """Receive the result of a check whether the upstream runs."""
+
+    def __call__(self, *, is_running: bool) -> None:
+        """Handle whether the upstream still runs."""
+        ...
+
+
 class CrashWatch:
-    """Probe the upstream when a connection breaks during a call.
+    """Probe the upstream when a connection ends during a call.
 
     If nothing listens on its port any more, the upstream has crashed,
     and all calls that were in flight are suspects.  Until the probe has
     ended, the broken calls count as in flight.
+
+    The kernel closes the connections of a process that dies in the same
+    way as the process itself would, so an end of a connection that ends
+    a response is probed too.
     """
 
     def __init__(
@@ -48,6 +60,8 @@
         self._connect_timeout_seconds = connect_timeout_seconds
         self._broken: list[BrokenCall] = []
         self._probe: asyncio.Task[None] | None = None
+        self._unconfirmed: list[RunningCheckCallback] = []
+        self._confirmation: asyncio.Task[None] | None = None
 
     def note_broken(
         self, call: BrokenCall, callback: CrashCheckCallback
@@ -62,10 +76,35 @@
             loop = asyncio.get_running_loop()
             self._probe = loop.create_task(self._check(callback))
 
+    def confirm_running(self, callback: RunningCheckCallback) -> None:
+        """Call back whether the upstream runs, by a new probe."""
+        self._unconfirmed.append(callback)
+        if self._confirmation is None:
+            loop = asyncio.get_running_loop()
+            self._confirmation = loop.create_task(self._confirm())
+
     def close(self) -> None:
-        """Cancel a running check, without a result for its calls."""
+        """Cancel a running check, without a result for its calls.
+
+        An upstream whose running is unconfirmed counts as crashed.
+        """
         if self._probe is not None:
             self._probe.cancel()
+        if self._confirmation is not None:
+            self._confirmation.cancel()
+        unconfirmed, self._unconfirmed = self._unconfirmed, []
+        for callback in unconfirmed:
+            callback(is_running=False)
+
+    async def _confirm(self) -> None:
+        while self._unconfirmed:
+            count = len(self._unconfirmed)
+            is_running = await self._is_listening()
+            confirmed = self._unconfirmed[:count]
+            del self._unconfirmed[:count]
+            for callback in confirmed:
+                callback(is_running=is_running)
+        self._confirmation = None
 
     async def _check(self, callback: CrashCheckCallback) -> None:
         is_listening = await self._is_listening()
--- a/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_attempt.py
@@ -72,6 +72,7 @@
         "_granted_at",
         "_has_requested_slot",
         "_has_slot",
+        "_is_until_close",
         "_port",
         "_route",
         "_ticket",
@@ -93,6 +94,7 @@
         self._route = route
         self._has_requested_slot = False
         self._has_slot = False
+        self._is_until_close = False
         self._fingerprint: bytes | None = None
         self._epoch = 0
         self._granted_at = 0.0
@@ -238,12 +240,32 @@
                 connection.abort()
             self.connection_broken(BreakCause.BAD_RESPONSE)
             return
+        self._is_until_close = head.is_until_close
         super().response_started(head)
         if self._refusal_head is not None and self._connection is not None:
             # Another copy of the refusal could pass for the refusal of
             # a later request with the same id.
             self._connection.close_after_response()
 
+    def response_ended(self) -> None:
+        """End the attempt, once it is known that the response is whole.
+
+        The end of the connection may be that of the upstream's process.
+        """
+        if self._is_until_close and self._refusal_head is None:
+            self._connection = None
+            self._port.confirm_running(self._end_confirmed)
+            return
+        super().response_ended()
+
+    def _end_confirmed(self, *, is_running: bool) -> None:
+        if self._is_over:
+            return
+        if is_running:
+            super().response_ended()
+        else:
+            self.connection_broken(BreakCause.CLOSED)
+
     def _field_lines(self) -> bytes:
         lines = self._owner.upstream_field_lines(self._port.upstream)
         if self._port.dialect.is_foreign:
--- a/packages/calls/src/rhubarbhollow_calls/io_local_port.py
+++ b/packages/calls/src/rhubarbhollow_calls/io_local_port.py
@@ -26,6 +26,7 @@
     from collections.abc import Sequence
 
     from rhubarbhollow_admission.overload_watch import OverloadChange
+    from rhubarbhollow_calls.io_crash_watch import RunningCheckCallback
     from rhubarbhollow_calls.io_local_upstream import LocalUpstream
     from rhubarbhollow_calls.io_settings import CallSettings
     from rhubarbhollow_calls.quarantine import Quarantine
@@ -280,6 +281,10 @@
         call = BrokenCall(fingerprint, epoch)
         self._crash_watch.note_broken(call, self._handle_crash_check)
 
+    def confirm_running(self, callback: RunningCheckCallback) -> None:
+        """Call back whether the upstream still runs."""
+        self._crash_watch.confirm_running(callback)
+
     def _handle_crash_check(
         self, calls: Sequence[BrokenCall], is_crashed: bool
     ) -> None:
--- a/packages/calls/tests/test_io_dialect.py
+++ b/packages/calls/tests/test_io_dialect.py
@@ -1,9 +1,10 @@
 """Calls with the header names of a foreign dialect."""
 
+import asyncio
 from dataclasses import replace
 
 import pytest
-from tests.standin.mesh import DEFAULT_ROUTE, Mesh, run
+from tests.standin.mesh import DEFAULT_ROUTE, Mesh, run, wait_until
 from tests.standin.scripted_upstream import (
     ScriptedUpstream,
     encode_answer,
@@ -151,3 +152,96 @@
         await mesh.close()
 
     run(main())
+
+
+class DyingUpstream(ScriptedUpstream):
+    """Answer in halves that the end of the connection delimits.
+
+    It dies after the first half as a killed process does: nothing
+    listens any more, and the connections are closed in order.
+    """
+
+    def __init__(self, dies, has_sent_data=True):
+        super().__init__(self.answer)
+        self.dies = dies
+        self.has_sent_data = has_sent_data
+        self.half = asyncio.Event()
+        self.may_go_on = asyncio.Event()
+
+    async def answer(self, request, writer):
+        head = f"HTTP/1.1 200 OK\r\nx-id: {request.headers['x-id']}\r\n\r\n"
+        data = b"half" if self.has_sent_data else b""
+        writer.write(head.encode() + data)
+        await writer.drain()
+        self.half.set()
+        await self.may_go_on.wait()
+        if self.dies:
+            self._server.close()
+        else:
+            writer.write(b" and half")
+        writer.close()
+
+
+@pytest.mark.parametrize("entry", ["a", "b"])
+@pytest.mark.parametrize("dies", [False, True])
+@pytest.mark.parametrize("has_sent_data", [False, True])
+@pytest.mark.parametrize("count", [1, 5])
+def test_a_response_that_a_crash_ends_is_not_complete(
+    entry, dies, has_sent_data, count
+):
+    """Guard against half of a response that looks like a whole one.
+
+    Without a length, the end of the connection ends the response, and
+    the kernel closes the connections of a killed process in order.
+    """
+
+    async def main():
+        upstream = DyingUpstream(dies, has_sent_data)
+        await upstream.start()
+        mesh = Mesh(ROUTE, settings=SETTINGS)
+        await mesh.add_node("a")
+        await mesh.add_node("b", upstream)
+        clients = [await mesh.client(entry) for _ in range(count)]
+        calls = [
+            asyncio.create_task(
+                client.request("POST", "/a", b"", f"x-id: {number}")
+            )
+            for number, client in enumerate(clients)
+        ]
+        await wait_until(lambda: len(upstream.requests) == count)
+        await upstream.half.wait()
+        upstream.may_go_on.set()
+        for answer in await asyncio.gather(*calls):
+            if dies:
+                assert answer.status == 502 or not answer.is_whole
+            else:
+                assert answer.is_whole
+                whole = b"half and half" if has_sent_data else b" and half"
+                assert (answer.status, answer.body) == (200, whole)
+        await mesh.close()
+
+    run(main())
+
+
+def test_a_caller_may_leave_while_the_end_is_confirmed():
+    """Guard against a response that ends after its call."""
+
+    async def main():
+        upstream = DyingUpstream(dies=False)
+        await upstream.start()
+        mesh = Mesh(ROUTE, settings=SETTINGS)
+        node = await mesh.add_node("b", upstream)
+        client = await mesh.client("b")
+        call = asyncio.create_task(
+            client.request("POST", "/a", b"", "x-id: 1")
+        )
+        await upstream.half.wait()
+        upstream.may_go_on.set()
+        await wait_until(lambda: upstream.opened == 2)
+        call.cancel()
+        client.close()
+        port = node.node.local_port
+        await wait_until(lambda: not port.gate.in_use)
+        await mesh.close()
+
+    run(main())
