Compare paths with prefixes as they are sent

Cause: RouteTable decoded unreserved characters before the look-up, so the path that was compared was not the one that was sent. Change: the path as it is sent selects the route; if its normalized form is a path of another route, it matches none, since an upstream may decode it.

--- a/packages/calls/src/rhubarbhollow_calls/route_table.py
+++ b/packages/calls/src/rhubarbhollow_calls/route_table.py
@@ -72,26 +72,36 @@
     def match(self, host: bytes, path: bytes) -> CallRoute | None:
         """Return the route for a request target, or ``None``.
 
-        The query is ignored. A path that two parsers may interpret
-        differently matches no route; see ``path_normalization``.
+        The query is ignored, and the path is compared as it is sent. A
+        path that two parsers may interpret differently matches no
+        route: see ``path_normalization``. So does one that is
+        normalized to a path of another route.
         """
         normalized = normalize_path(path)
         if normalized is None:
             return None
+        sent = path.partition(b"?")[0]
+        route = self._find(host, sent)
+        if route is None or normalized == sent:
+            return route
+        other = self._find(host, normalized)
+        return route if other is None or other is route else None
+
+    def _find(self, host: bytes, path: bytes) -> CallRoute | None:
         host_routes = self._by_host.get(host.lower())
         if host_routes is not None:
-            route = host_routes.longest_match(normalized)
+            route = host_routes.longest_match(path)
             if route is not None:
                 return route
         spellings = self._spellings.get(normalize_host(host), ())
         found = [
             route
             for spelling in spellings
-            if (route := self._by_host[spelling].longest_match(normalized))
+            if (route := self._by_host[spelling].longest_match(path))
         ]
         if found:
             return max(found, key=lambda route: len(route.prefix))
-        return self._any_host.longest_match(normalized)
+        return self._any_host.longest_match(path)
 
     def change(
         self,
