Match the answers of the leader as those of control instances

Cause: the new client of departures brought a second place that numbers requests and waits for their answers; ProposeRelay and ClaimClient had it too. ProposeRelay keeps its ranges of ids.

--- a/packages/daemon/src/rhubarbhollow_daemon/pending_answers.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/pending_answers.py
@@ -13,10 +13,13 @@
 
 
 class PendingAnswers(Generic[_Answer]):
-    """Number the requests to a peer and wait for their answers."""
+    """Number the requests to a peer and wait for their answers.
 
-    def __init__(self) -> None:
-        self._last_id = 0
+    The ids of the requests follow ``last_id``.
+    """
+
+    def __init__(self, last_id: int = 0) -> None:
+        self._last_id = last_id
         self._pending: dict[int, anyio.Event] = {}
         self._answers: dict[int, _Answer] = {}
 
--- a/packages/daemon/src/rhubarbhollow_daemon/propose_relay.py
+++ b/packages/daemon/src/rhubarbhollow_daemon/propose_relay.py
@@ -4,13 +4,11 @@
 
 from typing import TYPE_CHECKING, Final
 
-import anyio
-
-from rhubarbhollow_daemon.messages import ProposeRequest
+from rhubarbhollow_daemon.messages import ProposeAnswer, ProposeRequest
+from rhubarbhollow_daemon.pending_answers import PendingAnswers
 
 if TYPE_CHECKING:
     from rhubarbhollow_daemon.log_group import LogGroup
-    from rhubarbhollow_daemon.messages import ProposeAnswer
     from rhubarbhollow_daemon.peer_links import PeerLinks
 
 REQUESTS_PER_INCARNATION: Final = 1 << 21
@@ -32,9 +30,9 @@
         self._group = group
         self._kind = kind
         first = links.incarnation * REQUESTS_PER_INCARNATION
-        self._last_id = first + kind * REQUESTS_PER_KIND
-        self._answers: dict[int, ProposeAnswer] = {}
-        self._pending: dict[int, anyio.Event] = {}
+        self._pending = PendingAnswers[ProposeAnswer](
+            first + kind * REQUESTS_PER_KIND
+        )
 
     async def ask(
         self,
@@ -43,22 +41,15 @@
         timeout_seconds: float,
     ) -> ProposeAnswer | None:
         """Return the leader's answer, or ``None`` after the timeout."""
-        self._last_id += 1
-        request_id = self._last_id
-        event = self._pending[request_id] = anyio.Event()
-        request = ProposeRequest(request_id, self._group, payload, self._kind)
-        try:
+
+        def send(request_id: int) -> None:
+            request = ProposeRequest(
+                request_id, self._group, payload, self._kind
+            )
             self._links.send(leader, request)
-            with anyio.move_on_after(timeout_seconds):
-                await event.wait()
-        finally:
-            del self._pending[request_id]
-            answer = self._answers.pop(request_id, None)
-        return answer
+
+        return await self._pending.ask(send, timeout_seconds)
 
     def deliver(self, answer: ProposeAnswer) -> None:
         """Deliver an answer to its command, if that still waits."""
-        event = self._pending.get(answer.request_id)
-        if event is not None:
-            self._answers[answer.request_id] = answer
-            event.set()
+        self._pending.deliver(answer.request_id, answer)
