--- a/packages/calls/src/rhubarbhollow_calls/invariant.py
+++ b/packages/calls/src/rhubarbhollow_calls/invariant.py
@@ -8,5 +8,6 @@
 
     Each check raises its own subclass, so that the failure of a long
     run identifies the invariant that broke. Code must not catch it to
-    continue.
+    continue. The exception is a release that cannot be put in force:
+    every node gets the same one, and the one before stays.
     """
