--- a/packages/calls/src/rhubarbhollow_calls/quarantine.py
+++ b/packages/calls/src/rhubarbhollow_calls/quarantine.py
@@ -51,18 +51,6 @@
 
     crashes: dict[_Crash, float] = field(default_factory=dict)
     cleared: dict[_Crash, float] = field(default_factory=dict)
-    repeats: set[_Crash] = field(default_factory=set)
-
-    @property
-    def evidence(self) -> int:
-        """Return how many crashes count, all first ones as one.
-
-        A request that was in flight at several first crashes may be
-        just popular.
-        """
-        open_crashes = self.open_crashes.keys()
-        repeats = len(open_crashes & self.repeats)
-        return repeats + (len(open_crashes) > repeats)
 
     @property
     def open_crashes(self) -> dict[_Crash, float]:
@@ -79,7 +67,6 @@
     def forget(self, oldest: float) -> None:
         self.crashes = _not_older(oldest, self.crashes)
         self.cleared = _not_older(oldest, self.cleared)
-        self.repeats &= self.crashes.keys()
 
 
 class Quarantine:
@@ -88,13 +75,9 @@
     A request that is in flight when the upstream crashes becomes a
     suspect. A suspect that completes is cleared of the crashes known at
     that time. A suspect runs only while no other suspect runs on this
-    upstream, so that a second crash identifies one of them.
-
-    A crash that ends the run of a suspect is a repeat. One that is not
-    cleared quarantines the request, together with those before it, for
-    a time that grows with each further repeat. Crashes that end runs
-    begun without suspicion count as one: several upstreams may crash at
-    once for another reason, with a popular request in flight on all.
+    upstream, so that a second crash identifies one of them. Two crashes
+    that are not cleared quarantine the request, for a time that grows
+    with each further crash.
     """
 
     def __init__(self, clock: Clock, max_suspects: int = MAX_SUSPECTS) -> None:
@@ -102,8 +85,6 @@
         self._max_suspects = max_suspects
         self._suspects: dict[bytes, _Suspect] = {}
         self._in_flight: dict[bytes, int] = {}
-        # Those of which a run was started as a suspect.
-        self._suspects_in_flight: set[bytes] = set()
         self._may_run = MayRun(0)
 
     @property
@@ -135,7 +116,6 @@
                 return quarantined
             if self._has_suspect_in_flight():
                 return _DEFERRED
-            self._suspects_in_flight.add(fingerprint)
         count = self._in_flight.get(fingerprint, 0)
         self._in_flight[fingerprint] = count + 1
         return self._may_run
@@ -166,7 +146,6 @@
             self._in_flight[fingerprint] = count - 1
         else:
             self._in_flight.pop(fingerprint, None)
-            self._suspects_in_flight.discard(fingerprint)
 
     def crashed(
         self, upstream: str, incarnation: int
@@ -178,17 +157,10 @@
         """
         at = self._clock.utc().timestamp()
         reports = tuple(
-            CrashReport(
-                fingerprint,
-                upstream,
-                incarnation,
-                at,
-                fingerprint in self._suspects_in_flight,
-            )
+            CrashReport(fingerprint, upstream, incarnation, at)
             for fingerprint in self._in_flight
         )
         self._in_flight.clear()
-        self._suspects_in_flight.clear()
         self._may_run = MayRun(self._may_run.epoch + 1)
         for report in reports:
             self.merge(report)
@@ -210,8 +182,6 @@
         match message:
             case CrashReport():
                 known = suspect.crashes
-                if message.is_repeat:
-                    suspect.repeats.add(crash)
             case Exoneration():
                 known = suspect.cleared
         is_new = message.at < known.get(crash, math.inf)
@@ -221,23 +191,15 @@
 
     def messages(self) -> tuple[QuarantineMessage, ...]:
         """Return the whole state as messages, for another node."""
-        messages: list[QuarantineMessage] = []
-        for fingerprint, suspect in self._suspects.items():
-            messages += (
-                CrashReport(
-                    fingerprint,
-                    crash.upstream,
-                    crash.incarnation,
-                    at,
-                    crash in suspect.repeats,
-                )
-                for crash, at in sorted(suspect.crashes.items())
-            )
-            messages += (
-                Exoneration(fingerprint, crash.upstream, crash.incarnation, at)
-                for crash, at in sorted(suspect.cleared.items())
+        return tuple(
+            kind(fingerprint, crash.upstream, crash.incarnation, at)
+            for fingerprint, suspect in self._suspects.items()
+            for kind, crashes in (
+                (CrashReport, suspect.crashes),
+                (Exoneration, suspect.cleared),
             )
-        return tuple(messages)
+            for crash, at in sorted(crashes.items())
+        )
 
     def forget_old(self) -> None:
         """Discard entries older than ``CRASH_RETENTION_SECONDS``.
@@ -252,10 +214,11 @@
 
     def _maybe_quarantined(self, suspect: _Suspect) -> Quarantined | None:
         open_crashes = suspect.open_crashes
-        evidence = suspect.evidence
-        if evidence < CRASHES_TO_QUARANTINE:
+        if len(open_crashes) < CRASHES_TO_QUARANTINE:
             return None
-        growth = QUARANTINE_GROWTH_FACTOR ** (evidence - CRASHES_TO_QUARANTINE)
+        growth = QUARANTINE_GROWTH_FACTOR ** (
+            len(open_crashes) - CRASHES_TO_QUARANTINE
+        )
         seconds = min(MAX_QUARANTINE_SECONDS, BASE_QUARANTINE_SECONDS * growth)
         until = max(open_crashes.values()) + seconds
         remaining = until - self._clock.utc().timestamp()
@@ -279,7 +242,7 @@
         newest = next(reversed(self._suspects))
         evicted = min(
             (f for f in self._suspects if f != newest),
-            key=lambda f: self._suspects[f].evidence,
+            key=lambda f: len(self._suspects[f].open_crashes),
         )
         del self._suspects[evicted]
 
--- a/packages/calls/src/rhubarbhollow_calls/quarantine_message.py
+++ b/packages/calls/src/rhubarbhollow_calls/quarantine_message.py
@@ -10,16 +10,13 @@
 class CrashReport:
     """Report a request in flight when an upstream crashed.
 
-    ``at`` is the time of the crash in seconds of UTC since 1970.  The
-    crash ``is_repeat`` if the request was started as a suspect, after
-    another crash.
+    ``at`` is the time of the crash in seconds of UTC since 1970.
     """
 
     fingerprint: bytes
     upstream: str
     incarnation: int
     at: float
-    is_repeat: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/calls/tests/test_quarantine.py
+++ b/packages/calls/tests/test_quarantine.py
@@ -1,7 +1,6 @@
 import random
 from itertools import permutations
 
-import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -78,45 +77,6 @@
     assert mesh.quarantined(POISON) == [False] * 3
 
 
-@pytest.mark.parametrize("count", [2, 3])
-def test_crashes_at_once_do_not_quarantine_a_popular_request(
-    count: int,
-) -> None:
-    """Guard against a page refused everywhere for another's crash.
-
-    Several upstreams crash for a reason of their own, with the same
-    page in flight on all. Its next run decides.
-    """
-    mesh = Mesh()
-    for node in range(count):
-        mesh.start(node, HOT)
-    for node in range(count):
-        mesh.crash(node)
-    assert mesh.quarantined(HOT) == [False] * 3
-    epoch = mesh.start(0, HOT)
-    assert isinstance(mesh.nodes[0].try_start(HOT), DeferredSuspect)
-    mesh.complete(0, HOT, epoch)
-    mesh.start(1, HOT)
-    mesh.start(1, HOT)
-
-
-@pytest.mark.parametrize("count", [2, 3])
-def test_a_request_that_crashes_several_at_once_is_quarantined_next(
-    count: int,
-) -> None:
-    """Guard against upstreams lost to copies sent at the same time."""
-    mesh = Mesh()
-    for node in range(count):
-        mesh.start(node, POISON)
-    for node in range(count):
-        mesh.crash(node)
-    mesh.start(0, POISON)
-    mesh.crash(0)
-    assert mesh.quarantined(POISON) == [True] * 3
-    verdict = mesh.nodes[1].verdict(POISON)
-    assert verdict == Quarantined(count + 1, BASE_QUARANTINE_SECONDS)
-
-
 def test_each_further_crash_lengthens_the_quarantine() -> None:
     mesh = Mesh()
     crash_twice(mesh, HOT)
@@ -233,7 +193,7 @@
     at = ManualClock().utc().timestamp()
     messages = [
         CrashReport(POISON, "u0", 1, at),
-        CrashReport(POISON, "u1", 1, at - 5, is_repeat=True),
+        CrashReport(POISON, "u1", 1, at - 5),
         Exoneration(POISON, "u0", 1, at),
         CrashReport(POISON, "u2", 1, at - 9),
     ]
@@ -251,8 +211,8 @@
     clock = ManualClock()
     node = Quarantine(clock, max_suspects=10)
     now = clock.utc().timestamp()
-    node.merge(CrashReport(POISON, "u0", 1, now))
-    node.merge(CrashReport(POISON, "u1", 1, now, is_repeat=True))
+    for upstream in ("u0", "u1"):
+        node.merge(CrashReport(POISON, upstream, 1, now))
     for index in range(50):
         node.merge(CrashReport(b"%d" % index, "u9", index, now))
     assert len({m.fingerprint for m in node.messages()}) == 10
@@ -285,15 +245,8 @@
         super().__init__()
         self.mesh = Mesh()
         self.running: list[tuple[int, bytes, int]] = []
-        # Crashes since the request last completed, those that ended the
-        # run of a suspect, and the suspects that have such a run.
+        # Crashes since the request last completed.
         self.crashes = dict.fromkeys((POISON, HOT, RARE), 0)
-        self.repeats = dict.fromkeys((POISON, HOT, RARE), 0)
-        self.suspects: set[tuple[int, bytes]] = set()
-
-    def evidence(self, fingerprint: bytes) -> int:
-        repeats = self.repeats[fingerprint]
-        return repeats + min(1, self.crashes[fingerprint] - repeats)
 
     @rule(node=st.integers(0, 2), fingerprint=fingerprints)
     def start(self, node: int, fingerprint: bytes) -> None:
@@ -304,14 +257,11 @@
                 is_alone = not any(self.crashes[f] for f in others)
                 assert not is_suspect or is_alone
                 self.running.append((node, fingerprint, epoch))
-                if is_suspect:
-                    self.suspects.add((node, fingerprint))
             case DeferredSuspect():
                 assert is_suspect
                 assert any(self.crashes[f] for f in others)
             case Quarantined(crashes):
-                assert crashes == self.crashes[fingerprint]
-                assert self.evidence(fingerprint) >= 2
+                assert crashes == self.crashes[fingerprint] >= 2
 
     @rule(index=st.integers(0, 20), is_whole=st.booleans())
     def end(self, index: int, is_whole: bool) -> None:
@@ -321,19 +271,14 @@
         if is_whole:
             self.mesh.complete(node, fingerprint, epoch)
             self.crashes[fingerprint] = 0
-            self.repeats[fingerprint] = 0
         else:
             self.mesh.nodes[node].abandoned(fingerprint, epoch)
-        runs = {(n, f) for n, f, _ in self.running}
-        self.suspects &= runs
 
     @rule(node=st.integers(0, 2))
     def crash(self, node: int) -> None:
         self.mesh.crash(node)
         for fingerprint in {f for n, f, _ in self.running if n == node}:
             self.crashes[fingerprint] += 1
-            self.repeats[fingerprint] += (node, fingerprint) in self.suspects
-        self.suspects = {one for one in self.suspects if one[0] != node}
         self.running = [run for run in self.running if run[0] != node]
 
     @rule(seconds=st.sampled_from([1.0, 70.0, 300.0]))
@@ -342,10 +287,10 @@
 
     @invariant()
     def nodes_agree(self) -> None:
-        for fingerprint in self.crashes:
+        for fingerprint, crashes in self.crashes.items():
             verdicts = self.mesh.quarantined(fingerprint)
             assert len(set(verdicts)) == 1
-            assert self.evidence(fingerprint) >= 2 or not any(verdicts)
+            assert crashes >= 2 or not any(verdicts)
 
 
 TestQuarantineMachine = QuarantineMachine.TestCase
--- a/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
+++ b/packages/wire/src/rhubarbhollow_wire/gen_py/rhubarbhollow/ttypes.py
@@ -3964,7 +3964,6 @@
      - upstream
      - incarnation
      - at
-     - is_repeat
 
     """
 
@@ -3973,16 +3972,14 @@
         'upstream',
         'incarnation',
         'at',
-        'is_repeat',
     )
 
 
-    def __init__(self, fingerprint=None, upstream=None, incarnation=None, at=None, is_repeat=False,):
+    def __init__(self, fingerprint=None, upstream=None, incarnation=None, at=None,):
         self.fingerprint = fingerprint
         self.upstream = upstream
         self.incarnation = incarnation
         self.at = at
-        self.is_repeat = is_repeat
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4013,11 +4010,6 @@
                     self.at = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.BOOL:
-                    self.is_repeat = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4044,10 +4036,6 @@
             oprot.writeFieldBegin('at', TType.DOUBLE, 4)
             oprot.writeDouble(self.at)
             oprot.writeFieldEnd()
-        if self.is_repeat is not None:
-            oprot.writeFieldBegin('is_repeat', TType.BOOL, 5)
-            oprot.writeBool(self.is_repeat)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6904,7 +6892,6 @@
     (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
     (3, TType.I64, 'incarnation', None, None, ),  # 3
     (4, TType.DOUBLE, 'at', None, None, ),  # 4
-    (5, TType.BOOL, 'is_repeat', None, False, ),  # 5
 )
 all_structs.append(Exoneration)
 Exoneration.thrift_spec = (
--- a/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
+++ b/packages/wire/src/rhubarbhollow_wire/rhubarbhollow.thrift
@@ -294,7 +294,6 @@
   2: string upstream
   3: i64 incarnation
   4: double at
-  5: bool is_repeat = false
 }
 
 struct Exoneration {
